The whole request path, thin, as separate processes

What it is: entry hosts (h11 server on curio) route each job by rendezvous hash of its idempotency key to the owner entry host of the data centre (pycapnp ForwardJob/ForwardReply over TCP), where one reducer over all events decides sends, retries of tasks known not to have started, and the final answer. Endpoint and platform stand-ins are separate processes; the platform stand-in offers KV with CAS, leases, long-poll watches and a lagging host list, and counts calls.

--- /dev/null
+++ b/fescueturn/cli.py
@@ -0,0 +1,251 @@
+"""The command line: thin daemons and operator tools over the library.
+
+Daemons: ``entry``, ``endpoint``, ``platform`` (each with ``--settings``).
+Tools: ``submit``, ``config get|put|check``, ``dump``, ``demo``, ``bench``.
+Every refusal prints its numbered code (docs/ERRORS.md) and exits 2.
+"""
+
+import json
+import signal
+import sys
+
+import click
+import curio
+
+from fescueturn import demo
+from fescueturn import entry
+from fescueturn import errors
+from fescueturn import httpio
+from fescueturn import kvclient
+from fescueturn import logs
+from fescueturn import settings
+from fescueturn import standin_endpoint
+from fescueturn import standin_platform
+from fescueturn import teamconfig
+from fescueturn import timer
+
+EXIT_REFUSED = 2
+PLATFORM_TICK_S = 0.1
+
+
+def _load(path: str) -> settings.Settings:
+  try:
+    return settings.load(path)
+  except (errors.SettingsError, OSError) as exc:
+    raise click.ClickException(str(exc)) from exc
+
+
+def _refuse(exc: errors.FescueError):
+  click.echo(str(exc), err=True)
+  sys.exit(EXIT_REFUSED)
+
+
+async def _until_signal():
+  """Waits until SIGTERM or SIGINT asks for a planned stop."""
+  stop = curio.UniversalEvent()
+
+  def handler(signum, frame):
+    del signum, frame
+    stop.set()
+
+  signal.signal(signal.SIGTERM, handler)
+  signal.signal(signal.SIGINT, handler)
+  await stop.wait()
+
+
+async def _run_entry(conf: settings.Settings):
+  clock = timer.TimerService(conf.entry.tick_ms / 1000)
+  host = entry.EntryHost(conf.process, conf.entry, clock)
+  await clock.start()
+  await host.start()
+  await _until_signal()
+  await host.drain()
+  await host.close()
+  await clock.close()
+
+
+async def _run_endpoint(conf: settings.Settings):
+  clock = timer.TimerService(1.0)
+  host = standin_endpoint.EndpointStandIn(conf.process, conf.endpoint, clock)
+  await host.start()
+  await _until_signal()
+  await host.leave()
+  await host.close()
+
+
+async def _run_platform(conf: settings.Settings):
+  clock = timer.TimerService(PLATFORM_TICK_S)
+  stand_in = standin_platform.PlatformStandIn(conf.platform, clock)
+  await clock.start()
+  await stand_in.start()
+  await _until_signal()
+  await stand_in.close()
+  await clock.close()
+
+
+def _daemon(path: str, section: str, runner):
+  conf = _load(path)
+  if getattr(conf, section) is None:
+    raise click.ClickException(
+        f"E{400} SETTINGS_MISSING: [{section}] is required in {path}"
+    )
+  logs.setup(conf.process.name, conf.process.log_level)
+  curio.run(runner, conf)
+
+
+@click.group()
+def main():
+  """fescueturn: a dispatcher of sub-second tasks."""
+
+
+@main.command("entry")
+@click.option("--settings", "path", required=True, help="INI settings file.")
+def entry_command(path):
+  """Run an entry host: serve callers' jobs (HTTP) and peers (pycapnp)."""
+  _daemon(path, "entry", _run_entry)
+
+
+@main.command("endpoint")
+@click.option("--settings", "path", required=True, help="INI settings file.")
+def endpoint_command(path):
+  """Run an endpoint stand-in (speller, uplift-orders)."""
+  _daemon(path, "endpoint", _run_endpoint)
+
+
+@main.command("platform")
+@click.option("--settings", "path", required=True, help="INI settings file.")
+def platform_command(path):
+  """Run the platform stand-in: key-value service and host list."""
+  _daemon(path, "platform", _run_platform)
+
+
+@main.group()
+def config():
+  """Operators' team settings in the platform."""
+
+
+@config.command("check")
+@click.argument("file", type=click.File())
+def config_check(file):
+  """Check a team's INI settings without writing them."""
+  try:
+    checked = teamconfig.check(file.read())
+  except errors.SettingsError as exc:
+    _refuse(exc)
+  click.echo(f"ok {checked}")
+
+
+@config.command("get")
+@click.option("--platform", required=True, help="host:port of the platform.")
+@click.argument("team")
+def config_get(platform, team):
+  """Print a team's settings and their revision."""
+
+  async def run():
+    kv = kvclient.KvClient(settings.parse_address(platform))
+    try:
+      return await teamconfig.get(kv, team)
+    finally:
+      await kv.close()
+
+  try:
+    found = curio.run(run)
+  except errors.FescueError as exc:
+    _refuse(exc)
+  click.echo(f"# revision {found.revision}")
+  click.echo(found.text, nl=False)
+
+
+@config.command("put")
+@click.option("--platform", required=True, help="host:port of the platform.")
+@click.option(
+    "--expect",
+    type=int,
+    default=0,
+    show_default=True,
+    help="Revision replaced; 0 for a new team.",
+)
+@click.argument("team")
+@click.argument("file", type=click.File())
+def config_put(platform, expect, team, file):
+  """Check and write a team's settings, if still at revision --expect."""
+  text = file.read()
+
+  async def run():
+    kv = kvclient.KvClient(settings.parse_address(platform))
+    try:
+      return await teamconfig.put(kv, team, text, expect)
+    finally:
+      await kv.close()
+
+  try:
+    revision = curio.run(run)
+  except errors.FescueError as exc:
+    _refuse(exc)
+  click.echo(f"ok revision {revision}")
+
+
+@main.command("dump")
+@click.argument("address")
+def dump_command(address):
+  """Print the state of a running daemon at host:port."""
+
+  async def run():
+    pool = httpio.Pool(settings.parse_address(address), limit=1)
+    try:
+      return await pool.request("GET", "/dump", timeout_s=5)
+    finally:
+      await pool.close()
+
+  try:
+    response = curio.run(run)
+  except errors.FescueError as exc:
+    _refuse(exc)
+  click.echo(json.dumps(response.json(), indent=2, sort_keys=True))
+
+
+@main.command("submit")
+@click.option(
+    "--entry", "address", required=True, help="host:port of an entry host."
+)
+@click.option(
+    "--key", default=None, help="Idempotency-Key; default: the job id."
+)
+@click.argument("file", type=click.File())
+def submit_command(address, key, file):
+  """Submit a JSON job and print its answer."""
+  data = file.read().encode()
+
+  async def run():
+    pool = httpio.Pool(settings.parse_address(address), limit=1)
+    headers = [("content-type", "application/json")]
+    job_key = key or json.loads(data).get("job_id", "")
+    headers.append(("idempotency-key", str(job_key)))
+    try:
+      return await pool.request(
+          "POST", "/v1/jobs", data, headers, timeout_s=120
+      )
+    finally:
+      await pool.close()
+
+  try:
+    response = curio.run(run)
+  except (errors.FescueError, ValueError) as exc:
+    raise click.ClickException(str(exc)) from exc
+  click.echo(json.dumps(response.json(), indent=2))
+  if response.status != 200:
+    sys.exit(EXIT_REFUSED)
+
+
+@main.command("demo")
+@click.option(
+    "--jobs", "per_team", default=20, show_default=True, help="Jobs per team."
+)
+@click.option(
+    "--max-tasks", default=30, show_default=True, help="Most tasks in one job."
+)
+@click.option("--seed", default=1, show_default=True, help="Workload seed.")
+def demo_command(per_team, max_tasks, seed):
+  """Bring up one data centre on loopback, run both teams' jobs, report."""
+  logs.setup("demo", "WARNING")
+  sys.exit(demo.main(per_team, max_tasks, seed))
--- /dev/null
+++ b/fescueturn/codes.py
@@ -0,0 +1,82 @@
+"""Numbered result codes shared by every role; the table is docs/ERRORS.md.
+
+Codes 0-99 describe a task, 100-199 a job, 200-299 bad input, 300-399 the
+platform's service and 400-499 settings. A task code always says whether the
+task ran: `RAN`, `NOT_RUN` or `UNKNOWN` is given by `task_ran()`.
+"""
+
+import enum
+
+
+class Code(enum.IntEnum):
+  """Every numbered result code. Values are stable; never renumber."""
+
+  OK = 0
+  # Task codes: each says whether the task ran.
+  TASK_DONE = 1
+  TASK_FAILED = 2
+  TASK_NOT_RUN = 10
+  TASK_NOT_RUN_NO_ENDPOINT = 11
+  TASK_NOT_RUN_DEADLINE = 12
+  TASK_NOT_RUN_REFUSED = 13
+  TASK_NOT_RUN_CANCELLED = 14
+  TASK_UNKNOWN = 20
+  TASK_UNKNOWN_LOST = 21
+  # Job codes.
+  JOB_COMPLETE = 100
+  JOB_FAILED = 101
+  JOB_IN_FLIGHT = 102
+  # Bad input: the request is refused whole and nothing starts.
+  BAD_JSON = 200
+  BAD_FIELD = 201
+  UNKNOWN_TEAM = 202
+  JOB_TOO_LARGE = 203
+  KEY_REUSED = 204
+  OVER_QUOTA = 205
+  NOT_FOUND = 206
+  DRAINING = 207
+  NO_OWNER = 208
+  # The platform's service.
+  KV_CONFLICT = 300
+  KV_UNAVAILABLE = 301
+  KV_NOT_FOUND = 302
+  # Settings.
+  SETTINGS_MISSING = 400
+  SETTINGS_BAD_VALUE = 401
+  SETTINGS_UNKNOWN_KEY = 402
+
+
+class Ran(enum.Enum):
+  """Whether a task ran, as far as the entry host can know."""
+
+  RAN = "ran"
+  NOT_RUN = "not_run"
+  UNKNOWN = "unknown"
+
+
+_RAN_CODES = frozenset({Code.TASK_DONE, Code.TASK_FAILED})
+_NOT_RUN_CODES = frozenset(
+    {
+        Code.TASK_NOT_RUN,
+        Code.TASK_NOT_RUN_NO_ENDPOINT,
+        Code.TASK_NOT_RUN_DEADLINE,
+        Code.TASK_NOT_RUN_REFUSED,
+        Code.TASK_NOT_RUN_CANCELLED,
+    }
+)
+
+
+def task_ran(code: Code) -> Ran:
+  """Returns whether a task with this final code ran.
+
+  Args:
+    code: a task code (1-99).
+
+  Returns:
+    `Ran.RAN`, `Ran.NOT_RUN`, or `Ran.UNKNOWN` for the unknown codes.
+  """
+  if code in _RAN_CODES:
+    return Ran.RAN
+  if code in _NOT_RUN_CODES:
+    return Ran.NOT_RUN
+  return Ran.UNKNOWN
--- /dev/null
+++ b/fescueturn/demo.py
@@ -0,0 +1,210 @@
+"""The demo: one data centre on loopback, both teams' jobs, a report.
+
+It brings up the platform stand-in, two entry hosts and three endpoints as
+separate processes, sends a seeded workload through the entry hosts in turn
+(standing in for the balancer), resubmits some jobs under their keys, and
+prints per team: jobs, complete, failed, response time p50/p99 against the
+ideal, wasted messages and KV calls per job.
+"""
+
+import dataclasses
+import tempfile
+import time
+
+import curio
+import hdrh.histogram
+
+from fescueturn import caller
+from fescueturn import httpio
+from fescueturn import kvclient
+from fescueturn import launcher
+from fescueturn import messages
+from fescueturn import workload
+
+ROUND_TRIP_MS = 1.0
+CONCURRENT_JOBS = 16
+RESUBMITTED = 4
+HISTOGRAM_MAX_MS = 600_000
+
+
+@dataclasses.dataclass(frozen=True)
+class Outcome:
+  """One job's run: what came back and how long it took."""
+
+  job: messages.Job
+  result: caller.Result | None
+  elapsed_ms: float
+
+  @property
+  def whole(self) -> bool:
+    """True when the job got a whole answer: one code for every task."""
+    answer = self.result.answer if self.result else None
+    return answer is not None and len(answer.tasks) == len(self.job.tasks)
+
+
+async def run_jobs(
+    entries: list[httpio.Pool], jobs: list[messages.Job], clock
+) -> list[Outcome]:
+  """Sends `jobs` round-robin over the entry hosts, a few at a time."""
+  limit = curio.Semaphore(CONCURRENT_JOBS)
+  outcomes: list[Outcome] = []
+
+  async def one(index: int, job: messages.Job):
+    async with limit:
+      started = clock()
+      result = None
+      try:
+        result = await caller.submit(entries[index % len(entries)], job)
+      except (httpio.NotSentError, httpio.LostReplyError):
+        pass
+      outcomes.append(Outcome(job, result, (clock() - started) * 1000))
+
+  async with curio.TaskGroup() as group:
+    for index, job in enumerate(jobs):
+      await group.spawn(one, index, job)
+  return outcomes
+
+
+def _histogram(values) -> hdrh.histogram.HdrHistogram:
+  histogram = hdrh.histogram.HdrHistogram(1, HISTOGRAM_MAX_MS, 3)
+  for value in values:
+    histogram.record_value(max(1, int(value)))
+  return histogram
+
+
+@dataclasses.dataclass(frozen=True)
+class TeamReport:
+  """One row of the demo's table."""
+
+  team: str
+  jobs: int
+  complete: int
+  failed: int
+  whole: int
+  p50_ms: float
+  p99_ms: float
+  p50_ratio: float
+  p99_ratio: float
+
+
+def team_report(team: str, outcomes: list[Outcome]) -> TeamReport:
+  """Summarises one team's outcomes; ratios are to each job's ideal."""
+  mine = [o for o in outcomes if o.job.team == team]
+  times = _histogram(o.elapsed_ms for o in mine)
+  ratios = _histogram(
+      100 * o.elapsed_ms / workload.ideal_ms(o.job, ROUND_TRIP_MS) for o in mine
+  )
+  complete = sum(1 for o in mine if o.whole and o.result.answer.complete)
+  whole = sum(1 for o in mine if o.whole)
+  return TeamReport(
+      team=team,
+      jobs=len(mine),
+      complete=complete,
+      failed=len(mine) - complete,
+      whole=whole,
+      p50_ms=times.get_value_at_percentile(50),
+      p99_ms=times.get_value_at_percentile(99),
+      p50_ratio=ratios.get_value_at_percentile(50) / 100,
+      p99_ratio=ratios.get_value_at_percentile(99) / 100,
+  )
+
+
+async def gather_counts(cluster: launcher.Launcher) -> dict[str, int]:
+  """Sums task sends, forwards and starts over the data centre's daemons."""
+  counts = {"sends": 0, "forwarded": 0, "starts": 0, "duplicate_starts": 0}
+  for name in cluster.names("entry"):
+    if cluster.alive(name):
+      counters = (await cluster.get(name, "/dump")).json()["state"]["counters"]
+      counts["sends"] += counters.get("sends", 0)
+      counts["forwarded"] += counters.get("forwarded", 0)
+  for name in cluster.names("endpoint"):
+    if cluster.alive(name):
+      stats = (await cluster.get(name, "/v1/stats")).json()
+      counts["starts"] += stats["starts"]
+      counts["duplicate_starts"] += stats["duplicate_starts"]
+  return counts
+
+
+async def platform_calls(cluster: launcher.Launcher) -> int:
+  """Returns the platform stand-in's total call count so far."""
+  kv = kvclient.KvClient(cluster.platform)
+  try:
+    return (await kv.stats())["total"]
+  finally:
+    await kv.close()
+
+
+def print_table(
+    reports: list[TeamReport],
+    counts: dict,
+    tasks: int,
+    kv_calls: int,
+    jobs: int,
+    resubmits_ok: int,
+):
+  """Prints the demo's report."""
+  print(
+      f"{'team':<12}{'jobs':>6}{'complete':>10}{'failed':>8}{'whole':>7}{'p50 ms':>9}{'p99 ms':>9}{'p50/ideal':>11}{'p99/ideal':>11}"
+  )
+  for r in reports:
+    print(
+        f"{r.team:<12}{r.jobs:>6}{r.complete:>10}{r.failed:>8}{r.whole:>7}{r.p50_ms:>9.0f}{r.p99_ms:>9.0f}{r.p50_ratio:>11.2f}{r.p99_ratio:>11.2f}"
+    )
+  wasted = max(0, counts["sends"] - tasks) + counts["duplicate_starts"]
+  print(
+      f"tasks {tasks}; sends {counts['sends']}; starts {counts['starts']}; duplicate starts {counts['duplicate_starts']}; wasted messages {wasted}"
+  )
+  print(
+      f"jobs forwarded to their owner {counts['forwarded']}; KV calls during the run {kv_calls} ({kv_calls / max(1, jobs):.2f} per job, leases and watches included)"
+  )
+  print(
+      f"resubmitted under the same key: {resubmits_ok}/{RESUBMITTED} got the same answer with no new start"
+  )
+
+
+async def _demo(per_team: int, max_tasks: int, seed: int, workdir: str) -> int:
+  cluster = launcher.Launcher(workdir)
+  try:
+    await cluster.start()
+    entries = [
+        httpio.Pool(cluster.procs[n].listen) for n in cluster.names("entry")
+    ]
+    jobs = workload.make_jobs(seed, per_team, max_tasks)
+    calls_before = await platform_calls(cluster)
+    outcomes = await run_jobs(entries, jobs, time.monotonic)
+    kv_calls = await platform_calls(cluster) - calls_before
+    counts = await gather_counts(cluster)
+    resubmits_ok = await _resubmit(
+        entries, outcomes[:RESUBMITTED], cluster, counts
+    )
+    reports = [
+        team_report(t, outcomes)
+        for t in (workload.ALTAMAHA, workload.CONSORTIUM)
+    ]
+    tasks = sum(len(j.tasks) for j in jobs)
+    print_table(reports, counts, tasks, kv_calls, len(jobs), resubmits_ok)
+    all_whole = all(o.whole for o in outcomes) and resubmits_ok == RESUBMITTED
+    return 0 if all_whole else 1
+  finally:
+    cluster.stop()
+
+
+async def _resubmit(entries, outcomes: list[Outcome], cluster, counts) -> int:
+  """Resubmits jobs to the other entry host; counts same answers."""
+  same = 0
+  for index, outcome in enumerate(outcomes):
+    result = await caller.submit(
+        entries[(index + 1) % len(entries)], outcome.job
+    )
+    if result.answer == outcome.result.answer:
+      same += 1
+  after = await gather_counts(cluster)
+  if after["starts"] != counts["starts"]:
+    return 0
+  return same
+
+
+def main(per_team: int, max_tasks: int, seed: int) -> int:
+  """Runs the demo; returns 0 only if every job got a whole answer."""
+  with tempfile.TemporaryDirectory(prefix="fescueturn-demo-") as workdir:
+    return curio.run(_demo, per_team, max_tasks, seed, workdir)
--- /dev/null
+++ b/fescueturn/httpio.py
@@ -0,0 +1,286 @@
+"""HTTP/1.1 on curio sockets through h11, for both the server and client side.
+
+h11 parses and frames the protocol; this module only moves bytes between it
+and curio sockets. A server is a function from `Request` to `Response`; a
+client `Pool` keeps up to N kept-alive connections to one address.
+"""
+
+import dataclasses
+import json
+from collections.abc import Awaitable
+from collections.abc import Callable
+from typing import Any
+
+import curio
+import curio.network
+import h11
+
+from fescueturn import errors
+from fescueturn import settings
+
+READ_SIZE = 65536
+DEFAULT_MAX_BODY = 4 * 1024 * 1024
+
+
+@dataclasses.dataclass(frozen=True)
+class Request:
+  """An HTTP request: method, target, lower-cased headers and whole body."""
+
+  method: str
+  target: str
+  headers: dict[str, str]
+  body: bytes = b""
+
+  def json(self) -> Any:
+    """Returns the body parsed as JSON; raises ValueError if it is not."""
+    return json.loads(self.body)
+
+
+@dataclasses.dataclass(frozen=True)
+class Response:
+  """An HTTP response with a whole body."""
+
+  status: int
+  body: bytes = b""
+  headers: tuple[tuple[str, str], ...] = ()
+
+  def json(self) -> Any:
+    """Returns the body parsed as JSON; raises ValueError if it is not."""
+    return json.loads(self.body)
+
+
+Handler = Callable[[Request], Awaitable[Response]]
+
+
+class NotSentError(errors.FescueError):
+  """The request never reached the server: it surely did not act on it."""
+
+
+class LostReplyError(errors.FescueError):
+  """The request may have reached the server, but no whole reply came."""
+
+
+def json_response(status: int, obj: Any, headers=()) -> Response:
+  """Returns a response with `obj` as a JSON body."""
+  body = json.dumps(obj, separators=(",", ":")).encode()
+  head = (("content-type", "application/json"),) + tuple(headers)
+  return Response(status, body, head)
+
+
+async def _receive(sock, conn: h11.Connection) -> Any:
+  while True:
+    event = conn.next_event()
+    if event is not h11.NEED_DATA:
+      return event
+    conn.receive_data(await sock.recv(READ_SIZE))
+
+
+async def _read_request(sock, conn, max_body: int) -> Request | None:
+  event = await _receive(sock, conn)
+  if isinstance(event, h11.ConnectionClosed):
+    return None
+  if not isinstance(event, h11.Request):
+    raise h11.RemoteProtocolError(f"unexpected {type(event).__name__}")
+  headers = {k.decode().lower(): v.decode() for k, v in event.headers}
+  body = bytearray()
+  while True:
+    part = await _receive(sock, conn)
+    if isinstance(part, h11.EndOfMessage):
+      break
+    if not isinstance(part, h11.Data):
+      return None
+    body += part.data
+    if len(body) > max_body:
+      raise h11.RemoteProtocolError("body too large", error_status_hint=413)
+  return Request(
+      event.method.decode(), event.target.decode(), headers, bytes(body)
+  )
+
+
+async def _send_response(sock, conn: h11.Connection, response: Response):
+  headers = list(response.headers) + [
+      ("content-length", str(len(response.body)))
+  ]
+  data = conn.send(h11.Response(status_code=response.status, headers=headers))
+  data += conn.send(h11.Data(data=response.body))
+  data += conn.send(h11.EndOfMessage())
+  await sock.sendall(data)
+
+
+async def _serve_connection(sock, handler: Handler, max_body: int):
+  conn = h11.Connection(h11.SERVER)
+  async with sock:
+    while True:
+      try:
+        request = await _read_request(sock, conn, max_body)
+      except h11.RemoteProtocolError as exc:
+        if conn.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+          status = exc.error_status_hint
+          await _send_response(
+              sock, conn, json_response(status, {"error": str(exc)})
+          )
+        return
+      if request is None:
+        return
+      response = await handler(request)
+      await _send_response(sock, conn, response)
+      if conn.our_state is h11.MUST_CLOSE or conn.their_state is h11.MUST_CLOSE:
+        return
+      conn.start_next_cycle()
+
+
+class Server:
+  """An HTTP server on one address; `start` listens, `close` stops accepting.
+
+  Requests in flight when `close` is called are finished, not cut off.
+  """
+
+  def __init__(
+      self,
+      address: settings.Address,
+      handler: Handler,
+      max_body=DEFAULT_MAX_BODY,
+  ):
+    self._address = address
+    self._handler = handler
+    self._max_body = max_body
+    self._sock = None
+    self._accepter = None
+    self._open = 0
+
+  @property
+  def open_connections(self) -> int:
+    """How many caller connections are open now."""
+    return self._open
+
+  async def start(self):
+    """Binds the address and starts accepting connections."""
+    self._sock = curio.network.tcp_server_socket(
+        self._address.host, self._address.port, reuse_address=True
+    )
+    self._accepter = await curio.spawn(self._accept_loop, daemon=True)
+
+  async def _accept_loop(self):
+    while True:
+      client, _ = await self._sock.accept()
+      await curio.spawn(self._run_client, client, daemon=True)
+
+  async def _run_client(self, client):
+    self._open += 1
+    try:
+      await _serve_connection(client, self._handler, self._max_body)
+    except (ConnectionError, OSError):
+      pass
+    finally:
+      self._open -= 1
+
+  async def close(self):
+    """Stops accepting; connections already open run to their end."""
+    if self._accepter is not None:
+      await self._accepter.cancel()
+      self._accepter = None
+    if self._sock is not None:
+      await self._sock.close()
+      self._sock = None
+
+
+class _ClientConnection:
+  """One kept-alive client connection; used by one request at a time."""
+
+  def __init__(self, sock, host: str):
+    self.sock = sock
+    self.host = host
+    self.conn = h11.Connection(h11.CLIENT)
+
+  async def request(self, method, target, body, headers) -> Response:
+    head = [("host", self.host), ("content-length", str(len(body)))]
+    head += list(headers)
+    data = self.conn.send(
+        h11.Request(method=method, target=target, headers=head)
+    )
+    data += self.conn.send(h11.Data(data=body))
+    data += self.conn.send(h11.EndOfMessage())
+    await self.sock.sendall(data)
+    event = await _receive(self.sock, self.conn)
+    if not isinstance(event, h11.Response):
+      raise LostReplyError(f"no response: {type(event).__name__}")
+    status = event.status_code
+    out_headers = tuple((k.decode(), v.decode()) for k, v in event.headers)
+    payload = bytearray()
+    while True:
+      part = await _receive(self.sock, self.conn)
+      if isinstance(part, h11.EndOfMessage):
+        break
+      if not isinstance(part, h11.Data):
+        raise LostReplyError("response cut off")
+      payload += part.data
+    return Response(status, bytes(payload), out_headers)
+
+  def reusable(self) -> bool:
+    if (
+        self.conn.our_state is not h11.DONE
+        or self.conn.their_state is not h11.DONE
+    ):
+      return False
+    self.conn.start_next_cycle()
+    return True
+
+
+class Pool:
+  """Kept-alive HTTP connections to one address, at most `limit` at once."""
+
+  def __init__(self, address: settings.Address, limit: int = 64):
+    self._address = address
+    self._idle: list[_ClientConnection] = []
+    self._limit = curio.Semaphore(limit)
+
+  async def request(
+      self,
+      method: str,
+      target: str,
+      body: bytes = b"",
+      headers=(),
+      timeout_s: float = 30.0,
+  ) -> Response:
+    """Sends one request and returns the whole response.
+
+    Raises:
+      NotSentError: the connection could not be made; the server saw nothing.
+      LostReplyError: the request may have been acted on, but no reply came in
+        `timeout_s` seconds or the connection broke.
+    """
+    async with self._limit:
+      client = await self._connect()
+      try:
+        response = await curio.timeout_after(
+            timeout_s, client.request, method, target, body, headers
+        )
+      except (
+          curio.TaskTimeout,
+          OSError,
+          h11.ProtocolError,
+          LostReplyError,
+      ) as exc:
+        await client.sock.close()
+        raise LostReplyError(f"{method} {target}: {exc!r}") from exc
+      if client.reusable():
+        self._idle.append(client)
+      else:
+        await client.sock.close()
+      return response
+
+  async def _connect(self) -> _ClientConnection:
+    if self._idle:
+      return self._idle.pop()
+    try:
+      sock = await curio.timeout_after(
+          5, curio.open_connection, self._address.host, self._address.port
+      )
+    except (OSError, curio.TaskTimeout) as exc:
+      raise NotSentError(f"connect {self._address}: {exc!r}") from exc
+    return _ClientConnection(sock, str(self._address))
+
+  async def close(self):
+    """Closes every idle connection."""
+    while self._idle:
+      await self._idle.pop().sock.close()
--- /dev/null
+++ b/fescueturn/standin_endpoint.py
@@ -0,0 +1,162 @@
+"""The endpoint stand-in daemon: a back end host taking tasks over HTTP.
+
+It stands in for the speller and uplift-orders hosts: it runs at most
+`slots` tasks at once, holds each for its declared run time, and counts
+every task start by its downstream idempotency key, so tests can assert
+starts exactly. Faults on command: ``fail_all`` (every task started fails),
+``refuse`` (every task is refused before it starts).
+
+Paths: POST /v1/task {team, key, kind, payload, run_ms} -> {code, result};
+GET /v1/stats; POST /v1/fault {mode}.
+"""
+
+import collections
+
+import curio
+from loguru import logger
+
+from fescueturn import codes
+from fescueturn import httpio
+from fescueturn import kvclient
+from fescueturn import kvstore
+from fescueturn import settings
+from fescueturn import timer
+from fescueturn import work
+
+ENDPOINT_FAULTS = ("none", "fail_all", "refuse")
+
+
+class EndpointStandIn:
+  """An endpoint's state and handler; `start` listens, `close` drains."""
+
+  def __init__(
+      self,
+      process: settings.ProcessSettings,
+      config: settings.EndpointSettings,
+      clock: timer.TimerService,
+  ):
+    self._process = process
+    self._config = config
+    self._timer = clock
+    self._slots = curio.Semaphore(config.slots)
+    self._kv = kvclient.KvClient(config.platform)
+    self._server = httpio.Server(config.listen, self._handle)
+    self._starts: collections.Counter[str] = collections.Counter()
+    self._fault = "none"
+    self._leaving_since: float | None = None
+    self._last_start = 0.0
+    self._starts_while_leaving = 0
+    self._open = 0
+
+  @property
+  def record(self) -> kvstore.HostRecord:
+    """This endpoint as the platform's host list should show it."""
+    return kvstore.HostRecord(
+        name=self._process.name,
+        address=str(self._config.listen),
+        role="endpoint",
+        data_centre=self._process.data_centre,
+        services=self._config.services,
+        slots=self._config.slots,
+        leaving=self._leaving_since is not None,
+    )
+
+  async def start(self):
+    """Warms the dictionary, listens and joins the host list."""
+    work.warm_up()
+    await self._server.start()
+    await self._kv.set_host(self.record)
+    logger.info(
+        "event=endpoint_started name={} listen={}",
+        self._process.name,
+        self._config.listen,
+    )
+
+  async def leave(self):
+    """Marks this endpoint as leaving on the host list; it keeps serving."""
+    self._leaving_since = self._timer.now()
+    try:
+      await self._kv.set_host(self.record)
+    except Exception as exc:  # The platform may be down; leave anyway.
+      logger.warning("event=leave_unlisted error={!r}", exc)
+    logger.info("event=endpoint_leaving name={}", self._process.name)
+
+  async def close(self):
+    """Stops accepting, waits for tasks in flight, leaves the host list."""
+    await self._server.close()
+    while self._open:
+      await curio.sleep(0.05)
+    try:
+      await self._kv.set_host(None, name=self._process.name)
+    except Exception as exc:
+      logger.warning("event=unlist_failed error={!r}", exc)
+    await self._kv.close()
+
+  def stats(self) -> dict:
+    """Returns task start counts, for tests and the bench."""
+    duplicates = sum(n - 1 for n in self._starts.values() if n > 1)
+    return {
+        "name": self._process.name,
+        "starts": sum(self._starts.values()),
+        "duplicate_starts": duplicates,
+        "starts_by_key": dict(self._starts),
+        "leaving_since": self._leaving_since,
+        "last_start": self._last_start,
+        "starts_while_leaving": self._starts_while_leaving,
+        "in_flight": self._open,
+    }
+
+  async def _handle(self, request: httpio.Request) -> httpio.Response:
+    route = (request.method, request.target)
+    if route == ("POST", "/v1/task"):
+      return await self._task(request)
+    if route == ("GET", "/v1/stats") or route == ("GET", "/dump"):
+      return httpio.json_response(200, self.stats())
+    if route == ("POST", "/v1/fault"):
+      mode = request.json().get("mode", "none")
+      if mode not in ENDPOINT_FAULTS:
+        return httpio.json_response(
+            400, {"error": f"mode one of {ENDPOINT_FAULTS}"}
+        )
+      self._fault = mode
+      return httpio.json_response(200, {"mode": mode})
+    return httpio.json_response(404, {"error": "no such path"})
+
+  async def _task(self, request: httpio.Request) -> httpio.Response:
+    try:
+      body = request.json()
+      service, run = work.KINDS[body["kind"]]
+      key, payload, run_ms = body["key"], body["payload"], int(body["run_ms"])
+    except (ValueError, KeyError, TypeError) as exc:
+      return httpio.json_response(
+          400, {"code": int(codes.Code.TASK_NOT_RUN), "error": repr(exc)}
+      )
+    if service not in self._config.services or self._fault == "refuse":
+      return httpio.json_response(
+          503, {"code": int(codes.Code.TASK_NOT_RUN_REFUSED)}
+      )
+    self._open += 1
+    try:
+      async with self._slots:
+        self._count_start(key)
+        await curio.sleep(run_ms * self._config.time_scale / 1000)
+        if self._fault == "fail_all":
+          return httpio.json_response(
+              200,
+              {"code": int(codes.Code.TASK_FAILED), "result": "worker fault"},
+          )
+        return httpio.json_response(
+            200, {"code": int(codes.Code.TASK_DONE), "result": run(payload)}
+        )
+    finally:
+      self._open -= 1
+
+  def _count_start(self, key: str):
+    self._starts[key] += 1
+    self._last_start = self._timer.now()
+    if self._leaving_since is not None:
+      self._starts_while_leaving += 1
+    if self._starts[key] > 1:
+      logger.error(
+          "event=duplicate_start key={} count={}", key, self._starts[key]
+      )
--- /dev/null
+++ b/fescueturn/timer.py
@@ -0,0 +1,62 @@
+"""The timer service: a process's one source of time.
+
+Parts subscribe a callback; the service calls each with the monotonic time
+in seconds every period. Parts never read the clock themselves, so a test can
+drive them with `fire` and a made-up time.
+"""
+
+import inspect
+import time
+from collections.abc import Callable
+
+import curio
+
+Subscriber = Callable[[float], object]
+
+
+class TimerService:
+  """Calls every subscriber with the time, every `period_s` seconds."""
+
+  def __init__(
+      self, period_s: float, clock: Callable[[], float] = time.monotonic
+  ):
+    self._period_s = period_s
+    self._clock = clock
+    self._subscribers: list[Subscriber] = []
+    self._task = None
+
+  @property
+  def period_s(self) -> float:
+    """Seconds between ticks."""
+    return self._period_s
+
+  def now(self) -> float:
+    """Returns the service's current time in seconds (monotonic)."""
+    return self._clock()
+
+  def subscribe(self, callback: Subscriber):
+    """Adds a callback (plain or async) to be called with the time."""
+    self._subscribers.append(callback)
+
+  async def fire(self, now: float | None = None):
+    """Calls every subscriber once, with `now` or the clock's time."""
+    when = self._clock() if now is None else now
+    for callback in list(self._subscribers):
+      result = callback(when)
+      if inspect.isawaitable(result):
+        await result
+
+  async def start(self):
+    """Starts ticking in a background task."""
+    self._task = await curio.spawn(self._run, daemon=True)
+
+  async def _run(self):
+    while True:
+      await curio.sleep(self._period_s)
+      await self.fire()
+
+  async def close(self):
+    """Stops ticking."""
+    if self._task is not None:
+      await self._task.cancel()
+      self._task = None
