--- a/fescueturn/workload.py
+++ b/fescueturn/workload.py
@@ -64,7 +64,7 @@
 def make_job(
     rng: random.Random,
     team: str,
-    number: int,
+    number: str,
     max_tasks: int,
     scale: float = 1.0,
 ) -> messages.Job:
@@ -88,7 +88,7 @@
   jobs = []
   for number in range(per_team):
     for team in (ALTAMAHA, CONSORTIUM):
-      jobs.append(make_job(rng, team, number, max_tasks, scale))
+      jobs.append(make_job(rng, team, f"{seed}-{number}", max_tasks, scale))
   return jobs
 
 
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,45 @@
+import pytest
+
+from fescueturn import events
+from fescueturn import messages
+from fescueturn import reducer
+from fescueturn import settings
+
+SPELLER = settings.TeamSettings(
+    service="speller", max_tasks_per_job=5, deadline_ms=1000
+)
+
+
+def make_job(
+    key="k1", tasks=2, team="altamaha", idempotent=True, payload="hello"
+):
+  task_list = tuple(
+      messages.Task(f"t{i}", "spell", payload, 100, idempotent)
+      for i in range(tasks)
+  )
+  draft = messages.Job(team, f"job-{key}", key, task_list, "")
+  body = messages.job_to_json(draft)
+  return messages.Job(
+      team, draft.job_id, key, task_list, messages.fingerprint(body)
+  )
+
+
+def endpoint(name="e1", slots=2, leaving=False, services=("speller",)):
+  return events.EndpointInfo(
+      name, settings.Address("127.0.0.1", 1), services, slots, leaving
+  )
+
+
+@pytest.fixture
+def state():
+  """An entry host alone in its data centre, with one team and two endpoints."""
+  s = reducer.EntryState("entry-1")
+  reducer.reduce(
+      s,
+      events.MembersChanged(
+          (events.Member("entry-1", settings.Address("127.0.0.1", 2)),)
+      ),
+  )
+  reducer.reduce(s, events.TeamChanged("altamaha", 5, SPELLER))
+  reducer.reduce(s, events.EndpointsChanged((endpoint("e1"), endpoint("e2"))))
+  return s
