--- a/fescueturn/cli.py
+++ b/fescueturn/cli.py
@@ -70,6 +70,7 @@
   await host.start()
   await _until_signal()
   await host.leave()
+  await curio.sleep(conf.endpoint.drain_s)
   await host.close()
 
 
--- a/fescueturn/launcher.py
+++ b/fescueturn/launcher.py
@@ -62,11 +62,13 @@
       data_centre: str = "savannah",
       host_list_lag_s: float = 1.0,
       time_scale: float = 1.0,
+      endpoint_drain_s: float = 3.0,
   ):
     self._workdir = workdir
     self._dc = data_centre
     self._lag = host_list_lag_s
     self._time_scale = time_scale
+    self._drain_s = endpoint_drain_s
     self.platform = _loopback()
     self.procs: dict[str, Proc] = {}
     self._popen: dict[str, subprocess.Popen] = {}
@@ -81,7 +83,10 @@
     )
     for i in range(1, endpoints + 1):
       listen = _loopback()
-      body = f"[endpoint]\nlisten = {listen}\nplatform = {self.platform}\ntime_scale = {self._time_scale}\n"
+      body = (
+          f"[endpoint]\nlisten = {listen}\nplatform = {self.platform}\n"
+          f"time_scale = {self._time_scale}\ndrain_s = {self._drain_s}\n"
+      )
       self._add(f"endpoint-{i}", "endpoint", listen, body)
     for i in range(1, entries + 1):
       listen, peer = _loopback(), _loopback()
--- a/fescueturn/settings.py
+++ b/fescueturn/settings.py
@@ -108,6 +108,7 @@
   slots: int = 8
   connections: int = 64
   time_scale: float = 1.0
+  drain_s: float = 3.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -155,6 +156,7 @@
     "slots": _positive_int,
     "connections": _positive_int,
     "time_scale": _non_negative_float,
+    "drain_s": _non_negative_float,
     "host_list_lag_s": _non_negative_float,
     "service": _name,
     "max_tasks_per_job": _positive_int,
--- a/fescueturn/standin_platform.py
+++ b/fescueturn/standin_platform.py
@@ -67,10 +67,10 @@
 
   async def _expire(self, now: float):
     if self._store.expire(now):
-      self._notify()
+      await self._notify()
 
-  def _notify(self):
-    self._changed.set()
+  async def _notify(self):
+    await self._changed.set()
     self._changed = curio.Event()
 
   async def _handle(self, request: httpio.Request) -> httpio.Response:
@@ -142,7 +142,7 @@
       return httpio.json_response(
           409, {"revision": current.revision if current else 0}
       )
-    self._notify()
+    await self._notify()
     return self._wrote(httpio.json_response(200, {"revision": revision}))
 
   async def _delete(self, request, query) -> httpio.Response:
@@ -151,7 +151,7 @@
     revision = self._store.delete(body["key"], body.get("expect"))
     if revision is None:
       return httpio.json_response(409, {"revision": self._store.revision})
-    self._notify()
+    await self._notify()
     return self._wrote(httpio.json_response(200, {"revision": revision}))
 
   async def _grant(self, request, query) -> httpio.Response:
@@ -169,7 +169,7 @@
   async def _revoke(self, request, query) -> httpio.Response:
     del query
     self._store.revoke(int(request.json()["lease"]))
-    self._notify()
+    await self._notify()
     return self._wrote(httpio.json_response(200, {"revoked": True}))
 
   async def _watch(self, request, query) -> httpio.Response:
