Known red: a resubmission after the owner's death starts tasks again

Cause: a job's record (which tasks were sent) lives only in its owner's memory. When the owner is killed mid-job its lease lapses, its keys move to the next entry host in rendezvous order, and that host, knowing nothing of the key, starts every task again, non-idempotent fuel releases included. Ruled out: routing (the resubmission reaches the new owner as designed) and the endpoint stand-in (it counts each start by downstream key).

Before and after: the new test fails (a downstream key started twice) in its one run here; no fix in this commit.

--- a/tests/test_entry_failures.py
+++ b/tests/test_entry_failures.py
@@ -185,3 +185,33 @@
   stored, lost, revisions = curio.run(go)
   assert "7000" in stored.text and stored.revision == lost
   assert revisions == [lost, lost]
+
+
+def test_owner_killed_mid_job_then_resubmitted_starts_no_task_twice(cluster):
+  async def go():
+    the_job = job(
+        "kill-owner",
+        tasks=6,
+        run_ms=2000,
+        kind="fuel_release",
+        idempotent=False,
+    )
+    entries = {n: pool(cluster, n) for n in cluster.names("entry")}
+    first = await curio.spawn(caller.submit, entries["entry-1"], the_job)
+    await curio.sleep(0.3)
+    owner = None
+    for name in entries:
+      if (await cluster.get(name, "/dump")).json()["state"]["jobs_in_flight"]:
+        owner = name
+    cluster.signal(owner, signal.SIGKILL)
+    other = next(n for n in entries if n != owner)
+    await curio.sleep(4.0)  # The owner's lease (3 s) lapses; keys move.
+    again = await caller.submit(entries[other], the_job)
+    await first.cancel()
+    return the_job, again, await starts(cluster)
+
+  the_job, again, seen = curio.run(go)
+  assert again.answer is not None and len(again.answer.tasks) == len(
+      the_job.tasks
+  )
+  assert all(seen.get(f"{the_job.key}/t{i}", 0) <= 1 for i in range(6))
