--- a/fescueturn/cli.py
+++ b/fescueturn/cli.py
@@ -12,6 +12,7 @@
 import click
 import curio
 
+from fescueturn import bench
 from fescueturn import demo
 from fescueturn import entry
 from fescueturn import errors
@@ -250,3 +251,28 @@
   """Bring up one data centre on loopback, run both teams' jobs, report."""
   logs.setup("demo", "WARNING")
   sys.exit(demo.main(per_team, max_tasks, seed))
+
+
+@main.group("bench")
+def bench_group():
+  """Benchmarks (not tests): measured slopes for docs/CAPACITY.md."""
+
+
+@bench_group.command("capacity")
+@click.option(
+    "--out",
+    default="bench-capacity.json",
+    show_default=True,
+    help="Where the points and fits go.",
+)
+def bench_capacity(out):
+  """Measure the entry hosts' costs at several sizes and fit slopes."""
+  logs.setup("bench", "WARNING")
+  click.echo(bench.report(bench.run(out)))
+
+
+@bench_group.command("report")
+@click.argument("file", type=click.File())
+def bench_report(file):
+  """Print the tables of a saved bench run, as in docs/CAPACITY.md."""
+  click.echo(bench.report(json.load(file)))
--- a/fescueturn/httpio.py
+++ b/fescueturn/httpio.py
@@ -67,16 +67,19 @@
   return Response(status, body, head)
 
 
-async def _receive(sock, conn: h11.Connection) -> Any:
+async def _receive(sock, conn: h11.Connection, counts=None) -> Any:
   while True:
     event = conn.next_event()
     if event is not h11.NEED_DATA:
       return event
-    conn.receive_data(await sock.recv(READ_SIZE))
+    data = await sock.recv(READ_SIZE)
+    if counts is not None:
+      counts[0] += len(data)
+    conn.receive_data(data)
 
 
-async def _read_request(sock, conn, max_body: int) -> Request | None:
-  event = await _receive(sock, conn)
+async def _read_request(sock, conn, max_body: int, counts) -> Request | None:
+  event = await _receive(sock, conn, counts)
   if isinstance(event, h11.ConnectionClosed):
     return None
   if not isinstance(event, h11.Request):
@@ -84,7 +87,7 @@
   headers = {k.decode().lower(): v.decode() for k, v in event.headers}
   body = bytearray()
   while True:
-    part = await _receive(sock, conn)
+    part = await _receive(sock, conn, counts)
     if isinstance(part, h11.EndOfMessage):
       break
     if not isinstance(part, h11.Data):
@@ -97,7 +100,7 @@
   )
 
 
-async def _send_response(sock, conn: h11.Connection, response: Response):
+async def _send_response(sock, conn: h11.Connection, response: Response) -> int:
   headers = list(response.headers) + [
       ("content-length", str(len(response.body)))
   ]
@@ -105,14 +108,15 @@
   data += conn.send(h11.Data(data=response.body))
   data += conn.send(h11.EndOfMessage())
   await sock.sendall(data)
+  return len(data)
 
 
-async def _serve_connection(sock, handler: Handler, max_body: int):
+async def _serve_connection(sock, handler: Handler, max_body: int, counts):
   conn = h11.Connection(h11.SERVER)
   async with sock:
     while True:
       try:
-        request = await _read_request(sock, conn, max_body)
+        request = await _read_request(sock, conn, max_body, counts)
       except h11.RemoteProtocolError as exc:
         if conn.our_state in (h11.IDLE, h11.SEND_RESPONSE):
           status = exc.error_status_hint
@@ -123,7 +127,7 @@
       if request is None:
         return
       response = await handler(request)
-      await _send_response(sock, conn, response)
+      counts[1] += await _send_response(sock, conn, response)
       if conn.our_state is h11.MUST_CLOSE or conn.their_state is h11.MUST_CLOSE:
         return
       conn.start_next_cycle()
@@ -147,12 +151,18 @@
     self._sock = None
     self._accepter = None
     self._open = 0
+    self._bytes = [0, 0]
 
   @property
   def open_connections(self) -> int:
     """How many caller connections are open now."""
     return self._open
 
+  @property
+  def bytes_in_out(self) -> tuple[int, int]:
+    """Bytes of requests read and of responses sent so far."""
+    return self._bytes[0], self._bytes[1]
+
   async def start(self):
     """Binds the address and starts accepting connections."""
     self._sock = curio.network.tcp_server_socket(
@@ -168,7 +178,9 @@
   async def _run_client(self, client):
     self._open += 1
     try:
-      await _serve_connection(client, self._handler, self._max_body)
+      await _serve_connection(
+          client, self._handler, self._max_body, self._bytes
+      )
     except (ConnectionError, OSError):
       pass
     finally:
--- a/fescueturn/launcher.py
+++ b/fescueturn/launcher.py
@@ -182,6 +182,10 @@
     """Waits for one daemon to exit; returns its exit code."""
     return self._popen[name].wait(timeout_s)
 
+  def pid(self, name: str) -> int:
+    """Returns the process id of a started daemon."""
+    return self._popen[name].pid
+
   def alive(self, name: str) -> bool:
     """Tells whether a daemon's process is still running."""
     return name in self._popen and self._popen[name].poll() is None
--- a/fescueturn/standin_platform.py
+++ b/fescueturn/standin_platform.py
@@ -78,8 +78,15 @@
     query = dict(urllib.parse.parse_qsl(url.query))
     route = (request.method, url.path)
     if route == ("GET", "/v1/stats"):
+      bytes_in, bytes_out = self._server.bytes_in_out
       return httpio.json_response(
-          200, {"calls": self.calls, "total": sum(self._calls.values())}
+          200,
+          {
+              "calls": self.calls,
+              "total": sum(self._calls.values()),
+              "bytes_in": bytes_in,
+              "bytes_out": bytes_out,
+          },
       )
     if route == ("POST", "/v1/fault"):
       return self._set_fault(request.json())
