--- /dev/null
+++ b/fescueturn/baseline.py
@@ -0,0 +1,65 @@
+"""The naive dispatcher that the bench compares against; not for production.
+
+It admits a job by writing its key to the platform's store, one
+compare-and-swap per job, and sends each task to an endpoint drawn at
+random, whatever its load. `[entry] naive = true` selects it.
+"""
+
+import random
+
+from fescueturn import claims
+from fescueturn import codes
+from fescueturn import errors
+from fescueturn import events
+from fescueturn import jobs
+from fescueturn import placement
+from fescueturn import state as state_lib
+
+
+class RandomEndpoints(placement.EndpointTable):
+  """Endpoints drawn at random, without regard to load or failures."""
+
+  def __init__(self, me: str):
+    super().__init__(me)
+    self._rng = random.Random(me)
+
+  def pick(self, service: str, now: float) -> events.EndpointInfo | None:
+    """Returns any listed endpoint of `service`."""
+    del now
+    names = sorted(
+        e.name for e in self.listed() if service in e.services and not e.leaving
+    )
+    if not names:
+      return None
+    chosen = self._rng.choice(names)
+    return next(e for e in self.listed() if e.name == chosen)
+
+
+def new_state(name: str, boot: str, limits: state_lib.Limits):
+  """Returns the state of a naive entry host."""
+  return state_lib.EntryState(name, boot, limits, admit, RandomEndpoints(name))
+
+
+def admit(state: state_lib.EntryState, record: state_lib.JobRecord) -> list:
+  """Claims the job's key in the platform's store."""
+  del state
+  claim = claims.Claim(
+      record.job.key, record.job.fingerprint, claims.Token("", ""), 0
+  )
+  return [events.StoreClaim(claim)]
+
+
+def store_claimed(
+    state: state_lib.EntryState, event: events.StoreClaimed
+) -> list:
+  """Runs the job if its key was free; refuses it if the store did not say."""
+  record = state.jobs.get(event.key)
+  if record is None or record.phase is not state_lib.Phase.CLAIMING:
+    return []
+  if event.claimed:
+    return jobs.run(state, record)
+  if event.claimed is None:
+    error = errors.FescueError("store unavailable", codes.Code.KV_UNAVAILABLE)
+    return jobs.refuse_all(state, record, error)
+  answer = jobs.unknown_answer(state, record.job)
+  return jobs.settle(state, record, answer)
--- a/fescueturn/codes.py
+++ b/fescueturn/codes.py
@@ -20,12 +20,15 @@
   TASK_NOT_RUN_DEADLINE = 12
   TASK_NOT_RUN_REFUSED = 13
   TASK_NOT_RUN_CANCELLED = 14
+  TASK_NOT_RUN_JOB_FAILED = 15
   TASK_UNKNOWN = 20
   TASK_UNKNOWN_LOST = 21
+  TASK_UNKNOWN_OWNER_LOST = 22
   # Job codes.
   JOB_COMPLETE = 100
   JOB_FAILED = 101
   JOB_IN_FLIGHT = 102
+  JOB_CANCELLED = 103
   # Bad input: the request is refused whole and nothing starts.
   BAD_JSON = 200
   BAD_FIELD = 201
@@ -36,6 +39,7 @@
   NOT_FOUND = 206
   DRAINING = 207
   NO_OWNER = 208
+  OWNER_LOST = 209
   # The platform's service.
   KV_CONFLICT = 300
   KV_UNAVAILABLE = 301
@@ -62,6 +66,7 @@
         Code.TASK_NOT_RUN_DEADLINE,
         Code.TASK_NOT_RUN_REFUSED,
         Code.TASK_NOT_RUN_CANCELLED,
+        Code.TASK_NOT_RUN_JOB_FAILED,
     }
 )
 
--- a/fescueturn/entry.py
+++ b/fescueturn/entry.py
@@ -5,15 +5,19 @@
 feeds them to the reducer one at a time, and carries out the effects.
 
 Caller paths: ``POST /v1/jobs`` (a job; header ``Idempotency-Key``),
-``GET /dump`` (the state), ``GET /health``.
+``DELETE /v1/jobs/<key>?team=<team>`` (cancel a job), ``GET /dump`` (the
+state), ``GET /health``.
 """
 
 import json
 import random
+import secrets
+import urllib.parse
 
 import curio
 from loguru import logger
 
+from fescueturn import claims
 from fescueturn import codes
 from fescueturn import errors
 from fescueturn import events
@@ -25,11 +29,12 @@
 from fescueturn import peer
 from fescueturn import reducer
 from fescueturn import settings
+from fescueturn import state as state_lib
 from fescueturn import timer
 
-FORWARD_MARGIN_S = 5.0
 TASK_TIMEOUT_MARGIN_S = 30.0
 DRAIN_LIMIT_S = 60.0
+JOBS_PATH = "/v1/jobs"
 
 _STATUS = {
     codes.Code.BAD_JSON: 400,
@@ -40,29 +45,25 @@
     codes.Code.OVER_QUOTA: 429,
     codes.Code.DRAINING: 503,
     codes.Code.NO_OWNER: 503,
+    codes.Code.OWNER_LOST: 503,
+    codes.Code.KV_UNAVAILABLE: 503,
 }
 
 
 class _Waiter:
-  """A caller waiting for its job's outcome."""
+  """A request waiting for the reducer's answer."""
 
   def __init__(self):
     self.done = curio.Event()
-    self.outcome: peer.Outcome | None = None
+    self.result: claims.Reply | None = None
 
 
-def _http_outcome(outcome: peer.Outcome) -> httpio.Response:
-  if outcome.answer is not None:
-    headers = ()
-    if outcome.answer.retry_after_s:
-      headers = (("retry-after", str(outcome.answer.retry_after_s)),)
-    return httpio.json_response(
-        200, messages.answer_to_json(outcome.answer), headers
-    )
-  error = outcome.error
-  headers = ()
-  if outcome.retry_after_s:
-    headers = (("retry-after", str(outcome.retry_after_s)),)
+def _http_outcome(outcome: claims.Outcome) -> httpio.Response:
+  answer, error = outcome.answer, outcome.error
+  retry_after_s = answer.retry_after_s if answer else outcome.retry_after_s
+  headers = (("retry-after", str(retry_after_s)),) if retry_after_s else ()
+  if answer is not None:
+    return httpio.json_response(200, messages.answer_to_json(answer), headers)
   status = _STATUS.get(error.code, 400)
   return httpio.json_response(status, messages.error_to_json(error), headers)
 
@@ -79,77 +80,97 @@
     self._process = process
     self._config = config
     self._timer = clock
-    self._state = reducer.EntryState(
-        process.name, config.retry_after_s, config.answer_keep_s
+    boot = secrets.token_hex(8)
+    limits = state_lib.Limits(
+        config.retry_after_s, config.answer_keep_s, config.lease_ttl_s
     )
+    self._state = reducer.new_state(process.name, boot, limits, config.naive)
     self._stats = metrics.client(process, "entry")
     self._kv = kvclient.KvClient(config.platform)
-    self._rng = random.Random(process.name)
+    self._rng = random.Random(boot)
     self._server = httpio.Server(
         config.listen, self._handle, config.max_body_bytes
     )
-    self._peers_server = peer.PeerServer(config.peer_listen, self._from_peer)
+    self._peers_server = peer.PeerServer(
+        config.peer_listen, boot, self._from_peer
+    )
     self._lease = membership.LeaseKeeper(
         self._kv,
-        membership.member_key(process.data_centre, process.name),
-        str(config.peer_listen),
+        process.data_centre,
+        events.Member(process.name, config.peer_listen, boot),
         config.lease_ttl_s,
+        clock.now,
     )
     self._waiters: dict[int, _Waiter] = {}
     self._pools: dict[str, httpio.Pool] = {}
-    self._peers: dict[str, peer.PeerClient] = {}
+    self._peers: dict[settings.Address, peer.PeerClient] = {}
     self._loops = []
     self._next_request = 1
     self._drained = curio.Event()
+    self._carry = {
+        events.SendTask: self._spawn_with(self._send_task),
+        events.Settle: self._settle,
+        events.Ask: self._spawn_with(self._ask),
+        events.Tell: self._spawn_with(self._tell),
+        events.PeerAnswer: self._peer_answer,
+        events.StoreClaim: self._spawn_with(self._store_claim),
+        events.Drained: self._on_drained,
+    }
 
   @property
-  def state(self) -> reducer.EntryState:
+  def state(self) -> state_lib.EntryState:
     """The reducer's state (read it; never change it from outside)."""
     return self._state
 
+  def _backoff(self) -> membership.Backoff:
+    longest_s = self._config.lease_ttl_s / membership.RENEWALS_PER_TTL
+    return membership.Backoff(self._rng, longest_s)
+
   async def start(self):
     """Joins the platform, starts the loops and serves callers and peers."""
     self._state.now = self._timer.now()
     self._timer.subscribe(self._tick)
     dc = self._process.data_centre
-    self._loops = [
-        await curio.spawn(
-            self._lease.run, membership.Backoff(self._rng), daemon=True
-        ),
-        await curio.spawn(
-            membership.watch_loop,
+    config = self._config
+    await self._peers_server.start()
+    loops = [
+        (self._lease.run, self._apply, self._backoff()),
+        (membership.members_loop, self._kv, dc, self._apply, self._backoff()),
+        (
+            membership.teams_loop,
             self._kv,
-            dc,
             self._apply,
-            membership.Backoff(self._rng),
-            daemon=True,
+            self._backoff(),
+            config.settings_pause_s,
         ),
-        await curio.spawn(
+        (
             membership.hosts_loop,
             self._kv,
             dc,
             self._apply,
-            membership.Backoff(self._rng),
-            daemon=True,
+            self._backoff(),
+            config.hosts_poll_s,
         ),
     ]
-    await self._peers_server.start()
+    self._loops = [await curio.spawn(*loop, daemon=True) for loop in loops]
     await self._server.start()
     logger.info(
-        "event=entry_started name={} listen={} peer={}",
+        "event=entry_started name={} boot={} listen={} peer={}",
         self._process.name,
-        self._config.listen,
-        self._config.peer_listen,
+        self._state.me.boot,
+        config.listen,
+        config.peer_listen,
     )
 
   async def drain(self, limit_s: float = DRAIN_LIMIT_S):
-    """A planned stop: leave membership, refuse new keys, finish in flight."""
+    """A planned stop: pass new keys on, finish what is in flight, leave."""
     logger.info("event=drain_started name={}", self._process.name)
-    await self._lease.withdraw()
     await self._apply(events.DrainStarted())
+    await self._lease.leave()
     await curio.ignore_after(limit_s, self._drained.wait)
     while self._server.open_connections and self._waiters:
       await curio.sleep(0.05)
+    await self._lease.withdraw()
     logger.info(
         "event=drained name={} counters={}",
         self._process.name,
@@ -170,20 +191,27 @@
 
   def dump(self) -> dict:
     """Returns the whole state as JSON-ready data."""
+    peer_in, peer_out = self._peers_server.bytes_in_out
     shell = {
-        "waiting_callers": len(self._waiters),
+        "waiting_requests": len(self._waiters),
         "open_connections": self._server.open_connections,
+        "peer_bytes_in": peer_in,
+        "peer_bytes_out": peer_out,
         "lease": self._lease.lease,
     }
     return {"role": "entry", "state": self._state.snapshot(), "shell": shell}
 
   def _health(self) -> dict:
     state = self._state
+    view = state.membership.view
     return {
         "ok": not state.draining,
         "draining": state.draining,
-        "members": len(state.members),
-        "endpoints": sum(1 for e in state.endpoints.values() if not e.leaving),
+        "members": len(state.membership.members),
+        "view": view.digest if view else 0,
+        "ready": state.membership.may_hold(self._timer.now())
+        and state.membership.sync is None,
+        "endpoints": state.endpoints.usable_count(),
         "teams": sum(1 for t in state.teams.values() if t.team_settings),
     }
 
@@ -192,71 +220,80 @@
 
   async def _apply(self, event: events.Event):
     """Runs one event through the reducer and carries out its effects."""
-    for effect in reducer.reduce(self._state, event):
-      await self._carry_out(effect)
-
-  async def _carry_out(self, effect: events.Effect):
-    if isinstance(effect, events.SendTask):
-      await curio.spawn(self._send_task, effect, daemon=True)
-    elif isinstance(effect, events.Reply):
-      await self._settle(effect.request_id, peer.Outcome(answer=effect.answer))
-    elif isinstance(effect, events.Refuse):
-      outcome = peer.Outcome(
-          error=effect.error, retry_after_s=effect.retry_after_s
-      )
-      await self._settle(effect.request_id, outcome)
-    elif isinstance(effect, events.Forward):
-      await curio.spawn(self._forward, effect, daemon=True)
-    elif isinstance(effect, events.Drained):
-      await self._drained.set()
+    for effect in reducer.reduce(self._state, event, self._timer.now()):
+      await self._carry[type(effect)](effect)
+
+  def _spawn_with(self, method):
+    async def carry(effect: events.Effect):
+      await curio.spawn(method, effect, daemon=True)
 
-  async def _settle(self, request_id: int, outcome: peer.Outcome):
+    return carry
+
+  async def _settle(self, effect: events.Settle):
+    await self._wake(effect.request_id, effect.outcome)
+
+  async def _peer_answer(self, effect: events.PeerAnswer):
+    await self._wake(effect.request_id, effect.reply)
+
+  async def _wake(self, request_id: int, result: claims.Reply):
     waiter = self._waiters.get(request_id)
     if waiter is not None:
-      waiter.outcome = outcome
+      waiter.result = result
       await waiter.done.set()
 
-  async def _submit(self, job: messages.Job, forwarded: bool) -> peer.Outcome:
-    """Runs a job through the reducer and waits for its outcome."""
+  async def _on_drained(self, effect: events.Drained):
+    del effect
+    await self._drained.set()
+
+  async def _submit(self, make_event) -> claims.Reply:
+    """Runs one request through the reducer and waits for its result."""
     request_id = self._next_request
     self._next_request += 1
     waiter = _Waiter()
     self._waiters[request_id] = waiter
     try:
-      await self._apply(events.JobArrived(request_id, job, forwarded))
+      await self._apply(make_event(request_id))
       await waiter.done.wait()
     finally:
       del self._waiters[request_id]
-    return waiter.outcome
+    return waiter.result
 
-  async def _forward(self, effect: events.Forward):
-    client = self._peers.get(effect.owner.name)
+  def _peer(self, member: events.Member) -> peer.PeerClient:
+    client = self._peers.get(member.peer)
     if client is None:
-      client = peer.PeerClient(effect.owner.peer)
-      self._peers[effect.owner.name] = client
-    timeout_s = self._deadline_s(effect.job) + FORWARD_MARGIN_S
+      client = self._peers[member.peer] = peer.PeerClient(member.peer)
+    return client
+
+  async def _ask(self, effect: events.Ask):
+    member = effect.member
+    reply, dead = None, False
     try:
-      outcome = await client.forward(effect.job, timeout_s)
-    except errors.FescueError as exc:
-      logger.warning(
-          "event=forward_failed key={} owner={} error={}",
-          effect.job.key,
-          effect.owner.name,
-          exc,
+      boot, reply = await self._peer(member).ask(
+          effect.message, effect.timeout_s
       )
-      self._stats.incr("forward_failed")
-      outcome = peer.Outcome(
-          error=exc, retry_after_s=self._config.retry_after_s
-      )
-    await self._settle(effect.request_id, outcome)
-
-  def _deadline_s(self, job: messages.Job) -> float:
-    if job.deadline_ms:
-      return job.deadline_ms / 1000
-    team = self._state.teams.get(job.team)
-    if team is None or team.team_settings is None:
-      return 0.0
-    return team.team_settings.deadline_ms / 1000
+      if boot != member.boot:  # Another process took the address over.
+        reply, dead = None, True
+    except peer.PeerRefusedError:
+      dead = True
+    except peer.PeerLostError as exc:
+      logger.warning("event=peer_lost peer={} error={}", member.name, exc)
+      self._stats.incr("peer_lost")
+    await self._apply(events.PeerReplied(effect, reply, dead))
+
+  async def _tell(self, effect: events.Tell):
+    await self._peer(effect.member).tell(effect.message)
+
+  async def _store_claim(self, effect: events.StoreClaim):
+    key = effect.claim.key
+    store_key = f"/jobs/{self._process.data_centre}/{key}"
+    try:
+      await self._kv.put(store_key, effect.claim.fingerprint, expect=0)
+      claimed = True
+    except errors.KvConflictError:
+      claimed = False
+    except errors.KvError:
+      claimed = None
+    await self._apply(events.StoreClaimed(key, claimed))
 
   async def _send_task(self, effect: events.SendTask):
     endpoint = effect.endpoint
@@ -280,6 +317,7 @@
         ("content-type", "application/json"),
     )
     timeout_s = task.run_ms / 1000 + TASK_TIMEOUT_MARGIN_S
+    sent_at = self._timer.now()
     code, result = codes.Code.TASK_UNKNOWN_LOST, ""
     try:
       response = await pool.request(
@@ -304,19 +342,31 @@
           exc,
       )
     self._stats.incr(f"task.{code.name.lower()}")
+    elapsed_ms = (self._timer.now() - sent_at) * 1000
     await self._apply(
         events.TaskFinished(
-            effect.key, task.task_id, endpoint.name, code, result
+            effect.key, task.task_id, endpoint.name, code, result, elapsed_ms
         )
     )
 
-  async def _from_peer(self, job: messages.Job) -> peer.Outcome:
-    return await self._submit(job, forwarded=True)
+  async def _from_peer(self, message: claims.Request) -> claims.Reply | None:
+    if isinstance(message, claims.ONE_WAY):
+      await self._apply(events.PeerAsked(0, message))
+      return None
+    return await self._submit(lambda i: events.PeerAsked(i, message))
 
   async def _handle(self, request: httpio.Request) -> httpio.Response:
+    response = await self._route(request)
+    if self._state.draining:
+      return httpio.closing(response)
+    return response
+
+  async def _route(self, request: httpio.Request) -> httpio.Response:
     route = (request.method, request.target)
-    if route == ("POST", "/v1/jobs"):
+    if route == ("POST", JOBS_PATH):
       return await self._job(request)
+    if request.method == "DELETE" and request.target.startswith(JOBS_PATH):
+      return await self._cancel(request)
     if route == ("GET", "/dump"):
       return httpio.json_response(200, self.dump())
     if route == ("GET", "/health"):
@@ -333,8 +383,8 @@
       )
     except errors.BadRequestError as exc:
       self._stats.incr("refused.bad_input")
-      return _http_outcome(peer.Outcome(error=exc))
-    outcome = await self._submit(job, forwarded=False)
+      return _http_outcome(claims.Outcome(error=exc))
+    outcome = await self._submit(lambda i: events.JobArrived(i, job))
     elapsed_ms = (self._timer.now() - started) * 1000
     self._stats.timing("job_ms", elapsed_ms)
     code = outcome.answer.code if outcome.answer else outcome.error.code
@@ -346,3 +396,30 @@
         elapsed_ms,
     )
     return _http_outcome(outcome)
+
+  async def _cancel(self, request: httpio.Request) -> httpio.Response:
+    try:
+      cancel = _parse_cancel(request.target)
+    except errors.BadRequestError as exc:
+      return _http_outcome(claims.Outcome(error=exc))
+    outcome = await self._submit(lambda i: events.CancelArrived(i, cancel))
+    code = outcome.answer.code if outcome.answer else outcome.error.code
+    logger.info(
+        "event=cancel_answered key={} team={} code={}",
+        cancel.key,
+        cancel.team,
+        int(code),
+    )
+    return _http_outcome(outcome)
+
+
+def _parse_cancel(target: str) -> messages.Cancel:
+  """Reads ``/v1/jobs/<key>?team=<team>``; raises `BadRequestError`."""
+  url = urllib.parse.urlsplit(target)
+  key = urllib.parse.unquote(url.path[len(JOBS_PATH) :].lstrip("/"))
+  team = dict(urllib.parse.parse_qsl(url.query)).get("team", "")
+  if not key or len(key) > messages.MAX_ID_LENGTH:
+    raise errors.BadRequestError(f"key: 1 to {messages.MAX_ID_LENGTH} chars")
+  if not team:
+    raise errors.BadRequestError("team: required")
+  return messages.Cancel(team, key)
--- a/fescueturn/events.py
+++ b/fescueturn/events.py
@@ -1,15 +1,15 @@
 """Events that the entry host's reducer takes, and effects it returns.
 
 Every input to an entry host's decisions (a caller's job, an endpoint's
-answer, a change of membership, endpoints or a team's settings, the passing
-of time) is an event. The reducer answers each with effects: data that the
+answer, a peer's message, a change of membership, endpoints or a team's
+settings, the passing of time) is an event. The reducer answers each with effects: data that the
 I/O shell in `fescueturn.entry` carries out.
 """
 
 import dataclasses
 
+from fescueturn import claims
 from fescueturn import codes
-from fescueturn import errors
 from fescueturn import messages
 from fescueturn import settings
 
@@ -35,10 +35,26 @@
 
 @dataclasses.dataclass(frozen=True)
 class Member:
-  """A live entry host of this data centre, from its lease in the KV."""
+  """An entry host of this data centre, from its lease-held key in the KV.
+
+  Attributes:
+    name: the entry host's name.
+    peer: where it takes messages from other entry hosts.
+    boot: its process (see `claims.Token`).
+    lease: the lease that holds its key; a new one each time it joins.
+    leaving: True once it stops: it finishes its jobs and holds no claims.
+  """
 
   name: str
   peer: settings.Address
+  boot: str = ""
+  lease: int = 0
+  leaving: bool = False
+
+  @property
+  def token(self) -> claims.Token:
+    """The member's process."""
+    return claims.Token(self.name, self.boot)
 
 
 # Events.
@@ -46,11 +62,54 @@
 
 @dataclasses.dataclass(frozen=True)
 class JobArrived:
-  """A caller's job, arriving direct (forwarded=False) or from a peer."""
+  """A caller's job, arriving direct (hops=0) or forwarded by a peer."""
 
   request_id: int
   job: messages.Job
-  forwarded: bool = False
+  hops: int = 0
+
+
+@dataclasses.dataclass(frozen=True)
+class CancelArrived:
+  """A caller's cancellation of a job, direct (hops=0) or forwarded."""
+
+  request_id: int
+  cancel: messages.Cancel
+  hops: int = 0
+
+
+@dataclasses.dataclass(frozen=True)
+class PeerAsked:
+  """A peer's message came in; answered with `PeerAnswer` unless one-way."""
+
+  request_id: int
+  message: claims.Request
+
+
+@dataclasses.dataclass(frozen=True)
+class PeerReplied:
+  """What came of an `Ask`.
+
+  Attributes:
+    ask: the effect that asked.
+    reply: the peer's reply; None when none came.
+    dead: True when the asked process surely no longer runs (its port
+      refuses connections, or another process answers there).
+    sent: False when the peer surely never saw the message.
+  """
+
+  ask: "Ask"
+  reply: claims.Reply | None
+  dead: bool = False
+  sent: bool = True
+
+
+@dataclasses.dataclass(frozen=True)
+class StoreClaimed:
+  """The platform answered a `StoreClaim`; None when no answer came."""
+
+  key: str
+  claimed: bool | None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -62,6 +121,7 @@
   endpoint: str
   code: codes.Code
   result: str = ""
+  elapsed_ms: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -73,9 +133,23 @@
 
 @dataclasses.dataclass(frozen=True)
 class MembersChanged:
-  """The set of live entry hosts in this data centre changed."""
+  """The next view of this data centre's entry hosts, in the KV's order.
+
+  Attributes:
+    members: every entry host of the view.
+    gap: True when changes before this view were missed (a fresh read).
+  """
 
   members: tuple[Member, ...]
+  gap: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class LeaseRenewed:
+  """This entry host's lease is good until `until` by its own clock."""
+
+  lease: int
+  until: float
 
 
 @dataclasses.dataclass(frozen=True)
@@ -101,9 +175,14 @@
 
 Event = (
     JobArrived
+    | CancelArrived
+    | PeerAsked
+    | PeerReplied
+    | StoreClaimed
     | TaskFinished
     | EndpointsChanged
     | MembersChanged
+    | LeaseRenewed
     | TeamChanged
     | Tick
     | DrainStarted
@@ -124,29 +203,51 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Reply:
-  """Give a waiting caller its job's whole answer."""
+class Settle:
+  """Give a waiting request its outcome: a whole answer or a refusal."""
 
   request_id: int
-  answer: messages.JobAnswer
+  outcome: claims.Outcome
 
 
 @dataclasses.dataclass(frozen=True)
-class Refuse:
-  """Refuse a caller's request; nothing of it was started."""
+class Ask:
+  """Send a message to a peer; report back with `PeerReplied`.
 
-  request_id: int
-  error: errors.FescueError
-  retry_after_s: int = 0
+  Attributes:
+    member: the peer.
+    message: what to send.
+    timeout_s: how long to wait for the reply.
+    request_id: the caller's request, for a forwarded job or cancellation.
+  """
+
+  member: Member
+  message: claims.Request
+  timeout_s: float
+  request_id: int = 0
+
+
+@dataclasses.dataclass(frozen=True)
+class Tell:
+  """Send a one-way message to a peer."""
+
+  member: Member
+  message: claims.Request
 
 
 @dataclasses.dataclass(frozen=True)
-class Forward:
-  """Pass a job to the entry host that owns its key."""
+class PeerAnswer:
+  """Answer a peer's message (`PeerAsked`)."""
 
   request_id: int
-  job: messages.Job
-  owner: Member
+  reply: claims.Reply
+
+
+@dataclasses.dataclass(frozen=True)
+class StoreClaim:
+  """Claim a key in the platform's service (the baseline's write per job)."""
+
+  claim: claims.Claim
 
 
 @dataclasses.dataclass(frozen=True)
@@ -154,4 +255,4 @@
   """Nothing is in flight any more; the shell may stop."""
 
 
-Effect = SendTask | Reply | Refuse | Forward | Drained
+Effect = SendTask | Settle | Ask | Tell | PeerAnswer | StoreClaim | Drained
--- a/fescueturn/httpio.py
+++ b/fescueturn/httpio.py
@@ -7,6 +7,8 @@
 
 import dataclasses
 import json
+import select
+import socket
 from collections.abc import Awaitable
 from collections.abc import Callable
 from typing import Any
@@ -67,6 +69,18 @@
   return Response(status, body, head)
 
 
+def closing(response: Response) -> Response:
+  """Returns `response`, told to end its connection."""
+  return dataclasses.replace(
+      response, headers=response.headers + (("connection", "close"),)
+  )
+
+
+def no_delay(sock):
+  """Has small messages sent at once (TCP_NODELAY)."""
+  sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+
 async def _receive(sock, conn: h11.Connection, counts=None) -> Any:
   while True:
     event = conn.next_event()
@@ -173,6 +187,7 @@
   async def _accept_loop(self):
     while True:
       client, _ = await self._sock.accept()
+      no_delay(client)
       await curio.spawn(self._run_client, client, daemon=True)
 
   async def _run_client(self, client):
@@ -228,7 +243,14 @@
       payload += part.data
     return Response(status, bytes(payload), out_headers)
 
+  def quiet(self) -> bool:
+    """True unless the server closed the connection (or sent unasked)."""
+    poller = select.poll()
+    poller.register(self.sock.fileno(), select.POLLIN)
+    return not poller.poll(0)
+
   def reusable(self) -> bool:
+    """Readies the connection for the next request, if it can take one."""
     if (
         self.conn.our_state is not h11.DONE
         or self.conn.their_state is not h11.DONE
@@ -282,14 +304,18 @@
       return response
 
   async def _connect(self) -> _ClientConnection:
-    if self._idle:
-      return self._idle.pop()
+    while self._idle:
+      client = self._idle.pop()
+      if client.quiet():
+        return client
+      await client.sock.close()
     try:
       sock = await curio.timeout_after(
           5, curio.open_connection, self._address.host, self._address.port
       )
     except (OSError, curio.TaskTimeout) as exc:
       raise NotSentError(f"connect {self._address}: {exc!r}") from exc
+    no_delay(sock)
     return _ClientConnection(sock, str(self._address))
 
   async def close(self):
--- /dev/null
+++ b/fescueturn/jobs.py
@@ -0,0 +1,424 @@
+"""Jobs at their coordinator: arrival, dispatch to endpoints, final answer.
+
+Rules kept here: a known key joins the running job or gets its kept answer;
+a task is sent again only when its endpoint surely did not start it; a job's
+answer is complete, or failed with a truthful code per task, and goes at
+once to every caller waiting for the key.
+"""
+
+from fescueturn import claims
+from fescueturn import codes
+from fescueturn import errors
+from fescueturn import events
+from fescueturn import messages
+from fescueturn import state as state_lib
+
+MAX_NOT_STARTED_RETRIES = 3
+CANCEL_DEADLINE_S = 5.0
+# Holders given a finished job's answer; a cancellation goes to all of them.
+ANSWER_COPIES = 1
+# Holders remember a claim this much longer than its answer is kept.
+CLAIM_KEEP_EXTRA_S = 60.0
+# A key that could not be claimed in the lease's time and this is refused.
+CLAIM_LIMIT_EXTRA_S = 1.0
+
+
+def arrive(state: state_lib.EntryState, waiter: state_lib.Waiter) -> list:
+  """Takes a caller's job or cancellation, direct or from a peer."""
+  record = state.jobs.get(waiter.key)
+  if record is not None:
+    return _join(state, record, waiter)
+  if isinstance(waiter.request, messages.Cancel):
+    job = messages.Job(waiter.request.team, "", waiter.key, (), "")
+    deadline_s = CANCEL_DEADLINE_S
+  else:
+    job = waiter.request
+    refusal = _check(state, job)
+    if refusal is not None:
+      return [refuse(state, waiter, refusal)]
+    team = state.team_settings(job.team)
+    deadline_s = (job.deadline_ms or team.deadline_ms) / 1000
+  if state.draining:
+    return _pass_on(state, waiter)
+  record = _new_record(state, job, state.now + deadline_s)
+  record.cancelled = isinstance(waiter.request, messages.Cancel)
+  record.waiters.append(waiter)
+  return state.admit(state, record)
+
+
+def _new_record(state, job: messages.Job, deadline: float):
+  record = state_lib.JobRecord(job, deadline, state.next_number())
+  limit = state.limits.lease_ttl_s + CLAIM_LIMIT_EXTRA_S
+  record.claim_until = min(deadline, state.now + limit)
+  state.jobs[job.key] = record
+  state.counters["jobs"] += 1
+  state.at(deadline, lambda s: _deadline(s, record))
+  return record
+
+
+def _check(state, job: messages.Job) -> errors.FescueError | None:
+  """Returns why a new job is refused, or None to take it."""
+  team = state.team_settings(job.team)
+  if team is None:
+    return errors.BadRequestError(
+        f"no settings for team {job.team!r}", codes.Code.UNKNOWN_TEAM
+    )
+  limit = team.max_tasks_per_job
+  if len(job.tasks) > limit:
+    return errors.BadRequestError(
+        f"{len(job.tasks)} tasks, team limit {limit}", codes.Code.JOB_TOO_LARGE
+    )
+  return None
+
+
+def refuse(
+    state, waiter: state_lib.Waiter, error: errors.FescueError
+) -> events.Settle:
+  """Returns the refusal of one request, with when to come back."""
+  outcome = claims.Outcome(
+      error=error, retry_after_s=state.limits.retry_after_s
+  )
+  return events.Settle(waiter.request_id, outcome)
+
+
+def _pass_on(state, waiter: state_lib.Waiter) -> list:
+  """A stopping host gives a new key to another, or refuses it."""
+  view = state.membership.view
+  others = [n for n in (view.holder_names if view else ()) if n != state.name]
+  if not others or waiter.hops:
+    error = errors.FescueError("entry host is stopping", codes.Code.DRAINING)
+    return [refuse(state, waiter, error)]
+  first = next((n for n in view.holders(waiter.key) if n in others), others[0])
+  return [forward(state, waiter, view.member(first))]
+
+
+def forward(
+    state, waiter: state_lib.Waiter, member: events.Member
+) -> events.Ask:
+  """Returns the effect that passes a request on to `member`."""
+  state.counters["forwarded"] += 1
+  request, hops = waiter.request, waiter.hops + 1
+  if isinstance(request, messages.Cancel):
+    message = claims.ForwardCancel(request, hops)
+    timeout_s = CANCEL_DEADLINE_S
+  else:
+    message = claims.ForwardJob(request, hops)
+    team = state.team_settings(request.team)
+    default_ms = team.deadline_ms if team else 0
+    timeout_s = (request.deadline_ms or default_ms) / 1000
+  state.parked[waiter.request_id] = state_lib.Parked(waiter, member)
+  return events.Ask(member, message, timeout_s, waiter.request_id)
+
+
+def _join(state, record: state_lib.JobRecord, waiter: state_lib.Waiter) -> list:
+  """A request for a key this host coordinates: nothing new starts."""
+  request = waiter.request
+  state.counters["joined"] += 1
+  if isinstance(request, messages.Cancel):
+    return _cancel(state, record, waiter)
+  known = record.job.fingerprint
+  if known and known != request.fingerprint:
+    error = errors.BadRequestError(
+        "Idempotency-Key was used for another job", codes.Code.KEY_REUSED
+    )
+    return [refuse(state, waiter, error)]
+  if record.done:
+    return [_reply(record, waiter)]
+  record.waiters.append(waiter)
+  return []
+
+
+def _cancel(state, record, waiter: state_lib.Waiter) -> list:
+  """Cancels a job: what was sent is unknown, the rest never runs."""
+  if record.done:
+    return [_reply(record, waiter)]
+  record.waiters.append(waiter)
+  state.counters["cancelled"] += 1
+  if record.phase is state_lib.Phase.RUNNING:
+    return give_up(state, record, codes.Code.TASK_NOT_RUN_CANCELLED)
+  # The holders must keep the cancellation before it is acknowledged.
+  record.cancelled = True
+  record.number = state.next_number()
+  return state.admit(state, record)
+
+
+def _reply(record, waiter: state_lib.Waiter) -> events.Settle:
+  answer = record.final
+  request = waiter.request
+  if not answer.tasks and isinstance(request, messages.Job):
+    answer = cancelled_answer(request)
+  return events.Settle(waiter.request_id, claims.Outcome(answer=answer))
+
+
+def cancelled_answer(job: messages.Job) -> messages.JobAnswer:
+  """Returns the answer of a job cancelled before anything was sent."""
+  code = codes.Code.TASK_NOT_RUN_CANCELLED
+  return messages.JobAnswer(
+      key=job.key,
+      job_id=job.job_id,
+      code=codes.Code.JOB_CANCELLED,
+      tasks=tuple(messages.TaskAnswer(t.task_id, code) for t in job.tasks),
+  )
+
+
+def run(state: state_lib.EntryState, record: state_lib.JobRecord) -> list:
+  """The key is claimed: cancels the job, or sends its tasks."""
+  record.phase = state_lib.Phase.RUNNING
+  if record.cancelled:
+    return settle(state, record, cancelled_answer(record.job))
+  team = state.team_settings(record.job.team)
+  if team is None or not state.endpoints.has(team.service):
+    return give_up(state, record, codes.Code.TASK_NOT_RUN_NO_ENDPOINT)
+  job = record.job
+  state.queue.add(job.team, job.key, (t.task_id for t in job.tasks))
+  return dispatch(state)
+
+
+def dispatch(state: state_lib.EntryState) -> list:
+  """Sends waiting tasks to free slots, team by team, within quotas."""
+  effects = []
+  stuck = set()
+  while True:
+    teams = [t for t in state.queue.teams if t not in stuck]
+    if not teams:
+      return effects
+    for team in teams:
+      sent = _send_next(state, team)
+      if sent is None:
+        stuck.add(team)
+      effects += sent or []
+
+
+def _send_next(state, team: str) -> list | None:
+  """Sends the team's next task; None when it has to wait."""
+  key, task_id = state.queue.peek(team)
+  record = state.jobs.get(key)
+  if record is None or record.phase is not state_lib.Phase.RUNNING:
+    state.queue.take(team)
+    return []
+  team_settings = state.team_settings(team)
+  if team_settings is None:
+    return None
+  if state.queue.busy[team] >= _quota_share(state, team_settings):
+    return None
+  endpoint = state.endpoints.pick(team_settings.service, state.now)
+  if endpoint is None:
+    return None
+  state.queue.take(team)
+  return [_send(state, record, task_id, endpoint)]
+
+
+def _quota_share(state, team_settings) -> int:
+  """This entry host's even part of the team's quota in the data centre."""
+  view = state.membership.view
+  hosts = len(view.holder_names) if view else 1
+  return max(1, team_settings.max_tasks_in_flight // max(1, hosts))
+
+
+def _send(state, record, task_id: str, endpoint) -> events.SendTask:
+  state.endpoints.started(endpoint.name)
+  state.queue.busy[record.job.team] += 1
+  state.counters["sends"] += 1
+  record.in_flight[task_id] = endpoint.name
+  return events.SendTask(
+      key=record.job.key,
+      team=record.job.team,
+      task=record.task(task_id),
+      endpoint=endpoint,
+      downstream_key=f"{record.job.key}/{task_id}",
+  )
+
+
+def task_finished(
+    state: state_lib.EntryState, event: events.TaskFinished
+) -> list:
+  """Takes an endpoint's answer to one task."""
+  state.endpoints.finished(event.endpoint)
+  record = state.jobs.get(event.key)
+  if record is None or event.task_id not in record.in_flight:
+    return dispatch(state)
+  state.queue.busy[record.job.team] -= 1
+  del record.in_flight[event.task_id]
+  _note_health(state, record, event)
+  if record.done:
+    state.counters["late_answers"] += 1
+    return dispatch(state)
+  effects = []
+  if codes.task_ran(event.code) == codes.Ran.NOT_RUN:
+    effects = _not_started(state, record, event)
+  else:
+    record.answers[event.task_id] = messages.TaskAnswer(
+        event.task_id, event.code, event.result
+    )
+    if event.code != codes.Code.TASK_DONE:
+      effects = give_up(state, record, codes.Code.TASK_NOT_RUN_JOB_FAILED)
+    elif len(record.answers) == len(record.job.tasks):
+      effects = _complete(state, record)
+  return effects + dispatch(state)
+
+
+def _note_health(state, record, event: events.TaskFinished):
+  table = state.endpoints
+  if event.code == codes.Code.TASK_DONE:
+    declared_ms = record.task(event.task_id).run_ms
+    table.succeeded(event.endpoint, event.elapsed_ms, declared_ms)
+  elif event.code == codes.Code.TASK_NOT_RUN:
+    table.unreachable(event.endpoint, state.now)
+  elif event.code in (codes.Code.TASK_FAILED, codes.Code.TASK_UNKNOWN_LOST):
+    table.failed(event.endpoint, event.key, state.now)
+
+
+def _not_started(state, record, event: events.TaskFinished) -> list:
+  """The endpoint did not start the task: it may go elsewhere, safely."""
+  record.retries += 1
+  state.counters["not_started"] += 1
+  if record.retries > MAX_NOT_STARTED_RETRIES * len(record.job.tasks):
+    record.answers[event.task_id] = messages.TaskAnswer(
+        event.task_id, codes.Code.TASK_NOT_RUN_REFUSED
+    )
+    return give_up(state, record, codes.Code.TASK_NOT_RUN_JOB_FAILED)
+  state.queue.add_first(record.job.team, record.job.key, event.task_id)
+  return []
+
+
+def _complete(state, record) -> list:
+  answer = messages.JobAnswer(
+      key=record.job.key,
+      job_id=record.job.job_id,
+      code=codes.Code.JOB_COMPLETE,
+      tasks=tuple(record.answers[t.task_id] for t in record.job.tasks),
+  )
+  state.counters["complete"] += 1
+  return settle(state, record, answer)
+
+
+def give_up(state, record, not_run: codes.Code) -> list:
+  """Ends a running job now: tasks sent are unknown, the rest `not_run`."""
+  answers = []
+  for task in record.job.tasks:
+    answer = record.answers.get(task.task_id)
+    if answer is None:
+      code = not_run
+      if task.task_id in record.in_flight:
+        code = codes.Code.TASK_UNKNOWN
+      answer = messages.TaskAnswer(task.task_id, code)
+    answers.append(answer)
+  state.counters["failed"] += 1
+  return settle(state, record, _failed(state, record.job, answers))
+
+
+def _failed(state, job: messages.Job, answers) -> messages.JobAnswer:
+  return messages.JobAnswer(
+      key=job.key,
+      job_id=job.job_id,
+      code=codes.Code.JOB_FAILED,
+      tasks=tuple(answers),
+      retry_after_s=state.limits.retry_after_s,
+  )
+
+
+def unknown_answer(state, job: messages.Job) -> messages.JobAnswer:
+  """Returns the answer of a job that a lost coordinator may have run."""
+  code = codes.Code.TASK_UNKNOWN_OWNER_LOST
+  answers = [messages.TaskAnswer(t.task_id, code) for t in job.tasks]
+  return _failed(state, job, answers)
+
+
+def settle(state, record, answer: messages.JobAnswer) -> list:
+  """Gives the final answer to every waiter, keeps it and copies it."""
+  claimed = record.phase is state_lib.Phase.RUNNING
+  record.final = answer
+  record.phase = state_lib.Phase.DONE
+  effects = [_reply(record, w) for w in record.waiters]
+  record.waiters.clear()
+  nothing_ran = all(t.ran == codes.Ran.NOT_RUN for t in answer.tasks)
+  if claimed and nothing_ran and not record.cancelled:
+    # Nothing started, so a retry may run the job afresh.
+    return effects + forget(state, record)
+  if claimed:
+    # The copy goes first: the answer survives this host once it is given.
+    effects = _copy_answer(state, record) + effects
+  keep_until = state.now + state.limits.answer_keep_s
+  state.at(keep_until, lambda s: _expire(s, record))
+  return effects
+
+
+def _copy_answer(state, record) -> list:
+  """Gives one holder the answer, for callers that ask after a crash."""
+  claim = make_claim(state, record)
+  state.claims.put(claim, state.now)
+  view = state.membership.view
+  names = view.holders(claim.key) if view else ()
+  remote = [view.member(n) for n in names if n != state.name]
+  copies = len(remote) if record.cancelled else ANSWER_COPIES
+  return [events.Tell(m, claims.AnswerCopy(claim)) for m in remote[:copies]]
+
+
+def make_claim(state, record) -> claims.Claim:
+  """Returns the coordinator's claim of a record's key, as it stands now."""
+  keep_s = state.limits.answer_keep_s + CLAIM_KEEP_EXTRA_S
+  return claims.Claim(
+      key=record.job.key,
+      fingerprint=record.job.fingerprint,
+      owner=state.me,
+      number=record.number,
+      keep_s=keep_s,
+      answer=record.final,
+  )
+
+
+def forget(state, record) -> list:
+  """Drops a record that started nothing and gives its claim up."""
+  record.phase = state_lib.Phase.DONE
+  if state.jobs.get(record.job.key) is record:
+    del state.jobs[record.job.key]
+  release = claims.Release(record.job.key, state.me, record.number)
+  state.claims.release(release)
+  view = state.membership.view
+  names = view.holders(record.job.key) if view else ()
+  return [
+      events.Tell(view.member(n), release) for n in names if n != state.name
+  ]
+
+
+def refuse_all(state, record, error: errors.FescueError) -> list:
+  """Refuses every waiter of a job that was not claimed, and forgets it."""
+  effects = [refuse(state, w, error) for w in record.waiters]
+  record.waiters.clear()
+  record.phase = state_lib.Phase.DONE
+  state.counters["refused"] += len(effects)
+  return effects + forget(state, record)
+
+
+def _deadline(state, record) -> list:
+  if record.done:
+    return []
+  if record.phase is state_lib.Phase.RUNNING:
+    return give_up(state, record, codes.Code.TASK_NOT_RUN_DEADLINE)
+  return refuse_all(state, record, unclaimed_error(record))
+
+
+def unclaimed_error(record) -> errors.FescueError:
+  """Returns the refusal of a request whose key could not be claimed."""
+  return errors.FescueError(
+      f"key {record.job.key!r} could not be claimed; this request started"
+      " nothing",
+      codes.Code.NO_OWNER,
+  )
+
+
+def _expire(state, record) -> list:
+  """Forgets a kept answer once nothing of its job is in flight."""
+  if record.in_flight:
+    retry = state.now + 1.0
+    state.at(retry, lambda s: _expire(s, record))
+  elif state.jobs.get(record.job.key) is record:
+    del state.jobs[record.job.key]
+  return []
+
+
+def is_idle(state: state_lib.EntryState) -> bool:
+  """True when no job is open and no task is in flight."""
+  if state.parked:
+    return False
+  return all(r.done and not r.in_flight for r in state.jobs.values())
--- a/fescueturn/launcher.py
+++ b/fescueturn/launcher.py
@@ -63,12 +63,14 @@
       host_list_lag_s: float = 1.0,
       time_scale: float = 1.0,
       endpoint_drain_s: float = 3.0,
+      entry_options: str = "",
   ):
     self._workdir = workdir
     self._dc = data_centre
     self._lag = host_list_lag_s
     self._time_scale = time_scale
     self._drain_s = endpoint_drain_s
+    self._entry_options = entry_options
     self.platform = _loopback()
     self.procs: dict[str, Proc] = {}
     self._popen: dict[str, subprocess.Popen] = {}
@@ -90,7 +92,7 @@
       self._add(f"endpoint-{i}", "endpoint", listen, body)
     for i in range(1, entries + 1):
       listen, peer = _loopback(), _loopback()
-      body = f"[entry]\nlisten = {listen}\npeer_listen = {peer}\nplatform = {self.platform}\n"
+      body = f"[entry]\nlisten = {listen}\npeer_listen = {peer}\nplatform = {self.platform}\n{self._entry_options}"
       self._add(f"entry-{i}", "entry", listen, body)
 
   def _add(self, name: str, role: str, listen: settings.Address, body: str):
@@ -156,18 +158,13 @@
 
   async def wait_entry_ready(self, name: str):
     """Waits until an entry host sees every entry host and endpoint."""
-    members = len(
-        [
-            n
-            for n in self.names("entry")
-            if n in self._popen and self._popen[n].poll() is None
-        ]
-    )
+    members = sum(self.alive(n) for n in self.names("entry"))
     endpoints = len(self.names("endpoint"))
 
     def ready(body):
       return (
-          body["members"] >= members
+          body["members"] == members
+          and body["ready"]
           and body["endpoints"] >= endpoints
           and body["teams"] >= 1
       )
--- a/fescueturn/membership.py
+++ b/fescueturn/membership.py
@@ -2,8 +2,10 @@
 
 * `LeaseKeeper` holds this entry host's member key under a lease and renews
   it, so peers see it while it lives and stop seeing it when it dies.
-* `watch_loop` reads members and team settings, then watches for changes
-  from that revision on; a single waiting watch covers both prefixes.
+* `members_loop` follows the data centre's member keys, change by change in
+  the platform's order.
+* `teams_loop` follows the team settings; many changes in a row cost one
+  call every `pause_s`.
 * `hosts_loop` polls the platform's host list for this data centre's
   endpoints.
 
@@ -12,11 +14,15 @@
 knew.
 """
 
+import json
 import random
+from collections.abc import Awaitable
+from collections.abc import Callable
 
 import curio
 from loguru import logger
 
+from fescueturn import codes
 from fescueturn import errors
 from fescueturn import events
 from fescueturn import kvclient
@@ -28,12 +34,19 @@
 TEAM_SETTINGS_LEAF = "/settings"
 BACKOFF_MIN_S = 0.1
 BACKOFF_MAX_S = 2.0
-HOSTS_POLL_S = 0.5
+RENEWALS_PER_TTL = 3
+
+Apply = Callable[[events.Event], Awaitable[None]]
+
+
+def members_prefix(data_centre: str) -> str:
+  """Returns the KV prefix of a data centre's member keys."""
+  return f"{MEMBERS_PREFIX}{data_centre}/"
 
 
 def member_key(data_centre: str, name: str) -> str:
   """Returns the KV key that holds an entry host's membership."""
-  return f"{MEMBERS_PREFIX}{data_centre}/{name}"
+  return members_prefix(data_centre) + name
 
 
 def team_key(team: str) -> str:
@@ -49,17 +62,46 @@
   return team if team and "/" not in team else None
 
 
+def member_value(member: events.Member) -> str:
+  """Returns the text kept at an entry host's member key."""
+  return json.dumps(
+      {
+          "peer": str(member.peer),
+          "boot": member.boot,
+          "lease": member.lease,
+          "leaving": member.leaving,
+      }
+  )
+
+
+def parse_member(key: str, value: str) -> events.Member | None:
+  """Reads a member key's text; None (and a log line) if it is not one."""
+  try:
+    body = json.loads(value)
+    return events.Member(
+        name=key.rsplit("/", 1)[-1],
+        peer=settings.parse_address(body["peer"]),
+        boot=str(body["boot"]),
+        lease=int(body["lease"]),
+        leaving=bool(body["leaving"]),
+    )
+  except (ValueError, KeyError, TypeError) as exc:
+    logger.error("event=member_bad key={} error={!r}", key, exc)
+    return None
+
+
 class Backoff:
   """Jittered exponential back-off between failed platform calls."""
 
-  def __init__(self, rng: random.Random):
+  def __init__(self, rng: random.Random, max_s: float = BACKOFF_MAX_S):
     self._rng = rng
+    self._max_s = max_s
     self._delay = BACKOFF_MIN_S
 
   async def wait(self):
     """Sleeps for the next delay, with jitter, and doubles it."""
     await curio.sleep(self._delay * (0.5 + self._rng.random()))
-    self._delay = min(BACKOFF_MAX_S, self._delay * 2)
+    self._delay = min(self._max_s, self._delay * 2)
 
   def reset(self):
     """Goes back to the shortest delay after a success."""
@@ -69,12 +111,21 @@
 class LeaseKeeper:
   """Keeps this entry host's member key alive under a lease."""
 
-  def __init__(self, kv: kvclient.KvClient, key: str, value: str, ttl_s: float):
+  def __init__(
+      self,
+      kv: kvclient.KvClient,
+      data_centre: str,
+      member: events.Member,
+      ttl_s: float,
+      now: Callable[[], float],
+  ):
     self._kv = kv
-    self._key = key
-    self._value = value
+    self._key = member_key(data_centre, member.name)
+    self._member = member
     self._ttl_s = ttl_s
+    self._now = now
     self._lease = 0
+    self._written = False
     self._stopped = False
 
   @property
@@ -82,27 +133,66 @@
     """The lease id now held, or 0."""
     return self._lease
 
-  async def run(self, backoff: Backoff):
+  async def run(self, apply: Apply, backoff: Backoff):
     """Grants, writes and renews until `withdraw`; never raises KvError."""
     while not self._stopped:
       try:
-        if not self._lease or not await self._kv.keep_alive(self._lease):
-          await self._join()
+        await apply(await self._renew())
+        if not self._written:
+          await self._write()
         backoff.reset()
-        await curio.sleep(self._ttl_s / 3)
+        await curio.sleep(self._ttl_s / RENEWALS_PER_TTL)
       except errors.KvError as exc:
         logger.warning(
             "event=lease_renew_failed key={} error={!r}", self._key, exc
         )
         await backoff.wait()
 
-  async def _join(self):
-    self._lease = await self._kv.grant(self._ttl_s)
-    await self._kv.put(self._key, self._value, lease=self._lease)
-    logger.info("event=member_joined key={} lease={}", self._key, self._lease)
+  async def _renew(self) -> events.LeaseRenewed:
+    """Renews the lease, or grants a new one; its time runs from the asking."""
+    asked_at = self._now()
+    if not self._lease or not await self._kv.keep_alive(self._lease):
+      self._written = False
+      asked_at = self._now()
+      self._lease = await self._kv.grant(self._ttl_s)
+    return events.LeaseRenewed(self._lease, asked_at + self._ttl_s)
+
+  async def _write(self):
+    """Writes the member key under the lease, as often as a reply is lost."""
+    member = events.Member(
+        self._member.name,
+        self._member.peer,
+        self._member.boot,
+        self._lease,
+        self._member.leaving,
+    )
+    try:
+      await self._kv.put(self._key, member_value(member), lease=self._lease)
+    except errors.KvConflictError:
+      self._lease = 0  # It lapsed before the write.
+      raise
+    self._written = True
+    logger.info(
+        "event=member_written key={} lease={} leaving={}",
+        self._key,
+        self._lease,
+        member.leaving,
+    )
+
+  async def leave(self):
+    """Marks this entry host as leaving, so peers hold its claims elsewhere."""
+    self._member = events.Member(
+        self._member.name, self._member.peer, self._member.boot, leaving=True
+    )
+    self._written = False
+    try:
+      if self._lease:
+        await self._write()
+    except errors.KvError as exc:  # `run` tries again.
+      logger.warning("event=leave_unwritten error={!r}", exc)
 
   async def withdraw(self):
-    """Stops renewing and revokes the lease, so peers route elsewhere."""
+    """Stops renewing and revokes the lease: this entry host is gone."""
     self._stopped = True
     if self._lease:
       try:
@@ -111,9 +201,37 @@
         logger.warning("event=lease_revoke_failed error={!r}", exc)
 
 
-def _member(item: kvstore.Item) -> events.Member:
-  name = item.key.rsplit("/", 1)[-1]
-  return events.Member(name, settings.parse_address(item.value))
+async def members_loop(
+    kv: kvclient.KvClient, data_centre: str, apply: Apply, backoff: Backoff
+):
+  """Feeds `MembersChanged` to `apply`, one event a change, forever."""
+  prefix = members_prefix(data_centre)
+  members: dict[str, events.Member] = {}
+  revision = None
+  while True:
+    try:
+      if revision is None:
+        revision, items = await kv.prefix(prefix)
+        members = {i.key: parse_member(i.key, i.value) for i in items}
+        await apply(_view(members, gap=True))
+      revision, changes = await kv.watch(prefix, revision)
+      backoff.reset()
+    except errors.KvError as exc:
+      logger.warning("event=members_watch_failed error={!r}", exc)
+      if exc.code is codes.Code.KV_NOT_FOUND:
+        revision = None  # The history no longer reaches back: read afresh.
+      await backoff.wait()
+      continue
+    for change in changes:
+      members.pop(change.key, None)
+      if change.value is not None:
+        members[change.key] = parse_member(change.key, change.value)
+      await apply(_view(members))
+
+
+def _view(members, gap: bool = False) -> events.MembersChanged:
+  found = tuple(m for m in members.values() if m is not None)
+  return events.MembersChanged(found, gap)
 
 
 def _team_event(
@@ -137,46 +255,41 @@
   return events.TeamChanged(team, revision, parsed)
 
 
-async def _read_all(kv, data_centre: str, apply) -> int:
-  """Reads members and teams whole; returns the revision to watch after."""
-  prefix = f"{MEMBERS_PREFIX}{data_centre}/"
-  revision, items = await kv.prefix(prefix)
-  await apply(events.MembersChanged(tuple(_member(i) for i in items)))
-  _, teams = await kv.prefix(TEAMS_PREFIX)
-  for item in teams:
-    event = _team_event(item.key, item.value, item.revision)
-    if event is not None:
-      await apply(event)
-  return revision
-
-
-async def watch_loop(
-    kv: kvclient.KvClient, data_centre: str, apply, backoff: Backoff
+async def teams_loop(
+    kv: kvclient.KvClient, apply: Apply, backoff: Backoff, pause_s: float
 ):
-  """Feeds `MembersChanged` and `TeamChanged` events to `apply` forever."""
-  members_prefix = f"{MEMBERS_PREFIX}{data_centre}/"
+  """Feeds `TeamChanged` events to `apply` forever."""
+  known: set[str] = set()
   revision = None
   while True:
     try:
       if revision is None:
-        revision = await _read_all(kv, data_centre, apply)
-      revision, changes = await kv.watch("/", revision)
+        revision, changes = await _read_teams(kv, known)
+      else:
+        revision, changes = await kv.watch(TEAMS_PREFIX, revision)
       backoff.reset()
     except errors.KvError as exc:
-      logger.warning("event=watch_failed error={!r}", exc)
-      revision = None
+      logger.warning("event=teams_watch_failed error={!r}", exc)
+      if exc.code is codes.Code.KV_NOT_FOUND:
+        revision = None
       await backoff.wait()
       continue
-    if any(c.key.startswith(members_prefix) for c in changes):
-      try:
-        _, items = await kv.prefix(members_prefix)
-        await apply(events.MembersChanged(tuple(_member(i) for i in items)))
-      except errors.KvError:
-        revision = None
     for change in changes:
+      known.add(change.key)
       event = _team_event(change.key, change.value, change.revision)
       if event is not None:
         await apply(event)
+    if changes:
+      await curio.sleep(pause_s)
+
+
+async def _read_teams(kv, known: set[str]):
+  """Reads every team afresh; teams known before and gone now are removals."""
+  revision, items = await kv.prefix(TEAMS_PREFIX)
+  changes = [kvstore.Change(i.revision, i.key, i.value) for i in items]
+  gone = known - {i.key for i in items}
+  changes += [kvstore.Change(revision, key, None) for key in sorted(gone)]
+  return revision, changes
 
 
 def _endpoint(record: kvstore.HostRecord) -> events.EndpointInfo:
@@ -190,7 +303,11 @@
 
 
 async def hosts_loop(
-    kv: kvclient.KvClient, data_centre: str, apply, backoff: Backoff
+    kv: kvclient.KvClient,
+    data_centre: str,
+    apply: Apply,
+    backoff: Backoff,
+    poll_s: float,
 ):
   """Polls the host list; feeds `EndpointsChanged` when the view changes."""
   last = None
@@ -210,4 +327,4 @@
     if mine != last:
       await apply(events.EndpointsChanged(mine))
       last = mine
-    await curio.sleep(HOSTS_POLL_S)
+    await curio.sleep(poll_s)
--- a/fescueturn/messages.py
+++ b/fescueturn/messages.py
@@ -58,6 +58,14 @@
   deadline_ms: int = 0
 
 
+@dataclasses.dataclass(frozen=True)
+class Cancel:
+  """A caller's cancellation of the job under an idempotency key."""
+
+  team: str
+  key: str
+
+
 @dataclasses.dataclass(frozen=True)
 class TaskAnswer:
   """The final word on one task: its code, whether it ran, its result."""
@@ -79,7 +87,7 @@
   Attributes:
     key: the idempotency key the answer belongs to.
     job_id: the caller's job id.
-    code: `Code.JOB_COMPLETE` or `Code.JOB_FAILED`.
+    code: `Code.JOB_COMPLETE`, `Code.JOB_FAILED`, or `Code.JOB_CANCELLED`.
     tasks: one answer per task of the job, in the job's order.
     retry_after_s: for a failed job, when the caller may come back.
   """
--- /dev/null
+++ b/fescueturn/ownership.py
@@ -0,0 +1,232 @@
+"""Holding claims for others: accepting them, and surviving changes of members.
+
+The decisions of an entry host as a holder. A claim is accepted only from a
+claimant that sees the same members, only while this host may act, and only
+if no other process claimed the key first. When members go, the hosts that
+gain partitions fetch their claims from every other host (a sync) before
+they vouch for them.
+"""
+
+from fescueturn import claims
+from fescueturn import events
+from fescueturn import state as state_lib
+from fescueturn import views
+
+SYNC_TIMEOUT_S = 2.0
+SYNC_RETRY_S = 0.05
+PROBE_TIMEOUT_S = 2.0
+
+
+def accept(
+    state: state_lib.EntryState, request: claims.ClaimRequest
+) -> claims.ClaimReply:
+  """Decides on a claim as one of the key's holders."""
+  membership = state.membership
+  claim = request.claim
+  if membership.view is None or request.view != membership.view.digest:
+    return claims.ClaimReply(claims.Verdict.STALE_VIEW)
+  if not membership.may_hold(state.now):
+    return claims.ClaimReply(claims.Verdict.NOT_READY)
+  trusted = membership.trusts(claim.key)
+  held = state.claims.by_others(claim.key, claim.owner)
+  if held:
+    return claims.ClaimReply(claims.Verdict.HELD, trusted, held)
+  state.claims.put(claim, state.now)
+  return claims.ClaimReply(claims.Verdict.ACCEPTED, trusted)
+
+
+def answer_sync(
+    state: state_lib.EntryState, request: claims.SyncRequest
+) -> claims.SyncReply:
+  """Gives a new holder the claims it asks for.
+
+  A host that has gone from the asker's view answers in any view. If it has
+  not rejoined since, it accepts no claims in its own view from then on.
+  """
+  membership = state.membership
+  if request.departed_lease:
+    me = state.member(state.name)
+    if me is not None and me.lease == request.departed_lease:
+      membership.fenced_view = membership.view.digest
+  elif membership.view is None or membership.view.digest != request.view:
+    return claims.SyncReply(ready=False)
+  found = state.claims.in_partitions(request.partitions, state.now)
+  return claims.SyncReply(True, found)
+
+
+def answer_probe(
+    state: state_lib.EntryState, request: claims.ProbeRequest
+) -> claims.ProbeReply:
+  """Promises a lapsed host not to act without it, if both see one view."""
+  membership = state.membership
+  view = membership.view
+  agrees = view is not None and view.digest == request.view
+  if agrees:
+    membership.promises[request.asker] = state.now + views.PROMISE_S
+  return claims.ProbeReply(agrees)
+
+
+def lease_renewed(state: state_lib.EntryState, event: events.LeaseRenewed):
+  """Takes a renewed lease."""
+  state.membership.lease = event.lease
+  state.membership.lease_until = event.until
+
+
+def change_view(
+    state: state_lib.EntryState, event: events.MembersChanged
+) -> list:
+  """Moves to the next view and starts fetching what it makes this host hold."""
+  membership = state.membership
+  before = membership.view
+  membership.view = views.make_view(event.members)
+  if event.gap:
+    membership.trusted = frozenset()
+  elif membership.view == before:
+    return []
+  if before is not None:
+    _note_departed(state, before)
+  for name in [n for n in membership.departed if membership.view.member(n)]:
+    del membership.departed[name]
+  mine = membership.view.partitions_of(state.name)
+  membership.trusted &= mine
+  state.endpoints.set_entry_hosts(membership.view.holder_names)
+  return start_sync(state)
+
+
+def _note_departed(state: state_lib.EntryState, before: views.View):
+  """Remembers members that went without leaving first: they may still run."""
+  membership = state.membership
+  grace = state.limits.lease_ttl_s
+  for member in before.members:
+    gone = membership.view.member(member.name) is None
+    if gone and not member.leaving and member.name != state.name:
+      membership.departed[member.name] = member
+      state.at(state.now + grace, _forget_departed(member))
+
+
+def _forget_departed(member: events.Member) -> state_lib.TimerCallback:
+  def forget(state: state_lib.EntryState) -> list:
+    if state.membership.departed.get(member.name) == member:
+      del state.membership.departed[member.name]
+      return _answered(state, member.name)
+    return []
+
+  return forget
+
+
+def start_sync(state: state_lib.EntryState) -> list:
+  """Asks everyone for the partitions held but not trusted in this view."""
+  membership = state.membership
+  membership.sync = None
+  if not membership.is_member:
+    return []
+  wanted = membership.view.partitions_of(state.name) - membership.trusted
+  if not wanted:
+    return []
+  asked = {m.name: m for m in membership.others()} | membership.departed
+  membership.sync = views.SyncRound(wanted, asked)
+  state.counters["syncs"] += 1
+  if not asked:
+    return _finish_sync(state)
+  return [_sync_ask(state, member) for member in asked.values()]
+
+
+def _sync_ask(state: state_lib.EntryState, member: events.Member) -> events.Ask:
+  membership = state.membership
+  departed = member.name in membership.departed
+  request = claims.SyncRequest(
+      view=membership.view.digest,
+      asker=state.me,
+      departed_lease=member.lease if departed else 0,
+      partitions=tuple(sorted(membership.sync.wanted)),
+  )
+  return events.Ask(member, request, SYNC_TIMEOUT_S)
+
+
+def sync_replied(
+    state: state_lib.EntryState, event: events.PeerReplied
+) -> list:
+  """Takes one host's claims; asks again while it is not ready."""
+  membership = state.membership
+  for claim in event.reply.claims if event.reply is not None else ():
+    state.claims.merge(claim, state.now)
+  name = event.ask.member.name
+  sync = membership.sync
+  if sync is None or event.ask.message.view != membership.view.digest:
+    return []
+  if event.dead or (event.reply is not None and event.reply.ready):
+    membership.departed.pop(name, None)
+    return _answered(state, name)
+  state.at(state.now + SYNC_RETRY_S, _ask_again(sync, event.ask.member))
+  return []
+
+
+def _ask_again(sync, member: events.Member) -> state_lib.TimerCallback:
+  def ask(state: state_lib.EntryState) -> list:
+    if state.membership.sync is sync and member.name in sync.awaiting:
+      return [_sync_ask(state, member)]
+    return []
+
+  return ask
+
+
+def _answered(state: state_lib.EntryState, name: str) -> list:
+  sync = state.membership.sync
+  if sync is None:
+    return []
+  sync.awaiting.pop(name, None)
+  return [] if sync.awaiting else _finish_sync(state)
+
+
+def _finish_sync(state: state_lib.EntryState) -> list:
+  membership = state.membership
+  membership.trusted |= membership.sync.wanted
+  membership.sync = None
+  return []
+
+
+def probe(state: state_lib.EntryState) -> list:
+  """With the lease lapsed, asks every other member for its promise."""
+  membership = state.membership
+  if not (membership.is_member and membership.lapsed(state.now)):
+    return []
+  if state.now < membership.next_probe:
+    return []
+  membership.next_probe = state.now + views.PROBE_EVERY_S
+  others = membership.others()
+  membership.probe = views.ProbeRound(
+      membership.view.digest, state.now, {m.name for m in others}
+  )
+  state.counters["probes"] += 1
+  _finish_probe(state)
+  request = claims.ProbeRequest(membership.view.digest, state.me)
+  return [events.Ask(m, request, PROBE_TIMEOUT_S) for m in others]
+
+
+def probe_replied(
+    state: state_lib.EntryState, event: events.PeerReplied
+) -> list:
+  """Counts a promise, or a member that surely no longer runs."""
+  membership = state.membership
+  round_ = membership.probe
+  if round_ is None or event.ask.message.view != round_.view:
+    return []
+  if event.dead or (event.reply is not None and event.reply.agrees):
+    round_.awaiting.discard(event.ask.member.name)
+    _finish_probe(state)
+  return []
+
+
+def _finish_probe(state: state_lib.EntryState):
+  membership = state.membership
+  round_ = membership.probe
+  if not round_.awaiting and round_.view == membership.view.digest:
+    membership.promised_until = round_.sent_at + views.PROMISE_S
+
+
+def tidy(state: state_lib.EntryState):
+  """Forgets claims and promises whose time is over."""
+  state.claims.expire(state.now)
+  promises = state.membership.promises
+  for token in [t for t, until in promises.items() if until <= state.now]:
+    del promises[token]
--- a/fescueturn/peer.py
+++ b/fescueturn/peer.py
@@ -1,122 +1,45 @@
-"""Entry host to entry host: jobs forwarded to their owner, over pycapnp.
+"""Entry host to entry host: requests and replies over pycapnp and TCP.
 
-A non-owner passes a caller's job to the owner of its key as a `ForwardJob`
-message and waits for the `ForwardReply` with the same request id. Messages
-use Cap'n Proto's standard stream framing (a segment table, then segments),
-so a reader learns each message's length from its first words. Many
-requests share one TCP connection per peer.
+One TCP connection per peer carries many requests at once; each reply names
+its request's id. Messages use Cap'n Proto's standard stream framing (a
+segment table, then segments), so a reader learns each message's length from
+its first words. The messages themselves are in `fescueturn.peercodec`.
 """
 
-import dataclasses
-import os
 import struct
+from collections.abc import Awaitable
+from collections.abc import Callable
 
 import capnp
 import curio
 import curio.network
 from loguru import logger
 
+from fescueturn import claims
 from fescueturn import codes
 from fescueturn import errors
-from fescueturn import messages
+from fescueturn import httpio
+from fescueturn import peercodec
 from fescueturn import settings
 
-schema = capnp.load(os.path.join(os.path.dirname(__file__), "peer.capnp"))
-
 WORD = 8
 MAX_SEGMENTS = 512
 MAX_MESSAGE_BYTES = 16 * 1024 * 1024
+CONNECT_TIMEOUT_S = 1.0
 
+Handler = Callable[[claims.Request], Awaitable[claims.Reply | None]]
 
-@dataclasses.dataclass(frozen=True)
-class Outcome:
-  """The owner's reply: an answer, or a refusal with its code."""
-
-  answer: messages.JobAnswer | None = None
-  error: errors.FescueError | None = None
-  retry_after_s: int = 0
-
-
-def encode_job(request_id: int, job: messages.Job) -> bytes:
-  """Returns the framed `ForwardJob` for `job`."""
-  msg = schema.ForwardJob.new_message(
-      requestId=request_id,
-      team=job.team,
-      jobId=job.job_id,
-      key=job.key,
-      fingerprint=job.fingerprint,
-      deadlineMs=job.deadline_ms,
-  )
-  tasks = msg.init("tasks", len(job.tasks))
-  for slot, task in zip(tasks, job.tasks, strict=True):
-    slot.taskId = task.task_id
-    slot.kind = task.kind
-    slot.payload = task.payload
-    slot.runMs = task.run_ms
-    slot.idempotent = task.idempotent
-  return msg.to_bytes()
-
-
-def decode_job(data: bytes) -> tuple[int, messages.Job]:
-  """Reads a framed `ForwardJob`; returns its request id and job."""
-  with schema.ForwardJob.from_bytes(data) as msg:
-    tasks = tuple(
-        messages.Task(t.taskId, t.kind, t.payload, t.runMs, t.idempotent)
-        for t in msg.tasks
-    )
-    job = messages.Job(
-        team=msg.team,
-        job_id=msg.jobId,
-        key=msg.key,
-        tasks=tasks,
-        fingerprint=msg.fingerprint,
-        deadline_ms=msg.deadlineMs,
-    )
-    return msg.requestId, job
-
-
-def encode_reply(request_id: int, outcome: Outcome) -> bytes:
-  """Returns the framed `ForwardReply` carrying `outcome`."""
-  msg = schema.ForwardReply.new_message(requestId=request_id)
-  if outcome.answer is not None:
-    answer = outcome.answer
-    out = msg.init("answer")
-    out.key = answer.key
-    out.jobId = answer.job_id
-    out.code = int(answer.code)
-    out.retryAfterS = answer.retry_after_s
-    tasks = out.init("tasks", len(answer.tasks))
-    for slot, task in zip(tasks, answer.tasks, strict=True):
-      slot.taskId = task.task_id
-      slot.code = int(task.code)
-      slot.result = task.result
-  else:
-    refusal = msg.init("refusal")
-    refusal.code = int(outcome.error.code)
-    refusal.message = str(outcome.error.args[0])
-    refusal.retryAfterS = outcome.retry_after_s
-  return msg.to_bytes()
-
-
-def decode_reply(data: bytes) -> tuple[int, Outcome]:
-  """Reads a framed `ForwardReply`; returns its request id and outcome."""
-  with schema.ForwardReply.from_bytes(data) as msg:
-    if msg.which() == "answer":
-      a = msg.answer
-      answer = messages.JobAnswer(
-          key=a.key,
-          job_id=a.jobId,
-          code=codes.Code(a.code),
-          retry_after_s=a.retryAfterS,
-          tasks=tuple(
-              messages.TaskAnswer(t.taskId, codes.Code(t.code), t.result)
-              for t in a.tasks
-          ),
-      )
-      return msg.requestId, Outcome(answer=answer)
-    r = msg.refusal
-    error = errors.FescueError(r.message, codes.Code(r.code))
-    return msg.requestId, Outcome(error=error, retry_after_s=r.retryAfterS)
+
+class PeerLostError(errors.FescueError):
+  """No reply came; the peer may or may not have acted on the request."""
+
+  code = codes.Code.NO_OWNER
+
+
+class PeerRefusedError(errors.FescueError):
+  """The peer's port refuses connections: no process runs there."""
+
+  code = codes.Code.NO_OWNER
 
 
 async def _read_exactly(stream, size: int) -> bytes:
@@ -148,13 +71,20 @@
 
 
 class PeerServer:
-  """Takes forwarded jobs from other entry hosts and answers each."""
+  """Takes other entry hosts' requests; `start` listens, `close` stops."""
 
-  def __init__(self, address: settings.Address, handler):
+  def __init__(self, address: settings.Address, boot: str, handler: Handler):
     self._address = address
+    self._boot = boot
     self._handler = handler
     self._sock = None
     self._accepter = None
+    self._bytes = [0, 0]
+
+  @property
+  def bytes_in_out(self) -> tuple[int, int]:
+    """Bytes of requests read and of replies sent so far."""
+    return self._bytes[0], self._bytes[1]
 
   async def start(self):
     """Listens for peers."""
@@ -166,6 +96,7 @@
   async def _accept_loop(self):
     while True:
       client, _ = await self._sock.accept()
+      httpio.no_delay(client)
       await curio.spawn(self._serve, client, daemon=True)
 
   async def _serve(self, client):
@@ -175,19 +106,26 @@
       try:
         while True:
           data = await read_message(stream)
-          await curio.spawn(self._answer, client, lock, data, daemon=True)
+          self._bytes[0] += len(data)
+          request_id, request = peercodec.decode_request(data)
+          if request_id == peercodec.NO_REPLY:
+            await self._handler(request)
+          else:
+            await curio.spawn(
+                self._answer, client, lock, request_id, request, daemon=True
+            )
       except (ConnectionError, OSError, capnp.KjException) as exc:
         logger.debug("event=peer_closed error={!r}", exc)
 
-  async def _answer(self, client, lock, data: bytes):
-    request_id, job = decode_job(data)
-    outcome = await self._handler(job)
-    reply = encode_reply(request_id, outcome)
+  async def _answer(self, client, lock, request_id: int, request):
+    reply = await self._handler(request)
+    data = peercodec.encode_reply(request_id, self._boot, reply)
     async with lock:
       try:
-        await client.sendall(reply)
+        await client.sendall(data)
+        self._bytes[1] += len(data)
       except OSError as exc:
-        logger.warning("event=peer_reply_lost key={} error={!r}", job.key, exc)
+        logger.warning("event=peer_reply_lost error={!r}", exc)
 
   async def close(self):
     """Stops taking new peer connections."""
@@ -205,60 +143,97 @@
     self._sock = None
     self._reader = None
     self._waiting: dict[int, curio.Queue] = {}
-    self._next_id = 1
+    self._next_id = peercodec.NO_REPLY + 1
     self._lock = curio.Lock()
 
-  async def forward(self, job: messages.Job, timeout_s: float) -> Outcome:
-    """Sends `job` to the peer and waits up to `timeout_s` for its outcome.
+  async def ask(
+      self, request: claims.Request, timeout_s: float
+  ) -> tuple[str, claims.Reply]:
+    """Sends a request and waits up to `timeout_s` seconds for its reply.
+
+    Returns:
+      The replying process (`claims.Token.boot`) and its reply.
 
     Raises:
-      errors.FescueError: code 208 (NO_OWNER) when the peer cannot be
-        reached or its reply is lost; the job may then have started there.
+      PeerRefusedError: no process listens at the peer's address.
+      PeerLostError: no reply came, for any other reason.
     """
     request_id = self._next_id
     self._next_id += 1
     box = curio.Queue()
     self._waiting[request_id] = box
     try:
-      await self._send(encode_job(request_id, job))
-      outcome = await curio.timeout_after(timeout_s, box.get)
-    except (OSError, ConnectionError, curio.TaskTimeout) as exc:
-      raise errors.FescueError(
-          f"owner {self._address}: {exc!r}", codes.Code.NO_OWNER
-      ) from exc
+      reply = await curio.timeout_after(
+          timeout_s, self._exchange, request_id, request, box
+      )
+    except curio.TaskTimeout as exc:
+      raise PeerLostError(f"peer {self._address}: no reply") from exc
     finally:
       self._waiting.pop(request_id, None)
-    if isinstance(outcome, Exception):
-      raise outcome
-    return outcome
+    if reply is None:
+      await self._check_listening()
+      raise PeerLostError(f"peer {self._address}: connection lost")
+    return reply
+
+  async def _exchange(self, request_id: int, request, box: curio.Queue):
+    await self._send(peercodec.encode_request(request_id, request))
+    return await box.get()
+
+  async def tell(self, request: claims.Request):
+    """Sends a one-way request; a peer that cannot be reached misses it."""
+    data = peercodec.encode_request(peercodec.NO_REPLY, request)
+    try:
+      await curio.timeout_after(CONNECT_TIMEOUT_S, self._send, data)
+    except (PeerLostError, PeerRefusedError, curio.TaskTimeout) as exc:
+      logger.debug("event=peer_tell_lost error={!r}", exc)
+
+  async def _connect(self):
+    try:
+      sock = await curio.timeout_after(
+          CONNECT_TIMEOUT_S,
+          curio.open_connection,
+          self._address.host,
+          self._address.port,
+      )
+    except ConnectionRefusedError as exc:
+      raise PeerRefusedError(f"peer {self._address}: refused") from exc
+    except (OSError, curio.TaskTimeout) as exc:
+      raise PeerLostError(f"peer {self._address}: {exc!r}") from exc
+    httpio.no_delay(sock)
+    return sock
+
+  async def _check_listening(self):
+    """Raises `PeerRefusedError` if nothing listens at the address any more."""
+    sock = await self._connect()
+    await sock.close()
 
   async def _send(self, data: bytes):
     async with self._lock:
       if self._sock is None:
-        self._sock = await curio.open_connection(
-            self._address.host, self._address.port
-        )
-        self._reader = await curio.spawn(
-            self._read_loop, self._sock, daemon=True
-        )
-      await self._sock.sendall(data)
+        sock = await self._connect()
+        self._sock = sock
+        self._reader = await curio.spawn(self._read_loop, sock, daemon=True)
+      try:
+        await self._sock.sendall(data)
+      except OSError as exc:
+        self._sock = None
+        raise PeerLostError(f"peer {self._address}: {exc!r}") from exc
 
   async def _read_loop(self, sock):
     stream = sock.as_stream()
     try:
       while True:
-        request_id, outcome = decode_reply(await read_message(stream))
+        data = await read_message(stream)
+        request_id, boot, reply = peercodec.decode_reply(data)
         box = self._waiting.get(request_id)
         if box is not None:
-          await box.put(outcome)
-    except (ConnectionError, OSError, capnp.KjException) as exc:
-      lost = errors.FescueError(
-          f"owner {self._address}: {exc!r}", codes.Code.NO_OWNER
-      )
+          await box.put((boot, reply))
+    except (ConnectionError, OSError, capnp.KjException):
       if self._sock is sock:
         self._sock = None
+      await sock.close()
       for box in list(self._waiting.values()):
-        await box.put(lost)
+        await box.put(None)
 
   async def close(self):
     """Closes the connection."""
--- a/fescueturn/routing.py
+++ b/fescueturn/routing.py
@@ -1,33 +1,67 @@
-"""Routing: which entry host owns a key, and which endpoint takes a task.
+"""Routing: which entry hosts hold a key's claim, and whose slots are whose.
 
-The owner of an idempotency key is chosen by rendezvous (highest random
-weight) hashing over the live entry hosts of the data centre, so every retry
-of a key reaches the same owner without a store write, and a membership
-change moves only the keys of the host that came or went.
+Keys fall into a fixed number of partitions. Rendezvous (highest random
+weight) hashing over the entry hosts of the data centre gives each partition
+its holders, so every submission of a key meets the same holders without a
+store write, and a change of members moves only the partitions of the host
+that came or went. The same hashing splits each endpoint's slots.
 """
 
+import functools
 import hashlib
 from collections.abc import Sequence
 
-from fescueturn import events
+PARTITIONS = 1024
+HOLDERS = 2
 
 
-def _weight(member: str, key: str) -> int:
-  digest = hashlib.blake2b(f"{member}\0{key}".encode(), digest_size=8).digest()
+def _hash(text: str) -> int:
+  digest = hashlib.blake2b(text.encode(), digest_size=8).digest()
   return int.from_bytes(digest, "big")
 
 
-def owner(key: str, members: Sequence[events.Member]) -> events.Member | None:
-  """Returns the member that owns `key`, or None when there is none."""
-  if not members:
-    return None
-  return max(members, key=lambda m: (_weight(m.name, key), m.name))
+def partition(key: str) -> int:
+  """Returns the partition (0 to PARTITIONS - 1) of an idempotency key."""
+  return _hash(key) % PARTITIONS
 
 
-def slot_share(slots: int, members: int) -> int:
-  """Returns this entry host's share of an endpoint's slots.
+@functools.lru_cache(maxsize=1024)
+def _weights(name: str) -> tuple[int, ...]:
+  """Returns `name`'s weight in every partition."""
+  return tuple(_hash(f"{name}\0{p}") for p in range(PARTITIONS))
 
-  Each of `members` entry hosts may keep this many tasks in flight on one
-  endpoint, so together they stay within its `slots` (at least one each).
+
+def holders(number: int, names: Sequence[str]) -> tuple[str, ...]:
+  """Returns the entry hosts that hold partition `number`, first one first.
+
+  Args:
+    number: the partition.
+    names: the names of the entry hosts that may hold claims.
+
+  Returns:
+    At most `HOLDERS` names, fewer when there are fewer entry hosts.
+  """
+  ranked = sorted(names, key=lambda n: (_weights(n)[number], n), reverse=True)
+  return tuple(ranked[:HOLDERS])
+
+
+@functools.lru_cache(maxsize=8)
+def holder_table(names: tuple[str, ...]) -> tuple[tuple[str, ...], ...]:
+  """Returns `holders` of every partition, in partition order."""
+  return tuple(holders(p, names) for p in range(PARTITIONS))
+
+
+def slot_share(endpoint: str, slots: int, names: Sequence[str], me: str) -> int:
+  """Returns how many of an endpoint's slots the entry host `me` may fill.
+
+  The shares of all of `names` add up to `slots`: each gets an even part,
+  and the rest goes by rendezvous rank. With more entry hosts than slots,
+  some get none of this endpoint and have their slots elsewhere.
   """
-  return max(1, slots // max(1, members))
+  if me not in names:
+    return 0
+  even, rest = divmod(slots, len(names))
+  if not rest:
+    return even
+  ranked = sorted(names, key=lambda n: _hash(f"{endpoint}\0{n}"), reverse=True)
+  return even + (ranked.index(me) < rest)
--- a/fescueturn/settings.py
+++ b/fescueturn/settings.py
@@ -67,6 +67,13 @@
   return name
 
 
+def _flag(text: str) -> bool:
+  value = configparser.ConfigParser.BOOLEAN_STATES.get(text.strip().lower())
+  if value is None:
+    raise ValueError(f"expected true or false, got {text!r}")
+  return value
+
+
 def _level(text: str) -> str:
   level = text.strip().upper()
   if level not in {"TRACE", "DEBUG", "INFO", "WARNING", "ERROR"}:
@@ -96,6 +103,9 @@
   retry_after_s: int = 1
   tick_ms: int = 50
   answer_keep_s: float = 600.0
+  hosts_poll_s: float = 1.0
+  settings_pause_s: float = 1.0
+  naive: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -152,6 +162,9 @@
     "retry_after_s": _positive_int,
     "tick_ms": _positive_int,
     "answer_keep_s": _non_negative_float,
+    "hosts_poll_s": _non_negative_float,
+    "settings_pause_s": _non_negative_float,
+    "naive": _flag,
     "services": _name_list,
     "slots": _positive_int,
     "connections": _positive_int,
--- /dev/null
+++ b/fescueturn/state.py
@@ -0,0 +1,194 @@
+"""What an entry host knows: the state that only the reducer changes."""
+
+import collections
+import dataclasses
+import enum
+import heapq
+import itertools
+from collections.abc import Callable
+
+from fescueturn import claims
+from fescueturn import events
+from fescueturn import messages
+from fescueturn import placement
+from fescueturn import settings
+from fescueturn import views
+
+
+@dataclasses.dataclass(frozen=True)
+class TeamEntry:
+  """A team's settings and the KV revision they came from."""
+
+  revision: int
+  team_settings: settings.TeamSettings | None
+
+
+@dataclasses.dataclass(frozen=True)
+class Waiter:
+  """A caller's request that waits for its outcome.
+
+  Attributes:
+    request_id: the I/O shell's number for the request.
+    request: the job submitted, or the cancellation.
+    hops: how many entry hosts passed the request on.
+  """
+
+  request_id: int
+  request: messages.Job | messages.Cancel
+  hops: int = 0
+
+  @property
+  def key(self) -> str:
+    """The idempotency key that the request names."""
+    return self.request.key
+
+
+@dataclasses.dataclass(frozen=True)
+class Parked:
+  """A request passed on to another entry host, waiting for its reply."""
+
+  waiter: Waiter
+  member: events.Member
+
+
+class Phase(enum.Enum):
+  """How far a job's coordinator is with it."""
+
+  CLAIMING = "claiming"
+  RUNNING = "running"
+  DONE = "done"
+
+
+class ClaimRound:
+  """One try at claiming a key: who was asked and what each said."""
+
+  def __init__(self, view: views.View, asked: tuple[str, ...]):
+    self.view = view
+    self.asked = asked
+    self.replies: dict[str, claims.ClaimReply | None] = {}
+    self.dead: set[str] = set()
+
+  @property
+  def complete(self) -> bool:
+    """True when every holder asked has answered or is known dead."""
+    return len(self.replies) == len(self.asked)
+
+
+class JobRecord:
+  """What a coordinator keeps of one job while it runs and after it ends."""
+
+  def __init__(self, job: messages.Job, deadline: float, number: int):
+    self.job = job
+    self.deadline = deadline
+    self.number = number
+    self.phase = Phase.CLAIMING
+    self.cancelled = False
+    self.waiters: list[Waiter] = []
+    self.claim_until = 0.0
+    self.round: ClaimRound | None = None
+    self.retry_pending = False
+    self.conflicts = 0
+    self.answers: dict[str, messages.TaskAnswer] = {}
+    self.in_flight: dict[str, str] = {}
+    self.retries = 0
+    self.final: messages.JobAnswer | None = None
+
+  @property
+  def done(self) -> bool:
+    """True once the job has its final answer."""
+    return self.phase is Phase.DONE
+
+  def task(self, task_id: str) -> messages.Task:
+    """Returns the job's task with this id."""
+    return next(t for t in self.job.tasks if t.task_id == task_id)
+
+
+@dataclasses.dataclass(frozen=True)
+class Limits:
+  """The entry host's settings that its decisions use; times in seconds."""
+
+  retry_after_s: int = 1
+  answer_keep_s: float = 600.0
+  lease_ttl_s: float = 3.0
+
+
+TimerCallback = Callable[["EntryState"], list]
+
+
+class EntryState:
+  """All an entry host knows; changed only by `reducer.reduce`."""
+
+  def __init__(
+      self,
+      name: str,
+      boot: str,
+      limits: Limits,
+      admit: Callable[["EntryState", JobRecord], list],
+      endpoints: placement.EndpointTable | None = None,
+  ):
+    self.me = claims.Token(name, boot)
+    self.limits = limits
+    self.admit = admit
+    self.now = 0.0
+    self.draining = False
+    self.membership = views.Membership(self.me)
+    self.claims = claims.ClaimTable()
+    self.endpoints = endpoints or placement.EndpointTable(name)
+    self.queue = placement.TaskQueue()
+    self.teams: dict[str, TeamEntry] = {}
+    self.jobs: dict[str, JobRecord] = {}
+    self.parked: dict[int, Parked] = {}
+    self.dead: set[claims.Token] = set()
+    self.counters: collections.Counter[str] = collections.Counter()
+    self._numbers = itertools.count(1)
+    self._timers: list[tuple[float, int, TimerCallback]] = []
+
+  @property
+  def name(self) -> str:
+    """This entry host's name."""
+    return self.me.name
+
+  def next_number(self) -> int:
+    """Returns a number higher than any returned before."""
+    return next(self._numbers)
+
+  def at(self, when: float, callback: TimerCallback):
+    """Has `callback` called by the first tick at or after `when`."""
+    heapq.heappush(self._timers, (when, self.next_number(), callback))
+
+  def due(self) -> TimerCallback | None:
+    """Takes and returns one callback whose time has come, or None."""
+    if self._timers and self._timers[0][0] <= self.now:
+      return heapq.heappop(self._timers)[2]
+    return None
+
+  def team_settings(self, team: str) -> settings.TeamSettings | None:
+    """Returns the team's settings in force, or None."""
+    entry = self.teams.get(team)
+    return entry.team_settings if entry else None
+
+  def member(self, name: str) -> events.Member | None:
+    """Returns the member of the present view with this name."""
+    view = self.membership.view
+    return view.member(name) if view else None
+
+  def snapshot(self) -> dict:
+    """Returns a JSON-ready dump of the state, for `fescueturn dump`."""
+    in_flight = [r for r in self.jobs.values() if not r.done]
+    return {
+        "name": self.name,
+        "boot": self.me.boot,
+        "now": self.now,
+        "draining": self.draining,
+        "membership": self.membership.snapshot(self.now),
+        "members": [m.name for m in self.membership.members],
+        "endpoints": self.endpoints.snapshot(self.now),
+        "teams": {t: e.revision for t, e in sorted(self.teams.items())},
+        "jobs_in_flight": len(in_flight),
+        "jobs_claiming": sum(r.phase is Phase.CLAIMING for r in in_flight),
+        "jobs_kept": len(self.jobs),
+        "claims_held": len(self.claims),
+        "parked_requests": len(self.parked),
+        "queued_tasks": len(self.queue),
+        "counters": dict(self.counters),
+    }
--- /dev/null
+++ b/tests/test_ownership.py
@@ -0,0 +1,295 @@
+"""Claims under failure, on reducers joined by fake peers."""
+
+import itertools
+
+import pytest
+
+from fescueturn import claims
+from fescueturn import codes
+from fescueturn import ownership
+from fescueturn import reducer
+from fescueturn import routing
+from fescueturn import views
+from tests import fakepeers
+
+NAMES = ("a", "b", "c", "d")
+
+
+def key_held_by(first, second, names=NAMES):
+  """Returns a key whose holders among `names` are these two, in this order."""
+  keys = (f"key-{i}" for i in itertools.count())
+  return next(
+      k
+      for k in keys
+      if routing.holders(routing.partition(k), names) == (first, second)
+  )
+
+
+def assert_started_once(peers, key="k", tasks=2):
+  starts = {k: n for k, n in peers.starts.items() if k.startswith(f"{key}/")}
+  assert starts == {f"{key}/t{i}": 1 for i in range(tasks)}
+
+
+def test_concurrent_submissions_start_once_and_answer_both():
+  for first, second in itertools.permutations("abc", 2):
+    peers = fakepeers.Peers("abc")
+    one, two = peers.submit(first), peers.submit(second)
+    peers.settle()
+    assert_started_once(peers)
+    assert peers.answer(one) == peers.answer(two)
+    assert peers.answer(one).complete
+
+
+def test_dead_coordinator_leaves_a_truthful_unknown():
+  peers = fakepeers.Peers("abcd", finish_tasks=False)
+  key = key_held_by("a", "b")
+  peers.submit("c", key)
+  peers.settle(2)
+  assert_started_once(peers, key)
+  peers.crash("c")
+  again = peers.submit("d", key)
+  peers.settle()
+  answer = peers.answer(again)
+  assert_started_once(peers, key)
+  assert {t.code for t in answer.tasks} == {codes.Code.TASK_UNKNOWN_OWNER_LOST}
+  assert answer.retry_after_s >= 1
+
+
+def test_answer_survives_its_coordinator():
+  peers = fakepeers.Peers("abcd")
+  key = key_held_by("a", "b")
+  first = peers.submit("c", key)
+  peers.settle(2)
+  peers.crash("c")
+  again = peers.submit("d", key)
+  peers.settle()
+  assert peers.answer(again) == peers.answer(first)
+  assert_started_once(peers, key)
+
+
+def test_paused_coordinator_wakes_past_its_lease_and_starts_nothing_new():
+  peers = fakepeers.Peers("abcd")
+  key = key_held_by("a", "b")
+  peers.submit("c", key)  # Its claims are on their way; c pauses here.
+  held_back, peers.letters = peers.letters, []
+  peers.lapse("c")
+  for name in "abd":
+    peers.see_view(name)
+  again = peers.submit("d", key)
+  peers.settle(0)
+  for _ in range(20):
+    while peers.letters:
+      peers.deliver(0)
+    peers.tick(names="abd")
+  assert peers.answer(again).complete
+  peers.letters = held_back  # c wakes, in its old view.
+  while peers.letters:
+    peers.deliver(0)
+  assert_started_once(peers, key)
+  peers.settle()
+  assert_started_once(peers, key)
+
+
+def test_claim_made_in_an_old_view_does_not_count():
+  keys = (f"key-{i}" for i in itertools.count())
+  key = next(
+      k
+      for k in keys
+      if routing.holders(routing.partition(k), NAMES) == ("a", "b")
+      and routing.holders(routing.partition(k), ("b", "c", "d")) == ("b", "d")
+  )
+  peers = fakepeers.Peers("abcd")
+  peers.crash("a")
+  peers.lapse("a")
+  for _ in range(3):
+    for name in "bd":  # c does not see that a has gone.
+      while peers.views[name]:
+        peers.see_view(name)
+    while peers.letters:
+      peers.deliver(0)
+    peers.tick(names="bd")
+  peers.submit("c", key)
+  while peers.letters:
+    peers.deliver(0)
+  for name in "bc":
+    peers.crash(name)
+    peers.lapse(name)
+  peers.settle()
+  again = peers.submit("d", key)
+  peers.settle()
+  assert peers.answer(again).complete
+  assert_started_once(peers, key)
+
+
+def test_holders_replaced_by_new_hosts_still_know_the_claim():
+  peers = fakepeers.Peers("ab")
+  peers.submit("a")
+  peers.settle()
+  for name in "cdefgh":
+    peers.join(name)
+  peers.settle()
+  for name in "cdefgh":
+    again = peers.submit(name)
+    peers.settle()
+    assert peers.answer(again).complete
+  assert_started_once(peers)
+
+
+def test_new_holders_wait_for_their_sync_before_vouching():
+  names = ("a", "b", "c", "d")
+  key = key_held_by("c", "d", names)
+  peers = fakepeers.Peers("ab")
+  peers.submit("a", key)
+  peers.settle()
+  peers.join("c")
+  peers.join("d")
+  for name in names:
+    while peers.views[name]:
+      peers.see_view(name)
+  syncs, peers.letters = peers.letters, []
+  again = peers.submit("d", key)
+  while peers.letters:
+    peers.deliver(0)
+  assert again not in peers.outcomes
+  peers.letters = syncs
+  peers.settle()
+  assert peers.answer(again).complete
+  assert_started_once(peers, key)
+
+
+def test_holder_that_leaves_hands_its_claims_over():
+  peers = fakepeers.Peers("abcd")
+  key = key_held_by("a", "b")
+  first = peers.submit("c", key)
+  peers.settle()
+  for name in "ab":
+    peers.put_member(name, leaving=True)
+    peers.settle()
+  for name in "ab":
+    peers.crash(name)
+    peers.lapse(name)
+  peers.settle()
+  peers.crash("c")
+  peers.lapse("c")
+  peers.settle()
+  again = peers.submit("d", key)
+  peers.settle()
+  assert_started_once(peers, key)
+  assert peers.answer(again).job_id == peers.answer(first).job_id
+
+
+def test_platform_outage_peers_stand_in_for_leases():
+  peers = fakepeers.Peers("abc")
+  for name in "abc":
+    peers.put_member(name, lease_s=fakepeers.TTL_S)
+  peers.settle(2)
+  peers.tick(10 * fakepeers.TTL_S)
+  peers.settle()
+  done = peers.submit("a", "during")
+  peers.settle()
+  assert peers.answer(done).complete
+
+
+def test_host_cut_off_from_the_others_past_its_lease_starts_nothing():
+  peers = fakepeers.Peers("abc")
+  key = key_held_by("a", "b", ("a", "b", "c"))
+  for name in "ab":
+    peers.put_member(name, lease_s=fakepeers.TTL_S)
+  peers.settle(2)
+  # a and b lose the platform and c, but not each other.
+  peers.cut = {frozenset("ac"), frozenset("bc")}
+  peers.lapse("a")
+  peers.lapse("b")
+  while peers.views["c"]:
+    peers.see_view("c")
+  for _ in range(100):
+    for name in "ab":
+      peers.views[name].clear()
+    while peers.letters:
+      peers.deliver(0)
+    peers.tick(0.1)
+  here, there = peers.submit("c", key), peers.submit("a", key)
+  for _ in range(100):
+    while peers.letters:
+      peers.deliver(0)
+    peers.tick(0.1)
+  assert peers.answer(here).complete
+  assert peers.outcomes[there].error.code == codes.Code.NO_OWNER
+  assert_started_once(peers, key)
+
+
+def test_outage_that_ends_every_lease_forgets_no_claim():
+  peers = fakepeers.Peers("abc")
+  key = key_held_by("b", "c", ("a", "b", "c"))
+  for name in "abc":
+    peers.put_member(name, lease_s=fakepeers.TTL_S)
+  peers.settle(2)
+  peers.submit("b", key)
+  peers.settle(2)
+  peers.tick(2 * fakepeers.TTL_S)
+  peers.settle(3)  # Lapsed by their own clocks, they promise each other.
+  for name in "abc":
+    peers.lapse(name)
+  peers.put_member("a")
+  while peers.views["a"]:
+    peers.see_view("a")
+  again = peers.submit("a", key)
+  for _ in range(5):
+    peers.tick(names="a")
+  assert again not in peers.outcomes
+  for name in "bc":
+    peers.put_member(name)
+  peers.settle()
+  assert peers.answer(again).complete
+  assert_started_once(peers, key)
+
+
+def test_cancel_before_the_job_and_after_its_host_died():
+  peers = fakepeers.Peers("abcd")
+  key = key_held_by("a", "b")
+  cancelled = peers.cancel("c", key)
+  peers.settle()
+  assert peers.answer(cancelled).code == codes.Code.JOB_CANCELLED
+  for name in "cd":
+    late = peers.submit(name, key)
+    peers.settle()
+    answer = peers.answer(late)
+    assert [t.code for t in answer.tasks] == [
+        codes.Code.TASK_NOT_RUN_CANCELLED
+    ] * 2
+  peers.crash("c")
+  peers.settle()
+  late = peers.submit("d", key)
+  peers.settle()
+  assert peers.answer(late).code == codes.Code.JOB_CANCELLED
+  assert not peers.starts
+
+
+def test_cancel_reaches_a_running_job_at_another_host():
+  peers = fakepeers.Peers("abc", finish_tasks=False)
+  job = peers.submit("a")
+  peers.settle(2)
+  cancel = peers.cancel("c")
+  peers.settle()
+  assert peers.answer(job).code == codes.Code.JOB_FAILED
+  assert peers.answer(cancel) == peers.answer(job)
+  assert_started_once(peers)
+
+
+@pytest.mark.parametrize("lost", ["accept", "trusts"])
+def test_without_its_checks_a_task_starts_twice(monkeypatch, lost):
+  """The naive versions fail: the tests above can see a double start."""
+  if lost == "accept":
+    real = ownership.accept
+
+    def any_view(state, request):
+      view = state.membership.view.digest
+      return real(state, type(request)(view, request.claim))
+
+    monkeypatch.setitem(reducer._ANSWERS, claims.ClaimRequest, any_view)
+    check = test_claim_made_in_an_old_view_does_not_count
+  else:
+    monkeypatch.setattr(views.Membership, "trusts", lambda self, key: True)
+    check = test_new_holders_wait_for_their_sync_before_vouching
+  with pytest.raises(AssertionError):
+    check()
