--- /dev/null
+++ b/fescueturn/answers.py
@@ -0,0 +1,68 @@
+"""Whole answers to jobs: complete, given up, cancelled or of unknown fate."""
+
+from fescueturn import codes
+from fescueturn import messages
+from fescueturn import state as state_lib
+
+
+def completed(record: state_lib.JobRecord) -> messages.JobAnswer:
+  """Returns the answer of a job whose every task gave its result."""
+  job = record.job
+  return messages.JobAnswer(
+      key=job.key,
+      job_id=job.job_id,
+      code=codes.Code.JOB_COMPLETE,
+      tasks=tuple(record.answers[t.task_id] for t in job.tasks),
+  )
+
+
+def gave_up(
+    record: state_lib.JobRecord, not_run: codes.Code, retry_after_s: int
+) -> messages.JobAnswer:
+  """Returns the answer of a job that ends now.
+
+  Args:
+    record: the job; tasks answered keep their answers, tasks in flight are
+      of unknown fate.
+    not_run: the code of tasks that were never sent.
+    retry_after_s: when the caller may come back, in seconds.
+  """
+
+  def answer(task: messages.Task) -> messages.TaskAnswer:
+    known = record.answers.get(task.task_id)
+    if known is not None:
+      return known
+    if task.task_id in record.in_flight:
+      return messages.TaskAnswer(task.task_id, codes.Code.TASK_UNKNOWN)
+    return messages.TaskAnswer(task.task_id, not_run)
+
+  tasks = tuple(answer(t) for t in record.job.tasks)
+  return _failed(record.job, tasks, retry_after_s)
+
+
+def owner_lost(job: messages.Job, retry_after_s: int) -> messages.JobAnswer:
+  """Returns the answer of a job that a lost coordinator may have run."""
+  code = codes.Code.TASK_UNKNOWN_OWNER_LOST
+  tasks = tuple(messages.TaskAnswer(t.task_id, code) for t in job.tasks)
+  return _failed(job, tasks, retry_after_s)
+
+
+def cancelled(job: messages.Job) -> messages.JobAnswer:
+  """Returns the answer of a job cancelled before anything was sent."""
+  code = codes.Code.TASK_NOT_RUN_CANCELLED
+  return messages.JobAnswer(
+      key=job.key,
+      job_id=job.job_id,
+      code=codes.Code.JOB_CANCELLED,
+      tasks=tuple(messages.TaskAnswer(t.task_id, code) for t in job.tasks),
+  )
+
+
+def _failed(job: messages.Job, tasks, retry_after_s: int):
+  return messages.JobAnswer(
+      key=job.key,
+      job_id=job.job_id,
+      code=codes.Code.JOB_FAILED,
+      tasks=tasks,
+      retry_after_s=retry_after_s,
+  )
--- a/fescueturn/baseline.py
+++ b/fescueturn/baseline.py
@@ -7,6 +7,7 @@
 
 import random
 
+from fescueturn import answers
 from fescueturn import claims
 from fescueturn import codes
 from fescueturn import errors
@@ -61,5 +62,5 @@
   if event.claimed is None:
     error = errors.FescueError("store unavailable", codes.Code.KV_UNAVAILABLE)
     return jobs.refuse_all(state, record, error)
-  answer = jobs.unknown_answer(state, record.job)
+  answer = answers.owner_lost(record.job, state.limits.retry_after_s)
   return jobs.settle(state, record, answer)
--- a/fescueturn/bench.py
+++ b/fescueturn/bench.py
@@ -2,26 +2,29 @@
 
 It runs small data centres on loopback with endpoints that take no time
 (``time_scale = 0``), so what is measured is the entry hosts' own cost, and
-records three series:
+records these series:
 
 * ``load``: 2 entry hosts at several job rates (10 tasks a job) and several
-  job sizes: processor time and KV calls against jobs and tasks a second;
-* ``idle``: 1, 2, 4 and 8 entry hosts with no load: each one's control cost
-  (processor, memory, KV calls a second);
-* ``settings``: 2 entry hosts under several rates of settings changes.
-
-Each series is fitted with a least-squares line (`statistics`), and `report`
-turns the saved JSON into the page's tables.
+  job sizes: processor time, messages and KV calls against jobs and tasks;
+* ``idle``: 1, 2, 4 and 8 entry hosts with no load: each one's control cost;
+* ``settings``: 2 entry hosts under several rates of settings changes;
+* ``outage``: 2, 4 and 8 entry hosts with no load and no platform: what the
+  promises that stand in for leases cost;
+* ``restart``: an entry host killed and started again while its peer keeps
+  more and more claims: the size of a sync, and the time to be ready.
+
+`fescueturn.benchpoints` fits each series and prints the page's tables.
 """
 
 import dataclasses
 import json
-import statistics
+import signal
 import tempfile
 import time
 
 import curio
 
+from fescueturn import benchpoints
 from fescueturn import caller
 from fescueturn import httpio
 from fescueturn import kvclient
@@ -38,24 +41,13 @@
 SIZE_RATE = 40
 ENTRY_COUNTS = (1, 2, 4, 8)
 CHANGE_RATES = (1, 4, 8)
-
-
-@dataclasses.dataclass(frozen=True)
-class Point:
-  """One measured step: the load offered and what the entry hosts spent."""
-
-  series: str
-  entries: int
-  jobs_per_s: float
-  tasks_per_s: float
-  changes_per_s: float
-  cpu_per_entry: float
-  rss_kb_per_entry: float
-  kv_calls_per_s: float
-  kv_bytes_per_s: float
-  complete: int
-  jobs: int
-  spread_ms_max: float = 0.0
+OUTAGE_COUNTS = (2, 4, 8)
+OUTAGE_S = 8.0
+# Long enough for every lease to lapse and the promises to begin.
+OUTAGE_SETTLE_S = 6.0
+RESTART_JOBS = (100, 400, 800)
+# Long enough for the killed host's lease to lapse.
+RESTART_SETTLE_S = 4.0
 
 
 def _job(team: str, key: str, tasks: int) -> messages.Job:
@@ -131,37 +123,45 @@
   return SPREAD_LIMIT_S * 1000
 
 
+async def _peer_bytes(lab, name: str) -> int:
+  shell = (await lab.get(name, "/dump")).json()["shell"]
+  return shell["peer_bytes_in"] + shell["peer_bytes_out"]
+
+
 class _Meter:
-  """Measures entry hosts' processor time and the platform's calls."""
+  """Measures the entry hosts' cost and the platform's calls of one step."""
 
   def __init__(self, lab: launcher.Launcher, kv: kvclient.KvClient):
     self._lab = lab
     self._kv = kv
 
+  async def _totals(self):
+    names = self._lab.names("entry")
+    samples = [procstat.sample(self._lab.pid(n)) for n in names]
+    peers = [await _peer_bytes(self._lab, n) for n in names]
+    stats = await self._kv.stats()
+    return (
+        sum(s.cpu_s for s in samples) / len(names),
+        sum(s.rss_kb for s in samples) / len(names),
+        sum(peers) / len(names),
+        stats["total"],
+        stats["bytes_in"] + stats["bytes_out"],
+    )
+
   async def begin(self):
+    """Starts a step."""
+    self._before = await self._totals()
     self._t0 = time.monotonic()
-    self._cpu0 = {
-        n: procstat.sample(self._lab.pid(n)).cpu_s
-        for n in self._lab.names("entry")
-    }
-    stats = await self._kv.stats()
-    self._calls0 = stats["total"]
-    self._bytes0 = stats["bytes_in"] + stats["bytes_out"]
 
-  async def end(self) -> tuple[float, float, float, float]:
-    """Returns CPU cores and RSS KB per entry host, KV calls/s and bytes/s."""
+  async def end(self) -> benchpoints.Cost:
+    """Ends the step; returns what it cost a second."""
     elapsed = time.monotonic() - self._t0
-    samples = {
-        n: procstat.sample(self._lab.pid(n)) for n in self._lab.names("entry")
-    }
-    stats = await self._kv.stats()
-    calls = stats["total"] - self._calls0
-    traffic = stats["bytes_in"] + stats["bytes_out"] - self._bytes0
-    cpu = statistics.mean(
-        (samples[n].cpu_s - self._cpu0[n]) / elapsed for n in samples
+    after = await self._totals()
+    cpu, _, peers, calls, traffic = (
+        (now - then) / elapsed
+        for now, then in zip(after, self._before, strict=True)
     )
-    rss = statistics.mean(s.rss_kb for s in samples.values())
-    return cpu, rss, calls / elapsed, traffic / elapsed
+    return benchpoints.Cost(cpu, after[1], peers, calls, traffic)
 
 
 async def _with_lab(entries: int, body):
@@ -180,7 +180,7 @@
       lab.stop()
 
 
-async def _load_series(lab, kv, meter) -> list[Point]:
+async def _load_series(lab, kv, meter) -> list[benchpoints.Point]:
   del kv
   pools = [httpio.Pool(lab.procs[n].listen) for n in lab.names("entry")]
   points = []
@@ -190,90 +190,94 @@
   for number, (rate, size) in enumerate(steps):
     await meter.begin()
     jobs, complete = await _offer(pools, rate, size, f"load{number}")
-    cpu, rss, calls, traffic = await meter.end()
-    points.append(
-        Point(
-            "load",
-            2,
-            jobs / STEP_S,
-            jobs * size / STEP_S,
-            0.0,
-            cpu,
-            rss,
-            calls,
-            traffic,
-            complete,
-            jobs,
-        )
-    )
+    cost = await meter.end()
+    load = benchpoints.Load(jobs / STEP_S, jobs * size / STEP_S)
+    points.append(benchpoints.Point("load", 2, load, cost, complete, jobs))
   return points
 
 
-async def _idle_series(lab, kv, meter) -> list[Point]:
+async def _idle_series(lab, kv, meter) -> list[benchpoints.Point]:
   del kv
   await meter.begin()
   await curio.sleep(STEP_S)
-  cpu, rss, calls, traffic = await meter.end()
   entries = len(lab.names("entry"))
-  return [Point("idle", entries, 0.0, 0.0, 0.0, cpu, rss, calls, traffic, 0, 0)]
+  return [
+      benchpoints.Point("idle", entries, benchpoints.Load(), await meter.end())
+  ]
 
 
-async def _settings_series(lab, kv, meter) -> list[Point]:
+async def _outage_series(lab, kv, meter) -> list[benchpoints.Point]:
+  await kv.fault("down")
+  await curio.sleep(OUTAGE_SETTLE_S)
+  await meter.begin()
+  await curio.sleep(OUTAGE_S)
+  entries = len(lab.names("entry"))
+  return [
+      benchpoints.Point(
+          "outage", entries, benchpoints.Load(), await meter.end()
+      )
+  ]
+
+
+async def _settings_series(lab, kv, meter) -> list[benchpoints.Point]:
   points = []
   for rate in CHANGE_RATES:
     await meter.begin()
     changes = await _change(kv, rate)
-    cpu, rss, calls, traffic = await meter.end()
+    cost = await meter.end()
+    await curio.sleep(SETTLE_S)
     spread = await _spread_ms(lab, kv)
+    load = benchpoints.Load(changes_per_s=changes / STEP_S)
+    points.append(benchpoints.Point("settings", 2, load, cost, ms=spread))
+  return points
+
+
+async def _restart_series(lab, kv, meter) -> list[benchpoints.Point]:
+  del kv
+  pools = [httpio.Pool(lab.procs["entry-1"].listen)]
+  points = []
+  for number, jobs in enumerate(RESTART_JOBS):
+    rate = jobs / STEP_S
+    await _offer(pools, rate, 1, f"restart{number}")
+    lab.signal("entry-2", signal.SIGKILL)
+    lab.wait("entry-2")
+    await curio.sleep(RESTART_SETTLE_S)
+    dump = (await lab.get("entry-1", "/dump")).json()["state"]
+    before = await _peer_bytes(lab, "entry-1")
+    started = time.monotonic()
+    lab.spawn("entry-2")
+    await meter.begin()
+    await lab.wait_entry_ready("entry-2")
+    ready_ms = (time.monotonic() - started) * 1000
+    cost = await meter.end()
+    size = await _peer_bytes(lab, "entry-1") - before
+    kept = dump["claims_held"]
     points.append(
-        Point(
-            "settings",
+        benchpoints.Point(
+            "restart",
             2,
-            0.0,
-            0.0,
-            changes / STEP_S,
-            cpu,
-            rss,
-            calls,
-            traffic,
-            0,
-            0,
-            spread,
+            benchpoints.Load(),
+            cost,
+            kept_claims=kept,
+            sync_bytes=size,
+            ms=ready_ms,
         )
     )
   return points
 
 
-def fit(points: list[Point], x: str, y: str) -> dict:
-  """Least-squares line of `y` against `x`; returns slope and intercept."""
-  xs = [getattr(p, x) for p in points]
-  ys = [getattr(p, y) for p in points]
-  line = statistics.linear_regression(xs, ys)
-  return {"x": x, "y": y, "slope": line.slope, "intercept": line.intercept}
-
-
 async def _run() -> dict:
   points = await _with_lab(2, _load_series)
   for count in ENTRY_COUNTS:
     points += await _with_lab(count, _idle_series)
   points += await _with_lab(2, _settings_series)
-  load = [p for p in points if p.series == "load"]
-  by_rate = [p for p in load if p.tasks_per_s / max(p.jobs_per_s, 1) == 10]
-  by_size = [p for p in load if p.jobs_per_s == SIZE_RATE]
-  idle = [p for p in points if p.series == "idle"]
-  changes = [p for p in points if p.series == "settings"]
-  fits = {
-      "cpu_per_job": fit(by_rate, "jobs_per_s", "cpu_per_entry"),
-      "cpu_per_task": fit(by_size, "tasks_per_s", "cpu_per_entry"),
-      "kv_per_entry": fit(idle, "entries", "kv_calls_per_s"),
-      "idle_cpu_per_entry": fit(idle, "entries", "cpu_per_entry"),
-      "kv_per_change": fit(changes, "changes_per_s", "kv_calls_per_s"),
-      "cpu_per_change": fit(changes, "changes_per_s", "cpu_per_entry"),
-      "kv_per_job": fit(by_rate, "jobs_per_s", "kv_calls_per_s"),
-      "kv_bytes_per_entry": fit(idle, "entries", "kv_bytes_per_s"),
-      "kv_bytes_per_change": fit(changes, "changes_per_s", "kv_bytes_per_s"),
+  for count in OUTAGE_COUNTS:
+    points += await _with_lab(count, _outage_series)
+  points += await _with_lab(2, _restart_series)
+  return {
+      "points": [dataclasses.asdict(p) for p in points],
+      "fits": benchpoints.fits(points, SIZE_RATE),
   }
-  return {"points": [dataclasses.asdict(p) for p in points], "fits": fits}
 
 
 def run(out_path: str) -> dict:
@@ -282,27 +286,3 @@
   with open(out_path, "w", encoding="utf-8") as file:
     json.dump(result, file, indent=2)
   return result
-
-
-def report(result: dict) -> str:
-  """Returns the measured points and fitted slopes as Markdown tables."""
-  lines = [
-      "| series | entry hosts | jobs/s | tasks/s | changes/s | CPU per entry host (cores) | RSS per entry host (MB) | KV calls/s | KV KB/s | complete/jobs | settings in force everywhere (ms) |",
-      "|---|---:|---:|---:|---:|---:|---:|---:|---:|---:|---:|",
-  ]
-  for p in result["points"]:
-    lines.append(
-        f"| {p['series']} | {p['entries']} | {p['jobs_per_s']:.0f} | {p['tasks_per_s']:.0f} | {p['changes_per_s']:.1f} | "
-        f"{p['cpu_per_entry']:.4f} | {p['rss_kb_per_entry'] / 1024:.1f} | {p['kv_calls_per_s']:.1f} | {p['kv_bytes_per_s'] / 1024:.2f} | "
-        f"{p['complete']}/{p['jobs']} | {p['spread_ms_max']:.0f} |"
-    )
-  lines += [
-      "",
-      "| slope | of | against | slope | intercept |",
-      "|---|---|---|---:|---:|",
-  ]
-  for name, f in result["fits"].items():
-    lines.append(
-        f"| {name} | {f['y']} | {f['x']} | {f['slope']:.6f} | {f['intercept']:.4f} |"
-    )
-  return "\n".join(lines)
--- a/fescueturn/claiming.py
+++ b/fescueturn/claiming.py
@@ -7,6 +7,7 @@
 that coordinator is gone, gets its copied answer or a truthful "unknown".
 """
 
+from fescueturn import answers
 from fescueturn import claims
 from fescueturn import codes
 from fescueturn import errors
@@ -139,10 +140,14 @@
     return effects
   if record.cancelled:
     return jobs.refuse_all(state, record, _owner_lost(record.job.key))
-  answer = jobs.unknown_answer(state, record.job)
+  answer = _unknown(state, record.job)
   return jobs.settle(state, record, answer)
 
 
+def _unknown(state, job: messages.Job) -> messages.JobAnswer:
+  return answers.owner_lost(job, state.limits.retry_after_s)
+
+
 def _owner_lost(key: str) -> errors.FescueError:
   return errors.FescueError(
       f"the entry host that took key {key!r} is gone; its tasks may have run",
@@ -156,7 +161,7 @@
     return [jobs.forward(state, waiter, member)]
   if isinstance(waiter.request, messages.Cancel):
     return [jobs.refuse(state, waiter, _owner_lost(waiter.key))]
-  answer = jobs.unknown_answer(state, waiter.request)
+  answer = _unknown(state, waiter.request)
   return [events.Settle(waiter.request_id, claims.Outcome(answer=answer))]
 
 
--- a/fescueturn/cli.py
+++ b/fescueturn/cli.py
@@ -13,6 +13,7 @@
 import curio
 
 from fescueturn import bench
+from fescueturn import benchpoints
 from fescueturn import caller
 from fescueturn import demo
 from fescueturn import entry
@@ -29,6 +30,7 @@
 
 EXIT_REFUSED = 2
 PLATFORM_TICK_S = 0.1
+SUBMIT_TIMEOUT_S = 120.0
 
 
 def _load(path: str) -> settings.Settings:
@@ -43,6 +45,36 @@
   sys.exit(EXIT_REFUSED)
 
 
+def _run_closing(client, call):
+  """Runs `call(client)`, closes the client; refuses on a numbered error."""
+
+  async def run():
+    try:
+      return await call(client)
+    finally:
+      await client.close()
+
+  try:
+    return curio.run(run)
+  except errors.FescueError as exc:
+    return _refuse(exc)
+
+
+def _address(text: str) -> settings.Address:
+  try:
+    return settings.parse_address(text)
+  except ValueError as exc:
+    raise click.ClickException(str(exc)) from exc
+
+
+def _with_platform(address: str, call):
+  return _run_closing(kvclient.KvClient(_address(address)), call)
+
+
+def _with_daemon(address: str, call):
+  return _run_closing(httpio.Pool(_address(address), limit=1), call)
+
+
 async def _until_signal():
   """Waits until SIGTERM or SIGINT asks for a planned stop."""
   stop = curio.UniversalEvent()
@@ -144,18 +176,7 @@
 @click.argument("team")
 def config_get(platform, team):
   """Print a team's settings and their revision."""
-
-  async def run():
-    kv = kvclient.KvClient(settings.parse_address(platform))
-    try:
-      return await teamconfig.get(kv, team)
-    finally:
-      await kv.close()
-
-  try:
-    found = curio.run(run)
-  except errors.FescueError as exc:
-    _refuse(exc)
+  found = _with_platform(platform, lambda kv: teamconfig.get(kv, team))
   click.echo(f"# revision {found.revision}")
   click.echo(found.text, nl=False)
 
@@ -175,17 +196,9 @@
   """Check and write a team's settings, if still at revision --expect."""
   text = file.read()
 
-  async def run():
-    kv = kvclient.KvClient(settings.parse_address(platform))
-    try:
-      return await teamconfig.put(kv, team, text, expect)
-    finally:
-      await kv.close()
-
-  try:
-    revision = curio.run(run)
-  except errors.FescueError as exc:
-    _refuse(exc)
+  revision = _with_platform(
+      platform, lambda kv: teamconfig.put(kv, team, text, expect)
+  )
   click.echo(f"ok revision {revision}")
 
 
@@ -193,18 +206,9 @@
 @click.argument("address")
 def dump_command(address):
   """Print the state of a running daemon at host:port."""
-
-  async def run():
-    pool = httpio.Pool(settings.parse_address(address), limit=1)
-    try:
-      return await pool.request("GET", "/dump", timeout_s=5)
-    finally:
-      await pool.close()
-
-  try:
-    response = curio.run(run)
-  except errors.FescueError as exc:
-    _refuse(exc)
+  response = _with_daemon(
+      address, lambda pool: pool.request("GET", "/dump", timeout_s=5)
+  )
   click.echo(json.dumps(response.json(), indent=2, sort_keys=True))
 
 
@@ -219,23 +223,20 @@
 def submit_command(address, key, file):
   """Submit a JSON job and print its answer."""
   data = file.read().encode()
-
-  async def run():
-    pool = httpio.Pool(settings.parse_address(address), limit=1)
-    headers = [("content-type", "application/json")]
-    job_key = key or json.loads(data).get("job_id", "")
-    headers.append(("idempotency-key", str(job_key)))
-    try:
-      return await pool.request(
-          "POST", "/v1/jobs", data, headers, timeout_s=120
-      )
-    finally:
-      await pool.close()
-
   try:
-    response = curio.run(run)
-  except (errors.FescueError, ValueError) as exc:
-    raise click.ClickException(str(exc)) from exc
+    job_key = key or str(json.loads(data)["job_id"])
+  except (ValueError, KeyError, TypeError) as exc:
+    raise click.ClickException(f"{file.name}: no job_id: {exc!r}") from exc
+  headers = (
+      ("content-type", "application/json"),
+      ("idempotency-key", job_key),
+  )
+  response = _with_daemon(
+      address,
+      lambda pool: pool.request(
+          "POST", "/v1/jobs", data, headers, timeout_s=SUBMIT_TIMEOUT_S
+      ),
+  )
   click.echo(json.dumps(response.json(), indent=2))
   if response.status != 200:
     sys.exit(EXIT_REFUSED)
@@ -249,18 +250,7 @@
 @click.argument("key")
 def cancel_command(address, team, key):
   """Cancel the job under an Idempotency-Key and print its answer."""
-
-  async def run():
-    pool = httpio.Pool(settings.parse_address(address), limit=1)
-    try:
-      return await caller.cancel(pool, team, key)
-    finally:
-      await pool.close()
-
-  try:
-    result = curio.run(run)
-  except errors.FescueError as exc:
-    raise click.ClickException(str(exc)) from exc
+  result = _with_daemon(address, lambda pool: caller.cancel(pool, team, key))
   click.echo(json.dumps(result.body, indent=2))
   if result.answer is None:
     sys.exit(EXIT_REFUSED)
@@ -295,7 +285,7 @@
 def bench_capacity(out):
   """Measure the entry hosts' costs at several sizes and fit slopes."""
   logs.setup("bench", "WARNING")
-  click.echo(bench.report(bench.run(out)))
+  click.echo(benchpoints.report(bench.run(out)))
 
 
 @bench_group.command("faults")
@@ -322,4 +312,4 @@
 @click.argument("file", type=click.File())
 def bench_report(file):
   """Print the tables of a saved bench run, as in docs/CAPACITY.md."""
-  click.echo(bench.report(json.load(file)))
+  click.echo(benchpoints.report(json.load(file)))
--- a/fescueturn/entry.py
+++ b/fescueturn/entry.py
@@ -3,28 +3,24 @@
 This is the I/O shell around `fescueturn.reducer`: it turns requests, peer
 messages, endpoint replies, platform watches and timer ticks into events,
 feeds them to the reducer one at a time, and carries out the effects.
-
-Caller paths: ``POST /v1/jobs`` (a job; header ``Idempotency-Key``),
-``DELETE /v1/jobs/<key>?team=<team>`` (cancel a job), ``GET /dump`` (the
-state), ``GET /health``.
 """
 
 import json
 import random
 import secrets
-import urllib.parse
+from collections.abc import Callable
 
 import curio
 from loguru import logger
 
+from fescueturn import callerhttp
 from fescueturn import claims
-from fescueturn import codes
+from fescueturn import endpointclient
 from fescueturn import errors
 from fescueturn import events
 from fescueturn import httpio
 from fescueturn import kvclient
 from fescueturn import membership
-from fescueturn import messages
 from fescueturn import metrics
 from fescueturn import peer
 from fescueturn import reducer
@@ -32,22 +28,7 @@
 from fescueturn import state as state_lib
 from fescueturn import timer
 
-TASK_TIMEOUT_MARGIN_S = 30.0
 DRAIN_LIMIT_S = 60.0
-JOBS_PATH = "/v1/jobs"
-
-_STATUS = {
-    codes.Code.BAD_JSON: 400,
-    codes.Code.BAD_FIELD: 400,
-    codes.Code.UNKNOWN_TEAM: 404,
-    codes.Code.JOB_TOO_LARGE: 413,
-    codes.Code.KEY_REUSED: 409,
-    codes.Code.OVER_QUOTA: 429,
-    codes.Code.DRAINING: 503,
-    codes.Code.NO_OWNER: 503,
-    codes.Code.OWNER_LOST: 503,
-    codes.Code.KV_UNAVAILABLE: 503,
-}
 
 
 class _Waiter:
@@ -58,16 +39,6 @@
     self.result: claims.Reply | None = None
 
 
-def _http_outcome(outcome: claims.Outcome) -> httpio.Response:
-  answer, error = outcome.answer, outcome.error
-  retry_after_s = answer.retry_after_s if answer else outcome.retry_after_s
-  headers = (("retry-after", str(retry_after_s)),) if retry_after_s else ()
-  if answer is not None:
-    return httpio.json_response(200, messages.answer_to_json(answer), headers)
-  status = _STATUS.get(error.code, 400)
-  return httpio.json_response(status, messages.error_to_json(error), headers)
-
-
 class EntryHost:
   """One entry host: `start` joins and serves, `drain` stops gracefully."""
 
@@ -88,8 +59,9 @@
     self._stats = metrics.client(process, "entry")
     self._kv = kvclient.KvClient(config.platform)
     self._rng = random.Random(boot)
+    self._front = callerhttp.CallerHttp(self, clock, self._stats)
     self._server = httpio.Server(
-        config.listen, self._handle, config.max_body_bytes
+        config.listen, self._front.handle, config.max_body_bytes
     )
     self._peers_server = peer.PeerServer(
         config.peer_listen, boot, self._from_peer
@@ -97,12 +69,14 @@
     self._lease = membership.LeaseKeeper(
         self._kv,
         process.data_centre,
-        events.Member(process.name, config.peer_listen, boot),
+        events.Member(
+            process.name, config.peer_listen, boot, rack=process.rack
+        ),
         config.lease_ttl_s,
         clock.now,
     )
     self._waiters: dict[int, _Waiter] = {}
-    self._pools: dict[str, httpio.Pool] = {}
+    self._endpoints = endpointclient.EndpointClient(clock.now, self._stats)
     self._peers: dict[settings.Address, peer.PeerClient] = {}
     self._loops = []
     self._next_request = 1
@@ -183,8 +157,7 @@
     await self._peers_server.close()
     for task in self._loops:
       await task.cancel()
-    for pool in self._pools.values():
-      await pool.close()
+    await self._endpoints.close()
     for client in self._peers.values():
       await client.close()
     await self._kv.close()
@@ -201,7 +174,8 @@
     }
     return {"role": "entry", "state": self._state.snapshot(), "shell": shell}
 
-  def _health(self) -> dict:
+  def health(self) -> dict:
+    """Returns whether this host serves, and what it sees, as JSON data."""
     state = self._state
     view = state.membership.view
     return {
@@ -245,8 +219,14 @@
     del effect
     await self._drained.set()
 
-  async def _submit(self, make_event) -> claims.Reply:
-    """Runs one request through the reducer and waits for its result."""
+  async def submit(
+      self, make_event: Callable[[int], events.Event]
+  ) -> claims.Reply:
+    """Runs one request through the reducer and waits for its result.
+
+    Args:
+      make_event: given the request's number, returns its event.
+    """
     request_id = self._next_request
     self._next_request += 1
     waiter = _Waiter()
@@ -296,130 +276,10 @@
     await self._apply(events.StoreClaimed(key, claimed))
 
   async def _send_task(self, effect: events.SendTask):
-    endpoint = effect.endpoint
-    pool = self._pools.get(endpoint.name)
-    if pool is None:
-      pool = httpio.Pool(endpoint.address, limit=endpoint.slots)
-      self._pools[endpoint.name] = pool
-    task = effect.task
-    body = json.dumps(
-        {
-            "team": effect.team,
-            "key": effect.downstream_key,
-            "kind": task.kind,
-            "payload": task.payload,
-            "run_ms": task.run_ms,
-            "idempotent": task.idempotent,
-        }
-    ).encode()
-    headers = (
-        ("idempotency-key", effect.downstream_key),
-        ("content-type", "application/json"),
-    )
-    timeout_s = task.run_ms / 1000 + TASK_TIMEOUT_MARGIN_S
-    sent_at = self._timer.now()
-    code, result = codes.Code.TASK_UNKNOWN_LOST, ""
-    try:
-      response = await pool.request(
-          "POST", "/v1/task", body, headers, timeout_s
-      )
-      reply = response.json()
-      code, result = codes.Code(reply["code"]), reply.get("result", "")
-    except httpio.NotSentError:
-      code = codes.Code.TASK_NOT_RUN
-    except httpio.LostReplyError as exc:
-      logger.warning(
-          "event=task_reply_lost key={} endpoint={} error={}",
-          effect.downstream_key,
-          endpoint.name,
-          exc,
-      )
-    except (ValueError, KeyError) as exc:
-      logger.error(
-          "event=task_reply_bad key={} endpoint={} error={!r}",
-          effect.downstream_key,
-          endpoint.name,
-          exc,
-      )
-    self._stats.incr(f"task.{code.name.lower()}")
-    elapsed_ms = (self._timer.now() - sent_at) * 1000
-    await self._apply(
-        events.TaskFinished(
-            effect.key, task.task_id, endpoint.name, code, result, elapsed_ms
-        )
-    )
+    await self._apply(await self._endpoints.send(effect))
 
   async def _from_peer(self, message: claims.Request) -> claims.Reply | None:
     if isinstance(message, claims.ONE_WAY):
       await self._apply(events.PeerAsked(0, message))
       return None
-    return await self._submit(lambda i: events.PeerAsked(i, message))
-
-  async def _handle(self, request: httpio.Request) -> httpio.Response:
-    response = await self._route(request)
-    if self._state.draining:
-      return httpio.closing(response)
-    return response
-
-  async def _route(self, request: httpio.Request) -> httpio.Response:
-    route = (request.method, request.target)
-    if route == ("POST", JOBS_PATH):
-      return await self._job(request)
-    if request.method == "DELETE" and request.target.startswith(JOBS_PATH):
-      return await self._cancel(request)
-    if route == ("GET", "/dump"):
-      return httpio.json_response(200, self.dump())
-    if route == ("GET", "/health"):
-      return httpio.json_response(200, self._health())
-    return httpio.json_response(
-        404, {"code": int(codes.Code.NOT_FOUND), "error": "NOT_FOUND"}
-    )
-
-  async def _job(self, request: httpio.Request) -> httpio.Response:
-    started = self._timer.now()
-    try:
-      job = messages.parse_job(
-          request.body, request.headers.get("idempotency-key", "")
-      )
-    except errors.BadRequestError as exc:
-      self._stats.incr("refused.bad_input")
-      return _http_outcome(claims.Outcome(error=exc))
-    outcome = await self._submit(lambda i: events.JobArrived(i, job))
-    elapsed_ms = (self._timer.now() - started) * 1000
-    self._stats.timing("job_ms", elapsed_ms)
-    code = outcome.answer.code if outcome.answer else outcome.error.code
-    logger.info(
-        "event=job_answered key={} team={} code={} ms={:.1f}",
-        job.key,
-        job.team,
-        int(code),
-        elapsed_ms,
-    )
-    return _http_outcome(outcome)
-
-  async def _cancel(self, request: httpio.Request) -> httpio.Response:
-    try:
-      cancel = _parse_cancel(request.target)
-    except errors.BadRequestError as exc:
-      return _http_outcome(claims.Outcome(error=exc))
-    outcome = await self._submit(lambda i: events.CancelArrived(i, cancel))
-    code = outcome.answer.code if outcome.answer else outcome.error.code
-    logger.info(
-        "event=cancel_answered key={} team={} code={}",
-        cancel.key,
-        cancel.team,
-        int(code),
-    )
-    return _http_outcome(outcome)
-
-
-def _parse_cancel(target: str) -> messages.Cancel:
-  """Reads ``/v1/jobs/<key>?team=<team>``; raises `BadRequestError`."""
-  url = urllib.parse.urlsplit(target)
-  key = urllib.parse.unquote(url.path[len(JOBS_PATH) :].lstrip("/"))
-  team = dict(urllib.parse.parse_qsl(url.query)).get("team", "")
-  if not key or len(key) > messages.MAX_ID_LENGTH:
-    raise errors.BadRequestError(f"key: 1 to {messages.MAX_ID_LENGTH} chars")
-  if not team:
-    raise errors.BadRequestError("team: required")
-  return messages.Cancel(team, key)
+    return await self.submit(lambda i: events.PeerAsked(i, message))
--- a/fescueturn/events.py
+++ b/fescueturn/events.py
@@ -43,6 +43,7 @@
     boot: its process (see `claims.Token`).
     lease: the lease that holds its key; a new one each time it joins.
     leaving: True once it stops: it finishes its jobs and holds no claims.
+    rack: the rack it is in; "" when its settings name none.
   """
 
   name: str
@@ -50,6 +51,7 @@
   boot: str = ""
   lease: int = 0
   leaving: bool = False
+  rack: str = ""
 
   @property
   def token(self) -> claims.Token:
--- a/fescueturn/faultbench.py
+++ b/fescueturn/faultbench.py
@@ -48,50 +48,33 @@
   del lab, kv
 
 
-def _kill(name: str) -> Fault:
-  async def fault(lab, kv):
-    del kv
-    lab.signal(name, signal.SIGKILL)
-    await curio.sleep(FAULT_FOR_S)
-    lab.spawn(name)
+def _signalled(name: str, sig: int) -> Fault:
+  """A fault that signals a daemon, then brings it back."""
 
-  return fault
-
-
-def _freeze(name: str) -> Fault:
   async def fault(lab, kv):
     del kv
-    lab.signal(name, signal.SIGSTOP)
+    lab.signal(name, sig)
     await curio.sleep(FAULT_FOR_S)
-    lab.signal(name, signal.SIGCONT)
+    if sig == signal.SIGSTOP:
+      lab.signal(name, signal.SIGCONT)
+    else:
+      lab.spawn(name)
 
   return fault
 
 
-def _stop(name: str) -> Fault:
+def _platform(mode: str) -> Fault:
+  """A fault of the platform stand-in, for a while."""
+
   async def fault(lab, kv):
-    del kv
-    lab.signal(name, signal.SIGTERM)
+    del lab
+    await kv.fault(mode)
     await curio.sleep(FAULT_FOR_S)
-    lab.spawn(name)
+    await kv.fault("none")
 
   return fault
 
 
-async def _platform_down(lab, kv):
-  del lab
-  await kv.fault("down")
-  await curio.sleep(FAULT_FOR_S)
-  await kv.fault("none")
-
-
-async def _platform_loses_replies(lab, kv):
-  del lab
-  await kv.fault("lose_reply")
-  await curio.sleep(FAULT_FOR_S)
-  await kv.fault("none")
-
-
 async def _fails_all(lab, kv):
   del kv
   await _endpoint_fault(lab, "fail_all")
@@ -108,13 +91,13 @@
 
 SCENARIOS: dict[str, Fault] = {
     "quiet": _quiet,
-    "entry host killed": _kill("entry-1"),
-    "entry host frozen": _freeze("entry-1"),
-    "entry host stopped": _stop("entry-1"),
-    "platform down": _platform_down,
-    "platform loses replies": _platform_loses_replies,
-    "endpoint killed": _kill("endpoint-1"),
-    "endpoint frozen": _freeze("endpoint-1"),
+    "entry host killed": _signalled("entry-1", signal.SIGKILL),
+    "entry host frozen": _signalled("entry-1", signal.SIGSTOP),
+    "entry host stopped": _signalled("entry-1", signal.SIGTERM),
+    "platform down": _platform("down"),
+    "platform loses replies": _platform("lose_reply"),
+    "endpoint killed": _signalled("endpoint-1", signal.SIGKILL),
+    "endpoint frozen": _signalled("endpoint-1", signal.SIGSTOP),
     "endpoint fails all": _fails_all,
 }
 
--- a/fescueturn/httpio.py
+++ b/fescueturn/httpio.py
@@ -8,16 +8,15 @@
 import dataclasses
 import json
 import select
-import socket
 from collections.abc import Awaitable
 from collections.abc import Callable
 from typing import Any
 
 import curio
-import curio.network
 import h11
 
 from fescueturn import errors
+from fescueturn import listener
 from fescueturn import settings
 
 READ_SIZE = 65536
@@ -76,11 +75,6 @@
   )
 
 
-def no_delay(sock):
-  """Has small messages sent at once (TCP_NODELAY)."""
-  sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-
-
 async def _receive(sock, conn: h11.Connection, counts=None) -> Any:
   while True:
     event = conn.next_event()
@@ -159,11 +153,9 @@
       handler: Handler,
       max_body=DEFAULT_MAX_BODY,
   ):
-    self._address = address
     self._handler = handler
     self._max_body = max_body
-    self._sock = None
-    self._accepter = None
+    self._listener = listener.Listener(address, self._run_client)
     self._open = 0
     self._bytes = [0, 0]
 
@@ -179,16 +171,7 @@
 
   async def start(self):
     """Binds the address and starts accepting connections."""
-    self._sock = curio.network.tcp_server_socket(
-        self._address.host, self._address.port, reuse_address=True
-    )
-    self._accepter = await curio.spawn(self._accept_loop, daemon=True)
-
-  async def _accept_loop(self):
-    while True:
-      client, _ = await self._sock.accept()
-      no_delay(client)
-      await curio.spawn(self._run_client, client, daemon=True)
+    await self._listener.start()
 
   async def _run_client(self, client):
     self._open += 1
@@ -203,12 +186,7 @@
 
   async def close(self):
     """Stops accepting; connections already open run to their end."""
-    if self._accepter is not None:
-      await self._accepter.cancel()
-      self._accepter = None
-    if self._sock is not None:
-      await self._sock.close()
-      self._sock = None
+    await self._listener.close()
 
 
 class _ClientConnection:
@@ -315,7 +293,7 @@
       )
     except (OSError, curio.TaskTimeout) as exc:
       raise NotSentError(f"connect {self._address}: {exc!r}") from exc
-    no_delay(sock)
+    listener.no_delay(sock)
     return _ClientConnection(sock, str(self._address))
 
   async def close(self):
--- a/fescueturn/jobs.py
+++ b/fescueturn/jobs.py
@@ -1,4 +1,4 @@
-"""Jobs at their coordinator: arrival, dispatch to endpoints, final answer.
+"""Jobs at their coordinator: arrival, joining, cancelling, final answer.
 
 Rules kept here: a known key joins the running job or gets its kept answer;
 a task is sent again only when its endpoint surely did not start it; a job's
@@ -6,18 +6,16 @@
 once to every caller waiting for the key.
 """
 
+from fescueturn import answers
 from fescueturn import claims
 from fescueturn import codes
+from fescueturn import dispatch
 from fescueturn import errors
 from fescueturn import events
 from fescueturn import messages
 from fescueturn import state as state_lib
 
 MAX_NOT_STARTED_RETRIES = 3
-# A task is overdue after this many times its job's longest declared run time
-# and this much more.
-OVERDUE_FACTOR = 2
-OVERDUE_EXTRA_S = 0.5
 CANCEL_DEADLINE_S = 5.0
 # Holders given a finished job's answer; a cancellation goes to all of them.
 ANSWER_COPIES = 1
@@ -150,111 +148,22 @@
   answer = record.final
   request = waiter.request
   if not answer.tasks and isinstance(request, messages.Job):
-    answer = cancelled_answer(request)
+    answer = answers.cancelled(request)
   return events.Settle(waiter.request_id, claims.Outcome(answer=answer))
 
 
-def cancelled_answer(job: messages.Job) -> messages.JobAnswer:
-  """Returns the answer of a job cancelled before anything was sent."""
-  code = codes.Code.TASK_NOT_RUN_CANCELLED
-  return messages.JobAnswer(
-      key=job.key,
-      job_id=job.job_id,
-      code=codes.Code.JOB_CANCELLED,
-      tasks=tuple(messages.TaskAnswer(t.task_id, code) for t in job.tasks),
-  )
-
-
 def run(state: state_lib.EntryState, record: state_lib.JobRecord) -> list:
   """The key is claimed: cancels the job, or sends its tasks."""
   record.phase = state_lib.Phase.RUNNING
   if record.cancelled:
-    return settle(state, record, cancelled_answer(record.job))
+    return settle(state, record, answers.cancelled(record.job))
   team = state.team_settings(record.job.team)
   if team is None or not state.endpoints.has(team.service):
     return give_up(state, record, codes.Code.TASK_NOT_RUN_NO_ENDPOINT)
   job = record.job
   state.queue.add(job.team, job.key, (t.task_id for t in job.tasks))
-  _watch_overdue(state, record)
-  return dispatch(state)
-
-
-def _patience_s(job: messages.Job) -> float:
-  """How long after its sending a task of this job is overdue, in seconds."""
-  longest_ms = max(t.run_ms for t in job.tasks)
-  return OVERDUE_FACTOR * longest_ms / 1000 + OVERDUE_EXTRA_S
-
-
-def _watch_overdue(state, record):
-  state.at(
-      state.now + _patience_s(record.job), lambda s: _check_overdue(s, record)
-  )
-
-
-def _check_overdue(state, record) -> list:
-  """Leaves out endpoints that sit on a task much longer than declared."""
-  late = state.now - _patience_s(record.job)
-  for sent in record.in_flight.values():
-    if sent.at <= late:
-      state.endpoints.unreachable(sent.endpoint, state.now)
-  if not record.done or record.in_flight:
-    _watch_overdue(state, record)
-  return []
-
-
-def dispatch(state: state_lib.EntryState) -> list:
-  """Sends waiting tasks to free slots, team by team, within quotas."""
-  effects = []
-  stuck = set()
-  while True:
-    teams = [t for t in state.queue.teams if t not in stuck]
-    if not teams:
-      return effects
-    for team in teams:
-      sent = _send_next(state, team)
-      if sent is None:
-        stuck.add(team)
-      effects += sent or []
-
-
-def _send_next(state, team: str) -> list | None:
-  """Sends the team's next task; None when it has to wait."""
-  key, task_id = state.queue.peek(team)
-  record = state.jobs.get(key)
-  if record is None or record.phase is not state_lib.Phase.RUNNING:
-    state.queue.take(team)
-    return []
-  team_settings = state.team_settings(team)
-  if team_settings is None:
-    return None
-  if state.queue.busy[team] >= _quota_share(state, team_settings):
-    return None
-  endpoint = state.endpoints.pick(team_settings.service, state.now)
-  if endpoint is None:
-    return None
-  state.queue.take(team)
-  return [_send(state, record, task_id, endpoint)]
-
-
-def _quota_share(state, team_settings) -> int:
-  """This entry host's even part of the team's quota in the data centre."""
-  view = state.membership.view
-  hosts = len(view.holder_names) if view else 1
-  return max(1, team_settings.max_tasks_in_flight // max(1, hosts))
-
-
-def _send(state, record, task_id: str, endpoint) -> events.SendTask:
-  state.endpoints.started(endpoint.name)
-  state.queue.busy[record.job.team] += 1
-  state.counters["sends"] += 1
-  record.in_flight[task_id] = state_lib.Sent(endpoint.name, state.now)
-  return events.SendTask(
-      key=record.job.key,
-      team=record.job.team,
-      task=record.task(task_id),
-      endpoint=endpoint,
-      downstream_key=f"{record.job.key}/{task_id}",
-  )
+  dispatch.watch_overdue(state, record)
+  return dispatch.dispatch(state)
 
 
 def task_finished(
@@ -264,13 +173,13 @@
   state.endpoints.finished(event.endpoint)
   record = state.jobs.get(event.key)
   if record is None or event.task_id not in record.in_flight:
-    return dispatch(state)
+    return dispatch.dispatch(state)
   state.queue.busy[record.job.team] -= 1
   del record.in_flight[event.task_id]
-  _note_health(state, record, event)
+  dispatch.note_health(state, record, event)
   if record.done:
     state.counters["late_answers"] += 1
-    return dispatch(state)
+    return dispatch.dispatch(state)
   effects = []
   if codes.task_ran(event.code) == codes.Ran.NOT_RUN:
     effects = _not_started(state, record, event)
@@ -282,18 +191,7 @@
       effects = give_up(state, record, codes.Code.TASK_NOT_RUN_JOB_FAILED)
     elif len(record.answers) == len(record.job.tasks):
       effects = _complete(state, record)
-  return effects + dispatch(state)
-
-
-def _note_health(state, record, event: events.TaskFinished):
-  table = state.endpoints
-  if event.code == codes.Code.TASK_DONE:
-    declared_ms = record.task(event.task_id).run_ms
-    table.succeeded(event.endpoint, event.elapsed_ms, declared_ms)
-  elif event.code == codes.Code.TASK_NOT_RUN:
-    table.unreachable(event.endpoint, state.now)
-  elif event.code in (codes.Code.TASK_FAILED, codes.Code.TASK_UNKNOWN_LOST):
-    table.failed(event.endpoint, event.key, state.now)
+  return effects + dispatch.dispatch(state)
 
 
 def _not_started(state, record, event: events.TaskFinished) -> list:
@@ -310,46 +208,15 @@
 
 
 def _complete(state, record) -> list:
-  answer = messages.JobAnswer(
-      key=record.job.key,
-      job_id=record.job.job_id,
-      code=codes.Code.JOB_COMPLETE,
-      tasks=tuple(record.answers[t.task_id] for t in record.job.tasks),
-  )
   state.counters["complete"] += 1
-  return settle(state, record, answer)
+  return settle(state, record, answers.completed(record))
 
 
 def give_up(state, record, not_run: codes.Code) -> list:
   """Ends a running job now: tasks sent are unknown, the rest `not_run`."""
-  answers = []
-  for task in record.job.tasks:
-    answer = record.answers.get(task.task_id)
-    if answer is None:
-      code = not_run
-      if task.task_id in record.in_flight:
-        code = codes.Code.TASK_UNKNOWN
-      answer = messages.TaskAnswer(task.task_id, code)
-    answers.append(answer)
   state.counters["failed"] += 1
-  return settle(state, record, _failed(state, record.job, answers))
-
-
-def _failed(state, job: messages.Job, answers) -> messages.JobAnswer:
-  return messages.JobAnswer(
-      key=job.key,
-      job_id=job.job_id,
-      code=codes.Code.JOB_FAILED,
-      tasks=tuple(answers),
-      retry_after_s=state.limits.retry_after_s,
-  )
-
-
-def unknown_answer(state, job: messages.Job) -> messages.JobAnswer:
-  """Returns the answer of a job that a lost coordinator may have run."""
-  code = codes.Code.TASK_UNKNOWN_OWNER_LOST
-  answers = [messages.TaskAnswer(t.task_id, code) for t in job.tasks]
-  return _failed(state, job, answers)
+  retry_after_s = state.limits.retry_after_s
+  return settle(state, record, answers.gave_up(record, not_run, retry_after_s))
 
 
 def settle(state, record, answer: messages.JobAnswer) -> list:
@@ -375,13 +242,21 @@
   """Gives one holder the answer, for callers that ask after a crash."""
   claim = make_claim(state, record)
   state.claims.put(claim, state.now)
-  view = state.membership.view
-  names = view.holders(claim.key) if view else ()
-  remote = [view.member(n) for n in names if n != state.name]
+  remote = _remote_holders(state, claim.key)
   copies = len(remote) if record.cancelled else ANSWER_COPIES
   return [events.Tell(m, claims.AnswerCopy(claim)) for m in remote[:copies]]
 
 
+def _remote_holders(state, key: str) -> list[events.Member]:
+  """Returns the key's other holders, those on other racks first."""
+  view = state.membership.view
+  names = view.holders(key) if view else ()
+  me = state.member(state.name)
+  rack = me.rack if me else ""
+  others = [view.member(n) for n in names if n != state.name]
+  return sorted(others, key=lambda m: bool(rack) and m.rack == rack)
+
+
 def make_claim(state, record) -> claims.Claim:
   """Returns the coordinator's claim of a record's key, as it stands now."""
   keep_s = state.limits.answer_keep_s + CLAIM_KEEP_EXTRA_S
@@ -402,10 +277,8 @@
     del state.jobs[record.job.key]
   release = claims.Release(record.job.key, state.me, record.number)
   state.claims.release(release)
-  view = state.membership.view
-  names = view.holders(record.job.key) if view else ()
   return [
-      events.Tell(view.member(n), release) for n in names if n != state.name
+      events.Tell(m, release) for m in _remote_holders(state, record.job.key)
   ]
 
 
--- a/fescueturn/membership.py
+++ b/fescueturn/membership.py
@@ -14,6 +14,7 @@
 knew.
 """
 
+import dataclasses
 import json
 import random
 from collections.abc import Awaitable
@@ -70,6 +71,7 @@
           "boot": member.boot,
           "lease": member.lease,
           "leaving": member.leaving,
+          "rack": member.rack,
       }
   )
 
@@ -84,6 +86,7 @@
         boot=str(body["boot"]),
         lease=int(body["lease"]),
         leaving=bool(body["leaving"]),
+        rack=str(body["rack"]),
     )
   except (ValueError, KeyError, TypeError) as exc:
     logger.error("event=member_bad key={} error={!r}", key, exc)
@@ -159,13 +162,7 @@
 
   async def _write(self):
     """Writes the member key under the lease, as often as a reply is lost."""
-    member = events.Member(
-        self._member.name,
-        self._member.peer,
-        self._member.boot,
-        self._lease,
-        self._member.leaving,
-    )
+    member = dataclasses.replace(self._member, lease=self._lease)
     try:
       await self._kv.put(self._key, member_value(member), lease=self._lease)
     except errors.KvConflictError:
@@ -181,9 +178,7 @@
 
   async def leave(self):
     """Marks this entry host as leaving, so peers hold its claims elsewhere."""
-    self._member = events.Member(
-        self._member.name, self._member.peer, self._member.boot, leaving=True
-    )
+    self._member = dataclasses.replace(self._member, leaving=True)
     self._written = False
     try:
       if self._lease:
--- a/fescueturn/peer.py
+++ b/fescueturn/peer.py
@@ -12,13 +12,12 @@
 
 import capnp
 import curio
-import curio.network
 from loguru import logger
 
 from fescueturn import claims
 from fescueturn import codes
 from fescueturn import errors
-from fescueturn import httpio
+from fescueturn import listener
 from fescueturn import peercodec
 from fescueturn import settings
 
@@ -74,11 +73,9 @@
   """Takes other entry hosts' requests; `start` listens, `close` stops."""
 
   def __init__(self, address: settings.Address, boot: str, handler: Handler):
-    self._address = address
     self._boot = boot
     self._handler = handler
-    self._sock = None
-    self._accepter = None
+    self._listener = listener.Listener(address, self._serve)
     self._bytes = [0, 0]
 
   @property
@@ -88,16 +85,7 @@
 
   async def start(self):
     """Listens for peers."""
-    self._sock = curio.network.tcp_server_socket(
-        self._address.host, self._address.port, reuse_address=True
-    )
-    self._accepter = await curio.spawn(self._accept_loop, daemon=True)
-
-  async def _accept_loop(self):
-    while True:
-      client, _ = await self._sock.accept()
-      httpio.no_delay(client)
-      await curio.spawn(self._serve, client, daemon=True)
+    await self._listener.start()
 
   async def _serve(self, client):
     lock = curio.Lock()
@@ -129,10 +117,7 @@
 
   async def close(self):
     """Stops taking new peer connections."""
-    if self._accepter is not None:
-      await self._accepter.cancel()
-    if self._sock is not None:
-      await self._sock.close()
+    await self._listener.close()
 
 
 class PeerClient:
@@ -199,7 +184,7 @@
       raise PeerRefusedError(f"peer {self._address}: refused") from exc
     except (OSError, curio.TaskTimeout) as exc:
       raise PeerLostError(f"peer {self._address}: {exc!r}") from exc
-    httpio.no_delay(sock)
+    listener.no_delay(sock)
     return sock
 
   async def _check_listening(self):
--- a/fescueturn/reducer.py
+++ b/fescueturn/reducer.py
@@ -2,14 +2,15 @@
 
 `reduce(state, event, now)` updates an `EntryState` and returns the effects
 for the I/O shell to carry out. It does no I/O and reads no clock. The
-decisions themselves are in `jobs` (a job at its coordinator), `claiming`
-(the coordinator's claims), `ownership` (claims held for others, changes of
-members) and `placement` (endpoints and the task queue).
+decisions themselves are in `jobs` and `dispatch` (a job at its coordinator),
+`claiming` (the coordinator's claims), `ownership` (claims held for others,
+changes of members) and `placement` (endpoints and the task queue).
 """
 
 from fescueturn import baseline
 from fescueturn import claiming
 from fescueturn import claims
+from fescueturn import dispatch
 from fescueturn import events
 from fescueturn import jobs
 from fescueturn import ownership
@@ -112,12 +113,12 @@
   while (callback := state.due()) is not None:
     effects += callback(state)
   ownership.tidy(state)
-  return effects + ownership.probe(state) + jobs.dispatch(state)
+  return effects + ownership.probe(state) + dispatch.dispatch(state)
 
 
 def _on_endpoints(state, event: events.EndpointsChanged) -> list:
   state.endpoints.update(event.endpoints)
-  return jobs.dispatch(state)
+  return dispatch.dispatch(state)
 
 
 def _on_members(state, event: events.MembersChanged) -> list:
@@ -125,7 +126,7 @@
   effects = ownership.change_view(state, event)
   if state.membership.view != before:
     effects = effects + claiming.view_changed(state)
-  return effects + jobs.dispatch(state)
+  return effects + dispatch.dispatch(state)
 
 
 def _on_lease(state, event: events.LeaseRenewed) -> list:
@@ -141,7 +142,7 @@
   # A removal is kept as a tombstone so an older revision cannot revive it.
   entry = state_lib.TeamEntry(event.revision, event.team_settings)
   state.teams[event.team] = entry
-  return jobs.dispatch(state)
+  return dispatch.dispatch(state)
 
 
 def _on_drain(state, event: events.DrainStarted) -> list:
--- a/fescueturn/routing.py
+++ b/fescueturn/routing.py
@@ -2,11 +2,12 @@
 
 Keys fall into a fixed number of partitions. Rendezvous (highest random
 weight) hashing over the entry hosts of the data centre gives each partition
-its holders, so every submission of a key meets the same holders without a
+its holders, on different racks, so every submission of a key meets the same holders without a
 store write, and a change of members moves only the partitions of the host
 that came or went. The same hashing splits each endpoint's slots.
 """
 
+import dataclasses
 import functools
 import hashlib
 from collections.abc import Sequence
@@ -31,24 +32,43 @@
   return tuple(_hash(f"{name}\0{p}") for p in range(PARTITIONS))
 
 
-def holders(number: int, names: Sequence[str]) -> tuple[str, ...]:
-  """Returns the entry hosts that hold partition `number`, first one first.
+@dataclasses.dataclass(frozen=True)
+class Host:
+  """An entry host that may hold claims, and its rack ("": a rack of its own)."""
+
+  name: str
+  rack: str = ""
+
+
+@functools.lru_cache(maxsize=8)
+def holder_table(hosts: tuple[Host, ...]) -> tuple[tuple[str, ...], ...]:
+  """Returns each partition's holders, in partition order.
 
   Args:
-    number: the partition.
-    names: the names of the entry hosts that may hold claims.
+    hosts: the entry hosts that may hold claims.
 
   Returns:
-    At most `HOLDERS` names, fewer when there are fewer entry hosts.
+    Per partition at most `HOLDERS` names, the highest-ranked first, on
+    different racks where there are enough; fewer when there are fewer hosts.
   """
-  ranked = sorted(names, key=lambda n: (_weights(n)[number], n), reverse=True)
-  return tuple(ranked[:HOLDERS])
-
-
-@functools.lru_cache(maxsize=8)
-def holder_table(names: tuple[str, ...]) -> tuple[tuple[str, ...], ...]:
-  """Returns `holders` of every partition, in partition order."""
-  return tuple(holders(p, names) for p in range(PARTITIONS))
+  if not hosts:
+    return ((),) * PARTITIONS
+  columns = zip(*(_weights(h.name) for h in hosts), strict=True)
+  return tuple(_pick_holders(weights, hosts) for weights in columns)
+
+
+def _pick_holders(weights: tuple[int, ...], hosts) -> tuple[str, ...]:
+  """Returns one partition's holders: by weight, a rack once if possible."""
+  ranked = [hosts[weights.index(w)] for w in sorted(weights, reverse=True)]
+  chosen, racks = [], set()
+  for host in ranked:
+    if not host.rack or host.rack not in racks:
+      chosen.append(host)
+      racks.add(host.rack)
+      if len(chosen) == HOLDERS:
+        break
+  chosen += [h for h in ranked if h not in chosen][: HOLDERS - len(chosen)]
+  return tuple(h.name for h in chosen)
 
 
 def slot_share(endpoint: str, slots: int, names: Sequence[str], me: str) -> int:
--- a/fescueturn/settings.py
+++ b/fescueturn/settings.py
@@ -83,10 +83,11 @@
 
 @dataclasses.dataclass(frozen=True)
 class ProcessSettings:
-  """What every daemon needs: its name, data centre, metrics and logs."""
+  """What every daemon needs: its name, place, metrics and logs."""
 
   name: str
   data_centre: str
+  rack: str = ""
   statsd: Address | None = None
   log_level: str = "INFO"
 
@@ -152,6 +153,7 @@
 _PARSERS: dict[str, Callable[[str], Any]] = {
     "name": _name,
     "data_centre": _name,
+    "rack": _name,
     "statsd": parse_address,
     "log_level": _level,
     "listen": parse_address,
--- a/fescueturn/state.py
+++ b/fescueturn/state.py
@@ -96,6 +96,7 @@
     self.round: ClaimRound | None = None
     self.retry_pending = False
     self.conflicts = 0
+    self.tasks = {t.task_id: t for t in job.tasks}
     self.answers: dict[str, messages.TaskAnswer] = {}
     self.in_flight: dict[str, Sent] = {}
     self.retries = 0
@@ -106,10 +107,6 @@
     """True once the job has its final answer."""
     return self.phase is Phase.DONE
 
-  def task(self, task_id: str) -> messages.Task:
-    """Returns the job's task with this id."""
-    return next(t for t in self.job.tasks if t.task_id == task_id)
-
 
 @dataclasses.dataclass(frozen=True)
 class Limits:
--- a/fescueturn/views.py
+++ b/fescueturn/views.py
@@ -25,12 +25,17 @@
   Attributes:
     members: in order of name.
     digest: the same number in every entry host that sees these members.
-    holder_names: the members that hold claims (all but the leaving ones).
+    hosts: the members that hold claims (all but the leaving ones).
   """
 
   members: tuple[events.Member, ...]
   digest: int
-  holder_names: tuple[str, ...]
+  hosts: tuple[routing.Host, ...]
+
+  @property
+  def holder_names(self) -> tuple[str, ...]:
+    """The names of the members that hold claims."""
+    return tuple(h.name for h in self.hosts)
 
   def member(self, name: str) -> events.Member | None:
     """Returns the member with this name, or None."""
@@ -43,22 +48,24 @@
 
   def holders(self, key: str) -> tuple[str, ...]:
     """Returns the names of the holders of `key`, first one first."""
-    return routing.holder_table(self.holder_names)[routing.partition(key)]
+    return routing.holder_table(self.hosts)[routing.partition(key)]
 
   def partitions_of(self, name: str) -> frozenset[int]:
     """Returns the partitions that the entry host `name` holds."""
     if name not in self.holder_names:
       return frozenset()
-    table = routing.holder_table(self.holder_names)
+    table = routing.holder_table(self.hosts)
     return frozenset(p for p, held in enumerate(table) if name in held)
 
 
 def make_view(members) -> View:
   """Returns the view of `members` (any order)."""
   ordered = tuple(sorted(members, key=lambda m: m.name))
-  text = repr([(m.name, m.boot, m.lease, m.leaving) for m in ordered])
+  text = repr([(m.name, m.boot, m.lease, m.leaving, m.rack) for m in ordered])
   digest = hashlib.blake2b(text.encode(), digest_size=8).digest()
-  holding = tuple(m.name for m in ordered if not m.leaving)
+  holding = tuple(
+      routing.Host(m.name, m.rack) for m in ordered if not m.leaving
+  )
   return View(ordered, int.from_bytes(digest, "big"), holding)
 
 
--- a/tests/fakepeers.py
+++ b/tests/fakepeers.py
@@ -40,6 +40,7 @@
     self.starts = collections.Counter()
     self.outcomes = {}
     self.cut = set()
+    self.racks = {}
     self._ids = iter(range(1, 10**6))
     self._finish = finish_tasks
     self.running = []
@@ -50,8 +51,9 @@
       self.join(name)
     self.settle()
 
-  def join(self, name, lease_s=FOREVER_S):
+  def join(self, name, lease_s=FOREVER_S, rack=""):
     """Starts a new process of `name`; the store lists it at once."""
+    self.racks[name] = rack
     number = next(self._ids)
     state = reducer.new_state(
         name, f"boot-{number}", state_lib.Limits(lease_ttl_s=TTL_S)
@@ -68,7 +70,12 @@
     lease = lease or next(self._ids)
     self._apply(name, events.LeaseRenewed(lease, self.now + lease_s))
     self.store[name] = events.Member(
-        name, settings.Address(name, 1), state.me.boot, lease, leaving
+        name,
+        settings.Address(name, 1),
+        state.me.boot,
+        lease,
+        leaving,
+        self.racks[name],
     )
     self._announce()
 
--- /dev/null
+++ b/tests/test_cli.py
@@ -0,0 +1,34 @@
+from click import testing
+
+from fescueturn import cli
+from fescueturn import launcher
+
+
+def invoke(*args, stdin=None):
+  return testing.CliRunner().invoke(cli.main, args, input=stdin)
+
+
+def test_every_command_has_help():
+  for name in cli.main.commands:
+    result = invoke(name, "--help")
+    assert result.exit_code == 0 and "Usage" in result.output
+
+
+def test_config_check_names_the_bad_field():
+  good = invoke("config", "check", "-", stdin="[team]\nservice = speller\n")
+  assert good.exit_code == 0
+  bad = invoke("config", "check", "-", stdin="[team]\nservice = a b\n")
+  assert bad.exit_code == cli.EXIT_REFUSED
+  assert "E401" in bad.output and "service" in bad.output
+
+
+def test_unreachable_daemon_and_bad_input_are_refused():
+  nobody = f"127.0.0.1:{launcher.free_port()}"
+  for args in (
+      ("dump", nobody),
+      ("cancel", "--entry", nobody, "--team", "t", "k"),
+  ):
+    assert invoke(*args).exit_code == cli.EXIT_REFUSED
+  assert "host:port" in invoke("dump", "nowhere").output
+  result = invoke("submit", "--entry", nobody, "-", stdin="{not json")
+  assert result.exit_code == 1 and "job_id" in result.output
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -134,6 +134,15 @@
   assert before == after
 
 
+@pytest.mark.parametrize(
+    "target", ["/v1/jobs/k1", "/v1/jobs?team=altamaha", "/v1/jobs/?team=a"]
+)
+def test_bad_cancellation_gets_its_numbered_error(cluster, target):
+  response = run(pools(cluster)[0].request, "DELETE", target)
+  assert response.status == 400
+  assert response.json()["code"] == int(codes.Code.BAD_FIELD)
+
+
 def test_reused_key_with_other_payload_is_refused(cluster):
   async def go():
     first = await post(cluster, job_body(payload="recieve"), key="reused")
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,125 @@
+"""The platform loops against a fake platform client."""
+
+import random
+
+import curio
+
+from fescueturn import errors
+from fescueturn import events
+from fescueturn import kvstore
+from fescueturn import membership
+from fescueturn import settings
+
+ME = events.Member("entry-1", settings.Address("127.0.0.1", 1), "boot-1")
+PEER = events.Member("entry-2", settings.Address("127.0.0.1", 2), "boot-2", 7)
+TEAM_TEXT = "[team]\nservice = speller\n"
+
+
+class _FakeKv:
+  """A platform client over a `KvStore`; `losing` counts replies to lose."""
+
+  def __init__(self):
+    self.store = kvstore.KvStore()
+    self.losing = 0
+    self.apply_lost_writes = True
+    self.missed = []  # What happens while a watch is broken.
+
+  async def grant(self, ttl_s):
+    return self.store.grant(ttl_s, now=0.0)
+
+  async def keep_alive(self, lease):
+    return self.store.keep_alive(lease, now=0.0)
+
+  async def put(self, key, value, expect=None, lease=0):
+    if self.losing:
+      self.losing -= 1
+      if self.apply_lost_writes:
+        self.store.put(key, value, expect, lease)
+      raise errors.KvError("reply lost")
+    return self.store.put(key, value, expect, lease)
+
+  async def prefix(self, prefix):
+    return self.store.revision, self.store.prefix(prefix)
+
+  async def watch(self, prefix, after):
+    if self.missed:
+      self.missed.pop()()
+      raise errors.KvError("compacted", errors.KvNotFoundError.code)
+    while not (changes := self.store.changes(prefix, after)):
+      await curio.sleep(0.005)
+    return self.store.revision, changes
+
+
+class _Events(list):
+
+  async def apply(self, event):
+    self.append(event)
+
+
+def backoff():
+  return membership.Backoff(random.Random(1), max_s=0.01)
+
+
+def until(check):
+  async def wait():
+    while not check():
+      await curio.sleep(0.005)
+
+  return curio.timeout_after(10, wait)
+
+
+def test_member_write_that_failed_is_written_again():
+  kv, seen = _FakeKv(), _Events()
+  kv.losing, kv.apply_lost_writes = 2, False
+  keeper = membership.LeaseKeeper(kv, "dc", ME, 0.06, lambda: 100.0)
+
+  async def go():
+    task = await curio.spawn(keeper.run, seen.apply, backoff())
+    await until(lambda: kv.store.get("/members/dc/entry-1"))
+    await task.cancel()
+
+  curio.run(go)
+  item = kv.store.get("/members/dc/entry-1")
+  member = membership.parse_member(item.key, item.value)
+  assert (member.boot, member.lease) == ("boot-1", keeper.lease)
+  assert seen[0] == events.LeaseRenewed(keeper.lease, 100.06)
+
+
+def test_members_come_one_change_at_a_time_and_bad_ones_are_left_out():
+  kv, seen = _FakeKv(), _Events()
+
+  async def go():
+    task = await curio.spawn(
+        membership.members_loop, kv, "dc", seen.apply, backoff()
+    )
+    await until(lambda: seen)
+    key = membership.member_key("dc", PEER.name)
+    kv.store.put(key, membership.member_value(PEER), None, 0)
+    kv.store.put("/members/dc/odd", "not json", None, 0)
+    kv.store.delete(key)
+    await until(lambda: len(seen) == 4)
+    await task.cancel()
+
+  curio.run(go)
+  assert seen[0] == events.MembersChanged((), gap=True)
+  assert [e.members for e in seen[1:]] == [(PEER,), (PEER,), ()]
+  assert not any(e.gap for e in seen[1:])
+
+
+def test_team_removed_while_the_watch_was_broken_is_removed_here():
+  kv, seen = _FakeKv(), _Events()
+  key = membership.team_key("altamaha")
+  kv.store.put(key, TEAM_TEXT, None, 0)
+  kv.missed.append(lambda: kv.store.delete(key))
+
+  async def go():
+    task = await curio.spawn(
+        membership.teams_loop, kv, seen.apply, backoff(), 0.0
+    )
+    await until(lambda: len(seen) == 2)
+    await task.cancel()
+
+  curio.run(go)
+  assert seen[0].team_settings.service == "speller"
+  assert seen[1].team_settings is None
+  assert seen[1].revision > seen[0].revision
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -15,14 +15,15 @@
 NAMES = ("a", "b", "c", "d")
 
 
+def holders(key, names):
+  hosts = tuple(routing.Host(n) for n in names)
+  return routing.holder_table(hosts)[routing.partition(key)]
+
+
 def key_held_by(first, second, names=NAMES):
   """Returns a key whose holders among `names` are these two, in this order."""
   keys = (f"key-{i}" for i in itertools.count())
-  return next(
-      k
-      for k in keys
-      if routing.holders(routing.partition(k), names) == (first, second)
-  )
+  return next(k for k in keys if holders(k, names) == (first, second))
 
 
 def assert_started_once(peers, key="k", tasks=2):
@@ -95,8 +96,7 @@
   key = next(
       k
       for k in keys
-      if routing.holders(routing.partition(k), NAMES) == ("a", "b")
-      and routing.holders(routing.partition(k), ("b", "c", "d")) == ("b", "d")
+      if holders(k, NAMES) == ("a", "b") and holders(k, "bcd") == ("b", "d")
   )
   peers = fakepeers.Peers("abcd")
   peers.crash("a")
@@ -178,6 +178,29 @@
   assert peers.answer(again).job_id == peers.answer(first).job_id
 
 
+def test_loss_of_a_whole_rack_forgets_no_claim():
+  racks = {"a": "r1", "b": "r1", "c": "r2", "d": "r2", "e": "r3"}
+  for lost in ("r1", "r2"):
+    peers = fakepeers.Peers()
+    for name, rack in racks.items():
+      peers.join(name, rack=rack)
+    peers.settle(10)
+    keys = [f"key-{i}" for i in range(20)]
+    for key in keys:
+      peers.submit("a" if lost == "r1" else "c", key)
+    peers.settle(2)
+    for name in [n for n, rack in racks.items() if rack == lost]:
+      peers.crash(name)
+    for name in [n for n, rack in racks.items() if rack == lost]:
+      peers.lapse(name)
+    peers.settle(10)
+    again = {k: peers.submit(next(iter(peers.hosts)), k) for k in keys}
+    peers.settle(10)
+    for key in keys:
+      assert_started_once(peers, key)
+      assert peers.answer(again[key]).complete
+
+
 def test_platform_outage_peers_stand_in_for_leases():
   peers = fakepeers.Peers("abc")
   for name in "abc":
