Remove what the change made dead; the demo's line says what it counts

Cause: reading the change as a newcomer: PeerReplied.sent and caller.pool_for were used nowhere, and the demo still spoke of owners.

Ruled out: the reserved codes 102 and 205; numbers are never reused.

--- a/fescueturn/caller.py
+++ b/fescueturn/caller.py
@@ -7,7 +7,6 @@
 from fescueturn import codes
 from fescueturn import httpio
 from fescueturn import messages
-from fescueturn import settings
 
 
 @dataclasses.dataclass(frozen=True)
@@ -55,8 +54,3 @@
   if response.status == 200:
     return Result(200, messages.answer_from_json(body), None, retry, body)
   return Result(response.status, None, codes.Code(body["code"]), retry, body)
-
-
-def pool_for(address: str, limit: int = 64) -> httpio.Pool:
-  """Returns a connection pool to an entry host at ``host:port``."""
-  return httpio.Pool(settings.parse_address(address), limit=limit)
--- a/fescueturn/demo.py
+++ b/fescueturn/demo.py
@@ -163,7 +163,7 @@
       f"tasks {tasks}; sends {counts['sends']}; starts {counts['starts']}; duplicate starts {counts['duplicate_starts']}; wasted messages {wasted}"
   )
   print(
-      f"jobs forwarded to their owner {counts['forwarded']}; KV calls during the run {kv_calls} ({kv_calls / max(1, jobs):.2f} per job, leases and watches included)"
+      f"requests passed to another entry host {counts['forwarded']}; KV calls during the run {kv_calls} ({kv_calls / max(1, jobs):.2f} per job, leases and watches included)"
   )
   print(
       f"resubmitted under the same key: {resubmits_ok}/{RESUBMITTED} got the same answer with no new start"
--- a/fescueturn/events.py
+++ b/fescueturn/events.py
@@ -97,13 +97,11 @@
     reply: the peer's reply; None when none came.
     dead: True when the asked process surely no longer runs (its port
       refuses connections, or another process answers there).
-    sent: False when the peer surely never saw the message.
   """
 
   ask: "Ask"
   reply: claims.Reply | None
   dead: bool = False
-  sent: bool = True
 
 
 @dataclasses.dataclass(frozen=True)
