--- /dev/null
+++ b/fescueturn/emulator/__init__.py
@@ -0,0 +1,1 @@
+"""An emulated fleet in virtual time: the real reducers, without a network."""
--- /dev/null
+++ b/fescueturn/emulator/fleet.py
@@ -0,0 +1,401 @@
+"""An emulated fleet: hosts with their real reducers, endpoints and a store.
+
+Faults are set from outside: a host is killed, frozen or cut off, the store is
+away, an endpoint misbehaves. What callers get is kept in `answers`, and what
+must never happen in `broken`.
+"""
+
+import dataclasses
+import random
+from collections.abc import Callable
+
+from fescueturn import settings
+from fescueturn.emulator import clock as clock_lib
+from fescueturn.emulator import endpoint as endpoint_lib
+from fescueturn.scheduler import events
+from fescueturn.scheduler import model
+from fescueturn.scheduler import reducer
+from fescueturn.scheduler import state as state_lib
+
+TICK_S = 0.02
+# One way, as on the sheets: within a data centre, between two, to the store.
+NEAR_S = 0.0002
+FAR_S = 0.0007
+STORE_S = 0.002
+CALL_TIMEOUT_S = 0.25
+CLAIM_LEASE_S = 1.5
+LIST_PERIOD_S = 1.0
+
+
+@dataclasses.dataclass(frozen=True)
+class CallerAnswer:
+  """What a caller got, and after how long (s)."""
+
+  answer: events.Answer
+  took_s: float
+
+
+class EmulatedHost:
+  """One host: a reducer and the carrying out of its effects.
+
+  Attributes:
+    up: False once killed.
+    frozen: it stands still; what reaches it waits.
+    cut: hosts and endpoints that it can't reach, "store" among them.
+  """
+
+  def __init__(self, fleet: "Fleet", name: str, data_centre: str, boot: int):
+    self.name = name
+    self.data_centre = data_centre
+    self.party = events.Party(name, f"{name}.{boot}")
+    shards = (model.Shard(data_centre),)
+    self.state = state_lib.HostState(
+        state_lib.Identity(self.party, data_centre, shards)
+    )
+    self.up = True
+    self.frozen = False
+    self.cut: set[str] = set()
+    self.log: list[events.Log] = []
+    self._fleet = fleet
+    self._held: list[events.Event] = []
+    self._lists_at = 0.0
+
+  def apply(self, event: events.Event):
+    """Takes one event, unless the host is down; a frozen one takes it later."""
+    if not self.up:
+      return
+    if self.frozen:
+      if not isinstance(event, events.Tick):
+        self._held.append(event)
+      return
+    now = self._fleet.clock.now
+    for effect in reducer.reduce(self.state, event, now):
+      self._fleet.carry(self, effect)
+
+  def thaw(self):
+    """Wakes a frozen host: what has waited for it comes in."""
+    self.frozen = False
+    held, self._held = self._held, []
+    for event in held:
+      self.apply(event)
+
+  def tick(self):
+    """One tick of the host's timer, for as long as it is up."""
+    if not self.up:
+      return
+    self.apply(events.Tick())
+    now = self._fleet.clock.now
+    owns = bool(self.state.owners)
+    if owns and now >= self._lists_at and not self.frozen:
+      self._lists_at = now + LIST_PERIOD_S
+      self._fleet.read_list(self)
+    if not owns:
+      self._lists_at = 0.0
+    self._fleet.clock.after(TICK_S, self.tick)
+
+
+class Fleet:
+  """Hosts, endpoints, a store, and the messages between them."""
+
+  def __init__(self, seed: int = 0):
+    self.clock = clock_lib.VirtualClock()
+    self.rng = random.Random(seed)
+    self.hosts: dict[str, EmulatedHost] = {}
+    self.endpoints: dict[str, endpoint_lib.EmulatedEndpoint] = {}
+    self.answers: dict[int, CallerAnswer] = {}
+    self.broken: list[str] = []
+    self.work: dict[model.Task, endpoint_lib.Work] = {}
+    self.store_up = True
+    self.alive: dict[model.Task, set[str]] = {}
+    self._asked_at: dict[int, float] = {}
+    self._revision = 10
+    self._claims: dict[model.Shard, model.Holder] = {}
+    self._boots = 0
+    self._requests = 0
+    self._default_work: Callable[[model.Task], endpoint_lib.Work] | None = None
+
+  # Building.
+
+  def add_host(self, name: str, data_centre: str) -> EmulatedHost:
+    """Adds a host, or starts a killed one again."""
+    self._boots += 1
+    host = EmulatedHost(self, name, data_centre, self._boots)
+    self.hosts[name] = host
+    self.clock.after(self.rng.random() * TICK_S, host.tick)
+    self.clock.after(STORE_S, lambda: self._read_claims(host))
+    return host
+
+  def add_endpoint(
+      self, name: str, data_centre: str, cpu: int = 64000, service: str = "s"
+  ) -> endpoint_lib.EmulatedEndpoint:
+    """Adds an endpoint of 8 slots."""
+    info = model.Endpoint(
+        name,
+        settings.Address(name, 1),
+        service,
+        data_centre,
+        8,
+        False,
+        model.Room(cpu, 131072, 0),
+    )
+    endpoint = endpoint_lib.EmulatedEndpoint(
+        info, self.clock, self._work_of, self.broken, self.alive
+    )
+    self.endpoints[name] = endpoint
+    return endpoint
+
+  def _work_of(self, task: model.Task) -> endpoint_lib.Work:
+    return self.work[task]
+
+  # Callers.
+
+  def submit(
+      self, host: str, job: model.Job, run_s: list[float], deadline_s: float = 2.0
+  ) -> int:
+    """Hands in a job at a host; `run_s` are its tasks' true run times.
+
+    Returns:
+      The request's number, by which `answers` holds the answer.
+    """
+    tasks = [
+        (model.Task(job.id, number, index), step.need)
+        for number, step in enumerate(job.steps)
+        for index in range(step.count)
+    ]
+    for (task, need), seconds in zip(tasks, run_s, strict=True):
+      self.work[task] = endpoint_lib.Work(need, seconds)
+    self._requests += 1
+    request = self._requests
+    self._asked_at[request] = self.clock.now
+    self.hosts[host].apply(events.JobArrived(request, job, deadline_s))
+    return request
+
+  def hang_up(self, host: str, request: int):
+    """The caller of a request closes its connection."""
+    self.hosts[host].apply(events.CallerGone(request))
+
+  # Faults.
+
+  def kill(self, name: str):
+    """Ends a host's process."""
+    self.hosts[name].up = False
+
+  def drain(self, name: str, drained: bool = True):
+    """Lists an endpoint as draining, or as ready again."""
+    endpoint = self.endpoints[name]
+    endpoint.info = dataclasses.replace(endpoint.info, draining=drained)
+
+  # Effects.
+
+  def carry(self, host: EmulatedHost, effect: events.Effect):
+    """Carries out one effect of a host."""
+    _CARRY[type(effect)](self, host, effect)
+
+  def _reaches(self, host: EmulatedHost, name: str) -> bool:
+    other = self.hosts.get(name)
+    return name not in host.cut and (
+        other is None or host.name not in other.cut
+    )
+
+  def _start(self, host, effect: events.StartRun):
+    self._order(
+        host,
+        effect,
+        lambda endpoint: endpoint.start(effect),
+        events.StartAnswered,
+    )
+
+  def _stop(self, host, effect: events.StopRun):
+    self._order(
+        host,
+        effect,
+        lambda endpoint: endpoint.stop(effect),
+        events.StopAnswered,
+    )
+
+  def _order(self, host, effect, act, answer_type):
+    endpoint = self.endpoints[effect.endpoint.id]
+    name, run = effect.endpoint.id, effect.run
+
+    def give_up():
+      host.apply(
+          answer_type(name, run, model.CallResult.NO_ANSWER, None)
+      )
+
+    def arrive():
+      if endpoint.dark or not self._reaches(host, name):
+        return
+      if endpoint.late_s:
+        self.clock.after(endpoint.late_s, lambda: act(endpoint))
+        return
+      result = act(endpoint)
+      clock_ms = endpoint.clock_ms
+      lost.append(False)
+      self.clock.after(
+          NEAR_S, lambda: host.apply(answer_type(name, run, result, clock_ms))
+      )
+
+    lost = []
+    self.clock.after(NEAR_S, arrive)
+    self.clock.after(CALL_TIMEOUT_S, lambda: lost or give_up())
+
+  def _renew(self, host, effect: events.RenewLease):
+    endpoint = self.endpoints[effect.endpoint.id]
+    answered = []
+
+    def answer(result: events.LeaseAnswered):
+      if answered or endpoint.dark or not self._reaches(host, endpoint.info.id):
+        return
+      answered.append(True)
+      self.clock.after(NEAR_S, lambda: host.apply(result))
+
+    def arrive():
+      if not endpoint.dark and self._reaches(host, endpoint.info.id):
+        endpoint.renew(effect, answer)
+
+    def give_up():
+      if not answered:
+        answered.append(True)
+        host.apply(
+            events.LeaseAnswered(
+                effect.endpoint.id,
+                effect.number,
+                model.CallResult.NO_ANSWER,
+                None,
+            )
+        )
+
+    self.clock.after(NEAR_S, arrive)
+    self.clock.after(effect.wait_ms / 1000 + CALL_TIMEOUT_S, give_up)
+
+  def _delay_s(self, host: EmulatedHost, other: EmulatedHost) -> float:
+    if host is other:
+      return 0.0
+    return NEAR_S if host.data_centre == other.data_centre else FAR_S
+
+  def _tell_holder(self, host, effect: events.TellHolder):
+    other = self.hosts[effect.holder.host]
+    party = events.Party(effect.holder.host, effect.holder.boot)
+    delay_s = self._delay_s(host, other)
+    if not self._reaches(host, other.name):
+      return
+    if other.party != party or not other.up:
+      lost = events.LinkLost(effect.shard, party, refused=True)
+      self.clock.after(2 * delay_s, lambda: host.apply(lost))
+      return
+    self.clock.after(delay_s, lambda: other.apply(effect.message))
+
+  def _tell_coordinator(self, host, effect: events.TellCoordinator):
+    other = self.hosts[effect.party.host]
+    if other.party != effect.party or not self._reaches(host, other.name):
+      return
+    heard = events.Heard(effect.shard, host.party, effect.message)
+    self.clock.after(
+        self._delay_s(host, other), lambda: other.apply(heard)
+    )
+
+  def _answer(self, host, effect: events.Answer):
+    del host
+    took_s = self.clock.now - self._asked_at[effect.request_id]
+    self.answers[effect.request_id] = CallerAnswer(effect, took_s)
+
+  def _log(self, host, effect: events.Log):
+    host.log.append(effect)
+
+  # The store.
+
+  def read_list(self, host: EmulatedHost):
+    """Has a host read the list of endpoints."""
+    if not self._has_store(host):
+      return
+    listed = tuple(e.info for e in self.endpoints.values() if not e.dark)
+    self.clock.after(
+        2 * STORE_S, lambda: host.apply(events.EndpointsListed(listed))
+    )
+
+  def _has_store(self, host: EmulatedHost) -> bool:
+    return self.store_up and "store" not in host.cut
+
+  def _read_claims(self, host: EmulatedHost):
+    if not self._has_store(host):
+      self.clock.after(0.1, lambda: self._read_claims(host))
+      return
+    for shard in {model.Shard(h.data_centre) for h in self.hosts.values()}:
+      holder = self._claims.get(shard)
+      host.apply(events.HolderChanged(shard, holder))
+
+  def _claim(self, host, effect: events.ClaimShard):
+    def arrive():
+      current = self._claims.get(effect.shard)
+      fence = current.fence if current else 0
+      if self._has_store(host) and fence == effect.replaces:
+        self._revision += 1
+        party = host.party
+        holder = model.Holder(
+            party.host,
+            party.boot,
+            settings.Address(party.host, 1),
+            self._revision,
+        )
+        self._set_claim(effect.shard, holder)
+        self._watch_lease(effect.shard, holder, host)
+      answered = events.ClaimAnswered(effect.shard)
+      self.clock.after(STORE_S, lambda: host.apply(answered))
+
+    self.clock.after(STORE_S, arrive)
+
+  def _watch_lease(self, shard, holder: model.Holder, host: EmulatedHost):
+    """Ends a claim whose holder has not renewed its lease in time."""
+    renewed_at = [self.clock.now]
+
+    def check():
+      if self._claims.get(shard) != holder:
+        return
+      if host.up and not host.frozen and self._has_store(host):
+        renewed_at[0] = self.clock.now
+      elif self.clock.now - renewed_at[0] > CLAIM_LEASE_S and self.store_up:
+        self._set_claim(shard, None)
+        return
+      self.clock.after(0.25, check)
+
+    check()
+
+  def _set_claim(self, shard, holder: model.Holder | None):
+    if holder is None:
+      self._claims.pop(shard, None)
+    else:
+      self._claims[shard] = holder
+    changed = events.HolderChanged(shard, holder)
+    for host in self.hosts.values():
+      self._notify(host, changed)
+
+  def _notify(self, host: EmulatedHost, changed: events.HolderChanged):
+    if self._has_store(host):
+      self.clock.after(STORE_S, lambda: host.apply(changed))
+    else:
+      self.clock.after(0.2, lambda: self._read_claims(host))
+
+  def end_claim(self, shard: model.Shard):
+    """Removes a claim though its holder lives."""
+    self._set_claim(shard, None)
+
+  def _release(self, host, effect: events.ReleaseShard):
+    def arrive():
+      current = self._claims.get(effect.shard)
+      if self._has_store(host) and current and current.fence == effect.fence:
+        self._set_claim(effect.shard, None)
+
+    self.clock.after(STORE_S, arrive)
+
+
+_CARRY = {
+    events.StartRun: Fleet._start,
+    events.StopRun: Fleet._stop,
+    events.RenewLease: Fleet._renew,
+    events.TellHolder: Fleet._tell_holder,
+    events.TellCoordinator: Fleet._tell_coordinator,
+    events.Answer: Fleet._answer,
+    events.ClaimShard: Fleet._claim,
+    events.ReleaseShard: Fleet._release,
+    events.Log: Fleet._log,
+}
--- a/fescueturn/scheduler/owner.py
+++ b/fescueturn/scheduler/owner.py
@@ -34,6 +34,10 @@
 # Ends found on taking over, of runs whose job is not known yet, are kept
 # until the coordinators have offered their jobs.
 EARLY_ENDS_KEEP_S = 2.0
+# Jobs of an earlier holder wait until all endpoints have said what runs there,
+# or this long: the earlier holder finds itself replaced within a second, and
+# the last lease it asked for lasts another.
+SETTLE_S = 2.2
 # A task is not started again when its caller waits no longer than this.
 MIN_LEFT_S = 0.02
 
@@ -78,6 +82,7 @@
     deadline: when its caller stops waiting (s).
     latest_start: its place in the queue: when its first tasks should start.
     tasks: its tasks by name.
+    resumed: True if an earlier holder, or an earlier try, had it.
     begun: True once a run of it was ordered.
   """
 
@@ -87,6 +92,7 @@
     self.arrived = now - offer.age_s
     self.deadline = now + offer.left_s
     self.latest_start = latest_start
+    self.resumed = offer.resumed
     self.begun = offer.resumed
     self.tasks: dict[model.Task, TaskRecord] = {}
     self.waiting: list[TaskRecord] = []
@@ -151,9 +157,20 @@
     self.heard: dict[events.Party, float] = {}
     self.early_ends: dict[model.Task, _EarlyEnd] = {}
     self.fenced = False
+    self.taken_at = now
+    # Endpoints of the first listing that have not said yet what runs there;
+    # None before that listing.
+    self.unasked: set[str] | None = None
     self.counters: collections.Counter[str] = collections.Counter()
     self.effects: list[events.Effect] = []
 
+  @property
+  def settled(self) -> bool:
+    """True once all that an earlier holder started is known."""
+    return (
+        self.unasked is not None and not self.unasked
+    ) or self.now - self.taken_at > SETTLE_S
+
   def out(self, *effects: events.Effect):
     """Adds effects to carry out."""
     self.effects += effects
@@ -194,6 +211,8 @@
   own = {
       e.id: e for e in listed if e.data_centre == owner.shard.data_centre
   }
+  if owner.unasked is None:
+    owner.unasked = set(own)
   for name, info in own.items():
     record = owner.endpoints.get(name)
     if record is None:
@@ -236,13 +255,24 @@
           record.info,
           record.call_number,
           record.last_seen,
-          record.extend_lease(owner.now) if record.runs else None,
+          _lease_end(owner, record),
           LEASE_CALL_WAIT_MS if record.known and record.runs else 0,
           owner.fence,
       )
   )
 
 
+def _lease_end(owner, record) -> int | None:
+  """Returns the lease's new end, or None to let it be.
+
+  The lease of an endpoint that doesn't answer is left to run out, so that its
+  tasks can be run elsewhere.
+  """
+  if not record.runs or record.silent_since is not None:
+    return None
+  return record.extend_lease(owner.now)
+
+
 def lease_answered(owner: Owner, event: events.LeaseAnswered):
   """Takes an endpoint's list of runs and ends."""
   record = owner.endpoints.get(event.endpoint)
@@ -273,6 +303,7 @@
       # It ended, and its end was acknowledged by an earlier holder's call.
       _run_over(owner, record, run, model.EndHow.LOST, "not_listed")
   if newly_known:
+    owner.unasked.discard(record.info.id)
     owner.out(_endpoint_log("endpoint_known", record))
   if record.runs:
     _call_lease(owner, record)
@@ -415,6 +446,7 @@
   """The machine runs another life by now: nothing of this one is left."""
   owner.out(_endpoint_log("endpoint_gone", record))
   record.listed = False
+  owner.unasked.discard(record.info.id)
   for run in list(record.runs.values()):
     _run_over(owner, record, run, model.EndHow.LOST, "endpoint_gone")
   owner.endpoints.pop(record.info.id, None)
@@ -435,6 +467,8 @@
   for job in waiting:
     if job.deadline - owner.now < MIN_LEFT_S:
       continue
+    if job.resumed and not owner.settled:
+      continue
     for task in list(job.waiting):
       if task.previous is not None:
         continue
--- /dev/null
+++ b/tests/test_scheduler_fleet.py
@@ -0,0 +1,247 @@
+"""Hosts' reducers joined in an emulated fleet, under failures."""
+
+import pytest
+
+from fescueturn.emulator import fleet as fleet_lib
+from fescueturn.scheduler import model
+
+NEED = model.Room(27000, 64, 0)
+ZONES = ("a", "b", "c")
+
+
+def job(name: str, count: int, run_ms: int, slo_ms: int = 60) -> model.Job:
+  steps = (model.Step(count, NEED, run_ms),)
+  return model.Job(name, "s", "spec", steps, 3, 1.6, slo_ms)
+
+
+def fleet(hosts: int = 3, endpoints: int = 8, seed: int = 0) -> fleet_lib.Fleet:
+  made = fleet_lib.Fleet(seed)
+  for zone in ZONES:
+    for number in range(hosts):
+      made.add_host(f"{zone}{number}", zone)
+    for number in range(endpoints):
+      cpu = 96000 if number % 3 == 2 else 64000
+      made.add_endpoint(f"e-{zone}{number}", zone, cpu)
+  made.clock.run_until(1.0)
+  return made
+
+
+def owner_of(made: fleet_lib.Fleet, zone: str) -> fleet_lib.EmulatedHost:
+  owners = [
+      h
+      for h in made.hosts.values()
+      if h.up and not h.frozen and h.data_centre == zone and h.state.owners
+  ]
+  assert len(owners) == 1
+  return owners[0]
+
+
+def other_than(made, owner) -> fleet_lib.EmulatedHost:
+  return next(
+      h
+      for h in made.hosts.values()
+      if h is not owner and h.data_centre == owner.data_centre
+  )
+
+
+def load(made, hosts, seconds: float, per_s: float, prefix: str = "j"):
+  """Hands in the sheets' mix of jobs at `hosts`, `per_s` in all."""
+  kinds = ((17, 8, 60), (3, 4, 900), (50, 2, 200))
+  requests = []
+  start = made.clock.now
+  count = int(seconds * per_s)
+  for number in range(count):
+    when = start + number / per_s
+    _, tasks, run_ms = made.rng.choices(kinds, [k[0] for k in kinds])[0]
+    real = [run_ms / 1000 * made.rng.uniform(0.7, 1.4) for _ in range(tasks)]
+
+    def hand_in(number=number, tasks=tasks, run_ms=run_ms, real=real):
+      host = made.rng.choice([h for h in hosts if h.up and not h.frozen])
+      wanted = job(f"{prefix}{number}", tasks, run_ms)
+      requests.append(made.submit(host.name, wanted, real))
+
+    made.clock.at(when, hand_in)
+  return requests
+
+
+def outcomes(made, requests) -> dict[model.Outcome, int]:
+  found = {}
+  for request in requests:
+    outcome = made.answers[request].answer.outcome
+    found[outcome] = found.get(outcome, 0) + 1
+  return found
+
+
+def zone_hosts(made, zone):
+  return [h for h in made.hosts.values() if h.data_centre == zone]
+
+
+def test_one_host_a_data_centre_owns_its_endpoints():
+  made = fleet()
+  fences = set()
+  for zone in ZONES:
+    (owner,) = owner_of(made, zone).state.owners.values()
+    assert set(owner.endpoints) == {f"e-{zone}{n}" for n in range(8)}
+    fences.add(owner.fence)
+  assert len(fences) == 3
+
+
+def test_calm_load_is_answered_whole_and_in_time():
+  made = fleet()
+  requests = load(made, list(made.hosts.values()), 10, 60)
+  made.clock.run_until(15)
+  assert made.broken == []
+  found = outcomes(made, requests)
+  assert found[model.Outcome.DONE] > 0.95 * len(requests)
+  for request in requests:
+    answer = made.answers[request].answer
+    assert answer.retry_after_s or answer.outcome is not model.Outcome.NOT_RUN
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_takeover_from_a_living_owner_starts_no_task_twice(seed):
+  made = fleet(seed=seed)
+  requests = load(made, zone_hosts(made, "a"), 6, 40)
+  owner = owner_of(made, "a")
+  # The store turns the owner away: its claim lapses, another host's holds.
+  made.clock.at(2.0, lambda: owner.cut.add("store"))
+  made.clock.run_until(12)
+  assert owner_of(made, "a") is not owner
+  assert made.broken == []
+  found = outcomes(made, requests)
+  assert found[model.Outcome.DONE] > 0.85 * len(requests)
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_killed_owner_is_replaced_and_its_runs_go_on(seed):
+  made = fleet(seed=seed)
+  owner = owner_of(made, "a")
+  others = [h for h in zone_hosts(made, "a") if h is not owner]
+  requests = load(made, others, 6, 40)
+  made.clock.at(3.0, lambda: made.kill(owner.name))
+  made.clock.run_until(12)
+  assert made.broken == []
+  found = outcomes(made, requests)
+  assert found[model.Outcome.DONE] > 0.85 * len(requests)
+  (new_owner,) = owner_of(made, "a").state.owners.values()
+  assert new_owner.counters["adopted"] > 0
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_frozen_owner_is_fenced_off_when_it_wakes(seed):
+  made = fleet(seed=seed)
+  owner = owner_of(made, "a")
+  others = [h for h in zone_hosts(made, "a") if h is not owner]
+  requests = load(made, others, 8, 40)
+  made.clock.at(3.0, lambda: setattr(owner, "frozen", True))
+  made.clock.at(6.0, owner.thaw)
+  made.clock.run_until(14)
+  assert owner_of(made, "a") is not owner
+  assert made.broken == []
+  assert len(outcomes(made, requests)) >= 1
+  assert len(made.answers) == len(requests)
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_coordinator_killed_its_runs_are_stopped_before_a_resend(seed):
+  made = fleet(seed=seed)
+  owner = owner_of(made, "a")
+  first = other_than(made, owner)
+  wanted = job("again", 4, 900)
+  made.submit(first.name, wanted, [1.0] * 4, deadline_s=3.5)
+  made.clock.run_until(1.1)
+  made.kill(first.name)
+  assert sum(len(e.running) for e in made.endpoints.values()) == 4
+  made.clock.run_until(1.1 + 1.3)
+  assert sum(len(e.running) for e in made.endpoints.values()) == 0
+  second = made.submit(owner.name, wanted, [1.0] * 4, deadline_s=3.0)
+  made.clock.run_until(6)
+  assert made.answers[second].answer.outcome is model.Outcome.DONE
+  assert made.broken == []
+
+
+def test_late_orders_overfill_no_endpoint_and_start_no_task_twice():
+  made = fleet()
+  load(made, list(made.hosts.values()), 20, 70)
+  for number, name in enumerate(made.endpoints):
+    endpoint = made.endpoints[name]
+    begin = 2.0 + number * 0.6
+    made.clock.at(begin, lambda e=endpoint: setattr(e, "late_s", 3.0))
+    made.clock.at(begin + 0.4, lambda e=endpoint: setattr(e, "late_s", 0.0))
+  made.clock.run_until(30)
+  assert made.broken == []
+
+
+def test_draining_endpoint_gets_no_new_task():
+  made = fleet()
+  load(made, zone_hosts(made, "a"), 8, 30)
+  made.clock.at(3.0, lambda: made.drain("e-a0"))
+  made.clock.run_until(4.2)
+  before = len(made.endpoints["e-a0"].starts)
+  made.clock.run_until(10)
+  assert before > 0
+  assert len(made.endpoints["e-a0"].starts) == before
+
+
+def test_caller_that_hangs_up_frees_its_room():
+  made = fleet()
+  request = made.submit("a0", job("gone", 4, 900), [0.9] * 4)
+  made.clock.run_until(1.2)
+  assert sum(len(e.running) for e in made.endpoints.values()) == 4
+  made.hang_up("a0", request)
+  made.clock.run_until(1.3)
+  assert sum(len(e.running) for e in made.endpoints.values()) == 0
+
+
+def test_store_away_changes_nothing_for_callers():
+  made = fleet()
+  requests = load(made, list(made.hosts.values()), 8, 50)
+  made.clock.at(2.0, lambda: setattr(made, "store_up", False))
+  made.clock.run_until(14)
+  assert made.broken == []
+  found = outcomes(made, requests)
+  assert found[model.Outcome.DONE] > 0.95 * len(requests)
+
+
+def test_claim_taken_away_from_a_living_owner_comes_back_to_it():
+  made = fleet()
+  owner = owner_of(made, "a")
+  requests = load(made, zone_hosts(made, "a"), 4, 30)
+  made.clock.at(2.0, lambda: made.end_claim(model.Shard("a")))
+  made.clock.run_until(8)
+  assert owner_of(made, "a") is owner
+  assert made.broken == []
+  found = outcomes(made, requests)
+  assert found[model.Outcome.DONE] > 0.95 * len(requests)
+
+
+def test_crashed_endpoints_task_runs_again_elsewhere():
+  made = fleet()
+  request = made.submit("a0", job("j", 2, 200, 3000), [0.4] * 2, 3.5)
+  made.clock.run_until(1.1)
+  victim = next(e for e in made.endpoints.values() if e.running)
+  victim.crash()
+  made.clock.run_until(6)
+  assert made.answers[request].answer.outcome is model.Outcome.DONE
+  assert made.broken == []
+
+
+def test_failing_endpoint_is_left_out():
+  made = fleet()
+  made.endpoints["e-a0"].failing = True
+  requests = load(made, zone_hosts(made, "a"), 6, 30)
+  made.clock.run_until(12)
+  found = outcomes(made, requests)
+  assert found[model.Outcome.DONE] > 0.95 * len(requests)
+  starts = {n: len(e.starts) for n, e in made.endpoints.items()}
+  assert starts["e-a0"] < 0.3 * starts["e-a1"]
+
+
+def test_stuck_run_is_stopped_and_run_elsewhere():
+  made = fleet()
+  made.endpoints["e-a0"].hanging = True
+  requests = load(made, zone_hosts(made, "a"), 6, 30)
+  made.clock.run_until(12)
+  assert made.broken == []
+  found = outcomes(made, requests)
+  assert found[model.Outcome.DONE] > 0.9 * len(requests)
