--- a/fescueturn/platform/callers.py
+++ b/fescueturn/platform/callers.py
@@ -9,6 +9,7 @@
 
 from fescueturn import errors
 from fescueturn import httpio
+from fescueturn.scheduler import coordinator
 from fescueturn.scheduler import events
 from fescueturn.scheduler import host as host_lib
 from fescueturn.scheduler import model
@@ -45,6 +46,7 @@
         attempts=queue.attempts,
         stretch=queue.stretch,
         slo_ms=queue.slo_ms,
+        queue=queue.name,
     )
   except (KeyError, TypeError, ValueError, AttributeError) as exc:
     raise errors.BadRequestError(f"job: {exc!r}") from exc
@@ -152,8 +154,7 @@
     return httpio.json_response(405, {"error": "method not allowed"})
 
   def _pending(self, queue: model.Queue) -> int:
-    del queue
-    return 0
+    return coordinator.pending(self._host.state.coordinator, queue.name)
 
   async def _submit(
       self, request: httpio.Request, queue: model.Queue, job_id: str
--- a/fescueturn/scheduler/coordinator.py
+++ b/fescueturn/scheduler/coordinator.py
@@ -373,6 +373,14 @@
     _answer(state, record, model.Outcome.UNKNOWN, "cancelled")
 
 
+def pending(state: Coordinator, queue: str) -> int:
+  """Returns how many of a queue's jobs here no holder has taken yet."""
+  return sum(
+      job.job.queue == queue and job.phase is Phase.OFFERED
+      for job in state.jobs.values()
+  )
+
+
 def holder_changed(state: Coordinator, event: events.HolderChanged):
   """The store names another holder of a shard."""
   before = state.holders.get(event.shard)
--- a/fescueturn/scheduler/model.py
+++ b/fescueturn/scheduler/model.py
@@ -110,6 +110,7 @@
     attempts: runs of one task that may fail before the job fails.
     stretch: the objective in multiples of the longest chain of work.
     slo_ms: the objective's fixed part.
+    queue: the queue's name; known to the job's coordinator only.
   """
 
   id: str
@@ -119,6 +120,7 @@
   attempts: int = 1
   stretch: float = 1.0
   slo_ms: int = 0
+  queue: str = ""
 
   @property
   def task_count(self) -> int:
