A stopping host refuses new jobs in time and answers everyone before it ends

Change: jobs are refused from 3 s after SIGTERM (503, Retry-After), and who still waits at the end is answered (504, or 503 if nothing of it can have run) before the connections are closed.

Ruled out: closing connections between two requests without an answer to tell (a request may be on its way).

--- a/fescueturn/platform/callers.py
+++ b/fescueturn/platform/callers.py
@@ -92,12 +92,17 @@
     self._host = host
     self._now = now
     self._routes: routes.RouteTable | None = None
+    self._closing = False
 
   @property
   def ready(self) -> bool:
     """Whether jobs can be taken."""
     return self._routes is not None and not self._host.state.draining
 
+  def refuse_new(self):
+    """Has jobs refused from now on, as the process ends soon."""
+    self._closing = True
+
   def set_config(self, config: model.Config) -> bool:
     """Puts a configuration in force; returns False for an older one."""
     current = self._routes.config.version if self._routes else -1
@@ -159,6 +164,8 @@
   async def _submit(
       self, request: httpio.Request, queue: model.Queue, job_id: str
   ) -> httpio.Response:
+    if self._closing:
+      return _refusal(503, "stopping")
     trace = request.headers.get("request-id", "")
     try:
       job = decode_job(job_id, request.body, queue)
--- a/fescueturn/platform/role.py
+++ b/fescueturn/platform/role.py
@@ -31,8 +31,13 @@
 # The balancer asks once a second and needs two misses; connections that it
 # still opens in this time are served.
 ROTATION_S = 2.3
+# After this, jobs are refused: those taken before have 2.3 s more, longer than
+# nineteen in twenty take, and the balancer has had time to send them elsewhere.
+TAKING_S = 3.0
 # What is left of the grace period when the process ends whatever happens.
 EXIT_MARGIN_S = 0.7
+# For the last answers to leave.
+FLUSH_S = 0.1
 POLL_S = 0.05
 # How often the settings file is read again: it may change without a signal.
 RELOAD_S = 5.0
@@ -125,10 +130,15 @@
     await self._host.drain()
     end = began + max(0.0, self._node.grace_s - EXIT_MARGIN_S)
     while self._timer.now() < end:
-      out_of_rotation = self._timer.now() - began > ROTATION_S
-      if out_of_rotation and self._host.state.idle:
+      passed_s = self._timer.now() - began
+      if passed_s > TAKING_S:
+        self._callers.refuse_new()
+      if passed_s > ROTATION_S and self._host.state.idle:
         break
       await curio.sleep(POLL_S)
+    self._callers.refuse_new()
+    await self._host.end()
+    await curio.sleep(FLUSH_S)
     for server in self._servers:
       await server.close()
     logger.info(
--- a/fescueturn/scheduler/coordinator.py
+++ b/fescueturn/scheduler/coordinator.py
@@ -380,6 +380,13 @@
     _answer(state, record, model.Outcome.UNKNOWN, "cancelled")
 
 
+def give_up_all(state: Coordinator):
+  """Answers every caller that still waits: this process ends."""
+  for record in list(state.jobs.values()):
+    _withdraw(state, record)
+    _answer(state, record, _unserved(record), "stopping")
+
+
 def pending(state: Coordinator, queue: str) -> int:
   """Returns how many of a queue's jobs here no holder has taken yet."""
   return sum(
--- a/fescueturn/scheduler/events.py
+++ b/fescueturn/scheduler/events.py
@@ -199,6 +199,11 @@
   """A planned stop began."""
 
 
+@dataclasses.dataclass(frozen=True)
+class ProcessEnding:
+  """The planned stop's time is over: whoever still waits is answered now."""
+
+
 Event = (
     JobArrived
     | CallerGone
@@ -216,6 +221,7 @@
     | Tick
     | ClaimAnswered
     | DrainStarted
+    | ProcessEnding
 )
 
 # Messages from a holder to coordinators.
--- a/fescueturn/scheduler/host.py
+++ b/fescueturn/scheduler/host.py
@@ -152,6 +152,10 @@
     """Begins a planned stop: owned shards are given up at once."""
     await self.apply(events.DrainStarted())
 
+  async def end(self):
+    """Ends a planned stop: whoever still waits is answered now."""
+    await self.apply(events.ProcessEnding())
+
   async def close(self):
     """Closes every connection."""
     await self._server.close()
--- a/fescueturn/scheduler/reducer.py
+++ b/fescueturn/scheduler/reducer.py
@@ -243,6 +243,11 @@
   return effects
 
 
+def _on_ending(state, event: events.ProcessEnding):
+  del event
+  coordinator.give_up_all(state.coordinator)
+
+
 _HANDLERS = {
     events.JobArrived: _for_coordinator(coordinator.job_arrived),
     events.CallerGone: _on_caller_gone,
@@ -260,4 +265,5 @@
     events.Tick: _on_tick,
     events.ClaimAnswered: _on_claim_answered,
     events.DrainStarted: _on_drain,
+    events.ProcessEnding: _on_ending,
 }
--- a/tests/test_scheduler_fleet.py
+++ b/tests/test_scheduler_fleet.py
@@ -316,3 +316,16 @@
   host.apply(events.Heard(model.Shard("a"), owner.party, late))
   assert record.shard == model.Shard("a")
   assert request not in made.answers
+
+
+def test_ending_process_answers_whoever_waits():
+  made = fleet()
+  request = made.submit("a0", job("long", 2, 3000), [3.0] * 2, deadline_s=9.0)
+  made.clock.run_until(1.5)
+  made.hosts["a0"].apply(events.DrainStarted())
+  made.clock.run_until(2.5)
+  assert request not in made.answers
+  made.hosts["a0"].apply(events.ProcessEnding())
+  assert made.answers[request].answer.outcome is model.Outcome.UNKNOWN
+  made.clock.run_until(3.0)
+  assert sum(len(e.running) for e in made.endpoints.values()) == 0
