A job that may have begun stays with its shard; claims are known at once to who won

Change: a decline never moves on a job that may have begun; it waits for the shard's holder to be heard from. The winner of a claim takes the shard with the store's answer, not with its watch. A host that says it holds nothing is left 100 ms before others claim in its place.

Ruled out: waiting longer before offering (the order of a store's answers and watches can't be told).

Also: log lines go to standard output, bounded in rate and never waiting for their reader (logs.BoundedSink); metrics page with counters, gauges and latency histograms (scheduler/figures.py); a stopping process closes its listeners first and answers what is open.

--- a/fescueturn/emulator/fleet.py
+++ b/fescueturn/emulator/fleet.py
@@ -23,6 +23,8 @@
 FAR_S = 0.0007
 STORE_S = 0.002
 CALL_TIMEOUT_S = 0.15
+# A busy host takes up to this many times as long to hear of a change.
+WATCH_SPREAD = 6.0
 CLAIM_LEASE_S = 1.5
 LIST_PERIOD_S = 1.0
 
@@ -352,6 +354,8 @@
         )
         self._set_claim(effect.shard, holder)
         self._watch_lease(effect.shard, holder, host)
+        won = events.HolderChanged(effect.shard, holder)
+        self.clock.after(STORE_S, lambda: host.apply(won))
       answered = events.ClaimAnswered(effect.shard)
       self.clock.after(STORE_S, lambda: host.apply(answered))
 
@@ -384,7 +388,8 @@
 
   def _notify(self, host: EmulatedHost, changed: events.HolderChanged):
     if self._has_store(host):
-      self.clock.after(STORE_S, lambda: host.apply(changed))
+      delay_s = STORE_S * self.rng.uniform(1.0, WATCH_SPREAD)
+      self.clock.after(delay_s, lambda: host.apply(changed))
     else:
       self.clock.after(0.2, lambda: self._read_claims(host))
 
--- a/fescueturn/platform/callers.py
+++ b/fescueturn/platform/callers.py
@@ -11,6 +11,7 @@
 from fescueturn import httpio
 from fescueturn.scheduler import coordinator
 from fescueturn.scheduler import events
+from fescueturn.scheduler import figures
 from fescueturn.scheduler import host as host_lib
 from fescueturn.scheduler import model
 from fescueturn.scheduler import routes
@@ -88,9 +89,11 @@
       self,
       host: host_lib.SchedulerHost,
       now: Callable[[], float],
+      page: figures.Figures,
   ):
     self._host = host
     self._now = now
+    self._figures = page
     self._routes: routes.RouteTable | None = None
     self._closing = False
 
@@ -181,7 +184,9 @@
       return httpio.json_response(
           400, {"code": int(exc.code), "error": str(exc)}
       )
+    began = self._now()
     answer = await self._host.submit(job, _deadline_s(request), trace)
+    self._figures.job(queue.name, answer.outcome.value, self._now() - began)
     return _to_http(answer)
 
   async def _cancel(self, job_id: str) -> httpio.Response:
--- a/fescueturn/platform/claims.py
+++ b/fescueturn/platform/claims.py
@@ -75,6 +75,8 @@
       lease_ms: int = LEASE_MS,
   ):
     self._client = client
+    self._party = party
+    self._peer = peer
     self._lease_ms = lease_ms
     value = {"host": party.host, "boot": party.boot, "peer": str(peer)}
     self._value = json.dumps(value).encode()
@@ -93,33 +95,43 @@
     else:
       self._owning.clear()
 
-  async def claim(self, effect: events.ClaimShard):
-    """Tries to write a claim; the watch tells everyone what came of it."""
-    outcome = await self._try_claim(effect)
+  async def claim(self, effect: events.ClaimShard) -> model.Holder | None:
+    """Tries to write a claim.
+
+    Returns:
+      This host as the holder, or None if the claim wasn't made, or may have
+      been: the watch tells.
+    """
+    holder, outcome = await self._try_claim(effect)
     if outcome == _LEASE_GONE:  # It ended unnoticed; a new one may do.
-      outcome = await self._try_claim(effect)
+      holder, outcome = await self._try_claim(effect)
     logger.info(
         "event=shard_claim data_centre={} replaces={} outcome={}",
         effect.shard.data_centre,
         effect.replaces,
         outcome,
     )
+    return holder
 
-  async def _try_claim(self, effect: events.ClaimShard) -> str:
+  async def _try_claim(
+      self, effect: events.ClaimShard
+  ) -> tuple[model.Holder | None, str]:
     try:
       if self._lease is None:
         self._lease = await self._client.grant(self._lease_ms)
       fence = await self._client.put(
           _key(effect.shard), self._value, effect.replaces, self._lease
       )
-      return f"won fence={fence}"
     except store.LeaseGoneError:
       self._lease = None
-      return _LEASE_GONE
+      return None, _LEASE_GONE
     except store.ConflictError:
-      return "taken"
+      return None, "taken"
     except errors.KvError as exc:
-      return f'unknown error="{exc}"'
+      return None, f'unknown error="{exc}"'
+    party = self._party
+    holder = model.Holder(party.host, party.boot, self._peer, fence)
+    return holder, f"won fence={fence}"
 
   async def release(self, effect: events.ReleaseShard):
     """Removes a claim, so that another host makes its own at once."""
--- a/fescueturn/platform/endpoints.py
+++ b/fescueturn/platform/endpoints.py
@@ -15,6 +15,7 @@
 from fescueturn.platform import claims
 from fescueturn.platform import store
 from fescueturn.scheduler import events
+from fescueturn.scheduler import figures
 from fescueturn.scheduler import model
 
 PREFIX = "servers/"
@@ -195,11 +196,24 @@
 class EndpointCalls:
   """Orders to endpoints over kept-alive connections; `close` drops them."""
 
-  def __init__(self):
+  def __init__(
+      self, now: Callable[[], float], observe: figures.Observer | None = None
+  ):
+    self._now = now
+    self._observe = observe or (lambda *_: None)
     self._pools: dict[str, httpio.Pool] = {}
 
   async def _call(
       self, endpoint: model.Endpoint, path: str, body: dict, timeout_s: float
+  ) -> _Reply:
+    began = self._now()
+    reply = await self._exchange(endpoint, path, body, timeout_s)
+    name = "endpoint_" + path.rpartition("/")[2]
+    self._observe(name, reply.result.value, self._now() - began)
+    return reply
+
+  async def _exchange(
+      self, endpoint: model.Endpoint, path: str, body: dict, timeout_s: float
   ) -> _Reply:
     headers = (
         ("content-type", "application/json"),
--- a/fescueturn/platform/role.py
+++ b/fescueturn/platform/role.py
@@ -9,6 +9,7 @@
 import sys
 
 import curio
+import prometheus_client
 from loguru import logger
 
 from fescueturn import errors
@@ -22,12 +23,14 @@
 from fescueturn.platform import nodefile
 from fescueturn.platform import store
 from fescueturn.scheduler import events
+from fescueturn.scheduler import figures
 from fescueturn.scheduler import host as host_lib
 from fescueturn.scheduler import model
 from fescueturn.scheduler import state as state_lib
 
 EXIT_BAD_SETTINGS = 2
 READY_PATH = "/-/readyz"
+METRICS_PATH = "/metrics"
 # The balancer asks once a second and needs two misses; connections that it
 # still opens in this time are served.
 ROTATION_S = 2.3
@@ -36,8 +39,8 @@
 TAKING_S = 3.0
 # What is left of the grace period when the process ends whatever happens.
 EXIT_MARGIN_S = 0.7
-# For the last answers to leave.
-FLUSH_S = 0.1
+# For the last requests on open connections to be read and answered.
+FLUSH_S = 0.15
 POLL_S = 0.05
 # How often the settings file is read again: it may change without a signal.
 RELOAD_S = 5.0
@@ -50,14 +53,14 @@
     self._node = node
     self._timer = clock
     self._party = events.Party(node.host, secrets.token_hex(6))
-    self._store = store.StoreClient(node.store)
+    self._store = store.StoreClient(node.store, clock.now, self._observe)
     self._claims = claims.Claims(
         self._store,
         self._party,
         node.links,
         max(claims.LEASE_MS, node.min_lease_ms),
     )
-    self._calls = endpoints.EndpointCalls()
+    self._calls = endpoints.EndpointCalls(clock.now, self._observe)
     self._lister = endpoints.Lister(self._store, clock.now, self._on_list)
     shards = (model.Shard(node.data_centre),)
     self._host = host_lib.SchedulerHost(
@@ -73,7 +76,8 @@
         ),
         clock,
     )
-    self._callers = callers.CallerHttp(self._host, clock.now)
+    self._figures = figures.Figures(self._host.state)
+    self._callers = callers.CallerHttp(self._host, clock.now, self._figures)
     self._servers = [
         httpio.Server(
             node.callers, self._callers.handle, limits=self._callers.limits
@@ -138,9 +142,10 @@
       await curio.sleep(POLL_S)
     self._callers.refuse_new()
     await self._host.end()
-    await curio.sleep(FLUSH_S)
     for server in self._servers:
       await server.close()
+    # Connections taken before are read and answered.
+    await curio.sleep(FLUSH_S)
     logger.info(
         "event=stopped waiting={} took_ms={}",
         len(self._host.state.coordinator.jobs),
@@ -177,6 +182,9 @@
       logger.info("event=reloaded changed={} signalled={}", changed, signalled)
     self._node = node
 
+  def _observe(self, dependency: str, result: str, took_s: float):
+    self._figures.call(dependency, result, took_s)
+
   async def _on_list(self, event: events.EndpointsListed):
     await self._host.apply(event)
     await self._calls.forget(event.endpoints)
@@ -187,6 +195,7 @@
 
   async def _on_config(self, config: model.Config):
     if self._callers.set_config(config):
+      self._figures.config(config.version)
       logger.info(
           "event=config_in_force version={} queues={}",
           config.version,
@@ -198,13 +207,17 @@
     return httpio.json_response(200 if ready else 503, {"ready": ready})
 
   async def _on_metrics(self, request: httpio.Request) -> httpio.Response:
+    if request.target == METRICS_PATH:
+      headers = (("content-type", prometheus_client.CONTENT_TYPE_LATEST),)
+      return httpio.Response(200, self._figures.page(), headers)
     if request.target == "/dump":
       return httpio.json_response(200, self._host.dump())
     return httpio.json_response(404, {"error": "no such page"})
 
 
-async def _main(node: nodefile.NodeSettings):
+async def _main(node: nodefile.NodeSettings, log: logs.BoundedSink):
   clock = timer.TimerService(host_lib.TICK_S)
+  clock.subscribe(log.tick)
   role = Role(node, clock)
   await role.start()
   await role.run()
@@ -218,8 +231,7 @@
   except errors.SettingsError as exc:
     print(f"event=settings_rejected error={exc}", file=sys.stderr)
     sys.exit(EXIT_BAD_SETTINGS)
-  logs.setup(node.host)
-  curio.run(_main, node)
+  curio.run(_main, node, logs.setup_bounded(node.host))
 
 
 if __name__ == "__main__":
--- a/fescueturn/platform/store.py
+++ b/fescueturn/platform/store.py
@@ -9,11 +9,13 @@
 import dataclasses
 import json
 import urllib.parse
+from collections.abc import Callable
 
 from fescueturn import errors
 from fescueturn import httpio
 from fescueturn import listener
 from fescueturn import settings
+from fescueturn.scheduler import figures
 
 # An answer takes 4 to 6 ms, and up to half a second when the store is slow;
 # a call without one by then is tried again on another connection.
@@ -62,7 +64,14 @@
 class StoreClient:
   """Calls the store at one address; `close` drops its connections."""
 
-  def __init__(self, address: settings.Address):
+  def __init__(
+      self,
+      address: settings.Address,
+      now: Callable[[], float],
+      observe: figures.Observer | None = None,
+  ):
+    self._now = now
+    self._observe = observe or (lambda *_: None)
     self._pool = httpio.Pool(
         address,
         limit=16,
@@ -80,12 +89,18 @@
     target = f"{path}?{urllib.parse.urlencode(query)}" if query else path
     data = b"" if body is None else json.dumps(body).encode()
     headers = (("content-type", "application/json"),) if data else ()
+    began = self._now()
+    result = "no_answer"
     try:
       response = await self._pool.request(
           method, target, data, headers, timeout_s
       )
+      result = str(response.status)
     except (httpio.NotSentError, httpio.LostReplyError) as exc:
       raise errors.KvError(f"{path}: {exc}") from exc
+    finally:
+      name = "store_" + path.split("/")[2]
+      self._observe(name, result, self._now() - began)
     if response.status in (200, 404, 410, 412):
       return response
     raise errors.KvError(f"{path}: status {response.status}")
--- a/fescueturn/scheduler/coordinator.py
+++ b/fescueturn/scheduler/coordinator.py
@@ -266,7 +266,8 @@
 def _ponged(state, shard, holder: HolderRecord, message: events.Pong):
   if not message.holding:
     _holder_lost(state, shard, "stood_down")
-  elif holder.lost:
+    return
+  if holder.lost:
     holder.lost = False
     state.out(
         events.log(
@@ -277,6 +278,15 @@
         )
     )
     _offer_again(state, shard)
+  else:
+    _offer_orphans(state, shard)
+
+
+def _offer_orphans(state, shard: model.Shard):
+  """Offers the shard's holder, which is alive, jobs that still wait for it."""
+  for record in list(state.jobs.values()):
+    if record.shard == shard and record.phase is Phase.ORPHANED:
+      _offer(state, record, shard, resumed=True)
 
 
 def _offer_again(state, shard: model.Shard):
@@ -292,12 +302,18 @@
     return
   record.phase = Phase.ACCEPTED
   record.maybe_begun = True
+  record.orphaned_at = 0.0
 
 
 def _declined(state, record: JobRecord, message: events.Declined):
   if message.number != record.offers:
     # A later offer to the same holder may have been accepted.
     return
+  if record.maybe_begun:
+    # Its runs may go on under the shard's next holder, and only there: a host
+    # that was offered the job may not know yet that it is the holder.
+    _orphan(state, record)
+    return
   record.tried.add(record.shard)
   if message.wait_ms:
     record.reason = "no_room"
@@ -453,7 +469,7 @@
   """The job's holder is lost: it waits, or goes elsewhere if not begun."""
   record.maybe_begun = True
   record.phase = Phase.ORPHANED
-  record.orphaned_at = state.now
+  record.orphaned_at = record.orphaned_at or state.now
 
 
 def tick(state: Coordinator):
--- a/fescueturn/scheduler/election.py
+++ b/fescueturn/scheduler/election.py
@@ -23,6 +23,9 @@
 # others leave it alone meanwhile. A store that turns it away for longer
 # leaves its shard without a claim, but not without a holder.
 HOLDER_PATIENCE_S = 1.0
+# A host that says it holds nothing may only not have heard yet that its claim
+# was made: a store's answer and a watch differ by some 10 ms.
+NOT_HOLDING_GRACE_S = 0.1
 # A host that has not seen any holder since it started leaves a shard free for
 # this long: its holder may live, and only its claim be gone with a store that
 # was away. Such a holder claims its shard again within 20 ms of the store's.
@@ -38,7 +41,7 @@
     # The highest revision at which this shard's claim was seen to change.
     self.revision = 0
     self.free_since: float | None = 0.0
-    self.refused = False
+    self.gone = False
     self.claiming_since: float | None = None
     self.claimed_at = -CLAIM_AGAIN_S
     self.stood_down_from = 0
@@ -77,15 +80,28 @@
     return
   candidate.holder = holder
   candidate.newcomer = False
-  candidate.refused = False
+  candidate.gone = False
   candidate.free_since = None
 
 
-def holder_refused(candidate: Candidate, now: float):
-  """Notes that nothing listens at the holder's address."""
-  if candidate.holder is not None and not candidate.refused:
-    candidate.refused = True
-    candidate.free_since = now
+def holder_gone(candidate: Candidate, now: float, grace_s: float = 0.0):
+  """Notes that the process that the store names as holder isn't one any more.
+
+  Args:
+    candidate: this host's part in the election.
+    now: the time (s).
+    grace_s: how long to leave it the shard all the same.
+  """
+  if candidate.holder is not None and not candidate.gone:
+    candidate.gone = True
+    candidate.free_since = now + grace_s
+
+
+def holder_present(candidate: Candidate):
+  """Notes that the holder was heard from: nothing to claim."""
+  if candidate.gone and candidate.claiming_since is None:
+    candidate.gone = False
+    candidate.free_since = None
 
 
 def decide(
--- /dev/null
+++ b/fescueturn/scheduler/figures.py
@@ -0,0 +1,151 @@
+"""Figures of a host for its metrics page, in Prometheus' text format.
+
+Counters and gauges are read off the scheduler's state when the page is asked
+for; latencies are observed as they happen. `docs/METRICS.md` lists them all.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterator
+
+import prometheus_client
+from prometheus_client import core
+from prometheus_client import registry as registry_lib
+
+from fescueturn.scheduler import ledger
+from fescueturn.scheduler import state as state_lib
+
+# From half the shortest task to the longest wait of a caller.
+JOB_BUCKETS_S = (0.03, 0.06, 0.12, 0.25, 0.5, 1.0, 2.0, 4.0)
+# From a round trip in a data centre to the longest time-out.
+CALL_BUCKETS_S = (0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.3, 1.0, 3.0)
+
+# Told of a call: to what, what came of it, and how long it took (s).
+Observer = Callable[[str, str, float], None]
+
+
+class Figures(registry_lib.Collector):
+  """A host's figures; `page` renders them."""
+
+  def __init__(self, state: state_lib.HostState):
+    self._state = state
+    self._registry = prometheus_client.CollectorRegistry()
+    self._registry.register(self)
+    self._jobs = prometheus_client.Histogram(
+        "fescueturn_job_seconds",
+        "From a job's arrival to its answer.",
+        ("queue", "outcome"),
+        registry=self._registry,
+        buckets=JOB_BUCKETS_S,
+    )
+    self._calls = prometheus_client.Histogram(
+        "fescueturn_call_seconds",
+        "Calls to what the host depends on, the wait asked for left out.",
+        ("dependency", "result"),
+        registry=self._registry,
+        buckets=CALL_BUCKETS_S,
+    )
+    self._config = prometheus_client.Gauge(
+        "fescueturn_config_version",
+        "Version of the configuration in force.",
+        registry=self._registry,
+    )
+
+  def job(self, queue: str, outcome: str, took_s: float):
+    """Notes a job answered."""
+    self._jobs.labels(queue, outcome).observe(took_s)
+
+  def call(self, dependency: str, result: str, took_s: float):
+    """Notes a call answered, or given up."""
+    self._calls.labels(dependency, result).observe(took_s)
+
+  def config(self, version: int):
+    """Notes the configuration in force."""
+    self._config.set(version)
+
+  def page(self) -> bytes:
+    """Returns the metrics page."""
+    return prometheus_client.generate_latest(self._registry)
+
+  def describe(self) -> list:
+    """Says that what `collect` yields is not known ahead."""
+    return []
+
+  def collect(self) -> Iterator[core.Metric]:
+    """Yields the counters and gauges in the scheduler's state."""
+    state = self._state
+    yield _counters("coordinator", state.coordinator.counters)
+    for owner in state.owners.values():
+      yield _counters("owner", owner.counters)
+    yield _gauge(
+        "jobs_coordinated",
+        "Jobs whose callers wait here.",
+        len(state.coordinator.jobs),
+    )
+    yield _gauge(
+        "jobs_owned",
+        "Jobs taken by this host's shards.",
+        sum(len(o.jobs) for o in state.owners.values()),
+    )
+    yield _gauge(
+        "tasks_waiting",
+        "Tasks that wait for room.",
+        sum(
+            len(j.waiting)
+            for o in state.owners.values()
+            for j in o.jobs.values()
+        ),
+    )
+    yield _endpoint_gauge(state)
+    yield _gauge(
+        "shards_owned", "Shards that this host holds.", len(state.owners)
+    )
+
+
+def _counters(part: str, counts) -> core.Metric:
+  family = core.CounterMetricFamily(
+      f"fescueturn_{part}",
+      f"Decisions of the {part}, by kind.",
+      labels=("what",),
+  )
+  for what, count in sorted(counts.items()):
+    family.add_metric((what,), count)
+  return family
+
+
+def _gauge(name: str, text: str, value: float) -> core.Metric:
+  return core.GaugeMetricFamily(f"fescueturn_{name}", text, value)
+
+
+def _endpoint_gauge(state: state_lib.HostState) -> core.Metric:
+  family = core.GaugeMetricFamily(
+      "fescueturn_endpoints", "Owned endpoints, by state.", labels=("state",)
+  )
+  records = [r for o in state.owners.values() for r in o.endpoints.values()]
+  for name, count in _count_states(records, state.now).items():
+    family.add_metric((name,), count)
+  return family
+
+
+def _count_states(
+    records: list[ledger.EndpointRecord], now: float
+) -> dict[str, int]:
+  counts = {
+      "usable": 0,
+      "draining": 0,
+      "silent": 0,
+      "left_out": 0,
+      "unknown": 0,
+  }
+  for record in records:
+    counts[_state_of(record, now)] += 1
+  return counts
+
+
+def _state_of(record: ledger.EndpointRecord, now: float) -> str:
+  if not record.known:
+    return "unknown"
+  if record.silent_since is not None:
+    return "silent"
+  if record.info.draining or not record.listed:
+    return "draining"
+  return "left_out" if record.out_until > now else "usable"
--- a/fescueturn/scheduler/host.py
+++ b/fescueturn/scheduler/host.py
@@ -35,7 +35,8 @@
     start: carries out a `StartRun`.
     stop: carries out a `StopRun`.
     renew: carries out a `RenewLease`.
-    claim: carries out a `ClaimShard`; the claims' watch tells what came of it.
+    claim: carries out a `ClaimShard`; returns the holder that this host now
+      is, or None if it isn't, or can't tell (the claims' watch will).
     release: carries out a `ReleaseShard`.
     owning: told whether this host owns a shard, whenever that changes.
   """
@@ -43,7 +44,7 @@
   start: Callable[[events.StartRun], Awaitable[events.StartAnswered]]
   stop: Callable[[events.StopRun], Awaitable[events.StopAnswered]]
   renew: Callable[[events.RenewLease], Awaitable[events.LeaseAnswered]]
-  claim: Callable[[events.ClaimShard], Awaitable[None]]
+  claim: Callable[[events.ClaimShard], Awaitable[model.Holder | None]]
   release: Callable[[events.ReleaseShard], Awaitable[None]]
   owning: Callable[[bool], Awaitable[None]]
 
@@ -184,7 +185,9 @@
 
   async def _claim(self, effect: events.ClaimShard):
     async def run():
-      await self._ports.claim(effect)
+      holder = await self._ports.claim(effect)
+      if holder is not None:
+        await self.apply(events.HolderChanged(effect.shard, holder))
       await self.apply(events.ClaimAnswered(effect.shard))
 
     await curio.spawn(run, daemon=True)
--- a/fescueturn/scheduler/reducer.py
+++ b/fescueturn/scheduler/reducer.py
@@ -100,7 +100,7 @@
   mine = events.Party(holder.host, holder.boot) == state.me.party
   if holder.host == state.me.party.host and not mine:
     # This host's own process of before, which is gone.
-    election.holder_refused(candidate, state.now)
+    election.holder_gone(candidate, state.now)
   owner = state.owners.get(event.shard)
   if not mine:
     if owner is not None and owner.fence < holder.fence:
@@ -123,7 +123,7 @@
 
 def _on_link_lost(state, event: events.LinkLost):
   if event.refused:
-    _holder_gone(state, event.shard, event.party)
+    _holder_gone(state, event.shard, event.party, 0.0)
   coordinator.link_lost(state.coordinator, event)
 
 
@@ -131,18 +131,21 @@
   pong = event.message if isinstance(event.message, events.Pong) else None
   if pong is not None and not pong.holding:
     # The holder stood down, or another process runs at its address.
-    _holder_gone(state, event.shard, event.party)
+    grace_s = election.NOT_HOLDING_GRACE_S
+    _holder_gone(state, event.shard, event.party, grace_s)
+  elif pong is not None and event.shard in state.candidates:
+    election.holder_present(state.candidates[event.shard])
   coordinator.heard(state.coordinator, event)
 
 
-def _holder_gone(state, shard: model.Shard, party: events.Party):
+def _holder_gone(state, shard, party: events.Party, grace_s: float):
   """The process that the store names as holder surely isn't one any more."""
   candidate = state.candidates.get(shard)
   holder = candidate.holder if candidate else None
   if holder is None or party == state.me.party:
     return
   if events.Party(holder.host, holder.boot) == party:
-    election.holder_refused(candidate, state.now)
+    election.holder_gone(candidate, state.now, grace_s)
 
 
 def _on_listed(state, event: events.EndpointsListed):
--- /dev/null
+++ b/tests/test_logs.py
@@ -0,0 +1,62 @@
+import os
+
+from loguru import logger
+
+from fescueturn import logs
+
+
+def sink_on_pipe(clock):
+  reader, writer = os.pipe()
+  sink = logs.BoundedSink(writer, lambda: clock[0])
+  logger.remove()
+  logger.configure(extra={"proc": "test"})
+  logger.add(sink.write, format="{message}")
+  return reader, sink
+
+
+def read_all(reader) -> list[str]:
+  os.set_blocking(reader, False)
+  data = b""
+  while True:
+    try:
+      data += os.read(reader, 1 << 20)
+    except BlockingIOError:
+      return data.decode().splitlines()
+
+
+def test_lines_above_the_rate_are_left_out_and_counted_by_event():
+  clock = [100.0]
+  reader, sink = sink_on_pipe(clock)
+  for number in range(1000):
+    logger.info("event=job_begun job={}", number)
+  logger.warning("event=store_lost what=config")
+  clock[0] += 1.0
+  sink.tick(clock[0])
+  lines = read_all(reader)
+  assert sum("job_begun job" in line for line in lines) == logs.BURST_LINES
+  assert "event=store_lost what=config" in lines
+  assert lines[-1] == "event=log_left_out lines=400 by_event=job_begun:400"
+  assert sink.left_out == 0
+
+
+def test_reader_that_stops_reading_stalls_nothing():
+  clock = [100.0]
+  reader, sink = sink_on_pipe(clock)
+  for number in range(20_000):
+    clock[0] += 1 / logs.LINES_PER_S
+    logger.info("event=job_answered job={} {}", number, "x" * 100)
+    sink.tick(clock[0])
+  assert sink.left_out > 0
+  for _ in range(20):
+    read_all(reader)
+    clock[0] += 0.1
+    sink.tick(clock[0])
+  assert sink.left_out == 0
+
+
+def test_reader_that_is_gone_stalls_nothing():
+  clock = [100.0]
+  reader, sink = sink_on_pipe(clock)
+  os.close(reader)
+  logger.info("event=started")
+  sink.tick(200.0)
--- a/tests/test_scheduler_fleet.py
+++ b/tests/test_scheduler_fleet.py
@@ -329,3 +329,30 @@
   assert made.answers[request].answer.outcome is model.Outcome.UNKNOWN
   made.clock.run_until(3.0)
   assert sum(len(e.running) for e in made.endpoints.values()) == 0
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_planned_stops_in_turn_start_no_task_twice(seed):
+  made = fleet(seed=seed)
+  hosts = list(made.hosts.values())
+  requests = load(made, hosts, 8, 70)
+  for number, zone in enumerate(ZONES * 2):
+    when = 1.5 + number
+
+    def stop(zone=zone):
+      owner = owner_of(made, zone)
+      owner.apply(events.DrainStarted())
+      hosts.remove(owner)
+
+      def restart():
+        assert owner.state.idle
+        made.kill(owner.name)
+        hosts.append(made.add_host(owner.name, zone))
+
+      made.clock.after(2.6, restart)
+
+    made.clock.at(when, stop)
+  made.clock.run_until(15)
+  assert made.broken == []
+  found = outcomes(made, requests)
+  assert found[model.Outcome.DONE] > 0.93 * len(requests)
