owner.py split by job; the store's reach stands once

Now: ownerstate (what it knows), orders (start and stop), outcomes (a run is over), leases (endpoints' answers), offers (jobs), owner (time); platform/reach.

--- a/fescueturn/platform/claims.py
+++ b/fescueturn/platform/claims.py
@@ -13,6 +13,7 @@
 
 from fescueturn import errors
 from fescueturn import settings
+from fescueturn.platform import reach
 from fescueturn.platform import store
 from fescueturn.scheduler import events
 from fescueturn.scheduler import model
@@ -26,29 +27,9 @@
 # A claim changes a few times a day; a watch of this length costs 0.2 calls a
 # second, and one that has gone silent is noticed when it is over.
 WATCH_MS = 5000
-# First and longest pause after a call that failed: the store answers some
-# 250 calls in the longest.
-RETRY_MIN_S = 0.1
-RETRY_MAX_S = 1.0
 _LEASE_GONE = "lease_gone"
 
 
-class Backoff:
-  """The pause after each call in a row that failed: doubles up to a limit."""
-
-  def __init__(self):
-    self._pause_s = RETRY_MIN_S
-
-  def reset(self):
-    """A call went well."""
-    self._pause_s = RETRY_MIN_S
-
-  async def wait(self):
-    """Waits the next pause."""
-    await curio.sleep(self._pause_s)
-    self._pause_s = min(RETRY_MAX_S, 2 * self._pause_s)
-
-
 def _key(shard: model.Shard) -> str:
   return f"{PREFIX}{shard.data_centre}/{shard.number}"
 
@@ -176,10 +157,9 @@
     shards: this host's shards, which are told of even while nobody holds them.
     on_holder: takes the changes.
   """
-  backoff = Backoff()
+  store_reach = reach.Reach("holders")
   known: set[model.Shard] = set(shards)
   revision = None
-  reached = True
   while True:
     try:
       if revision is None:
@@ -190,18 +170,12 @@
         for item in changes.items:
           known.add(_shard(item.key))
           await on_holder(_change(item))
-      backoff.reset()
-      if not reached:
-        logger.info("event=store_regained what=holders revision={}", revision)
-      reached = True
+      store_reach.found(revision)
     except store.HistoryGoneError:
-      logger.info("event=history_gone what=holders after={}", revision)
+      store_reach.history_gone(revision)
       revision = None
     except errors.KvError as exc:
-      if reached:
-        logger.warning('event=store_lost what=holders error="{}"', exc)
-      reached = False
-      await backoff.wait()
+      await store_reach.lost(exc)
 
 
 async def _read_all(client, known: set[model.Shard], on_holder) -> int:
--- a/fescueturn/platform/configuration.py
+++ b/fescueturn/platform/configuration.py
@@ -7,7 +7,7 @@
 from loguru import logger
 
 from fescueturn import errors
-from fescueturn.platform import claims
+from fescueturn.platform import reach
 from fescueturn.platform import store
 from fescueturn.scheduler import model
 
@@ -65,15 +65,14 @@
     on_config: Callable[[model.Config], Awaitable[None]],
 ):
   """Tells `on_config` of each configuration, for ever; none is told twice."""
-  backoff = claims.Backoff()
+  store_reach = reach.Reach("config")
   revision = None
-  reached = True
   while True:
     try:
       if revision is None:
         item = await client.get(KEY)
         if item is None:
-          await backoff.wait()
+          await store_reach.pause()
           continue
         revision = item.revision
         await _tell(item, on_config)
@@ -82,18 +81,12 @@
         revision = max(revision, changes.revision)
         if changes.items:
           await _tell(changes.items[-1], on_config)
-      backoff.reset()
-      if not reached:
-        logger.info("event=store_regained what=config revision={}", revision)
-      reached = True
+      store_reach.found(revision)
     except store.HistoryGoneError:
-      logger.info("event=history_gone what=config after={}", revision)
+      store_reach.history_gone(revision)
       revision = None
     except errors.KvError as exc:
-      if reached:
-        logger.warning('event=store_lost what=config error="{}"', exc)
-      reached = False
-      await backoff.wait()
+      await store_reach.lost(exc)
 
 
 async def _tell(item: store.Item, on_config):
--- a/fescueturn/platform/endpoints.py
+++ b/fescueturn/platform/endpoints.py
@@ -12,7 +12,7 @@
 from fescueturn import httpio
 from fescueturn import listener
 from fescueturn import settings
-from fescueturn.platform import claims
+from fescueturn.platform import reach
 from fescueturn.platform import store
 from fescueturn.scheduler import events
 from fescueturn.scheduler import figures
@@ -141,24 +141,15 @@
       self._owning.clear()
 
   async def _run(self):
-    backoff = claims.Backoff()
-    reached = True
+    store_reach = reach.Reach("endpoints")
     while True:
       await self._owning.wait()
       try:
         changes = await self._client.range(PREFIX)
       except errors.KvError as exc:
-        if reached:
-          logger.warning('event=store_lost what=endpoints error="{}"', exc)
-        reached = False
-        await backoff.wait()
+        await store_reach.lost(exc)
         continue
-      if not reached:
-        logger.info(
-            "event=store_regained what=endpoints revision={}", changes.revision
-        )
-      reached = True
-      backoff.reset()
+      store_reach.found(changes.revision)
       listed = self._list.update(changes.items, self._now())
       await self._on_list(events.EndpointsListed(listed))
       await curio.sleep(LIST_PERIOD_S)
--- a/fescueturn/scheduler/admission.py
+++ b/fescueturn/scheduler/admission.py
@@ -16,8 +16,8 @@
 # Part of its spare time that a job may be expected to wait. Run times are
 # guessed with an error of up to 40% either way, so that a job expected to end
 # just in time does so every other time, and a late answer is better than none.
-# At 0.8, 1.1 and 1.4 calm days earned 0.880, 0.934 and 0.915 (Altamaha) and
-# 0.957, 0.943 and 0.95 (Consortium), heavy ones 0.684, 0.672 and 0.667.
+# At 0.8, 1.1 and 1.4 a calm day at Altamaha earned 0.880, 0.934 and 0.915 of
+# what it could, a heavy one 0.684, 0.672 and 0.667 (one trial each).
 WAIT_SHARE = 1.0
 # A task whose estimate has passed is expected to end this soon: it has been
 # underestimated, and most of these end within a third of the estimate more.
--- /dev/null
+++ b/fescueturn/scheduler/leases.py
@@ -0,0 +1,287 @@
+"""An owner and its endpoints: their list, their leases, what runs there.
+
+Every answer of an endpoint comes in here. No endpoint is given more than its
+capacity, orders without an answer counted.
+"""
+
+from fescueturn.scheduler import events
+from fescueturn.scheduler import ledger
+from fescueturn.scheduler import model
+from fescueturn.scheduler import orders
+from fescueturn.scheduler import outcomes
+from fescueturn.scheduler import ownerstate
+
+# A lease call waits this long for an end; the next one then renews the lease
+# with 500 of its 800 ms left for a lost call and its repeat.
+LEASE_CALL_WAIT_MS = 300
+
+
+def endpoints_listed(
+    owner: ownerstate.Owner, listed: tuple[model.Endpoint, ...]
+):
+  """Takes the platform's list; new endpoints are asked what runs there."""
+  owner.all_endpoints = listed
+  own = {e.id: e for e in listed if e.data_centre == owner.shard.data_centre}
+  for name, info in own.items():
+    record = owner.endpoints.get(name)
+    if record is None:
+      record = ledger.EndpointRecord(info, owner.now)
+      owner.endpoints[name] = record
+      owner.out(ownerstate.endpoint_log("endpoint_seen", record))
+      call_lease(owner, record)
+      continue
+    if record.info.draining != info.draining or not record.listed:
+      owner.out(
+          ownerstate.endpoint_log("endpoint_changed", record, now=info.draining)
+      )
+    record.update(info)
+  for name, record in list(owner.endpoints.items()):
+    if name not in own and record.listed:
+      record.listed = False
+      owner.out(ownerstate.endpoint_log("endpoint_unlisted", record))
+    if not record.listed and not record.runs and not record.call_waits:
+      del owner.endpoints[name]
+  orders.place(owner)
+
+
+def call_lease(owner: ownerstate.Owner, record: ledger.EndpointRecord):
+  """Renews the endpoint's lease and asks for its runs, unless one is out."""
+  if record.call_waits:
+    return
+  record.call_number += 1
+  record.call_waits = True
+  record.call_sent_at = owner.now
+  owner.out(
+      events.RenewLease(
+          record.info,
+          record.call_number,
+          record.last_seen,
+          _lease_end(owner, record),
+          LEASE_CALL_WAIT_MS if record.known and record.runs else 0,
+          owner.fence,
+      )
+  )
+
+
+def _lease_end(owner, record) -> int | None:
+  """Returns the lease's new end, or None to let it be.
+
+  The lease of an endpoint that doesn't answer is left to run out, so that its
+  tasks can be run elsewhere; so is one where all runs are yet unknown, since
+  their coordinator may be dead.
+  """
+  wanted = any(run.need is not None for run in record.runs.values())
+  if not wanted or record.silent_since is not None:
+    return None
+  return record.extend_lease(owner.now)
+
+
+def lease_answered(owner: ownerstate.Owner, event: events.LeaseAnswered):
+  """Takes an endpoint's list of runs and ends."""
+  record = owner.endpoints.get(event.endpoint)
+  if record is None or event.number != record.call_number:
+    return
+  record.call_waits = False
+  record.note_clock(event.clock_ms, owner.now)
+  if event.result is model.CallResult.OK:
+    _take_lists(owner, record, event)
+  else:
+    _call_failed(owner, record, event.result)
+  orders.place(owner)
+
+
+def _take_lists(owner, record, event: events.LeaseAnswered):
+  newly_known = not record.known
+  record.known = True
+  for ended in event.ended:
+    if ended.number > record.last_seen:
+      record.last_seen = ended.number
+      _run_ended(owner, record, ended)
+  listed = {r.run for r in event.running}
+  for running in event.running:
+    _run_listed(owner, record, running)
+  for run in list(record.runs.values()):
+    shown = run.settled_at and event.number >= run.settled_at
+    if shown and run.id not in listed:
+      # It ended, and its end was acknowledged by an earlier holder's call.
+      outcomes.run_over(owner, record, run, model.EndHow.LOST, "not_listed")
+  if newly_known:
+    owner.out(ownerstate.endpoint_log("endpoint_known", record))
+  if record.runs:
+    call_lease(owner, record)
+
+
+def _run_listed(owner, record, running: model.Running):
+  run = record.runs.get(running.run)
+  if run is None:
+    run = ledger.Run(running.run, None, ledger.RunState.RUNNING, owner.now)
+    run.settled_at = record.call_number
+    record.add(run)
+    adopt(owner, record, run)
+  elif run.state in (ledger.RunState.ORDERED,):
+    run.state = ledger.RunState.RUNNING
+    run.settled_at = record.call_number
+  if running.percent > run.percent:
+    run.percent = running.percent
+    run.moved_at = owner.now
+
+
+def adopt(owner, record, run: ledger.Run):
+  """Gives a run found at an endpoint to its job, if that is known here."""
+  job = owner.by_id.get(run.id.task.job_id)
+  if job is None:
+    return
+  task = job.tasks.get(run.id.task)
+  if task is None or task.state is not ownerstate.TaskState.WAITING:
+    return
+  record.adopt(run, task.step.need, task.step.estimate_ms)
+  job.waiting.remove(task)
+  task.state = ownerstate.TaskState.ACTIVE
+  task.run = run.id
+  task.attempt = max(task.attempt, run.id.attempt)
+  task.endpoint = record.info.id
+  owner.counters["adopted"] += 1
+  call_lease(owner, record)
+  owner.out(ownerstate.run_log("run_adopted", record, run))
+
+
+def _run_ended(owner, record, ended: model.Ended):
+  run = record.runs.get(ended.run)
+  if run is None:
+    _end_of_unknown(owner, ended)
+    return
+  outcomes.run_over(owner, record, run, ended.how, "listed")
+
+
+def _end_of_unknown(owner, ended: model.Ended):
+  """Keeps an end whose job may still be offered after a takeover."""
+  owner.early_ends[ended.run.task] = ownerstate.EarlyEnd(
+      ended.run.attempt, ended.how, owner.now + ownerstate.EARLY_ENDS_KEEP_S
+  )
+
+
+def _call_failed(owner, record, result: model.CallResult):
+  """A lease call was not answered as it should be."""
+  if result is model.CallResult.FENCED:
+    _stand_down(owner, record)
+  elif result is model.CallResult.GONE:
+    endpoint_gone(owner, record)
+  elif result is model.CallResult.NOT_SENT:
+    _unreached(owner, record)
+  elif result is model.CallResult.NO_ANSWER:
+    _no_answer(owner, record, record.call_sent_at)
+  else:
+    record.back_off(owner.now)
+    record.call_later(owner.now)
+
+
+def _no_answer(owner, record, sent_at: float | None):
+  """A call got no answer: it was lost, or the endpoint is silent.
+
+  An endpoint that answered another call meanwhile has only lost this one.
+  """
+  if sent_at is not None and record.heard_at > sent_at:
+    owner.counters["calls_lost"] += 1
+    return
+  _unreached(owner, record)
+
+
+def _unreached(owner, record):
+  if record.silent_since is None:
+    owner.out(ownerstate.endpoint_log("endpoint_silent", record))
+  record.silent(owner.now)
+  record.back_off(owner.now)
+  record.call_later(owner.now)
+
+
+def _stand_down(owner, record):
+  """A host with a higher fence number holds the endpoint: stop at once."""
+  if not owner.fenced:
+    owner.fenced = True
+    owner.out(ownerstate.endpoint_log("fenced", record, fence=owner.fence))
+
+
+def endpoint_gone(owner, record):
+  """The machine runs another life by now: nothing of this one is left."""
+  owner.out(ownerstate.endpoint_log("endpoint_gone", record))
+  record.listed = False
+  for run in list(record.runs.values()):
+    outcomes.run_over(owner, record, run, model.EndHow.LOST, "endpoint_gone")
+  owner.endpoints.pop(record.info.id, None)
+
+
+def start_answered(owner: ownerstate.Owner, event: events.StartAnswered):
+  """Takes the answer to an order to start."""
+  record = owner.endpoints.get(event.endpoint)
+  run = record.runs.get(event.run) if record else None
+  if record is not None:
+    record.note_clock(event.clock_ms, owner.now)
+  if run is None:
+    return
+  if event.result is model.CallResult.OK:
+    if run.state is ledger.RunState.ORDERED:
+      run.state = ledger.RunState.RUNNING
+    run.settled_at = run.settled_at or record.call_number + 1
+    call_lease(owner, record)
+    return
+  _start_failed(owner, record, run, event.result)
+  orders.place(owner)
+
+
+def _start_failed(owner, record, run: ledger.Run, result: model.CallResult):
+  owner.counters[f"start_{result.value}"] += 1
+  owner.out(
+      events.log(
+          "start_failed",
+          job=run.id.task.job_id,
+          step=run.id.task.step,
+          task=run.id.task.index,
+          attempt=run.id.attempt,
+          endpoint=record.info.id,
+          result=result.value,
+          fence=owner.fence,
+      )
+  )
+  if result is model.CallResult.FENCED:
+    _stand_down(owner, record)
+    return
+  if result is model.CallResult.GONE:
+    endpoint_gone(owner, record)
+    return
+  if result is model.CallResult.NO_ANSWER:
+    _no_answer(owner, record, run.since)
+    if run.state is ledger.RunState.ORDERED:
+      run.state = ledger.RunState.UNSURE
+    orders.stop(owner, record, run)
+    return
+  if result is model.CallResult.NOT_SENT:
+    _unreached(owner, record)
+  elif result is not model.CallResult.LATE:
+    record.back_off(owner.now)
+  if run.state is ledger.RunState.ORDERED:
+    outcomes.run_over(owner, record, run, model.EndHow.LOST, result.value)
+
+
+def stop_answered(owner: ownerstate.Owner, event: events.StopAnswered):
+  """Takes the answer to an order to stop."""
+  record = owner.endpoints.get(event.endpoint)
+  if record is None:
+    return
+  record.note_clock(event.clock_ms, owner.now)
+  run = record.runs.get(event.run)
+  if event.result is model.CallResult.OK:
+    if run is not None:
+      # The next call shows it running, ended or not there at all.
+      run.state = ledger.RunState.STOPPING
+      run.settled_at = record.call_number + 1
+      run.stop_sent_at = None
+    call_lease(owner, record)
+    return
+  if event.result is model.CallResult.FENCED:
+    _stand_down(owner, record)
+  elif event.result is model.CallResult.GONE:
+    endpoint_gone(owner, record)
+  elif event.result is model.CallResult.NOT_SENT:
+    _unreached(owner, record)
+  elif event.result is model.CallResult.NO_ANSWER and run is not None:
+    _no_answer(owner, record, run.stop_sent_at)
--- /dev/null
+++ b/fescueturn/scheduler/orders.py
@@ -0,0 +1,116 @@
+"""An owner's orders: which waiting task starts where, and what is stopped."""
+
+from fescueturn.scheduler import events
+from fescueturn.scheduler import ledger
+from fescueturn.scheduler import model
+from fescueturn.scheduler import ownerstate
+
+# A task is not started again when its caller waits no longer than this.
+MIN_LEFT_S = 0.02
+
+
+def place(owner: ownerstate.Owner):
+  """Starts waiting tasks wherever there is room, most urgent jobs first."""
+  if owner.fenced:
+    return
+  usable = [r for r in owner.endpoints.values() if r.usable(owner.now)]
+  if not usable:
+    return
+  waiting = [job for job in owner.jobs.values() if job.waiting]
+  waiting.sort(key=lambda job: job.latest_start)
+  for job in waiting:
+    if job.deadline - owner.now < MIN_LEFT_S:
+      continue
+    if job.resumed and not owner.settled:
+      continue
+    for task in list(job.waiting):
+      if task.previous is not None:
+        continue
+      record = _choose(owner, job, task, usable)
+      if record is None:
+        break
+      _start(owner, job, task, record)
+
+
+def _choose(owner, job, task: ownerstate.TaskRecord, usable):
+  """Returns the quickest endpoint with room for the task, or None."""
+  del owner
+  step = task.step
+  best, best_rank = None, None
+  for record in usable:
+    if record.info.service != job.job.service or not record.fits(step.need):
+      continue
+    if step.requires and step.requires not in record.info.labels:
+      continue
+    if step.most_per_endpoint and _of_step(record, task) >= (
+        step.most_per_endpoint
+    ):
+      continue
+    near = not step.near or step.near in record.info.labels
+    rank = (not near, round(record.slowness, 1), -record.free.cpu)
+    if best is None or rank < best_rank:
+      best, best_rank = record, rank
+  return best
+
+
+def _of_step(record, task: ownerstate.TaskRecord) -> int:
+  """Returns how many tasks of the same step the endpoint has."""
+  of_step = (task.task.job_id, task.task.step)
+  return sum((r.task.job_id, r.task.step) == of_step for r in record.runs)
+
+
+def _start(
+    owner, job: ownerstate.JobRecord, task: ownerstate.TaskRecord, record
+):
+  deadline_ms = record.extend_lease(owner.now)
+  task.attempt += 1
+  run_id = model.RunId(task.task, task.attempt)
+  run = ledger.Run(
+      run_id,
+      task.step.need,
+      ledger.RunState.ORDERED,
+      owner.now,
+      task.step.estimate_ms,
+      deadline_ms,
+  )
+  record.add(run)
+  job.waiting.remove(task)
+  task.state = ownerstate.TaskState.ACTIVE
+  task.run = run_id
+  task.endpoint = record.info.id
+  if not job.begun:
+    job.begun = True
+    waited_ms = int((owner.now - job.arrived) * 1000)
+    owner.out(
+        events.log(
+            "job_begun",
+            job=job.job.id,
+            coordinator=job.key.party.host,
+            waited_ms=waited_ms,
+            fence=owner.fence,
+        )
+    )
+  owner.counters["starts"] += 1
+  owner.out(
+      events.StartRun(
+          record.info, run_id, job.job.spec, deadline_ms, owner.fence
+      )
+  )
+
+
+def stop(owner, record, run: ledger.Run):
+  """Orders a run to stop; it frees its room once its end is listed."""
+  if run.state is not ledger.RunState.UNSURE:
+    run.state = ledger.RunState.STOPPING
+  run.settled_at = 0
+  run.stop_sent_at = owner.now
+  owner.counters["stops"] += 1
+  owner.out(events.StopRun(record.info, run.id, owner.fence))
+
+
+def stop_task(owner, task: ownerstate.TaskRecord):
+  """Orders a task's run to stop, unless that was done already."""
+  record = owner.endpoints.get(task.endpoint)
+  run = record.runs.get(task.run) if record else None
+  if run is not None and run.state is not ledger.RunState.STOPPING:
+    stop(owner, record, run)
--- /dev/null
+++ b/fescueturn/scheduler/outcomes.py
@@ -0,0 +1,110 @@
+"""What follows when a run is over: for its room, its task and its job.
+
+A task has one run at a time: another starts only when the one before has
+ended, surely will never start, or its lease is over.
+"""
+
+from fescueturn.scheduler import events
+from fescueturn.scheduler import ledger
+from fescueturn.scheduler import model
+from fescueturn.scheduler import orders
+from fescueturn.scheduler import ownerstate
+
+
+def run_over(owner, record, run: ledger.Run, how: model.EndHow, why: str):
+  """A run surely goes on no longer: frees its room, settles its task."""
+  record.remove(run.id)
+  if how is model.EndHow.DONE:
+    record.run_done(run, owner.now)
+  elif how is model.EndHow.FAILED and record.run_failed(
+      run.id.task.job_id, owner.now
+  ):
+    owner.counters["ejected"] += 1
+    owner.out(
+        ownerstate.endpoint_log(
+            "endpoint_ejected",
+            record,
+            for_s=round(record.out_until - owner.now, 2),
+        )
+    )
+  job = owner.by_id.get(run.id.task.job_id)
+  task = job.tasks.get(run.id.task) if job else None
+  if task is None:
+    return
+  if task.previous == run.id:
+    task.previous = None
+  if task.run != run.id:
+    return
+  if how is not model.EndHow.DONE:
+    owner.out(
+        ownerstate.run_log("run_ended", record, run, how=how.value, why=why)
+    )
+  _task_over(owner, job, task, how)
+
+
+def _task_over(
+    owner,
+    job: ownerstate.JobRecord,
+    task: ownerstate.TaskRecord,
+    how: model.EndHow,
+):
+  owner.counters[f"run_{how.value}"] += 1
+  if how is model.EndHow.DONE:
+    job.task_done(task)
+    if job.done:
+      end_job(owner, job, model.Outcome.DONE, "done")
+    return
+  if how is model.EndHow.FAILED:
+    task.failures += 1
+    if task.failures >= job.job.attempts:
+      end_job(owner, job, model.Outcome.FAILED, "attempts_used")
+      return
+  job.task_waits(task)
+
+
+def give_task_back(owner, record, run: ledger.Run):
+  """Frees a task whose run is surely over by its lease.
+
+  The run keeps its room: an order that was never answered may still be
+  carried out there, and only the endpoint can say.
+  """
+  job = owner.by_id.get(run.id.task.job_id)
+  task = job.tasks.get(run.id.task) if job else None
+  if task is not None and task.previous == run.id:
+    task.previous = None
+  if task is None or task.run != run.id:
+    return
+  owner.out(
+      ownerstate.run_log("run_ended", record, run, how="lost", why="lapsed")
+  )
+  run.given_back = True
+  if run.state is not ledger.RunState.STOPPING:
+    run.state = ledger.RunState.UNSURE
+    orders.stop(owner, record, run)
+  _task_over(owner, job, task, model.EndHow.LOST)
+
+
+def end_job(
+    owner, job: ownerstate.JobRecord, outcome: model.Outcome | None, why: str
+):
+  """Ends a job: stops what runs, tells the coordinator unless it knows."""
+  owner.jobs.pop(job.key, None)
+  if owner.by_id.get(job.job.id) is job:
+    del owner.by_id[job.job.id]
+  for task in job.tasks.values():
+    if task.run is not None:
+      orders.stop_task(owner, task)
+  owner.counters[f"job_{why}"] += 1
+  if outcome is not model.Outcome.DONE:
+    owner.out(
+        events.log(
+            "job_over",
+            job=job.job.id,
+            coordinator=job.key.party.host,
+            why=why,
+            begun=job.begun,
+            age_ms=int((owner.now - job.arrived) * 1000),
+        )
+    )
+  if outcome is not None:
+    owner.tell(job.key.party, events.JobEnded(job.key, outcome, why))
--- /dev/null
+++ b/fescueturn/scheduler/ownerstate.py
@@ -0,0 +1,199 @@
+"""What the owner of a shard knows: its endpoints and the jobs it took."""
+
+import collections
+import dataclasses
+import enum
+
+from fescueturn.scheduler import events
+from fescueturn.scheduler import ledger
+from fescueturn.scheduler import model
+
+# Ends found on taking over, of runs whose job is not known yet, are kept
+# until the coordinators have offered their jobs.
+EARLY_ENDS_KEEP_S = 2.0
+# Tasks that an earlier holder had and that are not found running wait this
+# long: the list of endpoints may lack some whose entries have lapsed with a
+# store that was away. The earlier holder is fenced off at its next lease call
+# (within 0.5 s), and the last lease it asked for lasts 0.84 s more.
+SETTLE_S = 1.5
+
+
+class TaskState(enum.Enum):
+  """Where a task of an accepted job stands."""
+
+  BLOCKED = "blocked"
+  WAITING = "waiting"
+  # One run of it is ordered, at work or being settled.
+  ACTIVE = "active"
+  DONE = "done"
+
+
+class TaskRecord:
+  """One task of an accepted job."""
+
+  def __init__(self, task: model.Task, step: model.Step):
+    self.task = task
+    self.step = step
+    self.state = TaskState.BLOCKED
+    self.attempt = 0
+    self.failures = 0
+    self.run: model.RunId | None = None
+    self.endpoint = ""
+    # A run of an earlier try at the job that may still go on.
+    self.previous: model.RunId | None = None
+
+  @property
+  def estimate_s(self) -> float:
+    """How long it is expected to run."""
+    return self.step.estimate_ms / 1000
+
+
+class JobRecord:
+  """An accepted job.
+
+  Attributes:
+    key: the job and its coordinator.
+    job: what to run.
+    arrived: when it reached its coordinator, on this host's clock (s).
+    deadline: when its caller stops waiting (s).
+    latest_start: its place in the queue: when its first tasks should start.
+    tasks: its tasks by name.
+    resumed: True if an earlier holder, or an earlier try, had it.
+    begun: True once a run of it was ordered.
+  """
+
+  def __init__(self, offer: events.Offered, now: float, latest_start: float):
+    self.key = offer.key
+    self.job = offer.job
+    self.arrived = now - offer.age_s
+    self.deadline = now + offer.left_s
+    self.latest_start = latest_start
+    self.resumed = offer.resumed
+    self.begun = offer.resumed
+    self.tasks: dict[model.Task, TaskRecord] = {}
+    self.waiting: list[TaskRecord] = []
+    self.left = [step.count for step in self.job.steps]
+    for number, step in enumerate(self.job.steps):
+      for index in range(step.count):
+        task = model.Task(self.job.id, number, index)
+        self.tasks[task] = TaskRecord(task, step)
+    self.release_steps()
+
+  @property
+  def done(self) -> bool:
+    """True when every task has ended well."""
+    return not any(self.left)
+
+  def release_steps(self):
+    """Makes the tasks wait whose earlier steps are all done."""
+    for record in self.tasks.values():
+      if record.state is TaskState.BLOCKED and not any(
+          self.left[i] for i in record.step.after
+      ):
+        record.state = TaskState.WAITING
+        self.waiting.append(record)
+
+  def task_done(self, record: TaskRecord):
+    """Notes a task that ended well."""
+    if record.state is TaskState.WAITING:
+      self.waiting.remove(record)
+    record.state = TaskState.DONE
+    record.run = None
+    self.left[record.task.step] -= 1
+    if not self.left[record.task.step]:
+      self.release_steps()
+
+  def task_waits(self, record: TaskRecord):
+    """Has a task wait for another run."""
+    record.state = TaskState.WAITING
+    record.run = None
+    self.waiting.insert(0, record)
+
+
+@dataclasses.dataclass(frozen=True)
+class EarlyEnd:
+  """An end listed before its job was known here."""
+
+  attempt: int
+  how: model.EndHow
+  until: float
+
+
+class Owner:
+  """The state of one shard's owner; lives from claim to loss of the shard."""
+
+  def __init__(self, shard: model.Shard, fence: int, now: float):
+    self.shard = shard
+    self.fence = fence
+    self.now = now
+    self.endpoints: dict[str, ledger.EndpointRecord] = {}
+    self.all_endpoints: tuple[model.Endpoint, ...] = ()
+    self.jobs: dict[events.JobKey, JobRecord] = {}
+    self.by_id: dict[str, JobRecord] = {}
+    self.heard: dict[events.Party, float] = {}
+    self.early_ends: dict[model.Task, EarlyEnd] = {}
+    self.fenced = False
+    self.patient_until = now
+    self.taken_at = now
+    self.counters: collections.Counter[str] = collections.Counter()
+    self.effects: list[events.Effect] = []
+
+  @property
+  def settled(self) -> bool:
+    """True once all that an earlier holder started is known, or over."""
+    return self.now - self.taken_at > SETTLE_S
+
+  def out(self, *effects: events.Effect):
+    """Adds effects to carry out."""
+    self.effects += effects
+
+  def take_effects(self) -> list[events.Effect]:
+    """Returns the effects gathered since the last call."""
+    effects, self.effects = self.effects, []
+    return effects
+
+  def tell(self, party: events.Party, message):
+    """Has a message sent to a coordinator."""
+    self.out(events.TellCoordinator(party, self.shard, message))
+
+  def snapshot(self) -> dict:
+    """Returns a JSON-ready dump."""
+    return {
+        "shard": [self.shard.data_centre, self.shard.number],
+        "fence": self.fence,
+        "jobs": len(self.jobs),
+        "waiting_tasks": sum(len(j.waiting) for j in self.jobs.values()),
+        "coordinators": {
+            p.host: round(self.now - at, 3) for p, at in self.heard.items()
+        },
+        "endpoints": {
+            name: record.snapshot(self.now)
+            for name, record in sorted(self.endpoints.items())
+        },
+        "counters": dict(self.counters),
+    }
+
+
+def endpoint_log(event: str, record: ledger.EndpointRecord, **fields):
+  """Returns a log line about an endpoint."""
+  return events.log(
+      event,
+      endpoint=record.info.id,
+      draining=record.info.draining,
+      runs=len(record.runs),
+      **fields,
+  )
+
+
+def run_log(event: str, record, run: ledger.Run, **fields):
+  """Returns a log line about a run."""
+  task = run.id.task
+  return events.log(
+      event,
+      job=task.job_id,
+      step=task.step,
+      task=task.index,
+      attempt=run.id.attempt,
+      endpoint=record.info.id,
+      **fields,
+  )
--- a/fescueturn/scheduler/reducer.py
+++ b/fescueturn/scheduler/reducer.py
@@ -7,8 +7,11 @@
 from fescueturn.scheduler import coordinator
 from fescueturn.scheduler import election
 from fescueturn.scheduler import events
+from fescueturn.scheduler import leases
 from fescueturn.scheduler import model
+from fescueturn.scheduler import offers
 from fescueturn.scheduler import owner as owner_lib
+from fescueturn.scheduler import ownerstate
 from fescueturn.scheduler import state as state_lib
 
 # A tick that comes this late shows that the process stood still, so that the
@@ -39,7 +42,7 @@
   return effects + extra
 
 
-def _stand_down(state, owner: owner_lib.Owner, why: str):
+def _stand_down(state, owner: ownerstate.Owner, why: str):
   """Gives up ownership at once; its coordinators wait for the next holder."""
   for party in owner.heard:
     owner.tell(party, events.Pong(holding=False))
@@ -114,7 +117,7 @@
 def _take_shard(state, shard: model.Shard, fence: int) -> list:
   # A list from before may show endpoints as ready that are draining by now;
   # the shell fetches a fresh one as soon as a shard is owned.
-  state.owners[shard] = owner_lib.Owner(shard, fence, state.now)
+  state.owners[shard] = ownerstate.Owner(shard, fence, state.now)
   return [events.log("shard_taken", data_centre=shard.data_centre, fence=fence)]
 
 
@@ -147,7 +150,7 @@
 
 def _on_listed(state, event: events.EndpointsListed):
   for owner in state.owners.values():
-    owner_lib.endpoints_listed(owner, event.endpoints)
+    leases.endpoints_listed(owner, event.endpoints)
 
 
 def _on_offered(state, event: events.Offered) -> list:
@@ -160,7 +163,7 @@
         events.TellCoordinator(party, event.shard, decline),
         _not_holding(party, event.shard),
     ]
-  owner_lib.offered(owner, event)
+  offers.offered(owner, event)
   return []
 
 
@@ -171,7 +174,7 @@
 def _on_withdrawn(state, event: events.Withdrawn):
   owner = state.owners.get(event.shard)
   if owner is not None:
-    owner_lib.withdrawn(owner, event.key)
+    offers.withdrawn(owner, event.key)
 
 
 def _on_ping(state, event: events.Ping) -> list:
@@ -257,9 +260,9 @@
     events.Offered: _on_offered,
     events.Withdrawn: _on_withdrawn,
     events.Ping: _on_ping,
-    events.StartAnswered: _for_endpoint(owner_lib.start_answered),
-    events.StopAnswered: _for_endpoint(owner_lib.stop_answered),
-    events.LeaseAnswered: _for_endpoint(owner_lib.lease_answered),
+    events.StartAnswered: _for_endpoint(leases.start_answered),
+    events.StopAnswered: _for_endpoint(leases.stop_answered),
+    events.LeaseAnswered: _for_endpoint(leases.lease_answered),
     events.Tick: _on_tick,
     events.ClaimAnswered: _on_claim_answered,
     events.DrainStarted: _on_drain,
--- a/fescueturn/scheduler/state.py
+++ b/fescueturn/scheduler/state.py
@@ -6,7 +6,7 @@
 from fescueturn.scheduler import election
 from fescueturn.scheduler import events
 from fescueturn.scheduler import model
-from fescueturn.scheduler import owner
+from fescueturn.scheduler import ownerstate
 
 
 @dataclasses.dataclass(frozen=True)
@@ -36,7 +36,7 @@
     self.candidates = {
         shard: election.Candidate(shard, me.party.host) for shard in me.shards
     }
-    self.owners: dict[model.Shard, owner.Owner] = {}
+    self.owners: dict[model.Shard, ownerstate.Owner] = {}
 
   @property
   def idle(self) -> bool:
