--- a/fescueturn/scheduler/coordinator.py
+++ b/fescueturn/scheduler/coordinator.py
@@ -6,10 +6,9 @@
 same shard gets it with its running tasks, or the job is given up.
 """
 
-import collections
-import enum
 import zlib
 
+from fescueturn.scheduler import coordinatorstate
 from fescueturn.scheduler import events
 from fescueturn.scheduler import model
 
@@ -35,125 +34,14 @@
 RETRY_AFTER_S = 1
 
 
-class Phase(enum.Enum):
-  """How far a coordinator is with a job."""
-
-  # No holder is there to take it; nothing of it has begun.
-  HELD = "held"
-  OFFERED = "offered"
-  ACCEPTED = "accepted"
-  # Its holder is lost; the job waits for the shard's next one.
-  ORPHANED = "orphaned"
-
-
-_AT_HOLDER = (Phase.OFFERED, Phase.ACCEPTED)
-
-
-class JobRecord:
-  """A caller's job on its way to an answer.
-
-  Attributes:
-    request_id: the caller's request.
-    key: the job, in this host's hands.
-    arrived: when it came (s).
-    deadline: when its caller stops waiting (s).
-    phase: how far it is.
-    shard: whose holder has or had it.
-    party: which process that was.
-    offers: how often it was offered.
-    orphaned_at: when its holder was lost (s).
-    tried: shards that declined it.
-    maybe_begun: True once a holder may have started a task.
-  """
-
-  def __init__(self, request_id, key, job, now, deadline_s, trace):
-    self.request_id: int = request_id
-    self.key: events.JobKey = key
-    self.job: model.Job = job
-    self.arrived: float = now
-    self.deadline: float = now + deadline_s
-    self.trace: str = trace
-    self.phase = Phase.OFFERED
-    self.shard: model.Shard | None = None
-    self.party: events.Party | None = None
-    self.offers = 0
-    self.orphaned_at = 0.0
-    self.tried: set[model.Shard] = set()
-    self.maybe_begun = False
-    self.reason = ""
-    self.wait_ms = 0
-
-
-class HolderRecord:
-  """What is known of a shard's holder, from the store and its messages."""
-
-  def __init__(self, holder: model.Holder, now: float):
-    self.holder = holder
-    self.heard_at = now
-    self.lost = False
-
-  @property
-  def party(self) -> events.Party:
-    """The holder's process."""
-    return events.Party(self.holder.host, self.holder.boot)
-
-
-class Coordinator:
-  """The state of a host's coordinator."""
-
-  def __init__(self, me: events.Party, data_centre: str):
-    self.me = me
-    self.data_centre = data_centre
-    self.now = 0.0
-    self.draining = False
-    self.holders: dict[model.Shard, HolderRecord] = {}
-    self.jobs: dict[str, JobRecord] = {}
-    self.by_request: dict[int, JobRecord] = {}
-    self.pinged_at = 0.0
-    self.counters: collections.Counter[str] = collections.Counter()
-    self.effects: list[events.Effect] = []
-
-  def out(self, *effects: events.Effect):
-    """Adds effects to carry out."""
-    self.effects += effects
-
-  def take_effects(self) -> list[events.Effect]:
-    """Returns the effects gathered since the last call."""
-    effects, self.effects = self.effects, []
-    return effects
-
-  def tell(self, shard: model.Shard, message):
-    """Has a message sent to a shard's holder."""
-    self.out(events.TellHolder(shard, self.holders[shard].holder, message))
-
-  def snapshot(self) -> dict:
-    """Returns a JSON-ready dump."""
-    return {
-        "jobs": {
-            phase.value: sum(j.phase is phase for j in self.jobs.values())
-            for phase in Phase
-        },
-        "holders": {
-            f"{shard.data_centre}/{shard.number}": {
-                "host": record.holder.host,
-                "fence": record.holder.fence,
-                "heard_s_ago": round(self.now - record.heard_at, 3),
-                "lost": record.lost,
-            }
-            for shard, record in self.holders.items()
-        },
-        "counters": dict(self.counters),
-    }
-
-
-def job_arrived(state: Coordinator, event: events.JobArrived):
+def job_arrived(state: coordinatorstate.Coordinator, event: events.JobArrived):
   """Takes a caller's job and offers it."""
   earlier = state.jobs.get(event.job.id)
   if earlier is not None:
     # The caller sent the job again: the newer request gets the answer.
     _answer(state, earlier, model.Outcome.UNKNOWN, "sent_again", keep=True)
   key = events.JobKey(state.me, event.job.id)
-  record = JobRecord(
+  record = coordinatorstate.JobRecord(
       event.request_id, key, event.job, state.now, event.deadline_s, event.trace
   )
   if earlier is not None:
@@ -163,7 +51,11 @@
   _offer_next(state, record)
 
 
-def _continue(state, record: JobRecord, earlier: JobRecord):
+def _continue(
+    state,
+    record: coordinatorstate.JobRecord,
+    earlier: coordinatorstate.JobRecord,
+):
   """A job sent again goes on where its first request was."""
   earlier.request_id = record.request_id
   earlier.trace = record.trace
@@ -171,7 +63,7 @@
   state.counters["joined"] += 1
 
 
-def _register(state, record: JobRecord):
+def _register(state, record: coordinatorstate.JobRecord):
   state.jobs[record.job.id] = record
   state.by_request[record.request_id] = record
   state.counters["jobs"] += 1
@@ -192,7 +84,7 @@
   )
 
 
-def _offer_next(state, record: JobRecord):
+def _offer_next(state, record: coordinatorstate.JobRecord):
   """Offers the job to the next holder, or refuses it."""
   shard = _next_shard(state, record)
   if shard is not None:
@@ -200,14 +92,16 @@
   elif record.reason or record.maybe_begun:
     _answer(state, record, _unserved(record), record.reason or "no_holder")
   else:
-    record.phase = Phase.HELD
+    record.phase = coordinatorstate.Phase.HELD
 
 
-def _unserved(record: JobRecord) -> model.Outcome:
+def _unserved(record: coordinatorstate.JobRecord) -> model.Outcome:
   return model.Outcome.UNKNOWN if record.maybe_begun else model.Outcome.NOT_RUN
 
 
-def _next_shard(state, record: JobRecord) -> model.Shard | None:
+def _next_shard(
+    state, record: coordinatorstate.JobRecord
+) -> model.Shard | None:
   """Returns the nearest shard that has not declined the job yet."""
   open_shards = [
       s for s in state.holders if s not in record.tried and _usable(state, s)
@@ -223,14 +117,17 @@
   )
 
 
-def _offer(state, record: JobRecord, shard: model.Shard, resumed: bool):
+def _offer(
+    state, record: coordinatorstate.JobRecord, shard: model.Shard, resumed: bool
+):
   holder = state.holders[shard]
   if not _expects_word(state, shard):
     holder.heard_at = state.now
   record.shard = shard
   record.party = holder.party
-  record.phase = Phase.OFFERED
+  record.phase = coordinatorstate.Phase.OFFERED
   record.offers += 1
+  state.out(_offer_log(state, record, holder, resumed))
   state.tell(
       shard,
       events.Offered(
@@ -245,7 +142,29 @@
   )
 
 
-def heard(state: Coordinator, event: events.Heard):
+def _offer_log(
+    state,
+    record: coordinatorstate.JobRecord,
+    holder: coordinatorstate.HolderRecord,
+    resumed: bool,
+):
+  return events.log(
+      "job_offered",
+      job=record.job.id,
+      request=record.trace,
+      queue=record.job.queue,
+      data_centre=record.shard.data_centre,
+      holder=holder.holder.host,
+      fence=holder.holder.fence,
+      holder_heard_ms_ago=int((state.now - holder.heard_at) * 1000),
+      offer=record.offers,
+      may_have_begun=resumed,
+      age_ms=int((state.now - record.arrived) * 1000),
+      left_ms=int((record.deadline - state.now) * 1000),
+  )
+
+
+def heard(state: coordinatorstate.Coordinator, event: events.Heard):
   """Takes a message from a holder."""
   holder = state.holders.get(event.shard)
   if holder is None or holder.party != event.party:
@@ -263,7 +182,9 @@
   _ON_MESSAGE[type(message)](state, record, message)
 
 
-def _ponged(state, shard, holder: HolderRecord, message: events.Pong):
+def _ponged(
+    state, shard, holder: coordinatorstate.HolderRecord, message: events.Pong
+):
   if not message.holding:
     _holder_lost(state, shard, "stood_down")
     return
@@ -285,14 +206,17 @@
 def _offer_orphans(state, shard: model.Shard):
   """Offers the shard's holder, which is alive, jobs that still wait for it."""
   for record in list(state.jobs.values()):
-    if record.shard == shard and record.phase is Phase.ORPHANED:
+    if (
+        record.shard == shard
+        and record.phase is coordinatorstate.Phase.ORPHANED
+    ):
       _offer(state, record, shard, resumed=True)
 
 
 def _offer_again(state, shard: model.Shard):
   """Offers the shard's holder the jobs that an earlier one had."""
   for record in list(state.jobs.values()):
-    if record.phase is Phase.HELD:
+    if record.phase is coordinatorstate.Phase.HELD:
       _offer(state, record, shard, resumed=False)
     elif record.shard == shard:
       # An offer without an answer may have been taken up by that holder.
@@ -300,16 +224,20 @@
       _offer(state, record, shard, resumed=True)
 
 
-def _accepted(state, record: JobRecord, message: events.Accepted):
+def _accepted(
+    state, record: coordinatorstate.JobRecord, message: events.Accepted
+):
   del state
   if message.number != record.offers:
     return
-  record.phase = Phase.ACCEPTED
+  record.phase = coordinatorstate.Phase.ACCEPTED
   record.maybe_begun = True
   record.orphaned_at = 0.0
 
 
-def _declined(state, record: JobRecord, message: events.Declined):
+def _declined(
+    state, record: coordinatorstate.JobRecord, message: events.Declined
+):
   if message.number != record.offers:
     # A later offer to the same holder may have been accepted.
     return
@@ -325,7 +253,9 @@
   _offer_next(state, record)
 
 
-def _job_ended(state, record: JobRecord, message: events.JobEnded):
+def _job_ended(
+    state, record: coordinatorstate.JobRecord, message: events.JobEnded
+):
   _answer(state, record, message.outcome, message.reason)
 
 
@@ -338,7 +268,7 @@
 
 def _answer(
     state,
-    record: JobRecord,
+    record: coordinatorstate.JobRecord,
     outcome: model.Outcome,
     reason: str,
     keep: bool = False,
@@ -367,7 +297,7 @@
     state.jobs.pop(record.job.id, None)
 
 
-def caller_gone(state: Coordinator, request_id: int):
+def caller_gone(state: coordinatorstate.Coordinator, request_id: int):
   """The caller hung up: nobody wants the job any more."""
   record = state.by_request.pop(request_id, None)
   if record is None:
@@ -386,13 +316,13 @@
   _withdraw(state, record)
 
 
-def _withdraw(state, record: JobRecord):
+def _withdraw(state, record: coordinatorstate.JobRecord):
   holder = state.holders.get(record.shard) if record.shard else None
   if holder is not None and holder.party == record.party:
     state.tell(record.shard, events.Withdrawn(record.shard, record.key))
 
 
-def job_cancelled(state: Coordinator, job_id: str):
+def job_cancelled(state: coordinatorstate.Coordinator, job_id: str):
   """The caller cancelled the job."""
   record = state.jobs.get(job_id)
   if record is not None:
@@ -400,22 +330,24 @@
     _answer(state, record, model.Outcome.UNKNOWN, "cancelled")
 
 
-def give_up_all(state: Coordinator):
+def give_up_all(state: coordinatorstate.Coordinator):
   """Answers every caller that still waits: this process ends."""
   for record in list(state.jobs.values()):
     _withdraw(state, record)
     _answer(state, record, _unserved(record), "stopping")
 
 
-def pending(state: Coordinator, queue: str) -> int:
+def pending(state: coordinatorstate.Coordinator, queue: str) -> int:
   """Returns how many of a queue's jobs here no holder has taken yet."""
   return sum(
-      job.job.queue == queue and job.phase is Phase.OFFERED
+      job.job.queue == queue and job.phase is coordinatorstate.Phase.OFFERED
       for job in state.jobs.values()
   )
 
 
-def holder_changed(state: Coordinator, event: events.HolderChanged):
+def holder_changed(
+    state: coordinatorstate.Coordinator, event: events.HolderChanged
+):
   """The store names another holder of a shard."""
   before = state.holders.get(event.shard)
   if event.holder is None:
@@ -424,7 +356,7 @@
     return
   if before is not None and before.holder.fence >= event.holder.fence:
     return
-  after = HolderRecord(event.holder, state.now)
+  after = coordinatorstate.HolderRecord(event.holder, state.now)
   state.holders[event.shard] = after
   state.out(
       events.log(
@@ -438,12 +370,14 @@
     _offer_again(state, event.shard)
 
 
-def alive(state: Coordinator, record: HolderRecord) -> bool:
+def alive(
+    state: coordinatorstate.Coordinator, record: coordinatorstate.HolderRecord
+) -> bool:
   """Returns whether a holder was heard from of late."""
   return not record.lost and state.now - record.heard_at < HOLDER_SILENCE_S
 
 
-def link_lost(state: Coordinator, event: events.LinkLost):
+def link_lost(state: coordinatorstate.Coordinator, event: events.LinkLost):
   """The link to a holder broke."""
   holder = state.holders.get(event.shard)
   if holder is not None and holder.party == event.party:
@@ -465,28 +399,28 @@
     )
   holder.lost = True
   for record in list(state.jobs.values()):
-    if record.shard == shard and record.phase in _AT_HOLDER:
+    if record.shard == shard and record.phase in coordinatorstate.AT_HOLDER:
       _orphan(state, record)
 
 
-def _orphan(state, record: JobRecord):
+def _orphan(state, record: coordinatorstate.JobRecord):
   """The job's holder is lost: it waits, or goes elsewhere if not begun."""
   record.maybe_begun = True
-  record.phase = Phase.ORPHANED
+  record.phase = coordinatorstate.Phase.ORPHANED
   record.orphaned_at = record.orphaned_at or state.now
 
 
-def tick(state: Coordinator):
+def tick(state: coordinatorstate.Coordinator):
   """Pings holders, gives up offers and jobs whose time is over."""
   _ping(state)
   for record in list(state.jobs.values()):
     if state.now > record.deadline - ANSWER_MARGIN_S:
       _withdraw(state, record)
       _answer(state, record, _unserved(record), "deadline")
-    elif record.phase is Phase.HELD:
+    elif record.phase is coordinatorstate.Phase.HELD:
       if state.now - record.arrived > HELD_PATIENCE_S:
         _answer(state, record, model.Outcome.NOT_RUN, "no_holder")
-    elif record.phase is Phase.ORPHANED:
+    elif record.phase is coordinatorstate.Phase.ORPHANED:
       if state.now - record.orphaned_at > ORPHAN_PATIENCE_S:
         _answer(state, record, _unserved(record), "holder_lost")
     elif not _usable(state, record.shard):
--- /dev/null
+++ b/fescueturn/scheduler/coordinatorstate.py
@@ -0,0 +1,118 @@
+"""What a coordinator knows: its callers' jobs, and the shards' holders."""
+
+import collections
+import enum
+
+from fescueturn.scheduler import events
+from fescueturn.scheduler import model
+
+
+class Phase(enum.Enum):
+  """How far a coordinator is with a job."""
+
+  # No holder is there to take it; nothing of it has begun.
+  HELD = "held"
+  OFFERED = "offered"
+  ACCEPTED = "accepted"
+  # Its holder is lost; the job waits for the shard's next one.
+  ORPHANED = "orphaned"
+
+
+AT_HOLDER = (Phase.OFFERED, Phase.ACCEPTED)
+
+
+class JobRecord:
+  """A caller's job on its way to an answer.
+
+  Attributes:
+    request_id: the caller's request.
+    key: the job, in this host's hands.
+    arrived: when it came (s).
+    deadline: when its caller stops waiting (s).
+    phase: how far it is.
+    shard: whose holder has or had it.
+    party: which process that was.
+    offers: how often it was offered.
+    orphaned_at: when its holder was lost (s).
+    tried: shards that declined it.
+    maybe_begun: True once a holder may have started a task.
+  """
+
+  def __init__(self, request_id, key, job, now, deadline_s, trace):
+    self.request_id: int = request_id
+    self.key: events.JobKey = key
+    self.job: model.Job = job
+    self.arrived: float = now
+    self.deadline: float = now + deadline_s
+    self.trace: str = trace
+    self.phase = Phase.OFFERED
+    self.shard: model.Shard | None = None
+    self.party: events.Party | None = None
+    self.offers = 0
+    self.orphaned_at = 0.0
+    self.tried: set[model.Shard] = set()
+    self.maybe_begun = False
+    self.reason = ""
+    self.wait_ms = 0
+
+
+class HolderRecord:
+  """What is known of a shard's holder, from the store and its messages."""
+
+  def __init__(self, holder: model.Holder, now: float):
+    self.holder = holder
+    self.heard_at = now
+    self.lost = False
+
+  @property
+  def party(self) -> events.Party:
+    """The holder's process."""
+    return events.Party(self.holder.host, self.holder.boot)
+
+
+class Coordinator:
+  """The state of a host's coordinator."""
+
+  def __init__(self, me: events.Party, data_centre: str):
+    self.me = me
+    self.data_centre = data_centre
+    self.now = 0.0
+    self.draining = False
+    self.holders: dict[model.Shard, HolderRecord] = {}
+    self.jobs: dict[str, JobRecord] = {}
+    self.by_request: dict[int, JobRecord] = {}
+    self.pinged_at = 0.0
+    self.counters: collections.Counter[str] = collections.Counter()
+    self.effects: list[events.Effect] = []
+
+  def out(self, *effects: events.Effect):
+    """Adds effects to carry out."""
+    self.effects += effects
+
+  def take_effects(self) -> list[events.Effect]:
+    """Returns the effects gathered since the last call."""
+    effects, self.effects = self.effects, []
+    return effects
+
+  def tell(self, shard: model.Shard, message):
+    """Has a message sent to a shard's holder."""
+    self.out(events.TellHolder(shard, self.holders[shard].holder, message))
+
+  def snapshot(self) -> dict:
+    """Returns a JSON-ready dump."""
+    return {
+        "jobs": {
+            phase.value: sum(j.phase is phase for j in self.jobs.values())
+            for phase in Phase
+        },
+        "holders": {
+            f"{shard.data_centre}/{shard.number}": {
+                "host": record.holder.host,
+                "fence": record.holder.fence,
+                "heard_s_ago": round(self.now - record.heard_at, 3),
+                "lost": record.lost,
+            }
+            for shard, record in self.holders.items()
+        },
+        "counters": dict(self.counters),
+    }
--- a/fescueturn/scheduler/state.py
+++ b/fescueturn/scheduler/state.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from fescueturn.scheduler import coordinator
+from fescueturn.scheduler import coordinatorstate
 from fescueturn.scheduler import election
 from fescueturn.scheduler import events
 from fescueturn.scheduler import model
@@ -32,7 +32,7 @@
     self.now = 0.0
     self.ticked_at: float | None = None
     self.draining = False
-    self.coordinator = coordinator.Coordinator(me.party, me.data_centre)
+    self.coordinator = coordinatorstate.Coordinator(me.party, me.data_centre)
     self.candidates = {
         shard: election.Candidate(shard, me.party.host) for shard in me.shards
     }
