fescueturn explain: a request's story from the hosts' logs; numbered codes for leased jobs

Cause: on-call engineers have only logs; from a request's id to its cause took several greps by job, host and time. Refusals of the new path carried no code.

Ruled out: a store of traces (nothing on a host outlives its process).

--- a/fescueturn/cli.py
+++ b/fescueturn/cli.py
@@ -18,6 +18,7 @@
 from fescueturn import demo
 from fescueturn import entry
 from fescueturn import errors
+from fescueturn import explain
 from fescueturn import faultbench
 from fescueturn import httpio
 from fescueturn import kvclient
@@ -212,6 +213,20 @@
   click.echo(json.dumps(response.json(), indent=2, sort_keys=True))
 
 
+@main.command("explain")
+@click.argument("request_id")
+@click.argument("files", nargs=-1, type=click.File())
+def explain_command(request_id, files):
+  """Tell a request's story from hosts' log FILES (or standard input)."""
+  sources = files or (click.get_text_stream("stdin"),)
+  lines = [line for source in sources for line in source]
+  found = explain.story(lines, request_id)
+  if not found:
+    _refuse(errors.NotLoggedError(f"no line tells of {request_id}"))
+  for line in found:
+    click.echo(f"{line.at} {line.host}: {line.says()}")
+
+
 @main.command("submit")
 @click.option(
     "--entry", "address", required=True, help="host:port of an entry host."
--- a/fescueturn/codes.py
+++ b/fescueturn/codes.py
@@ -40,6 +40,14 @@
   DRAINING = 207
   NO_OWNER = 208
   OWNER_LOST = 209
+  # Jobs of leased runs (`fescueturn.scheduler`).
+  UNSERVED = 210
+  NO_ROOM = 211
+  NO_HOLDER = 212
+  MAYBE_RAN = 213
+  NO_CONFIG = 214
+  NO_QUEUE = 215
+  NO_JOB = 216
   # The platform's service.
   KV_CONFLICT = 300
   KV_UNAVAILABLE = 301
@@ -51,6 +59,7 @@
   # A daemon at the other end of a connection.
   UNREACHABLE = 500
   REPLY_LOST = 501
+  NOT_LOGGED = 502
 
 
 class Ran(enum.Enum):
--- a/fescueturn/errors.py
+++ b/fescueturn/errors.py
@@ -49,3 +49,15 @@
   """The key is not in the platform's key-value service."""
 
   code = codes.Code.KV_NOT_FOUND
+
+
+class UnservedError(BadRequestError):
+  """The job asks for something that this version doesn't do; nothing ran."""
+
+  code = codes.Code.UNSERVED
+
+
+class NotLoggedError(FescueError):
+  """No log line tells of what was asked for."""
+
+  code = codes.Code.NOT_LOGGED
--- a/fescueturn/platform/callers.py
+++ b/fescueturn/platform/callers.py
@@ -7,6 +7,7 @@
 
 from loguru import logger
 
+from fescueturn import codes
 from fescueturn import errors
 from fescueturn import httpio
 from fescueturn.scheduler import coordinator
@@ -24,16 +25,12 @@
 _UNSERVED_FIELDS = ("gang", "longRunning", "fills", "mayMiss", "targetMs")
 
 
-class UnservedError(errors.BadRequestError):
-  """The job asks for something that this version doesn't do."""
-
-
 def decode_job(job_id: str, body: bytes, queue: model.Queue) -> model.Job:
   """Returns the job in a request's body, on its queue's terms.
 
   Raises:
     errors.BadRequestError: the body is malformed.
-    UnservedError: the job asks for something that is not served yet.
+    errors.UnservedError: the job asks for something that is not served yet.
   """
   try:
     raw = json.loads(body)
@@ -55,13 +52,13 @@
 
 def _check_served(raw: dict):
   if not raw.get("bestEffort"):
-    raise UnservedError("job: only best-effort jobs are served")
+    raise errors.UnservedError("job: only best-effort jobs are served")
   if raw.get("repeatCount"):
-    raise UnservedError("job: schedules are not served")
+    raise errors.UnservedError("job: schedules are not served")
   for step in raw["phases"]:
     for name in _UNSERVED_FIELDS:
       if step.get(name):
-        raise UnservedError(f"job: {name} is not served")
+        raise errors.UnservedError(f"job: {name} is not served")
 
 
 def _decode_step(raw: dict) -> model.Step:
@@ -135,7 +132,7 @@
 
   async def _route(self, request: httpio.Request) -> httpio.Response:
     if self._routes is None:
-      return _refusal(503, "no configuration yet")
+      return _refusal(503, codes.Code.NO_CONFIG, "no configuration yet")
     path = request.target.partition("?")[0]
     queue = self._routes.find(request.headers.get("host", ""), path)
     if queue is None:
@@ -146,20 +143,20 @@
           path,
           self._routes.config.version,
       )
-      return httpio.json_response(404, {"error": "no such queue"})
+      return _error(404, codes.Code.NO_QUEUE, "no such queue")
     rest = path[len(queue.prefix) :]
     if request.method == "GET" and not rest:
       return httpio.json_response(200, {"pending": self._pending(queue)})
     if not _JOB_ID.fullmatch(rest):
-      return httpio.json_response(404, {"error": "no such job id"})
+      return _error(404, codes.Code.NOT_FOUND, "no such job id")
     if request.method == "POST":
       return await self._submit(request, queue, rest)
     if request.method == "DELETE":
       return await self._cancel(rest)
     if request.method == "GET":
       # The only jobs served answer their own POST and are not kept.
-      return httpio.json_response(410, {"error": "no such job"})
-    return httpio.json_response(405, {"error": "method not allowed"})
+      return _error(410, codes.Code.NO_JOB, "no such job")
+    return _error(405, codes.Code.NOT_FOUND, "method not allowed")
 
   def _pending(self, queue: model.Queue) -> int:
     return coordinator.pending(self._host.state.coordinator, queue.name)
@@ -168,22 +165,20 @@
       self, request: httpio.Request, queue: model.Queue, job_id: str
   ) -> httpio.Response:
     if self._closing:
-      return _refusal(503, "stopping")
+      return _refusal(503, codes.Code.DRAINING, "this host is stopping")
     trace = request.headers.get("request-id", "")
     try:
       job = decode_job(job_id, request.body, queue)
-    except UnservedError as exc:
+    except errors.UnservedError as exc:
       logger.info(
           'event=job_unserved job={} request={} why="{}"', job_id, trace, exc
       )
-      return _refusal(503, str(exc))
+      return _refusal(503, exc.code, str(exc))
     except errors.BadRequestError as exc:
       logger.info(
           'event=job_malformed job={} request={} why="{}"', job_id, trace, exc
       )
-      return httpio.json_response(
-          400, {"code": int(exc.code), "error": str(exc)}
-      )
+      return _error(400, exc.code, str(exc))
     began = self._now()
     answer = await self._host.submit(job, _deadline_s(request), trace)
     self._figures.job(queue.name, answer.outcome.value, self._now() - began)
@@ -191,7 +186,7 @@
 
   async def _cancel(self, job_id: str) -> httpio.Response:
     if job_id not in self._host.state.coordinator.jobs:
-      return httpio.json_response(410, {"error": "no such job"})
+      return _error(410, codes.Code.NO_JOB, "no such job")
     await self._host.cancel(job_id)
     return httpio.json_response(200, {})
 
@@ -205,9 +200,14 @@
   return deadline_s if math.isfinite(deadline_s) else DEFAULT_DEADLINE_S
 
 
-def _refusal(status: int, why: str, after_s: int = RETRY_AFTER_S):
-  headers = (("retry-after", str(after_s)),)
-  return httpio.json_response(status, {"error": why}, headers)
+def _error(status: int, code: codes.Code, why: str, headers=()):
+  body = {"code": int(code), "error": why}
+  return httpio.json_response(status, body, headers)
+
+
+def _refusal(status: int, code: codes.Code, why: str, after_s=RETRY_AFTER_S):
+  """Returns the answer to a request of which nothing ran or will."""
+  return _error(status, code, why, (("retry-after", str(after_s)),))
 
 
 def _to_http(answer: events.Answer) -> httpio.Response:
@@ -215,8 +215,10 @@
     return httpio.json_response(200, {"state": "succeeded"})
   if answer.outcome is model.Outcome.FAILED:
     return httpio.json_response(200, {"state": "failed"})
-  if answer.outcome is model.Outcome.NOT_RUN:
-    status = 429 if answer.reason.startswith("no_room") else 503
-    return _refusal(status, answer.reason, answer.retry_after_s)
-  # Something of it may have run; the caller may send it again.
-  return httpio.json_response(504, {"error": answer.reason})
+  after_s = answer.retry_after_s
+  if answer.outcome is not model.Outcome.NOT_RUN:
+    # The caller may send it again, and it may then run again.
+    return _error(504, codes.Code.MAYBE_RAN, answer.reason)
+  if answer.reason.startswith("no_room"):
+    return _refusal(429, codes.Code.NO_ROOM, answer.reason, after_s)
+  return _refusal(503, codes.Code.NO_HOLDER, answer.reason, after_s)
