--- a/fescueturn/scheduler/offers.py
+++ b/fescueturn/scheduler/offers.py
@@ -64,7 +64,9 @@
   if finish_s is None:
     return NO_PLACE_WAIT_MS
   finish_s += max(0.0, chain_s - run_s * _waves(count, len(places)))
-  spare_s = admission.latest_finish_s(job, total) - offer.age_s - finish_s
+  # No longer than its objective allows, nor than its caller waits.
+  allowed_s = admission.latest_finish_s(job, total) - offer.age_s
+  spare_s = min(allowed_s, offer.left_s) - finish_s
   return None if spare_s >= 0 else max(1, int(-spare_s * 1000))
 
 
--- a/tests/test_scheduler_fleet.py
+++ b/tests/test_scheduler_fleet.py
@@ -395,3 +395,14 @@
   assert made.answers[request].answer.outcome is model.Outcome.DONE
   starts = [e.info.data_centre for e in made.endpoints.values() if e.starts]
   assert set(starts) == {"a"}
+
+
+def test_job_that_would_outlast_its_caller_is_refused_at_once():
+  made = fleet()
+  wide = job("wide", 400, 1000)
+  request = made.submit("a0", wide, [1.0] * 400, deadline_s=3.0)
+  made.clock.run_until(1.2)
+  answered = made.answers[request].answer
+  assert answered.outcome is model.Outcome.NOT_RUN
+  assert answered.retry_after_s > 0
+  assert not any(e.starts for e in made.endpoints.values())
