--- a/fescueturn/cli.py
+++ b/fescueturn/cli.py
@@ -12,22 +12,22 @@
 import click
 import curio
 
-from fescueturn import bench
-from fescueturn import benchpoints
-from fescueturn import caller
-from fescueturn import demo
 from fescueturn import entry
 from fescueturn import errors
 from fescueturn import explain
-from fescueturn import faultbench
 from fescueturn import httpio
 from fescueturn import kvclient
 from fescueturn import logs
 from fescueturn import settings
-from fescueturn import standin_endpoint
-from fescueturn import standin_platform
 from fescueturn import teamconfig
 from fescueturn import timer
+from fescueturn.lab import bench
+from fescueturn.lab import benchpoints
+from fescueturn.lab import caller
+from fescueturn.lab import demo
+from fescueturn.lab import faultbench
+from fescueturn.standins import standin_endpoint
+from fescueturn.standins import standin_platform
 
 EXIT_REFUSED = 2
 PLATFORM_TICK_S = 0.1
--- a/fescueturn/kvclient.py
+++ b/fescueturn/kvclient.py
@@ -11,7 +11,7 @@
 from fescueturn import codes
 from fescueturn import errors
 from fescueturn import httpio
-from fescueturn import kvstore
+from fescueturn import kvtypes
 from fescueturn import settings
 
 WATCH_TIMEOUT_S = 10.0
@@ -45,18 +45,18 @@
       raise errors.KvError(f"{path}: platform unavailable")
     return response
 
-  async def get(self, key: str) -> kvstore.Item | None:
+  async def get(self, key: str) -> kvtypes.Item | None:
     """Returns the key's item, or None if it is absent."""
     response = await self._call("GET", "/v1/kv", query={"key": key})
     if response.status == 404:
       return None
-    return kvstore.Item(**response.json())
+    return kvtypes.Item(**response.json())
 
-  async def prefix(self, prefix: str) -> tuple[int, list[kvstore.Item]]:
+  async def prefix(self, prefix: str) -> tuple[int, list[kvtypes.Item]]:
     """Returns the store's revision and the items under `prefix`."""
     response = await self._call("GET", "/v1/kv", query={"prefix": prefix})
     body = response.json()
-    return body["revision"], [kvstore.Item(**i) for i in body["items"]]
+    return body["revision"], [kvtypes.Item(**i) for i in body["items"]]
 
   async def put(
       self, key: str, value: str, expect: int | None = None, lease: int = 0
@@ -111,7 +111,7 @@
     """Waits for changes under `prefix` after revision `after`.
 
     Returns:
-      The store's revision and the list of `kvstore.Change`, possibly empty
+      The store's revision and the list of `kvtypes.Change`, possibly empty
       when `timeout_s` passed with none.
 
     Raises:
@@ -125,14 +125,14 @@
     if response.status == 410:
       raise errors.KvError("watch history compacted", codes.Code.KV_NOT_FOUND)
     body = response.json()
-    return body["revision"], [kvstore.Change(**c) for c in body["changes"]]
+    return body["revision"], [kvtypes.Change(**c) for c in body["changes"]]
 
-  async def hosts(self) -> list[kvstore.HostRecord]:
+  async def hosts(self) -> list[kvtypes.HostRecord]:
     """Returns the platform's (lagging) list of live and leaving hosts."""
     response = await self._call("GET", "/v1/hosts")
     return [_host(h) for h in response.json()["hosts"]]
 
-  async def set_host(self, record: kvstore.HostRecord | None, name: str = ""):
+  async def set_host(self, record: kvtypes.HostRecord | None, name: str = ""):
     """Puts a host on the list, or (record None) takes `name` off it."""
     if record is None:
       body = {"name": name, "gone": True}
@@ -157,7 +157,7 @@
     return (await self._call("GET", "/v1/stats")).json()
 
 
-def _host(obj: dict) -> kvstore.HostRecord:
+def _host(obj: dict) -> kvtypes.HostRecord:
   obj = dict(obj)
   obj["services"] = tuple(obj.get("services", ()))
-  return kvstore.HostRecord(**obj)
+  return kvtypes.HostRecord(**obj)
--- /dev/null
+++ b/fescueturn/lab/__init__.py
@@ -0,0 +1,1 @@
+"""Tools: the demo, local processes, benches, and emulated load."""
--- a/fescueturn/bench.py
+++ b/fescueturn/lab/bench.py
@@ -24,15 +24,15 @@
 
 import curio
 
-from fescueturn import benchpoints
-from fescueturn import caller
 from fescueturn import httpio
 from fescueturn import kvclient
-from fescueturn import launcher
 from fescueturn import messages
-from fescueturn import procstat
 from fescueturn import teamconfig
-from fescueturn import workload
+from fescueturn.lab import benchpoints
+from fescueturn.lab import caller
+from fescueturn.lab import launcher
+from fescueturn.lab import procstat
+from fescueturn.lab import workload
 
 STEP_S = 5.0
 SETTLE_S = 1.0
--- a/fescueturn/demo.py
+++ b/fescueturn/lab/demo.py
@@ -14,12 +14,12 @@
 import curio
 import hdrh.histogram
 
-from fescueturn import caller
 from fescueturn import httpio
 from fescueturn import kvclient
-from fescueturn import launcher
 from fescueturn import messages
-from fescueturn import workload
+from fescueturn.lab import caller
+from fescueturn.lab import launcher
+from fescueturn.lab import workload
 
 ROUND_TRIP_MS = 1.0
 CONCURRENT_JOBS = 16
--- a/fescueturn/faultbench.py
+++ b/fescueturn/lab/faultbench.py
@@ -19,14 +19,14 @@
 
 import curio
 
-from fescueturn import caller
 from fescueturn import codes
-from fescueturn import demo
 from fescueturn import httpio
 from fescueturn import kvclient
-from fescueturn import launcher
 from fescueturn import messages
-from fescueturn import workload
+from fescueturn.lab import caller
+from fescueturn.lab import demo
+from fescueturn.lab import launcher
+from fescueturn.lab import workload
 
 SEED = 1
 ENTRIES = 3
--- a/fescueturn/launcher.py
+++ b/fescueturn/lab/launcher.py
@@ -18,7 +18,7 @@
 from fescueturn import kvclient
 from fescueturn import settings
 from fescueturn import teamconfig
-from fescueturn import workload
+from fescueturn.lab import workload
 
 READY_POLLS = 200
 READY_POLL_S = 0.05
--- a/fescueturn/membership.py
+++ b/fescueturn/membership.py
@@ -27,7 +27,7 @@
 from fescueturn import errors
 from fescueturn import events
 from fescueturn import kvclient
-from fescueturn import kvstore
+from fescueturn import kvtypes
 from fescueturn import settings
 
 MEMBERS_PREFIX = "/members/"
@@ -281,13 +281,13 @@
 async def _read_teams(kv, known: set[str]):
   """Reads every team afresh; teams known before and gone now are removals."""
   revision, items = await kv.prefix(TEAMS_PREFIX)
-  changes = [kvstore.Change(i.revision, i.key, i.value) for i in items]
+  changes = [kvtypes.Change(i.revision, i.key, i.value) for i in items]
   gone = known - {i.key for i in items}
-  changes += [kvstore.Change(revision, key, None) for key in sorted(gone)]
+  changes += [kvtypes.Change(revision, key, None) for key in sorted(gone)]
   return revision, changes
 
 
-def _endpoint(record: kvstore.HostRecord) -> events.EndpointInfo:
+def _endpoint(record: kvtypes.HostRecord) -> events.EndpointInfo:
   return events.EndpointInfo(
       name=record.name,
       address=settings.parse_address(record.address),
--- a/fescueturn/kvstore.py
+++ b/fescueturn/standins/kvstore.py
@@ -6,59 +6,27 @@
 revision, and a host list that lags by a set number of seconds.
 """
 
-import dataclasses
+from fescueturn import kvtypes
 
 HISTORY_LIMIT = 100_000
 
 
-@dataclasses.dataclass(frozen=True)
-class Item:
-  """A key's value, the revision that last wrote it and its lease (or 0)."""
-
-  key: str
-  value: str
-  revision: int
-  lease: int = 0
-
-
-@dataclasses.dataclass(frozen=True)
-class Change:
-  """One write or delete in revision order; `value` None for a delete."""
-
-  revision: int
-  key: str
-  value: str | None
-
-
-@dataclasses.dataclass(frozen=True)
-class HostRecord:
-  """A host on the platform's host list."""
-
-  name: str
-  address: str
-  role: str
-  data_centre: str
-  services: tuple[str, ...] = ()
-  slots: int = 0
-  leaving: bool = False
-
-
 class KvStore:
   """Keys with revisions, leases and a change history; no I/O."""
 
   def __init__(self):
     self.revision = 0
-    self.items: dict[str, Item] = {}
-    self.history: list[Change] = []
+    self.items: dict[str, kvtypes.Item] = {}
+    self.history: list[kvtypes.Change] = []
     self.leases: dict[int, float] = {}
     self.lease_ttl: dict[int, float] = {}
     self._next_lease = 1
 
-  def get(self, key: str) -> Item | None:
+  def get(self, key: str) -> kvtypes.Item | None:
     """Returns the key's item, or None."""
     return self.items.get(key)
 
-  def prefix(self, prefix: str) -> list[Item]:
+  def prefix(self, prefix: str) -> list[kvtypes.Item]:
     """Returns the items whose keys start with `prefix`, in key order."""
     return [self.items[k] for k in sorted(self.items) if k.startswith(prefix)]
 
@@ -76,8 +44,8 @@
     if lease and lease not in self.leases:
       return None
     self.revision += 1
-    self.items[key] = Item(key, value, self.revision, lease)
-    self._record(Change(self.revision, key, value))
+    self.items[key] = kvtypes.Item(key, value, self.revision, lease)
+    self._record(kvtypes.Change(self.revision, key, value))
     return self.revision
 
   def delete(self, key: str, expect: int | None = None) -> int | None:
@@ -89,15 +57,15 @@
       return None
     del self.items[key]
     self.revision += 1
-    self._record(Change(self.revision, key, None))
+    self._record(kvtypes.Change(self.revision, key, None))
     return self.revision
 
-  def _record(self, change: Change):
+  def _record(self, change: kvtypes.Change):
     self.history.append(change)
     if len(self.history) > HISTORY_LIMIT:
       del self.history[: HISTORY_LIMIT // 2]
 
-  def changes(self, prefix: str, after: int) -> list[Change] | None:
+  def changes(self, prefix: str, after: int) -> list[kvtypes.Change] | None:
     """Returns changes under `prefix` with revision > `after`.
 
     Returns None when the history no longer reaches back that far; the
@@ -146,15 +114,15 @@
 
   def __init__(self, lag_s: float):
     self._lag_s = lag_s
-    self._changes: list[tuple[float, str, HostRecord | None]] = []
+    self._changes: list[tuple[float, str, kvtypes.HostRecord | None]] = []
 
-  def set(self, now: float, name: str, record: HostRecord | None):
+  def set(self, now: float, name: str, record: kvtypes.HostRecord | None):
     """Records a host joining, changing or (record None) going away."""
     self._changes.append((now, name, record))
 
-  def view(self, now: float) -> list[HostRecord]:
+  def view(self, now: float) -> list[kvtypes.HostRecord]:
     """Returns the list as the platform shows it at `now`: lagging."""
-    hosts: dict[str, HostRecord] = {}
+    hosts: dict[str, kvtypes.HostRecord] = {}
     for when, name, record in self._changes:
       if when > now - self._lag_s:
         break
--- a/fescueturn/standin_endpoint.py
+++ b/fescueturn/standins/standin_endpoint.py
@@ -18,10 +18,10 @@
 from fescueturn import codes
 from fescueturn import httpio
 from fescueturn import kvclient
-from fescueturn import kvstore
+from fescueturn import kvtypes
 from fescueturn import settings
 from fescueturn import timer
-from fescueturn import work
+from fescueturn.standins import work
 
 ENDPOINT_FAULTS = ("none", "fail_all", "refuse")
 
@@ -49,9 +49,9 @@
     self._open = 0
 
   @property
-  def record(self) -> kvstore.HostRecord:
+  def record(self) -> kvtypes.HostRecord:
     """This endpoint as the platform's host list should show it."""
-    return kvstore.HostRecord(
+    return kvtypes.HostRecord(
         name=self._process.name,
         address=str(self._config.listen),
         role="endpoint",
--- a/fescueturn/standin_platform.py
+++ b/fescueturn/standins/standin_platform.py
@@ -23,9 +23,10 @@
 from loguru import logger
 
 from fescueturn import httpio
-from fescueturn import kvstore
+from fescueturn import kvtypes
 from fescueturn import settings
 from fescueturn import timer
+from fescueturn.standins import kvstore
 
 MAX_WATCH_S = 30.0
 FAULT_MODES = ("none", "down", "slow", "lose_reply")
@@ -222,7 +223,7 @@
       self._hosts.set(now, body["name"], None)
     else:
       body["services"] = tuple(body.get("services", ()))
-      self._hosts.set(now, body["name"], kvstore.HostRecord(**body))
+      self._hosts.set(now, body["name"], kvtypes.HostRecord(**body))
     return httpio.json_response(200, {"ok": True})
 
 
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -1,7 +1,7 @@
 from click import testing
 
 from fescueturn import cli
-from fescueturn import launcher
+from fescueturn.lab import launcher
 
 
 def invoke(*args, stdin=None):
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -5,12 +5,12 @@
 import curio
 import pytest
 
-from fescueturn import caller
 from fescueturn import codes
 from fescueturn import httpio
-from fescueturn import launcher
 from fescueturn import messages
-from fescueturn import workload
+from fescueturn.lab import caller
+from fescueturn.lab import launcher
+from fescueturn.lab import workload
 
 TIME_SCALE = 0.05
 
--- a/tests/test_entry_failures.py
+++ b/tests/test_entry_failures.py
@@ -5,14 +5,14 @@
 import curio
 import pytest
 
-from fescueturn import caller
 from fescueturn import codes
 from fescueturn import errors
 from fescueturn import httpio
 from fescueturn import kvclient
-from fescueturn import launcher
 from fescueturn import messages
 from fescueturn import teamconfig
+from fescueturn.lab import caller
+from fescueturn.lab import launcher
 
 TIME_SCALE = 0.5
 LAG_S = 1.0
--- a/tests/test_httpio.py
+++ b/tests/test_httpio.py
@@ -2,8 +2,8 @@
 import pytest
 
 from fescueturn import httpio
-from fescueturn import launcher
 from fescueturn import settings
+from fescueturn.lab import launcher
 
 
 async def hello(request):
--- a/tests/test_kvstore.py
+++ b/tests/test_kvstore.py
@@ -1,4 +1,5 @@
-from fescueturn import kvstore
+from fescueturn import kvtypes
+from fescueturn.standins import kvstore
 
 
 def test_compare_and_swap_and_history():
@@ -24,9 +25,9 @@
 
 def test_host_list_lags():
   hosts = kvstore.HostList(lag_s=2.0)
-  hosts.set(0.0, "e1", kvstore.HostRecord("e1", "a:1", "endpoint", "dc"))
+  hosts.set(0.0, "e1", kvtypes.HostRecord("e1", "a:1", "endpoint", "dc"))
   hosts.set(
-      5.0, "e1", kvstore.HostRecord("e1", "a:1", "endpoint", "dc", leaving=True)
+      5.0, "e1", kvtypes.HostRecord("e1", "a:1", "endpoint", "dc", leaving=True)
   )
   assert hosts.view(1.0) == []
   assert not hosts.view(6.0)[0].leaving
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -6,9 +6,9 @@
 
 from fescueturn import errors
 from fescueturn import events
-from fescueturn import kvstore
 from fescueturn import membership
 from fescueturn import settings
+from fescueturn.standins import kvstore
 
 ME = events.Member("entry-1", settings.Address("127.0.0.1", 1), "boot-1")
 PEER = events.Member("entry-2", settings.Address("127.0.0.1", 2), "boot-2", 7)
--- a/tests/test_peer.py
+++ b/tests/test_peer.py
@@ -7,11 +7,11 @@
 from fescueturn import codes
 from fescueturn import errors
 from fescueturn import framing
-from fescueturn import launcher
 from fescueturn import messages
 from fescueturn import peer
 from fescueturn import peercodec
 from fescueturn import settings
+from fescueturn.lab import launcher
 from tests import conftest
 
 
--- a/tests/test_standin_platform.py
+++ b/tests/test_standin_platform.py
@@ -2,10 +2,10 @@
 
 from fescueturn import errors
 from fescueturn import kvclient
-from fescueturn import launcher
 from fescueturn import settings
-from fescueturn import standin_platform
 from fescueturn import timer
+from fescueturn.lab import launcher
+from fescueturn.standins import standin_platform
 
 
 async def with_platform(body):
