--- a/fescueturn/cli.py
+++ b/fescueturn/cli.py
@@ -21,6 +21,7 @@
 from fescueturn import settings
 from fescueturn import teamconfig
 from fescueturn import timer
+from fescueturn.emulator import load
 from fescueturn.lab import bench
 from fescueturn.lab import benchpoints
 from fescueturn.lab import caller
@@ -213,6 +214,32 @@
   click.echo(json.dumps(response.json(), indent=2, sort_keys=True))
 
 
+@main.command("emulate")
+@click.option("--seed", default=1, show_default=True, help="Of the draws.")
+@click.option(
+    "--seconds", default=30.0, show_default=True, help="Load's length."
+)
+@click.option("--jobs-per-s", default=70.0, show_default=True, help="In all.")
+@click.option("--data-centres", default=3, show_default=True)
+@click.option("--hosts", default=2, show_default=True, help="A data centre.")
+@click.option(
+    "--endpoints", default=8, show_default=True, help="A data centre."
+)
+def emulate_command(**options):
+  """Play a seeded load on an emulated fleet, in virtual time."""
+  report = load.play(load.Plan(**options))
+  click.echo("kind    asked in_time  late refused failed  p50_ms  p99_ms")
+  for kind in report.kinds:
+    click.echo(
+        f"{kind.kind:7s} {kind.asked:5d} {kind.in_time:7d} {kind.late:5d}"
+        f" {kind.refused:7d} {kind.failed:6d} {kind.p50_ms:7.1f}"
+        f" {kind.p99_ms:7.1f}"
+    )
+  click.echo(f"starts={report.starts} stops={report.stops}")
+  for line in report.broken:
+    click.echo(f"broken: {line}")
+
+
 @main.command("explain")
 @click.argument("request_id")
 @click.argument("files", nargs=-1, type=click.File())
--- /dev/null
+++ b/tests/test_load.py
@@ -0,0 +1,34 @@
+"""Queueing, refusing and placing under the sheets' load, in virtual time."""
+
+import pytest
+
+from fescueturn.emulator import load
+
+
+def served_in_time(report: load.Report) -> float:
+  asked = sum(kind.asked for kind in report.kinds)
+  return sum(kind.in_time for kind in report.kinds) / asked
+
+
+@pytest.mark.parametrize("seed", (1, 2))
+def test_calm_load_is_served_in_time(seed):
+  report = load.play(load.Plan(seed=seed, seconds=15, jobs_per_s=50))
+  assert report.broken == ()
+  assert served_in_time(report) > 0.97
+
+
+@pytest.mark.parametrize("seed", (1, 2))
+def test_overload_is_refused_at_once_and_wastes_no_work(seed):
+  """120 jobs a second ask for 1.2 times what the endpoints can do."""
+  report = load.play(load.Plan(seed=seed, seconds=15, jobs_per_s=120))
+  assert report.broken == ()
+  assert served_in_time(report) > 0.6
+  refused = sum(kind.refused for kind in report.kinds)
+  failed = sum(kind.failed for kind in report.kinds)
+  assert refused > 20 * failed
+  assert report.stops < 0.01 * report.starts
+
+
+def test_same_seed_plays_the_same():
+  plan = load.Plan(seed=7, seconds=3, jobs_per_s=60)
+  assert load.play(plan) == load.play(plan)
