The configuration's watch goes on from the store's revision; no hot loop without history

Change: reading a key returns the store's revision too, and the watch goes on from there; reading anew is paused for, twice as long each time in a row.

Ruled out: watching from the item's revision plus one (as old).

--- a/fescueturn/platform/claims.py
+++ b/fescueturn/platform/claims.py
@@ -161,8 +161,9 @@
   known: set[model.Shard] = set(shards)
   revision = None
   while True:
+    anew = revision is None
     try:
-      if revision is None:
+      if anew:
         revision = await _read_all(client, known, on_holder)
       else:
         changes = await client.watch(PREFIX, revision, WATCH_MS)
@@ -170,9 +171,9 @@
         for item in changes.items:
           known.add(_shard(item.key))
           await on_holder(_change(item))
-      store_reach.found(revision)
+      store_reach.found(revision, anew)
     except store.HistoryGoneError:
-      store_reach.history_gone(revision)
+      await store_reach.history_gone(revision)
       revision = None
     except errors.KvError as exc:
       await store_reach.lost(exc)
--- a/fescueturn/platform/configuration.py
+++ b/fescueturn/platform/configuration.py
@@ -68,22 +68,21 @@
   store_reach = reach.Reach("config")
   revision = None
   while True:
+    anew = revision is None
     try:
-      if revision is None:
-        item = await client.get(KEY)
-        if item is None:
+      if anew:
+        found = await client.get(KEY)
+        if not found.items:
           await store_reach.pause()
           continue
-        revision = item.revision
-        await _tell(item, on_config)
       else:
-        changes = await client.watch(KEY, revision, WATCH_MS)
-        revision = max(revision, changes.revision)
-        if changes.items:
-          await _tell(changes.items[-1], on_config)
-      store_reach.found(revision)
+        found = await client.watch(KEY, revision, WATCH_MS)
+      revision = found.revision
+      if found.items:
+        await _tell(found.items[-1], on_config)
+      store_reach.found(revision, anew)
     except store.HistoryGoneError:
-      store_reach.history_gone(revision)
+      await store_reach.history_gone(revision)
       revision = None
     except errors.KvError as exc:
       await store_reach.lost(exc)
--- a/fescueturn/platform/reach.py
+++ b/fescueturn/platform/reach.py
@@ -19,14 +19,21 @@
     self._reached = True
     self._pause_s = RETRY_MIN_S
 
-  def found(self, revision: int):
-    """A call was answered, at this revision of the store."""
+  def found(self, revision: int, anew: bool = False):
+    """A call was answered, at this revision of the store.
+
+    Args:
+      revision: the store's.
+      anew: True for a reading from scratch, which must not become a habit: it
+        leaves the pause before the next as it is.
+    """
     if not self._reached:
       logger.info(
           "event=store_regained what={} revision={}", self._what, revision
       )
     self._reached = True
-    self._pause_s = RETRY_MIN_S
+    if not anew:
+      self._pause_s = RETRY_MIN_S
 
   async def lost(self, error: errors.KvError):
     """A call failed: waits before the next, twice as long each time."""
@@ -40,6 +47,11 @@
     await curio.sleep(self._pause_s)
     self._pause_s = min(RETRY_MAX_S, 2 * self._pause_s)
 
-  def history_gone(self, after: int):
-    """The store has dropped its history since revision `after`."""
+  async def history_gone(self, after: int):
+    """The store has dropped its history since revision `after`.
+
+    Reading anew is paused for as after a failed call, so that a store that
+    keeps no history at all isn't asked without end.
+    """
     logger.info("event=history_gone what={} after={}", self._what, after)
+    await self.pause()
--- a/fescueturn/platform/store.py
+++ b/fescueturn/platform/store.py
@@ -105,12 +105,16 @@
       return response
     raise errors.KvError(f"{path}: status {response.status}")
 
-  async def get(self, key: str) -> Item | None:
-    """Returns a key's item, or None if there is none."""
+  async def get(self, key: str) -> Changes:
+    """Returns a key's item, if there is one, and the store's revision.
+
+    A watch goes on from that revision, not from the item's: the history since
+    an item that was written long ago may be gone.
+    """
     response = await self._call("GET", "/-/kv-key", {"key": key})
-    if response.status == 404:
-      return None
-    return _item(response.json())
+    body = response.json()
+    items = (_item(body),) if response.status == 200 else ()
+    return Changes(body.get("currentRev", 0), items)
 
   async def range(self, prefix: str) -> Changes:
     """Returns all items under `prefix`; the pages are not one snapshot."""
--- a/tests/fakeplatform.py
+++ b/tests/fakeplatform.py
@@ -103,7 +103,8 @@
       return httpio.json_response(200, {})
     if url.path == "/-/kv-key":
       item = self.items.get(query["key"])
-      return httpio.json_response(200 if item else 404, item or {})
+      answer = {**(item or {}), "currentRev": self.revision}
+      return httpio.json_response(200 if item else 404, answer)
     if url.path == "/-/kv-range":
       items = [i for k, i in sorted(self.items.items()) if _in(k, query)]
       answer = {"items": items, "hasMore": False}
