--- a/fescueturn/scheduler/link.py
+++ b/fescueturn/scheduler/link.py
@@ -9,7 +9,6 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 
-import capnp
 import curio
 from loguru import logger
 
@@ -117,8 +116,9 @@
         data = await framing.read_message(stream)
         shard, message = linkcodec.decode(data, party)
         await self._on_message(party, shard, message)
-    except (OSError, capnp.KjException) as exc:
-      logger.debug("event=link_closed peer={} error={!r}", party, exc)
+    except (OSError, linkcodec.MalformedError) as exc:
+      host = party.host if party else "unknown"
+      logger.info('event=link_closed peer={} error="{}"', host, exc)
     finally:
       if party is not None and self._outboxes.get(party) is outbox:
         del self._outboxes[party]
@@ -204,8 +204,8 @@
         self._heard_at = self._now()
         shard, message = linkcodec.decode(data, self._me)
         await self._on_message(shard, message)
-    except (OSError, capnp.KjException) as exc:
-      logger.debug("event=link_closed peer={} error={!r}", self._address, exc)
+    except (OSError, linkcodec.MalformedError) as exc:
+      logger.info('event=link_closed peer={} error="{}"', self._address, exc)
     if self._outbox is outbox:
       self._outbox = None
       await outbox.close()
--- a/fescueturn/scheduler/linkcodec.py
+++ b/fescueturn/scheduler/linkcodec.py
@@ -9,6 +9,8 @@
 
 import capnp
 
+from fescueturn import codes
+from fescueturn import errors
 from fescueturn.scheduler import events
 from fescueturn.scheduler import model
 
@@ -25,6 +27,12 @@
 _OUTCOMES = {name: outcome for outcome, name in _OUTCOME_NAMES.items()}
 
 
+class MalformedError(errors.FescueError):
+  """What came from another host is not a message of this version."""
+
+  code = codes.Code.BAD_FIELD
+
+
 @dataclasses.dataclass(frozen=True)
 class Hello:
   """The first message of a connection: who opened it."""
@@ -129,12 +137,15 @@
       the hello.
 
   Raises:
-    capnp.KjException: `data` is not such a message.
+    MalformedError: `data` is not such a message.
   """
-  with _Message.from_bytes(data) as message:
-    shard = model.Shard(str(message.dataCentre), message.shard)
-    kind = message.which()
-    return shard, _DECODERS[str(kind)](message, shard, coordinator)
+  try:
+    with _Message.from_bytes(data) as message:
+      shard = model.Shard(str(message.dataCentre), message.shard)
+      kind = message.which()
+      return shard, _DECODERS[str(kind)](message, shard, coordinator)
+  except (capnp.KjException, ValueError, KeyError) as exc:
+    raise MalformedError(f"message between hosts: {exc!r}") from exc
 
 
 def _decode_hello(message, shard, coordinator) -> Hello:
--- /dev/null
+++ b/tests/test_election.py
@@ -0,0 +1,66 @@
+from fescueturn import settings
+from fescueturn.scheduler import election
+from fescueturn.scheduler import events
+from fescueturn.scheduler import model
+
+SHARD = model.Shard("north")
+PEER = settings.Address("h", 1)
+HOLDER = model.Holder("host-2", "boot-2", PEER, 7)
+
+
+def candidate(holder=HOLDER):
+  made = election.Candidate(SHARD, "host-1")
+  election.holder_changed(made, holder, 0.0)
+  return made
+
+
+def decide(made, now, held_by_me=False, draining=False, heard=False):
+  return election.decide(made, now, held_by_me, draining, heard)
+
+
+def test_held_shard_is_left_alone():
+  assert decide(candidate(), 100.0) is None
+
+
+def test_shard_whose_claim_ended_is_claimed_anew():
+  made = candidate()
+  election.holder_changed(made, None, 10.0)
+  assert decide(made, 10.1) == events.ClaimShard(SHARD, 0)
+  assert decide(made, 10.2) is None, "one claim at a time"
+  election.claim_answered(made, 10.2)
+  assert decide(made, 10.3) is None
+  assert decide(made, 10.6) is not None
+
+
+def test_claim_of_a_gone_process_is_replaced_by_its_fence():
+  made = candidate()
+  election.holder_gone(made, 10.0)
+  assert decide(made, 10.1) == events.ClaimShard(SHARD, 7)
+
+
+def test_holder_heard_from_again_is_not_replaced():
+  made = candidate()
+  election.holder_gone(made, 10.0, grace_s=0.1)
+  assert decide(made, 10.05) is None
+  election.holder_present(made)
+  assert decide(made, 20.0) is None
+
+
+def test_living_holder_claims_first_and_a_stopping_host_last():
+  made = candidate()
+  election.holder_changed(made, None, 10.0)
+  assert decide(made, 10.5, heard=True) is None
+  assert decide(made, 10.5, draining=True) is None
+  assert decide(made, 10.0, held_by_me=True) is not None
+
+
+def test_nothing_is_claimed_before_the_store_was_read():
+  made = election.Candidate(SHARD, "host-1")
+  assert decide(made, 100.0) is None
+
+
+def test_newcomer_waits_longer():
+  made = election.Candidate(SHARD, "host-1")
+  election.holder_changed(made, None, 10.0)
+  assert decide(made, 10.2) is None
+  assert decide(made, 10.4) is not None
--- /dev/null
+++ b/tests/test_linkcodec.py
@@ -0,0 +1,47 @@
+import pytest
+
+from fescueturn.scheduler import events
+from fescueturn.scheduler import linkcodec
+from fescueturn.scheduler import model
+
+PARTY = events.Party("host-1", "boot-1")
+SHARD = model.Shard("north", 2)
+KEY = events.JobKey(PARTY, "00000000000000a1")
+NEED = model.Room(27000, 64, 1)
+JOB = model.Job(
+    KEY.job_id,
+    "speller",
+    "spec",
+    (
+        model.Step(2, NEED, 50, (), "kind-a", "r1", 1),
+        model.Step(1, NEED, 900, (0,)),
+    ),
+    3,
+    1.6,
+    60,
+)
+
+
+@pytest.mark.parametrize(
+    "message",
+    [
+        linkcodec.Hello(PARTY),
+        events.Ping(SHARD, PARTY),
+        events.Offered(SHARD, KEY, JOB, 0.25, 1.5, True, 7),
+        events.Withdrawn(SHARD, KEY),
+        events.Pong(),
+        events.Pong(holding=False),
+        events.Accepted(KEY, 3),
+        events.Declined(KEY, 4, 95),
+        *(events.JobEnded(KEY, o, "why") for o in model.Outcome),
+    ],
+)
+def test_message_comes_back_as_it_went(message):
+  data = linkcodec.encode(SHARD, message)
+  assert linkcodec.decode(data, PARTY) == (SHARD, message)
+
+
+@pytest.mark.parametrize("data", [b"", b"\x00" * 4, b"\xff" * 64])
+def test_bytes_that_are_no_message_are_refused(data):
+  with pytest.raises(linkcodec.MalformedError):
+    linkcodec.decode(data, PARTY)
--- /dev/null
+++ b/tests/test_nodefile.py
@@ -0,0 +1,49 @@
+import json
+
+import pytest
+
+from fescueturn import codes
+from fescueturn import errors
+from fescueturn import settings
+from fescueturn.platform import nodefile
+
+RAW = {
+    "node": "entry-1",
+    "ip": "10.1.0.13",
+    "zone": "north",
+    "listen": {"frontend": "10.1.0.13:8161", "readiness": "10.1.0.13:8167"},
+    "internalPorts": [7720, 7735],
+    "platform": {"address": "10.200.1.7:8169", "minTtlMs": 1000},
+    "bounds": {"graceS": 6},
+    "something": "new",
+}
+
+
+def test_fields_are_decoded_and_unknown_ones_ignored():
+  node = nodefile.decode(json.dumps(RAW))
+  assert node.host == "entry-1"
+  assert node.data_centre == "north"
+  assert node.callers == settings.Address("10.1.0.13", 8161)
+  assert node.links == settings.Address("10.1.0.13", 7720)
+  assert node.metrics == settings.Address("10.1.0.13", 7721)
+  assert node.grace_s == 6.0
+
+
+@pytest.mark.parametrize("name", ["node", "zone", "listen", "platform"])
+def test_missing_field_is_named_with_a_number(name):
+  raw = {k: v for k, v in RAW.items() if k != name}
+  with pytest.raises(errors.SettingsError, match=name) as caught:
+    nodefile.decode(json.dumps(raw))
+  assert caught.value.code is codes.Code.SETTINGS_BAD_VALUE
+
+
+@pytest.mark.parametrize("text", ["", "{", "[]", '{"listen": 3}'])
+def test_malformed_file_is_a_settings_error(text):
+  with pytest.raises(errors.SettingsError):
+    nodefile.decode(text)
+
+
+def test_file_that_is_not_there_is_a_settings_error(monkeypatch, tmp_path):
+  monkeypatch.setenv(nodefile.PATH_VARIABLE, str(tmp_path / "none"))
+  with pytest.raises(errors.SettingsError):
+    nodefile.load()
