--- a/fescueturn/emulator/fleet.py
+++ b/fescueturn/emulator/fleet.py
@@ -12,12 +12,10 @@
 from fescueturn import settings
 from fescueturn.emulator import clock as clock_lib
 from fescueturn.emulator import endpoint as endpoint_lib
+from fescueturn.emulator import hosts
 from fescueturn.scheduler import events
 from fescueturn.scheduler import model
-from fescueturn.scheduler import reducer
-from fescueturn.scheduler import state as state_lib
 
-TICK_S = 0.02
 # One way, as on the sheets: within a data centre, between two, to the store.
 NEAR_S = 0.0002
 FAR_S = 0.0007
@@ -26,7 +24,6 @@
 # A busy host takes up to this many times as long to hear of a change.
 WATCH_SPREAD = 6.0
 CLAIM_LEASE_S = 1.5
-LIST_PERIOD_S = 1.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -37,72 +34,13 @@
   took_s: float
 
 
-class EmulatedHost:
-  """One host: a reducer and the carrying out of its effects.
-
-  Attributes:
-    up: False once killed.
-    frozen: it stands still; what reaches it waits.
-    cut: hosts and endpoints that it can't reach, "store" among them.
-  """
-
-  def __init__(self, fleet: "Fleet", name: str, data_centre: str, boot: int):
-    self.name = name
-    self.data_centre = data_centre
-    self.party = events.Party(name, f"{name}.{boot}")
-    shards = (model.Shard(data_centre),)
-    self.state = state_lib.HostState(
-        state_lib.Identity(self.party, data_centre, shards)
-    )
-    self.up = True
-    self.frozen = False
-    self.cut: set[str] = set()
-    self.log: list[events.Log] = []
-    self._fleet = fleet
-    self._held: list[events.Event] = []
-    self._lists_at = 0.0
-
-  def apply(self, event: events.Event):
-    """Takes one event, unless the host is down; a frozen one takes it later."""
-    if not self.up:
-      return
-    if self.frozen:
-      if not isinstance(event, events.Tick):
-        self._held.append(event)
-      return
-    now = self._fleet.clock.now
-    for effect in reducer.reduce(self.state, event, now):
-      self._fleet.carry(self, effect)
-
-  def thaw(self):
-    """Wakes a frozen host: what has waited for it comes in."""
-    self.frozen = False
-    held, self._held = self._held, []
-    for event in held:
-      self.apply(event)
-
-  def tick(self):
-    """One tick of the host's timer, for as long as it is up."""
-    if not self.up:
-      return
-    self.apply(events.Tick())
-    now = self._fleet.clock.now
-    owns = bool(self.state.owners)
-    if owns and now >= self._lists_at and not self.frozen:
-      self._lists_at = now + LIST_PERIOD_S
-      self._fleet.read_list(self)
-    if not owns:
-      self._lists_at = 0.0
-    self._fleet.clock.after(TICK_S, self.tick)
-
-
 class Fleet:
   """Hosts, endpoints, a store, and the messages between them."""
 
   def __init__(self, seed: int = 0):
     self.clock = clock_lib.VirtualClock()
     self.rng = random.Random(seed)
-    self.hosts: dict[str, EmulatedHost] = {}
+    self.hosts: dict[str, hosts.EmulatedHost] = {}
     self.endpoints: dict[str, endpoint_lib.EmulatedEndpoint] = {}
     self.answers: dict[int, CallerAnswer] = {}
     self.broken: list[str] = []
@@ -120,12 +58,12 @@
 
   # Building.
 
-  def add_host(self, name: str, data_centre: str) -> EmulatedHost:
+  def add_host(self, name: str, data_centre: str) -> hosts.EmulatedHost:
     """Adds a host, or starts a killed one again."""
     self._boots += 1
-    host = EmulatedHost(self, name, data_centre, self._boots)
+    host = hosts.EmulatedHost(self, name, data_centre, self._boots)
     self.hosts[name] = host
-    self.clock.after(self.rng.random() * TICK_S, host.tick)
+    self.clock.after(self.rng.random() * hosts.TICK_S, host.tick)
     self.clock.after(STORE_S, lambda: self._read_claims(host))
     return host
 
@@ -195,11 +133,11 @@
 
   # Effects.
 
-  def carry(self, host: EmulatedHost, effect: events.Effect):
+  def carry(self, host: hosts.EmulatedHost, effect: events.Effect):
     """Carries out one effect of a host."""
     _CARRY[type(effect)](self, host, effect)
 
-  def _reaches(self, host: EmulatedHost, name: str) -> bool:
+  def _reaches(self, host: hosts.EmulatedHost, name: str) -> bool:
     other = self.hosts.get(name)
     return name not in host.cut and (
         other is None or host.name not in other.cut
@@ -277,7 +215,9 @@
     self.clock.after(NEAR_S, arrive)
     self.clock.after(effect.wait_ms / 1000 + CALL_TIMEOUT_S, give_up)
 
-  def _delay_s(self, host: EmulatedHost, other: EmulatedHost) -> float:
+  def _delay_s(
+      self, host: hosts.EmulatedHost, other: hosts.EmulatedHost
+  ) -> float:
     if host is other:
       return 0.0
     return NEAR_S if host.data_centre == other.data_centre else FAR_S
@@ -315,7 +255,7 @@
 
   # The store.
 
-  def read_list(self, host: EmulatedHost):
+  def read_list(self, host: hosts.EmulatedHost):
     """Has a host read the list of endpoints."""
     if not self._has_store(host):
       return
@@ -328,10 +268,10 @@
         2 * STORE_S, lambda: host.apply(events.EndpointsListed(listed))
     )
 
-  def _has_store(self, host: EmulatedHost) -> bool:
+  def _has_store(self, host: hosts.EmulatedHost) -> bool:
     return self.store_up and "store" not in host.cut
 
-  def _read_claims(self, host: EmulatedHost):
+  def _read_claims(self, host: hosts.EmulatedHost):
     if not self._has_store(host):
       self.clock.after(0.1, lambda: self._read_claims(host))
       return
@@ -361,7 +301,7 @@
 
     self.clock.after(STORE_S, arrive)
 
-  def _watch_lease(self, shard, holder: model.Holder, host: EmulatedHost):
+  def _watch_lease(self, shard, holder: model.Holder, host: hosts.EmulatedHost):
     """Ends a claim whose holder has not renewed its lease in time."""
     renewed_at = [self.clock.now]
 
@@ -386,7 +326,7 @@
     for host in self.hosts.values():
       self._notify(host, changed)
 
-  def _notify(self, host: EmulatedHost, changed: events.HolderChanged):
+  def _notify(self, host: hosts.EmulatedHost, changed: events.HolderChanged):
     if self._has_store(host):
       delay_s = STORE_S * self.rng.uniform(1.0, WATCH_SPREAD)
       self.clock.after(delay_s, lambda: host.apply(changed))
--- a/fescueturn/scheduler/coordinator.py
+++ b/fescueturn/scheduler/coordinator.py
@@ -6,17 +6,14 @@
 same shard gets it with its running tasks, or the job is given up.
 """
 
-import zlib
-
 from fescueturn.scheduler import coordinatorstate
 from fescueturn.scheduler import events
 from fescueturn.scheduler import model
+from fescueturn.scheduler import offering
 
 # A coordinator tells a holder this often that it is alive: three pings within
 # the holder's patience of 0.35 s.
 PING_PERIOD_S = 0.1
-# A holder that is silent for this long gets no new jobs: five pings' answers.
-HOLDER_SILENCE_S = 0.5
 # A job whose holder is lost waits this long for the shard's next one: the
 # claim in the store lapses 1.5 s after its last renewal, and the next holder
 # needs some 50 ms. No other shard may start the job meanwhile, since its runs
@@ -29,9 +26,6 @@
 # A caller gets its answer this long before it stops waiting: a round trip to
 # the client and a slow host's tick.
 ANSWER_MARGIN_S = 0.03
-# When to come back, for a job refused for want of room: a burst of more than
-# the endpoints can do fades within a second or two.
-RETRY_AFTER_S = 1
 
 
 def job_arrived(state: coordinatorstate.Coordinator, event: events.JobArrived):
@@ -39,7 +33,9 @@
   earlier = state.jobs.get(event.job.id)
   if earlier is not None:
     # The caller sent the job again: the newer request gets the answer.
-    _answer(state, earlier, model.Outcome.UNKNOWN, "sent_again", keep=True)
+    offering.answer(
+        state, earlier, model.Outcome.UNKNOWN, "sent_again", keep=True
+    )
   key = events.JobKey(state.me, event.job.id)
   record = coordinatorstate.JobRecord(
       event.request_id, key, event.job, state.now, event.deadline_s, event.trace
@@ -48,7 +44,7 @@
     _continue(state, record, earlier)
     return
   _register(state, record)
-  _offer_next(state, record)
+  offering.offer_next(state, record)
 
 
 def _continue(
@@ -69,101 +65,6 @@
   state.counters["jobs"] += 1
 
 
-def _usable(state, shard: model.Shard) -> bool:
-  record = state.holders[shard]
-  return not record.lost and (
-      state.now - record.heard_at < HOLDER_SILENCE_S
-      or not _expects_word(state, shard)
-  )
-
-
-def _expects_word(state, shard: model.Shard) -> bool:
-  """Returns whether pings go to the shard's holder now."""
-  return shard.data_centre == state.data_centre or any(
-      job.shard == shard for job in state.jobs.values()
-  )
-
-
-def _offer_next(state, record: coordinatorstate.JobRecord):
-  """Offers the job to the next holder, or refuses it."""
-  shard = _next_shard(state, record)
-  if shard is not None:
-    _offer(state, record, shard, resumed=record.maybe_begun)
-  elif record.reason or record.maybe_begun:
-    _answer(state, record, _unserved(record), record.reason or "no_holder")
-  else:
-    record.phase = coordinatorstate.Phase.HELD
-
-
-def _unserved(record: coordinatorstate.JobRecord) -> model.Outcome:
-  return model.Outcome.UNKNOWN if record.maybe_begun else model.Outcome.NOT_RUN
-
-
-def _next_shard(
-    state, record: coordinatorstate.JobRecord
-) -> model.Shard | None:
-  """Returns the nearest shard that has not declined the job yet."""
-  open_shards = [
-      s for s in state.holders if s not in record.tried and _usable(state, s)
-  ]
-  if not open_shards:
-    return None
-  return min(
-      open_shards,
-      key=lambda s: (
-          s.data_centre != state.data_centre,
-          zlib.crc32(f"{record.job.id}{s.data_centre}{s.number}".encode()),
-      ),
-  )
-
-
-def _offer(
-    state, record: coordinatorstate.JobRecord, shard: model.Shard, resumed: bool
-):
-  holder = state.holders[shard]
-  if not _expects_word(state, shard):
-    holder.heard_at = state.now
-  record.shard = shard
-  record.party = holder.party
-  record.phase = coordinatorstate.Phase.OFFERED
-  record.offers += 1
-  state.out(_offer_log(state, record, holder, resumed))
-  state.tell(
-      shard,
-      events.Offered(
-          shard,
-          record.key,
-          record.job,
-          state.now - record.arrived,
-          record.deadline - state.now,
-          resumed,
-          record.offers,
-      ),
-  )
-
-
-def _offer_log(
-    state,
-    record: coordinatorstate.JobRecord,
-    holder: coordinatorstate.HolderRecord,
-    resumed: bool,
-):
-  return events.log(
-      "job_offered",
-      job=record.job.id,
-      request=record.trace,
-      queue=record.job.queue,
-      data_centre=record.shard.data_centre,
-      holder=holder.holder.host,
-      fence=holder.holder.fence,
-      holder_heard_ms_ago=int((state.now - holder.heard_at) * 1000),
-      offer=record.offers,
-      may_have_begun=resumed,
-      age_ms=int((state.now - record.arrived) * 1000),
-      left_ms=int((record.deadline - state.now) * 1000),
-  )
-
-
 def heard(state: coordinatorstate.Coordinator, event: events.Heard):
   """Takes a message from a holder."""
   holder = state.holders.get(event.shard)
@@ -210,18 +111,18 @@
         record.shard == shard
         and record.phase is coordinatorstate.Phase.ORPHANED
     ):
-      _offer(state, record, shard, resumed=True)
+      offering.offer(state, record, shard, resumed=True)
 
 
 def _offer_again(state, shard: model.Shard):
   """Offers the shard's holder the jobs that an earlier one had."""
   for record in list(state.jobs.values()):
     if record.phase is coordinatorstate.Phase.HELD:
-      _offer(state, record, shard, resumed=False)
+      offering.offer(state, record, shard, resumed=False)
     elif record.shard == shard:
       # An offer without an answer may have been taken up by that holder.
       record.maybe_begun = True
-      _offer(state, record, shard, resumed=True)
+      offering.offer(state, record, shard, resumed=True)
 
 
 def _accepted(
@@ -250,13 +151,13 @@
   if message.wait_ms:
     record.reason = "no_room"
     record.wait_ms = max(record.wait_ms, message.wait_ms)
-  _offer_next(state, record)
+  offering.offer_next(state, record)
 
 
 def _job_ended(
     state, record: coordinatorstate.JobRecord, message: events.JobEnded
 ):
-  _answer(state, record, message.outcome, message.reason)
+  offering.answer(state, record, message.outcome, message.reason)
 
 
 _ON_MESSAGE = {
@@ -266,37 +167,6 @@
 }
 
 
-def _answer(
-    state,
-    record: coordinatorstate.JobRecord,
-    outcome: model.Outcome,
-    reason: str,
-    keep: bool = False,
-):
-  """Gives the caller its final answer."""
-  refused = outcome is model.Outcome.NOT_RUN
-  retry_after_s = RETRY_AFTER_S if refused else 0
-  state.out(
-      events.Answer(record.request_id, outcome, retry_after_s, reason),
-      events.log(
-          "job_answered",
-          job=record.job.id,
-          request=record.trace,
-          outcome=outcome.value,
-          reason=reason,
-          shard=record.shard.data_centre if record.shard else "",
-          holder=record.party.host if record.party else "",
-          tasks=record.job.task_count,
-          age_ms=int((state.now - record.arrived) * 1000),
-          wait_ms=record.wait_ms,
-      ),
-  )
-  state.counters[f"answer_{outcome.value}"] += 1
-  state.by_request.pop(record.request_id, None)
-  if not keep:
-    state.jobs.pop(record.job.id, None)
-
-
 def caller_gone(state: coordinatorstate.Coordinator, request_id: int):
   """The caller hung up: nobody wants the job any more."""
   record = state.by_request.pop(request_id, None)
@@ -313,28 +183,22 @@
           age_ms=int((state.now - record.arrived) * 1000),
       )
   )
-  _withdraw(state, record)
-
-
-def _withdraw(state, record: coordinatorstate.JobRecord):
-  holder = state.holders.get(record.shard) if record.shard else None
-  if holder is not None and holder.party == record.party:
-    state.tell(record.shard, events.Withdrawn(record.shard, record.key))
+  offering.withdraw(state, record)
 
 
 def job_cancelled(state: coordinatorstate.Coordinator, job_id: str):
   """The caller cancelled the job."""
   record = state.jobs.get(job_id)
   if record is not None:
-    _withdraw(state, record)
-    _answer(state, record, model.Outcome.UNKNOWN, "cancelled")
+    offering.withdraw(state, record)
+    offering.answer(state, record, model.Outcome.UNKNOWN, "cancelled")
 
 
 def give_up_all(state: coordinatorstate.Coordinator):
   """Answers every caller that still waits: this process ends."""
   for record in list(state.jobs.values()):
-    _withdraw(state, record)
-    _answer(state, record, _unserved(record), "stopping")
+    offering.withdraw(state, record)
+    offering.answer(state, record, offering.unserved(record), "stopping")
 
 
 def pending(state: coordinatorstate.Coordinator, queue: str) -> int:
@@ -374,7 +238,10 @@
     state: coordinatorstate.Coordinator, record: coordinatorstate.HolderRecord
 ) -> bool:
   """Returns whether a holder was heard from of late."""
-  return not record.lost and state.now - record.heard_at < HOLDER_SILENCE_S
+  return (
+      not record.lost
+      and state.now - record.heard_at < offering.HOLDER_SILENCE_S
+  )
 
 
 def link_lost(state: coordinatorstate.Coordinator, event: events.LinkLost):
@@ -415,15 +282,15 @@
   _ping(state)
   for record in list(state.jobs.values()):
     if state.now > record.deadline - ANSWER_MARGIN_S:
-      _withdraw(state, record)
-      _answer(state, record, _unserved(record), "deadline")
+      offering.withdraw(state, record)
+      offering.answer(state, record, offering.unserved(record), "deadline")
     elif record.phase is coordinatorstate.Phase.HELD:
       if state.now - record.arrived > HELD_PATIENCE_S:
-        _answer(state, record, model.Outcome.NOT_RUN, "no_holder")
+        offering.answer(state, record, model.Outcome.NOT_RUN, "no_holder")
     elif record.phase is coordinatorstate.Phase.ORPHANED:
       if state.now - record.orphaned_at > ORPHAN_PATIENCE_S:
-        _answer(state, record, _unserved(record), "holder_lost")
-    elif not _usable(state, record.shard):
+        offering.answer(state, record, offering.unserved(record), "holder_lost")
+    elif not offering.usable(state, record.shard):
       _holder_lost(state, record.shard, "silent")
 
 
--- /dev/null
+++ b/fescueturn/scheduler/offering.py
@@ -0,0 +1,149 @@
+"""What a coordinator does with one job: offers, withdraws, answers it."""
+
+import zlib
+
+from fescueturn.scheduler import coordinatorstate
+from fescueturn.scheduler import events
+from fescueturn.scheduler import model
+
+# A holder that is silent for this long gets no new jobs: five pings' answers.
+HOLDER_SILENCE_S = 0.5
+# When to come back, for a job refused for want of room: a burst of more than
+# the endpoints can do fades within a second or two.
+RETRY_AFTER_S = 1
+
+
+def usable(state, shard: model.Shard) -> bool:
+  """Returns whether the shard's holder may be offered jobs."""
+  record = state.holders[shard]
+  return not record.lost and (
+      state.now - record.heard_at < HOLDER_SILENCE_S
+      or not _expects_word(state, shard)
+  )
+
+
+def _expects_word(state, shard: model.Shard) -> bool:
+  """Returns whether pings go to the shard's holder now."""
+  return shard.data_centre == state.data_centre or any(
+      job.shard == shard for job in state.jobs.values()
+  )
+
+
+def offer_next(state, record: coordinatorstate.JobRecord):
+  """Offers the job to the next holder, or refuses it."""
+  shard = _next_shard(state, record)
+  if shard is not None:
+    offer(state, record, shard, resumed=record.maybe_begun)
+  elif record.reason or record.maybe_begun:
+    answer(state, record, unserved(record), record.reason or "no_holder")
+  else:
+    record.phase = coordinatorstate.Phase.HELD
+
+
+def unserved(record: coordinatorstate.JobRecord) -> model.Outcome:
+  """Returns what a job is answered that no holder will run."""
+  return model.Outcome.UNKNOWN if record.maybe_begun else model.Outcome.NOT_RUN
+
+
+def _next_shard(
+    state, record: coordinatorstate.JobRecord
+) -> model.Shard | None:
+  """Returns the nearest shard that has not declined the job yet."""
+  open_shards = [
+      s for s in state.holders if s not in record.tried and usable(state, s)
+  ]
+  if not open_shards:
+    return None
+  return min(
+      open_shards,
+      key=lambda s: (
+          s.data_centre != state.data_centre,
+          zlib.crc32(f"{record.job.id}{s.data_centre}{s.number}".encode()),
+      ),
+  )
+
+
+def offer(
+    state, record: coordinatorstate.JobRecord, shard: model.Shard, resumed: bool
+):
+  """Offers the job to a shard's holder; `resumed` if it may have begun."""
+  holder = state.holders[shard]
+  if not _expects_word(state, shard):
+    holder.heard_at = state.now
+  record.shard = shard
+  record.party = holder.party
+  record.phase = coordinatorstate.Phase.OFFERED
+  record.offers += 1
+  state.out(_offer_log(state, record, holder, resumed))
+  state.tell(
+      shard,
+      events.Offered(
+          shard,
+          record.key,
+          record.job,
+          state.now - record.arrived,
+          record.deadline - state.now,
+          resumed,
+          record.offers,
+      ),
+  )
+
+
+def _offer_log(
+    state,
+    record: coordinatorstate.JobRecord,
+    holder: coordinatorstate.HolderRecord,
+    resumed: bool,
+):
+  return events.log(
+      "job_offered",
+      job=record.job.id,
+      request=record.trace,
+      queue=record.job.queue,
+      data_centre=record.shard.data_centre,
+      holder=holder.holder.host,
+      fence=holder.holder.fence,
+      holder_heard_ms_ago=int((state.now - holder.heard_at) * 1000),
+      offer=record.offers,
+      may_have_begun=resumed,
+      age_ms=int((state.now - record.arrived) * 1000),
+      left_ms=int((record.deadline - state.now) * 1000),
+  )
+
+
+def answer(
+    state,
+    record: coordinatorstate.JobRecord,
+    outcome: model.Outcome,
+    reason: str,
+    keep: bool = False,
+):
+  """Gives the caller its final answer."""
+  refused = outcome is model.Outcome.NOT_RUN
+  retry_after_s = RETRY_AFTER_S if refused else 0
+  state.out(
+      events.Answer(record.request_id, outcome, retry_after_s, reason),
+      events.log(
+          "job_answered",
+          job=record.job.id,
+          request=record.trace,
+          outcome=outcome.value,
+          reason=reason,
+          shard=record.shard.data_centre if record.shard else "",
+          holder=record.party.host if record.party else "",
+          tasks=record.job.task_count,
+          age_ms=int((state.now - record.arrived) * 1000),
+          wait_ms=record.wait_ms,
+      ),
+  )
+  state.counters[f"answer_{outcome.value}"] += 1
+  state.by_request.pop(record.request_id, None)
+  if not keep:
+    state.jobs.pop(record.job.id, None)
+
+
+def withdraw(state, record: coordinatorstate.JobRecord):
+  """Tells the job's holder, if it still is one, that nobody wants it."""
+  holder = state.holders.get(record.shard) if record.shard else None
+  if holder is not None and holder.party == record.party:
+    state.tell(record.shard, events.Withdrawn(record.shard, record.key))
--- a/tests/test_scheduler_fleet.py
+++ b/tests/test_scheduler_fleet.py
@@ -3,6 +3,7 @@
 import pytest
 
 from fescueturn.emulator import fleet as fleet_lib
+from fescueturn.emulator import hosts as hosts_lib
 from fescueturn.scheduler import events
 from fescueturn.scheduler import model
 
@@ -27,7 +28,7 @@
   return made
 
 
-def owner_of(made: fleet_lib.Fleet, zone: str) -> fleet_lib.EmulatedHost:
+def owner_of(made: fleet_lib.Fleet, zone: str) -> hosts_lib.EmulatedHost:
   owners = [
       h
       for h in made.hosts.values()
@@ -37,7 +38,7 @@
   return owners[0]
 
 
-def other_than(made, owner) -> fleet_lib.EmulatedHost:
+def other_than(made, owner) -> hosts_lib.EmulatedHost:
   return next(
       h
       for h in made.hosts.values()
