Comments and pages say what is in force

Cause: read as a newcomer: a threshold's reason named a pause that was never measured, and pages still had the list read once a second.

Ruled out: any change of behaviour (one comparison reads 'is' for 'in').

--- a/fescueturn/platform/claims.py
+++ b/fescueturn/platform/claims.py
@@ -20,7 +20,7 @@
 
 PREFIX = "fescueturn/holders/"
 # How long a holder that stands still keeps its claim: its endpoints' leases
-# last 1 s, so that nothing of it runs when the claim lapses.
+# last 0.8 s, so that nothing of it runs when the claim lapses.
 LEASE_MS = 1500
 # Three renewals in a lease's time.
 KEEP_PERIOD_S = 0.5
--- a/fescueturn/scheduler/leases.py
+++ b/fescueturn/scheduler/leases.py
@@ -118,7 +118,7 @@
     run.settled_at = record.call_number
     record.add(run)
     adopt(owner, record, run)
-  elif run.state in (ledger.RunState.ORDERED,):
+  elif run.state is ledger.RunState.ORDERED:
     run.state = ledger.RunState.RUNNING
     run.settled_at = record.call_number
   if running.percent > run.percent:
--- a/fescueturn/scheduler/ledger.py
+++ b/fescueturn/scheduler/ledger.py
@@ -18,11 +18,11 @@
 # slow clock may add, and ten times a call's usual 2 ms.
 LAPSE_MARGIN_MS = 40
 # A run that takes this many times its estimate without getting anywhere is
-# stuck: estimates are off by 40% at most, and slow endpoints of the sheets
-# take 6.5 times as long but make progress.
+# stuck: estimates are off by 40% at most, and an endpoint that is only slow
+# shows progress all the while.
 STUCK_FACTOR = 3.0
-# Nothing is called stuck sooner: twice the longest pause seen between two
-# steps of a run's progress, and long enough for a lease renewal to report it.
+# Nothing is called stuck sooner: progress is told with each lease call, at
+# least every 300 ms, and one such call may be lost (150 ms).
 STUCK_MIN_S = 0.5
 # Jobs in a row whose runs failed on one endpoint that take it out of use. One
 # run in five hundred fails by its own fault, and a job that can never be done
