--- a/tests/test_platform_role.py
+++ b/tests/test_platform_role.py
@@ -5,6 +5,7 @@
 import json
 import os
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -16,18 +17,35 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 ZONES = ("north", "south")
+ENDPOINTS = 6
+# Ports handed out, in use by now or later.
+TAKEN: set[int] = set()
 HOST = "jobs.example"
 PREFIX = "/check/"
 
 
+def is_free(port: int) -> bool:
+  with contextlib.closing(socket.socket()) as sock:
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    try:
+      sock.bind(("127.0.0.1", port))
+    except OSError:
+      return False
+  return True
+
+
 def free_ports(count: int) -> list[int]:
-  socks = [socket.socket() for _ in range(count)]
-  for sock in socks:
-    sock.bind(("127.0.0.1", 0))
-  ports = [sock.getsockname()[1] for sock in socks]
-  for sock in socks:
-    sock.close()
-  return ports
+  """Returns ports in a row that are free, and stay so.
+
+  They lie below the range from which the system gives outgoing connections
+  theirs, so that none of these takes one before its server is started.
+  """
+  while True:
+    first = random.randrange(20_000, 32_000)
+    ports = list(range(first, first + count))
+    if TAKEN.isdisjoint(ports) and all(is_free(port) for port in ports):
+      TAKEN.update(ports)
+      return ports
 
 
 def call(port, method, path, body=None, headers=None, timeout=10.0):
@@ -72,13 +90,6 @@
 
   def __init__(self, directory, name: str, zone: str, store_port: int):
     callers, ready, links, metrics = free_ports(4)
-    # Links and metrics need two ports in a row.
-    while metrics != links + 1:
-      links = free_ports(1)[0]
-      with contextlib.closing(socket.socket()) as sock:
-        with contextlib.suppress(OSError):
-          sock.bind(("127.0.0.1", links + 1))
-          metrics = links + 1
     self.name, self.zone = name, zone
     self.callers, self.ready, self.metrics = callers, ready, metrics
     self.file = directory / f"{name}.json"
@@ -152,12 +163,7 @@
   """The stand-in platform and two hosts in each of two data centres."""
 
   def __init__(self, directory):
-    self.store_port = free_ports(1)[0]
-    endpoint_port = 0
-    while not endpoint_port:
-      first = free_ports(1)[0]
-      if first < 60000:
-        endpoint_port = first + 1
+    self.store_port, endpoint_port, *_ = free_ports(1 + ENDPOINTS)
     self.platform = subprocess.Popen(
         [
             sys.executable,
@@ -165,7 +171,7 @@
             "tests.fakeplatform",
             str(self.store_port),
             str(endpoint_port),
-            "6",
+            str(ENDPOINTS),
             *ZONES,
         ],
         cwd=ROOT,
