Remove state that nothing reads

Cause: reading the whole change again: Coordinator.draining was set and never read (the host's own is), and the stand-in's lease call made a queue unused.

--- a/fescueturn/scheduler/coordinatorstate.py
+++ b/fescueturn/scheduler/coordinatorstate.py
@@ -77,7 +77,6 @@
     self.me = me
     self.data_centre = data_centre
     self.now = 0.0
-    self.draining = False
     self.holders: dict[model.Shard, HolderRecord] = {}
     self.jobs: dict[str, JobRecord] = {}
     self.by_request: dict[int, JobRecord] = {}
--- a/fescueturn/scheduler/reducer.py
+++ b/fescueturn/scheduler/reducer.py
@@ -236,7 +236,6 @@
   """A planned stop: other hosts take the shards over while this one ends."""
   del event
   state.draining = True
-  state.coordinator.draining = True
   effects = []
   for shard, owner in list(state.owners.items()):
     effects.append(events.ReleaseShard(shard, owner.fence))
--- a/tests/fakeplatform.py
+++ b/tests/fakeplatform.py
@@ -214,7 +214,6 @@
     return httpio.json_response(409, {**body, "reason": _REASONS[result]})
 
   async def _hold(self, body):
-    answers = curio.Queue()
     found = []
     call = events.RenewLease(
         self.emulated.info,
@@ -227,7 +226,6 @@
     self.emulated.renew(call, found.append)
     while not found:
       await curio.sleep(0.002)
-    del answers
     answer = found[0]
     if answer.result is not model.CallResult.OK:
       return self._answer(answer.result)
