Jobs begin where there is room at once, or wait where they wait least

Change: an offer says whether it is to be taken only without a wait. Each data centre is asked so in turn; then the one with the shortest wait has the job.

--- a/fescueturn/emulator/fleet.py
+++ b/fescueturn/emulator/fleet.py
@@ -275,7 +275,9 @@
     if not self._has_store(host):
       self.clock.after(0.1, lambda: self._read_claims(host))
       return
-    for shard in {model.Shard(h.data_centre) for h in self.hosts.values()}:
+    # In the hosts' order: a set's differs from one process to the next.
+    centres = dict.fromkeys(h.data_centre for h in self.hosts.values())
+    for shard in map(model.Shard, centres):
       holder = self._claims.get(shard)
       host.apply(events.HolderChanged(shard, holder))
 
--- a/fescueturn/emulator/load.py
+++ b/fescueturn/emulator/load.py
@@ -145,6 +145,7 @@
       ATTEMPTS,
       STRETCH,
       SLO_MS,
+      kind.name,
   )
   wait_s = rng.uniform(SHORTEST_WAIT_S, LONGEST_WAIT_S)
   host = rng.choice(list(made.hosts))
--- a/fescueturn/explain.py
+++ b/fescueturn/explain.py
@@ -19,6 +19,10 @@
         "declined: no room expected in time (short by {wait_ms} ms, behind"
         " {waiting_jobs} waiting jobs)"
     ),
+    "job_put_off": (
+        "not begun there at once: it would wait {wait_ms} ms, behind"
+        " {waiting_jobs} waiting jobs"
+    ),
     "job_begun": "its first task was ordered, {waited_ms} ms after it came",
     "job_answered": (
         "its caller was answered '{outcome}' after {age_ms} ms: {reason}"
--- a/fescueturn/scheduler/coordinator.py
+++ b/fescueturn/scheduler/coordinator.py
@@ -147,6 +147,11 @@
     # that was offered the job may not know yet that it is the holder.
     _orphan(state, record)
     return
+  if message.in_time:
+    record.waits[record.shard] = message.wait_ms
+    offering.offer_next(state, record)
+    return
+  record.waits.pop(record.shard, None)
   record.tried.add(record.shard)
   if message.wait_ms:
     record.reason = "no_room"
--- a/fescueturn/scheduler/coordinatorstate.py
+++ b/fescueturn/scheduler/coordinatorstate.py
@@ -34,7 +34,8 @@
     party: which process that was.
     offers: how often it was offered.
     orphaned_at: when its holder was lost (s).
-    tried: shards that declined it.
+    tried: shards that declined it for good.
+    waits: shards that would have it done in time after a wait (ms).
     maybe_begun: True once a holder may have started a task.
   """
 
@@ -51,6 +52,7 @@
     self.offers = 0
     self.orphaned_at = 0.0
     self.tried: set[model.Shard] = set()
+    self.waits: dict[model.Shard, int] = {}
     self.maybe_begun = False
     self.reason = ""
     self.wait_ms = 0
--- a/fescueturn/scheduler/events.py
+++ b/fescueturn/scheduler/events.py
@@ -111,6 +111,7 @@
     resumed: True when another holder had the job before: runs that still
       go on are the job's own.
     number: tells the offers of one job apart.
+    at_once: True to have it taken only if nothing of it has to wait.
   """
 
   shard: model.Shard
@@ -120,6 +121,7 @@
   left_s: float
   resumed: bool = False
   number: int = 0
+  at_once: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -244,11 +246,14 @@
     number: which of its offers is declined.
     wait_ms: in how long the holder expects to have room for it; 0 from a
       host that holds no endpoints.
+    in_time: True if it would be done in time after that wait: the holder was
+      asked to take it only without one.
   """
 
   key: JobKey
   number: int
   wait_ms: int
+  in_time: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
--- a/fescueturn/scheduler/link.capnp
+++ b/fescueturn/scheduler/link.capnp
@@ -21,6 +21,7 @@
   attempts @3 :UInt32;
   stretch @4 :Float64;
   sloMs @5 :UInt32;
+  queue @6 :Text;
 }
 
 struct Message {
@@ -40,6 +41,7 @@
       ageS @7 :Float64;
       leftS @8 :Float64;
       resumed @9 :Bool;
+      atOnce @17 :Bool;
     }
     withdrawn @10 :Void;
     pong :group {
@@ -48,6 +50,7 @@
     accepted @12 :Void;
     declined :group {
       waitMs @13 :UInt32;
+      inTime @18 :Bool;
     }
     ended :group {
       outcome @14 :Outcome;
--- a/fescueturn/scheduler/linkcodec.py
+++ b/fescueturn/scheduler/linkcodec.py
@@ -65,12 +65,14 @@
   group.ageS = message.age_s
   group.leftS = max(0.0, message.left_s)
   group.resumed = message.resumed
+  group.atOnce = message.at_once
   job = message.job
   group.job.service = job.service
   group.job.spec = job.spec
   group.job.attempts = job.attempts
   group.job.stretch = job.stretch
   group.job.sloMs = job.slo_ms
+  group.job.queue = job.queue
   steps = group.job.init("steps", len(job.steps))
   for target, step in zip(steps, job.steps, strict=True):
     _encode_step(target, step)
@@ -106,7 +108,9 @@
 def _encode_declined(out, message: events.Declined):
   out.jobId = message.key.job_id
   out.number = message.number
-  out.init("declined").waitMs = message.wait_ms
+  group = out.init("declined")
+  group.waitMs = message.wait_ms
+  group.inTime = message.in_time
 
 
 def _encode_ended(out, message: events.JobEnded):
@@ -164,6 +168,7 @@
       job.attempts,
       job.stretch,
       job.sloMs,
+      job.queue,
   )
   key = events.JobKey(coordinator, message.jobId)
   return events.Offered(
@@ -174,6 +179,7 @@
       group.leftS,
       group.resumed,
       message.number,
+      group.atOnce,
   )
 
 
@@ -210,7 +216,10 @@
         events.JobKey(party, m.jobId), m.number
     ),
     "declined": lambda m, shard, party: events.Declined(
-        events.JobKey(party, m.jobId), m.number, m.declined.waitMs
+        events.JobKey(party, m.jobId),
+        m.number,
+        m.declined.waitMs,
+        m.declined.inTime,
     ),
     "ended": _decode_ended,
 }
--- a/fescueturn/scheduler/model.py
+++ b/fescueturn/scheduler/model.py
@@ -109,7 +109,7 @@
     attempts: runs of one task that may fail before the job fails.
     stretch: the objective in multiples of the longest chain of work.
     slo_ms: the objective's fixed part.
-    queue: the queue's name; known to the job's coordinator only.
+    queue: the queue's name.
   """
 
   id: str
--- a/fescueturn/scheduler/offering.py
+++ b/fescueturn/scheduler/offering.py
@@ -30,10 +30,19 @@
 
 
 def offer_next(state, record: coordinatorstate.JobRecord):
-  """Offers the job to the next holder, or refuses it."""
-  shard = _next_shard(state, record)
+  """Offers the job to the next holder, or refuses it.
+
+  The holders are first asked one after the other to begin it at once, the
+  nearest first; then the one with the shortest wait is asked to let it wait.
+  """
+  shard = _next_unasked(state, record)
+  if shard is not None:
+    at_once = not record.maybe_begun
+    offer(state, record, shard, record.maybe_begun, at_once)
+    return
+  shard = _shortest_wait(state, record)
   if shard is not None:
-    offer(state, record, shard, resumed=record.maybe_begun)
+    offer(state, record, shard, record.maybe_begun)
   elif record.reason or record.maybe_begun:
     answer(state, record, unserved(record), record.reason or "no_holder")
   else:
@@ -45,12 +54,26 @@
   return model.Outcome.UNKNOWN if record.maybe_begun else model.Outcome.NOT_RUN
 
 
-def _next_shard(
+def _shortest_wait(
+    state, record: coordinatorstate.JobRecord
+) -> model.Shard | None:
+  """Returns the shard that would begin the job soonest, if any would."""
+  waits = {s: ms for s, ms in record.waits.items() if usable(state, s)}
+  return min(
+      waits,
+      key=lambda s: (waits[s], s.data_centre != state.data_centre),
+      default=None,
+  )
+
+
+def _next_unasked(
     state, record: coordinatorstate.JobRecord
 ) -> model.Shard | None:
   """Returns the nearest shard that has not declined the job yet."""
   open_shards = [
-      s for s in state.holders if s not in record.tried and usable(state, s)
+      s
+      for s in state.holders
+      if s not in record.tried and s not in record.waits and usable(state, s)
   ]
   if not open_shards:
     return None
@@ -64,9 +87,21 @@
 
 
 def offer(
-    state, record: coordinatorstate.JobRecord, shard: model.Shard, resumed: bool
+    state,
+    record: coordinatorstate.JobRecord,
+    shard: model.Shard,
+    resumed: bool,
+    at_once: bool = False,
 ):
-  """Offers the job to a shard's holder; `resumed` if it may have begun."""
+  """Offers the job to a shard's holder.
+
+  Args:
+    state: the coordinator's state.
+    record: the job.
+    shard: whose holder it is offered to.
+    resumed: whether it may have begun.
+    at_once: whether it is to be taken only if nothing of it has to wait.
+  """
   holder = state.holders[shard]
   if not _expects_word(state, shard):
     holder.heard_at = state.now
@@ -85,6 +120,7 @@
           record.deadline - state.now,
           resumed,
           record.offers,
+          at_once,
       ),
   )
 
--- a/fescueturn/scheduler/offers.py
+++ b/fescueturn/scheduler/offers.py
@@ -12,7 +12,10 @@
 from fescueturn.scheduler import ownerstate
 
 # What a host without a usable endpoint says of when to come back.
-NO_PLACE_WAIT_MS = 1000
+NO_PLACE_WAIT_S = 1.0
+# A job that begins this soon counts as begun at once: asking another data
+# centre takes a round trip of 1 to 2 ms and may find no more room.
+AT_ONCE_S = 0.005
 
 
 def offered(owner: ownerstate.Owner, offer: events.Offered):
@@ -27,9 +30,10 @@
     outcomes.end_job(owner, earlier, model.Outcome.UNKNOWN, "sent_again")
     offer = dataclasses.replace(offer, resumed=True)
   if not offer.resumed and not owner.just_taken:
-    wait_ms = _wait_ms(owner, offer)
-    if wait_ms is not None:
-      _decline(owner, offer, wait_ms)
+    outlook = _outlook(owner, offer)
+    must_wait = outlook.wait_s > AT_ONCE_S
+    if outlook.late_s or (offer.at_once and must_wait):
+      _decline(owner, offer, outlook)
       return
   _accept(owner, offer)
   orders.place(owner)
@@ -44,8 +48,24 @@
   )
 
 
-def _wait_ms(owner: ownerstate.Owner, offer: events.Offered) -> int | None:
-  """Returns None to take the job, or else when there may be room (ms)."""
+@dataclasses.dataclass(frozen=True)
+class _Outlook:
+  """What a job could expect here.
+
+  Attributes:
+    wait_s: how much longer it would take than with all places free.
+    late_s: by how much it would be late; 0 if in time.
+  """
+
+  wait_s: float
+  late_s: float
+
+
+_NO_PLACE = _Outlook(NO_PLACE_WAIT_S, NO_PLACE_WAIT_S)
+
+
+def _outlook(owner: ownerstate.Owner, offer: events.Offered) -> _Outlook:
+  """Plays what is at work and what waits against the job's tasks."""
   job = offer.job
   first = [s for s in job.steps if not s.after]
   widest = max(first, key=lambda s: s.estimate_ms)
@@ -62,12 +82,14 @@
   ahead = _work_ahead(owner, _latest_start(owner, offer))
   finish_s = admission.expected_finish_s(places, ahead, count, run_s, owner.now)
   if finish_s is None:
-    return NO_PLACE_WAIT_MS
-  finish_s += max(0.0, chain_s - run_s * _waves(count, len(places)))
+    return _NO_PLACE
+  unhindered_s = run_s * _waves(count, len(places))
+  wait_s = finish_s - unhindered_s
+  finish_s += max(0.0, chain_s - unhindered_s)
   # No longer than its objective allows, nor than its caller waits.
   allowed_s = admission.latest_finish_s(job, total) - offer.age_s
-  spare_s = min(allowed_s, offer.left_s) - finish_s
-  return None if spare_s >= 0 else max(1, int(-spare_s * 1000))
+  late_s = finish_s - min(allowed_s, offer.left_s)
+  return _Outlook(wait_s, max(0.0, late_s))
 
 
 def _waves(count: int, places: int) -> int:
@@ -93,11 +115,13 @@
   return owner.now - offer.age_s + spare_s
 
 
-def _decline(owner, offer: events.Offered, wait_ms: int):
-  owner.counters["declined"] += 1
+def _decline(owner, offer: events.Offered, outlook: _Outlook):
+  in_time = not outlook.late_s
+  wait_ms = max(1, int(1000 * (outlook.wait_s if in_time else outlook.late_s)))
+  owner.counters["put_off" if in_time else "declined"] += 1
   owner.out(
       events.log(
-          "job_declined",
+          "job_put_off" if in_time else "job_declined",
           job=offer.job.id,
           coordinator=offer.key.party.host,
           wait_ms=wait_ms,
@@ -105,7 +129,10 @@
           fence=owner.fence,
       )
   )
-  owner.tell(offer.key.party, events.Declined(offer.key, offer.number, wait_ms))
+  owner.tell(
+      offer.key.party,
+      events.Declined(offer.key, offer.number, wait_ms, in_time),
+  )
 
 
 def _accept(owner, offer: events.Offered):
--- a/tests/test_linkcodec.py
+++ b/tests/test_linkcodec.py
@@ -19,6 +19,7 @@
     3,
     1.6,
     60,
+    "queue-1",
 )
 
 
@@ -28,11 +29,13 @@
         linkcodec.Hello(PARTY),
         events.Ping(SHARD, PARTY),
         events.Offered(SHARD, KEY, JOB, 0.25, 1.5, True, 7),
+        events.Offered(SHARD, KEY, JOB, 0.25, 1.5, False, 8, True),
         events.Withdrawn(SHARD, KEY),
         events.Pong(),
         events.Pong(holding=False),
         events.Accepted(KEY, 3),
         events.Declined(KEY, 4, 95),
+        events.Declined(KEY, 4, 95, in_time=True),
         *(events.JobEnded(KEY, o, "why") for o in model.Outcome),
     ],
 )
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -10,6 +10,18 @@
   return sum(kind.in_time for kind in report.kinds) / asked
 
 
+@pytest.mark.parametrize("seed", (1, 2))
+def test_load_of_two_thirds_keeps_few_waiting(seed):
+  """Asked one after the other to begin a job at once, 3 data centres are one.
+
+  Before, a job waited in its own data centre while others had places: 15.2 of
+  1,500 jobs were late (mean of six seeds of 20 s), 3.7 after.
+  """
+  report = load.play(load.Plan(seed=seed, seconds=20, jobs_per_s=75))
+  assert report.broken == ()
+  assert sum(kind.late for kind in report.kinds) <= 9
+
+
 @pytest.mark.parametrize("seed", (1, 2))
 def test_calm_load_is_served_in_time(seed):
   report = load.play(load.Plan(seed=seed, seconds=15, jobs_per_s=50))
