An offer without an answer is never answered as not run

Cause: a caller whose time was over while the holder's word was still on its way was told that its job had not run; the holder might have begun it (a window of one message's way, longer to a slow host). Change: such a job is answered as unknown (504). Test: fails before.

--- a/fescueturn/scheduler/offering.py
+++ b/fescueturn/scheduler/offering.py
@@ -43,15 +43,20 @@
   shard = _shortest_wait(state, record)
   if shard is not None:
     offer(state, record, shard, record.maybe_begun)
-  elif record.reason or record.maybe_begun:
+    return
+  record.phase = coordinatorstate.Phase.HELD
+  if record.reason or record.maybe_begun:
     answer(state, record, unserved(record), record.reason or "no_holder")
-  else:
-    record.phase = coordinatorstate.Phase.HELD
 
 
 def unserved(record: coordinatorstate.JobRecord) -> model.Outcome:
-  """Returns what a job is answered that no holder will run."""
-  return model.Outcome.UNKNOWN if record.maybe_begun else model.Outcome.NOT_RUN
+  """Returns what a job is answered that its caller no longer waits for.
+
+  An offer without an answer may have been taken up already.
+  """
+  offered = record.phase is coordinatorstate.Phase.OFFERED
+  may_run = offered or record.maybe_begun
+  return model.Outcome.UNKNOWN if may_run else model.Outcome.NOT_RUN
 
 
 def _shortest_wait(
--- a/tests/test_scheduler_fleet.py
+++ b/tests/test_scheduler_fleet.py
@@ -383,6 +383,19 @@
   )
 
 
+def test_job_whose_offer_has_no_answer_yet_is_never_said_not_to_have_run():
+  """The caller's time is over while the holder's word is on its way."""
+  made = fleet()
+  owner = owner_of(made, "a")
+  host = other_than(made, owner)
+  request = made.submit(host.name, job("j", 2, 200), [0.2] * 2, 1.0)
+  host.cut.add(owner.name)  # The offer is out; no answer comes.
+  (record,) = host.state.coordinator.jobs.values()
+  record.deadline = made.clock.now
+  host.apply(events.Tick())
+  assert made.answers[request].answer.outcome is model.Outcome.UNKNOWN
+
+
 def test_new_holder_takes_jobs_while_it_asks_its_endpoints():
   made = fleet()
   owner = owner_of(made, "a")
