Ends of best-effort jobs are not taken for kept ones' while records are read

Cause: a holder that had just taken a shard over kept the ends listed before it had read the kept jobs' records under their jobs' ids, and wrote those of any job that it knew by then, best-effort ones too: KeyError in _progress, the process ended. Change: only kept jobs' ends are written; a kept job that is over drops what is left of them.

--- a/fescueturn/scheduler/keeping.py
+++ b/fescueturn/scheduler/keeping.py
@@ -182,6 +182,11 @@
       self.unsaved.pop(job_id, None)
     return saved
 
+  def take_all(self, job_id: str) -> set[EndName]:
+    """Returns all ends of a job that is over: none is needed any more."""
+    self._ends_in_flight.pop(job_id, None)
+    return self.unsaved.pop(job_id, set())
+
   def snapshot(self) -> dict:
     """Returns a JSON-ready dump."""
     return {
--- a/fescueturn/scheduler/keptjobs.py
+++ b/fescueturn/scheduler/keptjobs.py
@@ -90,7 +90,8 @@
   """Ends listed before the records were read: kept jobs' own are written."""
   keeper = owner.keeper
   for job_id, ends in keeper.early_ends.items():
-    if job_id in owner.by_id or job_id in keeper.over:
+    job = owner.by_id.get(job_id)
+    if job_id in keeper.over or (job is not None and job.job.kept):
       keeper.unsaved.setdefault(job_id, set()).update(ends)
     else:
       _forget_ends(owner, ends)
@@ -155,7 +156,7 @@
 
 def _end_written(owner, change: keptevents.KeepEnd):
   keeper = owner.keeper
-  _forget_ends(owner, keeper.take_saved(change.job_id))
+  _forget_ends(owner, keeper.take_all(change.job_id))
   state = keeper.over.pop(change.job_id)
   until = owner.now + owner.ended_kept_s
   keeper.ended[change.job_id] = keeping.Ended(state, until)
--- a/tests/test_kept_jobs.py
+++ b/tests/test_kept_jobs.py
@@ -125,6 +125,21 @@
   assert accepted(made, asked) > 0.85 * len(asked)
 
 
+@pytest.mark.parametrize("seed", range(4))
+def test_best_effort_jobs_end_while_the_records_are_read(seed):
+  """Their ends are nobody's to write, whenever they are offered again."""
+  made = fleets.fleet(seed=seed)
+  made.load_s = 0.3
+  requests = fleets.load(made, fleets.zone_hosts(made, "a"), 3, 30)
+  asked = load(made, of_zone(made, "a"), 3, 10)
+  owner = fleets.owner_of(made, "a")
+  made.clock.at(2.0, lambda: owner.apply(events.DrainStarted()))
+  made.clock.run_until(10)
+  assert_promises_kept(made, asked)
+  found = fleets.outcomes(made, requests)
+  assert found[model.Outcome.DONE] > 0.85 * len(requests)
+
+
 @pytest.mark.parametrize("seed", range(4))
 def test_all_hosts_lose_power_and_every_accepted_job_is_done(seed):
   made = fleets.fleet(seed=seed)
