--- a/fescueturn/cli.py
+++ b/fescueturn/cli.py
@@ -5,6 +5,7 @@
 Every refusal prints its numbered code (docs/ERRORS.md) and exits 2.
 """
 
+import dataclasses
 import json
 import signal
 import sys
@@ -27,6 +28,7 @@
 from fescueturn.lab import caller
 from fescueturn.lab import demo
 from fescueturn.lab import faultbench
+from fescueturn.lab import hotpath
 from fescueturn.standins import standin_endpoint
 from fescueturn.standins import standin_platform
 
@@ -350,6 +352,20 @@
   click.echo(faultbench.report(faultbench.run(out, chosen)))
 
 
+@bench_group.command("hotpath")
+@click.option("--seconds", default=4.0, show_default=True)
+@click.option("--jobs-per-s", default=430.0, show_default=True)
+@click.option("--hosts", default=13, show_default=True, help="A data centre.")
+@click.option(
+    "--endpoints", default=59, show_default=True, help="A data centre."
+)
+def bench_hotpath(**options):
+  """Measure what decisions and log lines cost a job, in virtual time."""
+  costs = hotpath.measure(load.Plan(**options))
+  for field, value in dataclasses.asdict(costs).items():
+    click.echo(f"{field}={value:.1f}")
+
+
 @bench_group.command("report")
 @click.argument("file", type=click.File())
 def bench_report(file):
--- a/fescueturn/emulator/load.py
+++ b/fescueturn/emulator/load.py
@@ -120,13 +120,18 @@
 
 def play(plan: Plan) -> Report:
   """Plays a load and reports what its callers got."""
+  return play_on(plan)[1]
+
+
+def play_on(plan: Plan) -> tuple[fleet_lib.Fleet, Report]:
+  """Plays a load; returns the fleet as it is then, too."""
   made = build(plan)
   asked: list[_Asked] = []
   for number in range(int(plan.seconds * plan.jobs_per_s)):
     when = SETTLE_S + number / plan.jobs_per_s
     made.clock.at(when, lambda n=number: asked.append(_hand_in(made, n)))
   made.clock.run_until(SETTLE_S + plan.seconds + LONGEST_WAIT_S + 1.0)
-  return _report(made, asked)
+  return made, _report(made, asked)
 
 
 def _hand_in(made: fleet_lib.Fleet, number: int) -> _Asked:
--- a/fescueturn/entry.py
+++ b/fescueturn/entry.py
@@ -56,7 +56,7 @@
         config.retry_after_s, config.answer_keep_s, config.lease_ttl_s
     )
     self._state = reducer.new_state(process.name, boot, limits, config.naive)
-    self._stats = metrics.client(process, "entry")
+    self._stats = metrics.client(process.statsd, "entry", process.name)
     self._kv = kvclient.KvClient(config.platform)
     self._rng = random.Random(boot)
     self._front = callerhttp.CallerHttp(self, clock, self._stats)
--- a/fescueturn/logs.py
+++ b/fescueturn/logs.py
@@ -104,17 +104,18 @@
 
 def setup(process_name: str, level: str = "INFO") -> None:
   """Sends this process's log lines to stderr, each tagged with its name."""
-  _replace_sink(sys.stderr, process_name, level)
+  replace_sink(sys.stderr, process_name, level)
 
 
 def setup_bounded(process_name: str, level: str = "INFO") -> BoundedSink:
   """Sends log lines to standard output, bounded; call the sink's `tick`."""
   sink = BoundedSink(sys.stdout.fileno())
-  _replace_sink(sink.write, process_name, level)
+  replace_sink(sink.write, process_name, level)
   return sink
 
 
-def _replace_sink(sink, process_name: str, level: str):
+def replace_sink(sink, process_name: str, level: str):
+  """Sends log lines to `sink` alone, each tagged with the process's name."""
   logger.remove()
   logger.configure(extra={"proc": process_name})
   logger.add(
--- a/fescueturn/platform/nodefile.py
+++ b/fescueturn/platform/nodefile.py
@@ -13,6 +13,8 @@
 from fescueturn import settings
 
 PATH_VARIABLE = "FESCUETURN_NODE_FILE"
+# Where statsd metrics go, as host:port; the settings file has no place for it.
+STATSD_VARIABLE = "FESCUETURN_STATSD"
 DEFAULT_PATH = "/etc/fescueturn/node.json"
 
 
@@ -50,6 +52,19 @@
   return pathlib.Path(os.environ.get(PATH_VARIABLE, DEFAULT_PATH))
 
 
+def statsd_address() -> settings.Address | None:
+  """Returns where statsd metrics go, or None for nowhere.
+
+  Raises:
+    errors.SettingsError: the variable is no address.
+  """
+  text = os.environ.get(STATSD_VARIABLE, "")
+  try:
+    return settings.parse_address(text) if text else None
+  except ValueError as exc:
+    raise errors.SettingsError(f"{STATSD_VARIABLE}: {exc}") from exc
+
+
 def decode(text: str) -> NodeSettings:
   """Returns the settings in a file's text.
 
--- a/fescueturn/platform/role.py
+++ b/fescueturn/platform/role.py
@@ -10,11 +10,14 @@
 
 import curio
 import prometheus_client
+import statsd
 from loguru import logger
 
 from fescueturn import errors
 from fescueturn import httpio
 from fescueturn import logs
+from fescueturn import metrics
+from fescueturn import settings
 from fescueturn import timer
 from fescueturn.platform import callers
 from fescueturn.platform import claims
@@ -51,7 +54,12 @@
 class Role:
   """One entry host on the platform: `start`, `run` until told, `close`."""
 
-  def __init__(self, node: nodefile.NodeSettings, clock: timer.TimerService):
+  def __init__(
+      self,
+      node: nodefile.NodeSettings,
+      clock: timer.TimerService,
+      stats: statsd.StatsClient | None = None,
+  ):
     self._node = node
     self._timer = clock
     self._party = events.Party(node.host, secrets.token_hex(6))
@@ -84,7 +92,7 @@
         ),
         clock,
     )
-    self._figures = figures.Figures(self._host.state)
+    self._figures = figures.Figures(self._host.state, stats)
     self._callers = callers.CallerHttp(
         self._host, clock.now, self._figures, self._keeper
     )
@@ -228,10 +236,15 @@
     return httpio.json_response(404, {"error": "no such page"})
 
 
-async def _main(node: nodefile.NodeSettings, log: logs.BoundedSink):
+async def _main(
+    node: nodefile.NodeSettings,
+    log: logs.BoundedSink,
+    collector: settings.Address | None,
+):
   clock = timer.TimerService(host_lib.TICK_S)
   clock.subscribe(log.tick)
-  role = Role(node, clock)
+  stats = metrics.client(collector, "role", node.host) if collector else None
+  role = Role(node, clock, stats)
   await role.start()
   await role.run()
   await role.close()
@@ -241,10 +254,11 @@
   """Runs the role; exits 2 when the settings file is bad."""
   try:
     node = nodefile.load()
+    collector = nodefile.statsd_address()
   except errors.SettingsError as exc:
     print(f"event=settings_rejected error={exc}", file=sys.stderr)
     sys.exit(EXIT_BAD_SETTINGS)
-  curio.run(_main, node, logs.setup_bounded(node.host))
+  curio.run(_main, node, logs.setup_bounded(node.host), collector)
 
 
 if __name__ == "__main__":
--- a/fescueturn/scheduler/figures.py
+++ b/fescueturn/scheduler/figures.py
@@ -1,13 +1,15 @@
 """Figures of a host for its metrics page, in Prometheus' text format.
 
 Counters and gauges are read off the scheduler's state when the page is asked
-for; latencies are observed as they happen. `docs/METRICS.md` lists them all.
+for; latencies are observed as they happen, and told to statsd where there is a
+collector. `docs/OPERATIONS.md` lists them all.
 """
 
 from collections.abc import Callable
 from collections.abc import Iterator
 
 import prometheus_client
+import statsd
 from prometheus_client import core
 from prometheus_client import registry as registry_lib
 
@@ -26,8 +28,14 @@
 class Figures(registry_lib.Collector):
   """A host's figures; `page` renders them."""
 
-  def __init__(self, state: state_lib.HostState):
+  def __init__(
+      self,
+      state: state_lib.HostState,
+      stats: statsd.StatsClient | None = None,
+  ):
     self._state = state
+    # Where jobs and calls are told of as they happen, if anywhere.
+    self._stats = stats
     self._registry = prometheus_client.CollectorRegistry()
     self._registry.register(self)
     self._jobs = prometheus_client.Histogram(
@@ -53,10 +61,14 @@
   def job(self, queue: str, outcome: str, took_s: float):
     """Notes a job answered."""
     self._jobs.labels(queue, outcome).observe(took_s)
+    if self._stats is not None:
+      self._stats.timing(f"job_ms.{outcome}", took_s * 1000)
 
   def call(self, dependency: str, result: str, took_s: float):
     """Notes a call answered, or given up."""
     self._calls.labels(dependency, result).observe(took_s)
+    if self._stats is not None:
+      self._stats.timing(f"call_ms.{dependency}.{result}", took_s * 1000)
 
   def config(self, version: int):
     """Notes the configuration in force."""
--- a/fescueturn/scheduler/host.py
+++ b/fescueturn/scheduler/host.py
@@ -103,7 +103,7 @@
         events.Answer: self._answer,
         events.ClaimShard: self._claim,
         events.ReleaseShard: self._release,
-        events.Log: _write_log,
+        events.Log: write_log,
         keptevents.LoadKept: self._spawn(ports.load_kept),
         keptevents.WriteKept: self._spawn(ports.write_kept),
         keptevents.ListEnded: self._spawn(ports.list_ended),
@@ -325,7 +325,8 @@
     await self.apply(message)
 
 
-async def _write_log(effect: events.Log):
+async def write_log(effect: events.Log):
+  """Writes one line of key=value pairs."""
   fields = " ".join(f"{k}={_plain(v)}" for k, v in effect.fields)
   logger.info("event={} {}", effect.event, fields)
 
--- /dev/null
+++ b/tests/test_figures.py
@@ -0,0 +1,40 @@
+import statsd
+
+from fescueturn.scheduler import events
+from fescueturn.scheduler import figures
+from fescueturn.scheduler import model
+from fescueturn.scheduler import state
+
+
+def new_state() -> state.HostState:
+  party = events.Party("host-1", "boot-1")
+  return state.HostState(state.Identity(party, "a", (model.Shard("a"),)))
+
+
+class Collector(statsd.StatsClient):
+  """Keeps what it is told."""
+
+  def __init__(self):
+    self.told = []
+
+  def timing(self, stat, delta, rate=1):
+    self.told.append((stat, delta))
+
+
+def test_page_and_collector_have_the_same_jobs_and_calls():
+  collector = Collector()
+  made = figures.Figures(new_state(), collector)
+  made.job("word-check", "done", 0.25)
+  made.call("store_kv-txn", "200", 0.004)
+  page = made.page().decode()
+  assert 'job_seconds_sum{outcome="done",queue="word-check"} 0.25' in page
+  assert collector.told == [
+      ("job_ms.done", 250.0),
+      ("call_ms.store_kv-txn.200", 4.0),
+  ]
+
+
+def test_page_needs_no_collector():
+  made = figures.Figures(new_state())
+  made.job("word-check", "done", 0.25)
+  assert b"fescueturn_jobs_coordinated 0.0" in made.page()
--- /dev/null
+++ b/tests/test_hotpath.py
@@ -0,0 +1,10 @@
+from fescueturn.emulator import load
+from fescueturn.lab import hotpath
+
+
+def test_a_job_writes_few_lines_on_a_calm_day():
+  """An offer, its begin and its answer; some are offered more than once."""
+  costs = hotpath.measure(load.Plan(seconds=3, jobs_per_s=50))
+  assert costs.jobs == 150
+  assert 3.0 <= costs.lines_per_job <= 4.0
+  assert costs.us_per_run > 0 and costs.us_per_line > 0
--- a/tests/test_nodefile.py
+++ b/tests/test_nodefile.py
@@ -47,3 +47,13 @@
   monkeypatch.setenv(nodefile.PATH_VARIABLE, str(tmp_path / "none"))
   with pytest.raises(errors.SettingsError):
     nodefile.load()
+
+
+def test_collector_is_named_by_the_environment(monkeypatch):
+  monkeypatch.delenv(nodefile.STATSD_VARIABLE, raising=False)
+  assert nodefile.statsd_address() is None
+  monkeypatch.setenv(nodefile.STATSD_VARIABLE, "10.0.0.9:8125")
+  assert nodefile.statsd_address() == settings.Address("10.0.0.9", 8125)
+  monkeypatch.setenv(nodefile.STATSD_VARIABLE, "nowhere")
+  with pytest.raises(errors.SettingsError):
+    nodefile.statsd_address()
