--- a/fescueturn/cli.py
+++ b/fescueturn/cli.py
@@ -9,6 +9,7 @@
 import json
 import signal
 import sys
+import time
 
 import click
 import curio
@@ -17,7 +18,6 @@
 from fescueturn import errors
 from fescueturn import explain
 from fescueturn import httpio
-from fescueturn import kvclient
 from fescueturn import logs
 from fescueturn import settings
 from fescueturn import teamconfig
@@ -29,6 +29,7 @@
 from fescueturn.lab import demo
 from fescueturn.lab import faultbench
 from fescueturn.lab import hotpath
+from fescueturn.platform import store
 from fescueturn.standins import standin_endpoint
 from fescueturn.standins import standin_platform
 
@@ -72,7 +73,11 @@
 
 
 def _with_platform(address: str, call):
-  return _run_closing(kvclient.KvClient(_address(address)), call)
+  return _run_closing(_store(_address(address)), call)
+
+
+def _store(address: settings.Address) -> store.StoreClient:
+  return store.StoreClient(address, time.monotonic)
 
 
 def _with_daemon(address: str, call):
@@ -94,7 +99,8 @@
 
 async def _run_entry(conf: settings.Settings):
   clock = timer.TimerService(conf.entry.tick_ms / 1000)
-  host = entry.EntryHost(conf.process, conf.entry, clock)
+  client = _store(conf.entry.platform)
+  host = entry.EntryHost(conf.process, conf.entry, clock, client)
   await clock.start()
   await host.start()
   await _until_signal()
@@ -105,7 +111,10 @@
 
 async def _run_endpoint(conf: settings.Settings):
   clock = timer.TimerService(1.0)
-  host = standin_endpoint.EndpointStandIn(conf.process, conf.endpoint, clock)
+  client = _store(conf.endpoint.platform)
+  host = standin_endpoint.EndpointStandIn(
+      conf.process, conf.endpoint, clock, client
+  )
   await host.start()
   await _until_signal()
   await host.leave()
--- a/fescueturn/entry.py
+++ b/fescueturn/entry.py
@@ -19,7 +19,7 @@
 from fescueturn import errors
 from fescueturn import events
 from fescueturn import httpio
-from fescueturn import kvclient
+from fescueturn import kvtypes
 from fescueturn import membership
 from fescueturn import metrics
 from fescueturn import peer
@@ -47,6 +47,7 @@
       process: settings.ProcessSettings,
       config: settings.EntrySettings,
       clock: timer.TimerService,
+      store: kvtypes.Store,
   ):
     self._process = process
     self._config = config
@@ -57,7 +58,7 @@
     )
     self._state = reducer.new_state(process.name, boot, limits, config.naive)
     self._stats = metrics.client(process.statsd, "entry", process.name)
-    self._kv = kvclient.KvClient(config.platform)
+    self._kv = store
     self._rng = random.Random(boot)
     self._front = callerhttp.CallerHttp(self, clock, self._stats)
     self._server = httpio.Server(
@@ -267,7 +268,10 @@
     key = effect.claim.key
     store_key = f"/jobs/{self._process.data_centre}/{key}"
     try:
-      await self._kv.put(store_key, effect.claim.fingerprint, expect=0)
+      value = effect.claim.fingerprint.encode()
+      await self._kv.transact(
+          kvtypes.Transaction({store_key: 0}, {store_key: value})
+      )
       claimed = True
     except errors.KvConflictError:
       claimed = False
--- a/fescueturn/lab/bench.py
+++ b/fescueturn/lab/bench.py
@@ -25,7 +25,6 @@
 import curio
 
 from fescueturn import httpio
-from fescueturn import kvclient
 from fescueturn import messages
 from fescueturn import teamconfig
 from fescueturn.lab import benchpoints
@@ -33,6 +32,7 @@
 from fescueturn.lab import launcher
 from fescueturn.lab import procstat
 from fescueturn.lab import workload
+from fescueturn.standins import control
 
 STEP_S = 5.0
 SETTLE_S = 1.0
@@ -131,7 +131,7 @@
 class _Meter:
   """Measures the entry hosts' cost and the platform's calls of one step."""
 
-  def __init__(self, lab: launcher.Launcher, kv: kvclient.KvClient):
+  def __init__(self, lab: launcher.Launcher, kv: control.PlatformControl):
     self._lab = lab
     self._kv = kv
 
@@ -171,7 +171,7 @@
     )
     try:
       await lab.start()
-      kv = kvclient.KvClient(lab.platform)
+      kv = control.PlatformControl(lab.platform)
       await curio.sleep(SETTLE_S)
       points = await body(lab, kv, _Meter(lab, kv))
       await kv.close()
@@ -220,15 +220,18 @@
 
 
 async def _settings_series(lab, kv, meter) -> list[benchpoints.Point]:
+  del kv
   points = []
+  client = lab.client()
   for rate in CHANGE_RATES:
     await meter.begin()
-    changes = await _change(kv, rate)
+    changes = await _change(client, rate)
     cost = await meter.end()
     await curio.sleep(SETTLE_S)
-    spread = await _spread_ms(lab, kv)
+    spread = await _spread_ms(lab, client)
     load = benchpoints.Load(changes_per_s=changes / STEP_S)
     points.append(benchpoints.Point("settings", 2, load, cost, ms=spread))
+  await client.close()
   return points
 
 
--- a/fescueturn/lab/demo.py
+++ b/fescueturn/lab/demo.py
@@ -15,11 +15,11 @@
 import hdrh.histogram
 
 from fescueturn import httpio
-from fescueturn import kvclient
 from fescueturn import messages
 from fescueturn.lab import caller
 from fescueturn.lab import launcher
 from fescueturn.lab import workload
+from fescueturn.standins import control
 
 ROUND_TRIP_MS = 1.0
 CONCURRENT_JOBS = 16
@@ -135,7 +135,7 @@
 
 async def platform_calls(cluster: launcher.Launcher) -> int:
   """Returns the platform stand-in's total call count so far."""
-  kv = kvclient.KvClient(cluster.platform)
+  kv = control.PlatformControl(cluster.platform)
   try:
     return (await kv.stats())["total"]
   finally:
--- a/fescueturn/lab/faultbench.py
+++ b/fescueturn/lab/faultbench.py
@@ -21,12 +21,12 @@
 
 from fescueturn import codes
 from fescueturn import httpio
-from fescueturn import kvclient
 from fescueturn import messages
 from fescueturn.lab import caller
 from fescueturn.lab import demo
 from fescueturn.lab import launcher
 from fescueturn.lab import workload
+from fescueturn.standins import control
 
 SEED = 1
 ENTRIES = 3
@@ -41,7 +41,7 @@
 RESUBMIT_AFTER_S = 0.2
 MODES = (("claims", ""), ("naive", "naive = true\n"))
 
-Fault = Callable[[launcher.Launcher, kvclient.KvClient], Awaitable[None]]
+Fault = Callable[[launcher.Launcher, control.PlatformControl], Awaitable[None]]
 
 
 async def _quiet(lab, kv):
@@ -186,7 +186,7 @@
 
 
 async def _measure(lab, scenario: str, mode: str) -> Row:
-  kv = kvclient.KvClient(lab.platform)
+  kv = control.PlatformControl(lab.platform)
   pools = [httpio.Pool(lab.procs[n].listen) for n in lab.names("entry")]
   per_team = int(JOBS_PER_S * RUN_S / 2)
   jobs = workload.make_jobs(SEED, per_team, MAX_TASKS, RUN_TIME_SCALE)
--- a/fescueturn/lab/launcher.py
+++ b/fescueturn/lab/launcher.py
@@ -11,14 +11,15 @@
 import socket
 import subprocess
 import sys
+import time
 
 import curio
 
 from fescueturn import httpio
-from fescueturn import kvclient
 from fescueturn import settings
 from fescueturn import teamconfig
 from fescueturn.lab import workload
+from fescueturn.platform import store
 
 READY_POLLS = 200
 READY_POLL_S = 0.05
@@ -123,11 +124,11 @@
   async def start(self, teams: dict[str, str] | None = None):
     """Starts every daemon, writes team settings, waits until all are ready."""
     self.spawn("platform")
-    await self._wait_ready("platform", "/v1/stats")
-    kv = kvclient.KvClient(self.platform)
+    await self._wait_ready("platform", "/test/stats")
+    client = self.client()
     for team, text in (TEAM_SETTINGS if teams is None else teams).items():
-      await teamconfig.put(kv, team, text, expect=0)
-    await kv.close()
+      await teamconfig.put(client, team, text, expect=0)
+    await client.close()
     for name in self.names("endpoint") + self.names("entry"):
       self.spawn(name)
     for name in self.names("endpoint"):
@@ -135,6 +136,10 @@
     for name in self.names("entry"):
       await self.wait_entry_ready(name)
 
+  def client(self) -> store.StoreClient:
+    """Returns a client of the platform stand-in's store."""
+    return store.StoreClient(self.platform, time.monotonic)
+
   async def get(self, name: str, path: str) -> httpio.Response:
     """GETs `path` from a daemon."""
     pool = httpio.Pool(self.procs[name].listen, limit=1)
--- a/fescueturn/membership.py
+++ b/fescueturn/membership.py
@@ -23,10 +23,8 @@
 import curio
 from loguru import logger
 
-from fescueturn import codes
 from fescueturn import errors
 from fescueturn import events
-from fescueturn import kvclient
 from fescueturn import kvtypes
 from fescueturn import settings
 
@@ -36,6 +34,8 @@
 BACKOFF_MIN_S = 0.1
 BACKOFF_MAX_S = 2.0
 RENEWALS_PER_TTL = 3
+# A waiting watch is one call: 0.1 calls a second while nothing changes.
+WATCH_MS = 10_000
 
 Apply = Callable[[events.Event], Awaitable[None]]
 
@@ -63,8 +63,8 @@
   return team if team and "/" not in team else None
 
 
-def member_value(member: events.Member) -> str:
-  """Returns the text kept at an entry host's member key."""
+def member_value(member: events.Member) -> bytes:
+  """Returns what is kept at an entry host's member key."""
   return json.dumps(
       {
           "peer": str(member.peer),
@@ -73,11 +73,11 @@
           "leaving": member.leaving,
           "rack": member.rack,
       }
-  )
+  ).encode()
 
 
-def parse_member(key: str, value: str) -> events.Member | None:
-  """Reads a member key's text; None (and a log line) if it is not one."""
+def parse_member(key: str, value: bytes) -> events.Member | None:
+  """Reads a member key's value; None (and a log line) if it is not one."""
   try:
     body = json.loads(value)
     return events.Member(
@@ -116,7 +116,7 @@
 
   def __init__(
       self,
-      kv: kvclient.KvClient,
+      kv: kvtypes.Store,
       data_centre: str,
       member: events.Member,
       ttl_s: float,
@@ -154,18 +154,27 @@
   async def _renew(self) -> events.LeaseRenewed:
     """Renews the lease, or grants a new one; its time runs from the asking."""
     asked_at = self._now()
-    if not self._lease or not await self._kv.keep_alive(self._lease):
+    if not self._lease or not await self._kept():
       self._written = False
       asked_at = self._now()
-      self._lease = await self._kv.grant(self._ttl_s)
+      self._lease = await self._kv.grant(int(self._ttl_s * 1000))
     return events.LeaseRenewed(self._lease, asked_at + self._ttl_s)
 
+  async def _kept(self) -> bool:
+    """Renews the lease; returns whether it had not ended."""
+    try:
+      await self._kv.keep(self._lease)
+    except kvtypes.LeaseGoneError:
+      return False
+    return True
+
   async def _write(self):
     """Writes the member key under the lease, as often as a reply is lost."""
     member = dataclasses.replace(self._member, lease=self._lease)
+    puts = {self._key: member_value(member)}
     try:
-      await self._kv.put(self._key, member_value(member), lease=self._lease)
-    except errors.KvConflictError:
+      await self._kv.transact(kvtypes.Transaction({}, puts, (), self._lease))
+    except kvtypes.LeaseGoneError:
       self._lease = 0  # It lapsed before the write.
       raise
     self._written = True
@@ -191,13 +200,13 @@
     self._stopped = True
     if self._lease:
       try:
-        await self._kv.revoke(self._lease)
+        await self._kv.end(self._lease)
       except errors.KvError as exc:
         logger.warning("event=lease_revoke_failed error={!r}", exc)
 
 
 async def members_loop(
-    kv: kvclient.KvClient, data_centre: str, apply: Apply, backoff: Backoff
+    kv: kvtypes.Store, data_centre: str, apply: Apply, backoff: Backoff
 ):
   """Feeds `MembersChanged` to `apply`, one event a change, forever."""
   prefix = members_prefix(data_centre)
@@ -206,18 +215,20 @@
   while True:
     try:
       if revision is None:
-        revision, items = await kv.prefix(prefix)
-        members = {i.key: parse_member(i.key, i.value) for i in items}
+        found = await kv.range(prefix)
+        revision = found.revision
+        members = {i.key: parse_member(i.key, i.value) for i in found.items}
         await apply(_view(members, gap=True))
-      revision, changes = await kv.watch(prefix, revision)
+      changes = await kv.watch(prefix, revision, WATCH_MS)
+      revision = changes.revision
       backoff.reset()
     except errors.KvError as exc:
       logger.warning("event=members_watch_failed error={!r}", exc)
-      if exc.code is codes.Code.KV_NOT_FOUND:
-        revision = None  # The history no longer reaches back: read afresh.
+      if isinstance(exc, kvtypes.HistoryGoneError):
+        revision = None  # Read afresh.
       await backoff.wait()
       continue
-    for change in changes:
+    for change in changes.items:
       members.pop(change.key, None)
       if change.value is not None:
         members[change.key] = parse_member(change.key, change.value)
@@ -229,17 +240,15 @@
   return events.MembersChanged(found, gap)
 
 
-def _team_event(
-    key: str, value: str | None, revision: int
-) -> events.TeamChanged | None:
-  team = team_of(key)
+def _team_event(item: kvtypes.Item) -> events.TeamChanged | None:
+  team, revision = team_of(item.key), item.revision
   if team is None:
     return None
-  if value is None:
+  if item.value is None:
     return events.TeamChanged(team, revision, None)
   try:
-    parsed = settings.loads_team(value, source=key)
-  except errors.SettingsError as exc:
+    parsed = settings.loads_team(item.value.decode(), source=item.key)
+  except (errors.SettingsError, UnicodeDecodeError) as exc:
     logger.error(
         "event=team_settings_refused team={} revision={} error={}",
         team,
@@ -251,7 +260,7 @@
 
 
 async def teams_loop(
-    kv: kvclient.KvClient, apply: Apply, backoff: Backoff, pause_s: float
+    kv: kvtypes.Store, apply: Apply, backoff: Backoff, pause_s: float
 ):
   """Feeds `TeamChanged` events to `apply` forever."""
   known: set[str] = set()
@@ -259,32 +268,32 @@
   while True:
     try:
       if revision is None:
-        revision, changes = await _read_teams(kv, known)
+        changes = await _read_teams(kv, known)
       else:
-        revision, changes = await kv.watch(TEAMS_PREFIX, revision)
+        changes = await kv.watch(TEAMS_PREFIX, revision, WATCH_MS)
+      revision = changes.revision
       backoff.reset()
     except errors.KvError as exc:
       logger.warning("event=teams_watch_failed error={!r}", exc)
-      if exc.code is codes.Code.KV_NOT_FOUND:
+      if isinstance(exc, kvtypes.HistoryGoneError):
         revision = None
       await backoff.wait()
       continue
-    for change in changes:
-      known.add(change.key)
-      event = _team_event(change.key, change.value, change.revision)
+    for item in changes.items:
+      known.add(item.key)
+      event = _team_event(item)
       if event is not None:
         await apply(event)
-    if changes:
+    if changes.items:
       await curio.sleep(pause_s)
 
 
-async def _read_teams(kv, known: set[str]):
+async def _read_teams(kv, known: set[str]) -> kvtypes.Changes:
   """Reads every team afresh; teams known before and gone now are removals."""
-  revision, items = await kv.prefix(TEAMS_PREFIX)
-  changes = [kvtypes.Change(i.revision, i.key, i.value) for i in items]
-  gone = known - {i.key for i in items}
-  changes += [kvtypes.Change(revision, key, None) for key in sorted(gone)]
-  return revision, changes
+  found = await kv.range(TEAMS_PREFIX)
+  gone = known - {item.key for item in found.items}
+  removals = [kvtypes.Item(key, found.revision, None) for key in sorted(gone)]
+  return kvtypes.Changes(found.revision, (*found.items, *removals))
 
 
 def _endpoint(record: kvtypes.HostRecord) -> events.EndpointInfo:
@@ -298,7 +307,7 @@
 
 
 async def hosts_loop(
-    kv: kvclient.KvClient,
+    kv: kvtypes.Store,
     data_centre: str,
     apply: Apply,
     backoff: Backoff,
@@ -308,17 +317,14 @@
   last = None
   while True:
     try:
-      hosts = await kv.hosts()
+      found = await kv.range(kvtypes.HOSTS_PREFIX)
       backoff.reset()
     except errors.KvError as exc:
       logger.warning("event=hosts_poll_failed error={!r}", exc)
       await backoff.wait()
       continue
-    mine = tuple(
-        _endpoint(h)
-        for h in hosts
-        if h.role == "endpoint" and h.data_centre == data_centre
-    )
+    hosts = [kvtypes.decode_host(item.value) for item in found.items]
+    mine = tuple(_endpoint(h) for h in hosts if h.data_centre == data_centre)
     if mine != last:
       await apply(events.EndpointsChanged(mine))
       last = mine
--- a/fescueturn/platform/claims.py
+++ b/fescueturn/platform/claims.py
@@ -12,9 +12,9 @@
 from loguru import logger
 
 from fescueturn import errors
+from fescueturn import kvtypes
 from fescueturn import settings
 from fescueturn.platform import reach
-from fescueturn.platform import store
 from fescueturn.scheduler import events
 from fescueturn.scheduler import model
 
@@ -40,7 +40,7 @@
   return model.Shard(data_centre, int(number))
 
 
-def _holder(item: store.Item) -> model.Holder:
+def _holder(item: kvtypes.Item) -> model.Holder:
   raw = json.loads(item.value)
   peer = settings.parse_address(raw["peer"])
   return model.Holder(raw["host"], raw["boot"], peer, item.revision)
@@ -51,7 +51,7 @@
 
   def __init__(
       self,
-      client: store.StoreClient,
+      client: kvtypes.Store,
       party: events.Party,
       peer: settings.Address,
       lease_ms: int = LEASE_MS,
@@ -101,13 +101,16 @@
     try:
       if self._lease is None:
         self._lease = await self._client.grant(self._lease_ms)
-      fence = await self._client.put(
-          claim_key(effect.shard), self._value, effect.replaces, self._lease
+      key = claim_key(effect.shard)
+      fence = await self._client.transact(
+          kvtypes.Transaction(
+              {key: effect.replaces}, {key: self._value}, lease=self._lease
+          )
       )
-    except store.LeaseGoneError:
+    except kvtypes.LeaseGoneError:
       self._lease = None
       return None, _LEASE_GONE
-    except store.ConflictError:
+    except kvtypes.ConflictError:
       return None, "taken"
     except errors.KvError as exc:
       return None, f'unknown error="{exc}"'
@@ -118,7 +121,10 @@
   async def release(self, effect: events.ReleaseShard):
     """Removes a claim, so that another host makes its own at once."""
     try:
-      await self._client.remove(claim_key(effect.shard), effect.fence)
+      key = claim_key(effect.shard)
+      await self._client.transact(
+          kvtypes.Transaction({key: effect.fence}, removes=(key,))
+      )
     except errors.KvError as exc:
       # The lease is not renewed any more, so it ends the claim soon.
       logger.warning('event=release_failed error="{}"', exc)
@@ -131,7 +137,7 @@
         continue
       try:
         await self._client.keep(self._lease)
-      except store.LeaseGoneError:
+      except kvtypes.LeaseGoneError:
         logger.warning("event=lease_gone lease={}", self._lease)
         self._lease = None
       except errors.KvError as exc:
@@ -147,7 +153,7 @@
 
 
 async def watch_loop(
-    client: store.StoreClient,
+    client: kvtypes.Store,
     shards: tuple[model.Shard, ...],
     on_holder: OnHolder,
 ):
@@ -173,7 +179,7 @@
           known.add(_shard(item.key))
           await on_holder(_change(item))
       store_reach.found(revision, anew)
-    except store.HistoryGoneError:
+    except kvtypes.HistoryGoneError:
       await store_reach.history_gone(revision)
       revision = None
     except errors.KvError as exc:
@@ -192,6 +198,6 @@
   return changes.revision
 
 
-def _change(item: store.Item) -> events.HolderChanged:
+def _change(item: kvtypes.Item) -> events.HolderChanged:
   holder = _holder(item) if item.value is not None else None
   return events.HolderChanged(_shard(item.key), holder)
--- a/fescueturn/platform/configuration.py
+++ b/fescueturn/platform/configuration.py
@@ -7,8 +7,8 @@
 from loguru import logger
 
 from fescueturn import errors
+from fescueturn import kvtypes
 from fescueturn.platform import reach
-from fescueturn.platform import store
 from fescueturn.scheduler import model
 
 KEY = "op/config"
@@ -61,7 +61,7 @@
 
 
 async def watch_loop(
-    client: store.StoreClient,
+    client: kvtypes.Store,
     on_config: Callable[[model.Config], Awaitable[None]],
 ):
   """Tells `on_config` of each configuration, for ever; none is told twice."""
@@ -81,14 +81,14 @@
       if found.items:
         await _tell(found.items[-1], on_config)
       store_reach.found(revision, anew)
-    except store.HistoryGoneError:
+    except kvtypes.HistoryGoneError:
       await store_reach.history_gone(revision)
       revision = None
     except errors.KvError as exc:
       await store_reach.lost(exc)
 
 
-async def _tell(item: store.Item, on_config):
+async def _tell(item: kvtypes.Item, on_config):
   if item.key != KEY or item.value is None:
     return
   try:
--- a/fescueturn/platform/endpoints.py
+++ b/fescueturn/platform/endpoints.py
@@ -10,10 +10,10 @@
 
 from fescueturn import errors
 from fescueturn import httpio
+from fescueturn import kvtypes
 from fescueturn import listener
 from fescueturn import settings
 from fescueturn.platform import reach
-from fescueturn.platform import store
 from fescueturn.scheduler import events
 from fescueturn.scheduler import figures
 from fescueturn.scheduler import model
@@ -52,7 +52,7 @@
 }
 
 
-def decode_entry(item: store.Item) -> model.Endpoint:
+def decode_entry(item: kvtypes.Item) -> model.Endpoint:
   """Returns the endpoint that a store item describes.
 
   Raises:
@@ -87,7 +87,7 @@
     self._missing: dict[str, float] = {}
 
   def update(
-      self, items: tuple[store.Item, ...], now: float
+      self, items: tuple[kvtypes.Item, ...], now: float
   ) -> tuple[model.Endpoint, ...]:
     """Takes a reading of the store's list and returns the endpoints."""
     found = {}
@@ -119,7 +119,7 @@
 
   def __init__(
       self,
-      client: store.StoreClient,
+      client: kvtypes.Store,
       now: Callable[[], float],
       on_list: Callable[[events.EndpointsListed], Awaitable[None]],
   ):
--- a/fescueturn/platform/keeper.py
+++ b/fescueturn/platform/keeper.py
@@ -12,9 +12,9 @@
 from loguru import logger
 
 from fescueturn import errors
+from fescueturn import kvtypes
 from fescueturn.platform import claims
 from fescueturn.platform import reach
-from fescueturn.platform import store
 from fescueturn.scheduler import keptcodec
 from fescueturn.scheduler import keptevents
 from fescueturn.scheduler import model
@@ -67,14 +67,14 @@
     return json.dumps(dataclasses.astuple(self)).encode()
 
 
-def _decode_head(item: store.Item | None) -> _Head | None:
+def _decode_head(item: kvtypes.Item | None) -> _Head | None:
   return _Head(*json.loads(item.value)) if item is not None else None
 
 
 class Keeper:
   """Writes and reads the records; has no state that must last."""
 
-  def __init__(self, client: store.StoreClient):
+  def __init__(self, client: kvtypes.Store):
     self._client = client
     self._takeovers: dict[model.Shard, int] = {}
 
@@ -114,7 +114,7 @@
       head = _Head(effect.fence, 0, takeovers)
       try:
         revision = await self._client.transact(
-            store.Transaction(
+            kvtypes.Transaction(
                 {
                     claims.claim_key(effect.shard): effect.fence,
                     key: item.revision if item else 0,
@@ -122,7 +122,7 @@
                 {key: head.encode()},
             )
         )
-      except store.ConflictError as exc:
+      except kvtypes.ConflictError as exc:
         if _claim_holds(exc, effect.shard, effect.fence):
           raise
         return keptevents.KeptLoaded(effect.shard, effect.fence, replaced=True)
@@ -153,7 +153,7 @@
       try:
         revision = await self._client.transact(self._transaction(effect))
         result, existing = keptevents.WriteResult.DONE, ()
-      except store.ConflictError as exc:
+      except kvtypes.ConflictError as exc:
         result, revision, existing = _conflict(effect, exc)
       except errors.KvError as exc:
         await store_reach.lost(exc)
@@ -168,7 +168,7 @@
           existing,
       )
 
-  def _transaction(self, effect: keptevents.WriteKept) -> store.Transaction:
+  def _transaction(self, effect: keptevents.WriteKept) -> kvtypes.Transaction:
     shard = effect.shard
     head_key = _place(_HEADS, shard)
     takeovers = self._takeovers[shard]
@@ -193,7 +193,7 @@
           removes.append(f"{_place(kind, shard)}/{change.job_id}")
       else:
         removes.append(JOBS + change.job_id)
-    return store.Transaction(expected, puts, tuple(removes))
+    return kvtypes.Transaction(expected, puts, tuple(removes))
 
   async def ended(self, effect: keptevents.ListEnded) -> keptevents.EndedListed:
     """Finds a shard's jobs that are over; none if the store is away."""
@@ -231,14 +231,14 @@
 
 
 def _claim_holds(
-    conflict: store.ConflictError, shard: model.Shard, fence: int
+    conflict: kvtypes.ConflictError, shard: model.Shard, fence: int
 ) -> bool:
   claim = conflict.items.get(claims.claim_key(shard))
   return claim is not None and claim.revision == fence
 
 
 def _conflict(
-    effect: keptevents.WriteKept, conflict: store.ConflictError
+    effect: keptevents.WriteKept, conflict: kvtypes.ConflictError
 ) -> tuple[keptevents.WriteResult, int, tuple[str, ...]]:
   """Returns what a write's conflict means, the revision, and jobs that exist."""
   item = conflict.items.get(_place(_HEADS, effect.shard))
--- a/fescueturn/platform/store.py
+++ b/fescueturn/platform/store.py
@@ -1,18 +1,17 @@
 """Client of the platform's key-value store: one method per call.
 
-Every failure is an `errors.KvError`; its `answered` says whether the store
-refused the call (nothing was done) or no answer came (it may have been done,
-now or seconds later).
+It is a `kvtypes.Store`, which says what can be raised. A call that ends in a
+plain `errors.KvError` may have been carried out, or may be seconds later.
 """
 
 import base64
-import dataclasses
 import json
 import urllib.parse
 from collections.abc import Callable
 
 from fescueturn import errors
 from fescueturn import httpio
+from fescueturn import kvtypes
 from fescueturn import listener
 from fescueturn import settings
 from fescueturn.scheduler import figures
@@ -23,67 +22,12 @@
 CONNECT_TIMEOUT_S = 1.0
 # What a watch may be late by beyond the time it was asked to wait.
 WATCH_SLACK_S = 1.0
-PAGE_LIMIT = 1000
 
 
-@dataclasses.dataclass(frozen=True)
-class Item:
-  """A key's value; `value` is None once the key is removed."""
-
-  key: str
-  revision: int
-  value: bytes | None
-
-
-@dataclasses.dataclass(frozen=True)
-class Changes:
-  """What a watch or a range returned, up to the store's `revision`."""
-
-  revision: int
-  items: tuple[Item, ...]
-
-
-class HistoryGoneError(errors.KvError):
-  """The store has dropped the history a watch asked for: read anew."""
-
-
-class LeaseGoneError(errors.KvError):
-  """The lease has ended, or never was."""
-
-
-class ConflictError(errors.KvConflictError):
-  """A condition of a transaction did not hold: nothing was done.
-
-  Attributes:
-    items: the keys of all its conditions that exist, by name.
-  """
-
-  def __init__(self, message: str, items: tuple[Item, ...] = ()):
-    super().__init__(message)
-    self.items = {item.key: item for item in items}
-
-
-@dataclasses.dataclass(frozen=True)
-class Transaction:
-  """Changes made all or none.
-
-  Attributes:
-    expected: the revision of each key that must hold; 0: no such key.
-    puts: values to write.
-    removes: keys to remove.
-    lease: what holds the written keys; 0 for nothing.
-  """
-
-  expected: dict[str, int]
-  puts: dict[str, bytes] = dataclasses.field(default_factory=dict)
-  removes: tuple[str, ...] = ()
-  lease: int = 0
-
-
-def _item(raw: dict) -> Item:
+def _item(raw: dict) -> kvtypes.Item:
   # A removal comes as a key and revision with a flag in place of a value.
   value = None if raw.get("tombstone") else base64.b64decode(raw["value"])
-  return Item(raw["key"], raw["revision"], value)
+  return kvtypes.Item(raw["key"], raw["revision"], value)
 
 
 class StoreClient:
@@ -130,7 +74,7 @@
       return response
     raise errors.KvError(f"{path}: status {response.status}")
 
-  async def get(self, key: str) -> Changes:
+  async def get(self, key: str) -> kvtypes.Changes:
     """Returns a key's item, if there is one, and the store's revision.
 
     A watch goes on from that revision, not from the item's: the history since
@@ -139,11 +83,11 @@
     response = await self._call("GET", "/-/kv-key", {"key": key})
     body = response.json()
     items = (_item(body),) if response.status == 200 else ()
-    return Changes(body.get("currentRev", 0), items)
+    return kvtypes.Changes(body.get("currentRev", 0), items)
 
-  async def range(self, prefix: str) -> Changes:
+  async def range(self, prefix: str) -> kvtypes.Changes:
     """Returns all items under `prefix`; the pages are not one snapshot."""
-    items: list[Item] = []
+    items: list[kvtypes.Item] = []
     query: dict[str, object] = {"prefix": prefix}
     revision = None
     while True:
@@ -152,14 +96,16 @@
       # Watching from the first page's revision misses nothing after it.
       revision = body["currentRev"] if revision is None else revision
       if not body.get("hasMore"):
-        return Changes(revision, tuple(items))
+        return kvtypes.Changes(revision, tuple(items))
       query["after"] = items[-1].key
 
-  async def watch(self, prefix: str, after: int, wait_ms: int) -> Changes:
+  async def watch(
+      self, prefix: str, after: int, wait_ms: int
+  ) -> kvtypes.Changes:
     """Returns what changed under `prefix` since revision `after`.
 
     Raises:
-      HistoryGoneError: the store no longer knows.
+      kvtypes.HistoryGoneError: the store no longer knows.
       errors.KvError: no answer came, or the store refused the call.
     """
     query = {"prefix": prefix, "after": after, "waitMs": wait_ms}
@@ -170,35 +116,19 @@
         timeout_s=wait_ms / 1000 + WATCH_SLACK_S,
     )
     if response.status == 410:
-      raise HistoryGoneError(f"watch {prefix} after {after}")
+      raise kvtypes.HistoryGoneError(f"watch {prefix} after {after}")
     body = response.json()
     events = body.get("events", ())
-    return Changes(body["currentRev"], tuple(_item(raw) for raw in events))
-
-  async def put(
-      self, key: str, value: bytes, expected: int, lease: int = 0
-  ) -> int:
-    """Writes a key if its revision is `expected`; returns the new one.
-
-    Raises:
-      ConflictError: the key has another revision.
-      LeaseGoneError: there is no such lease.
-      errors.KvError: no answer came (it may be done yet), or it was refused.
-    """
-    return await self.transact(
-        Transaction({key: expected}, {key: value}, lease=lease)
+    return kvtypes.Changes(
+        body["currentRev"], tuple(_item(raw) for raw in events)
     )
 
-  async def remove(self, key: str, expected: int) -> int:
-    """Removes a key if its revision is `expected`; raises as `put` does."""
-    return await self.transact(Transaction({key: expected}, removes=(key,)))
-
-  async def transact(self, wanted: Transaction) -> int:
+  async def transact(self, wanted: kvtypes.Transaction) -> int:
     """Makes changes, all or none; returns the store's new revision.
 
     Raises:
-      ConflictError: a condition does not hold.
-      LeaseGoneError: there is no such lease.
+      kvtypes.ConflictError: a condition does not hold.
+      kvtypes.LeaseGoneError: there is no such lease.
       errors.KvError: no answer came (it may be done yet), or it was refused.
     """
     body = {
@@ -223,9 +153,9 @@
           for raw in response.json().get("items", ())
           if raw.get("revision") and "value" in raw
       )
-      raise ConflictError(f"not as expected: {wanted.expected}", items)
+      raise kvtypes.ConflictError(f"not as expected: {wanted.expected}", items)
     if response.status == 404:
-      raise LeaseGoneError(f"lease {wanted.lease}")
+      raise kvtypes.LeaseGoneError(f"lease {wanted.lease}")
     return response.json()["revision"]
 
   async def grant(self, ttl_ms: int) -> int:
@@ -234,10 +164,10 @@
     return response.json()["lease"]
 
   async def keep(self, lease: int):
-    """Renews a lease; raises `LeaseGoneError` once it has ended."""
+    """Renews a lease; raises `kvtypes.LeaseGoneError` once it has ended."""
     response = await self._call("POST", f"/-/kv-keep/{lease}")
     if response.status == 404:
-      raise LeaseGoneError(str(lease))
+      raise kvtypes.LeaseGoneError(str(lease))
 
   async def end(self, lease: int):
     """Ends a lease; its keys are removed."""
--- /dev/null
+++ b/fescueturn/platform/wireserver.py
@@ -0,0 +1,161 @@
+"""Serves a key-value store in the platform's wire, for stand-ins of it."""
+
+import base64
+import json
+import urllib.parse
+from collections.abc import Callable
+from typing import Protocol
+
+import curio
+
+from fescueturn import httpio
+from fescueturn import kvtypes
+
+# A watch waits no longer, whatever it asks for.
+LONGEST_WATCH_S = 30.0
+_DOWN = httpio.json_response(503, {"error": "down"})
+
+
+class Served(Protocol):
+  """The store served: what `standins.kvstore.KvStore` does."""
+
+  revision: int
+
+  def get(self, key: str) -> kvtypes.Item | None:
+    """Returns a key's item, or None."""
+
+  def lease_of(self, key: str) -> int:
+    """Returns the lease that holds a key, or 0."""
+
+  def range(self, prefix: str) -> list[kvtypes.Item]:
+    """Returns the items under a prefix."""
+
+  def changes(self, prefix: str, after: int) -> list[kvtypes.Item] | None:
+    """Returns what changed since a revision; None if that is not known."""
+
+  def transact(self, wanted: kvtypes.Transaction) -> int:
+    """Makes changes, all or none."""
+
+  def grant(self, ttl_s: float, now: float) -> int:
+    """Returns a new lease."""
+
+  def keep(self, lease: int, now: float) -> bool:
+    """Renews a lease."""
+
+  def end(self, lease: int) -> bool:
+    """Ends a lease."""
+
+
+class WireServer:
+  """Answers the wire's calls on a store; `changed` wakes waiting watches.
+
+  Attributes:
+    down: True to answer every call with 503, those that wait among them.
+  """
+
+  def __init__(self, store: Served, now: Callable[[], float]):
+    self.down = False
+    self._store = store
+    self._now = now
+    self._changes = curio.Event()
+
+  async def changed(self):
+    """Has waiting watches look again."""
+    before, self._changes = self._changes, curio.Event()
+    await before.set()
+
+  async def handle(self, request: httpio.Request) -> httpio.Response | None:
+    """Answers one call; None for a path that is no call of the store."""
+    url = urllib.parse.urlsplit(request.target)
+    query = dict(urllib.parse.parse_qsl(url.query))
+    name, _, argument = url.path.removeprefix("/-/").partition("/")
+    method = _CALLS.get((request.method, name))
+    if method is None:
+      return None
+    if self.down:
+      return _DOWN
+    body = json.loads(request.body) if request.body else {}
+    response = await method(self, {**query, **body, "argument": argument})
+    return _DOWN if self.down else response
+
+  async def _key(self, call: dict) -> httpio.Response:
+    item = self._store.get(call["key"])
+    if item is None:
+      return httpio.json_response(404, {"currentRev": self._store.revision})
+    row = {**self._row(item), "currentRev": self._store.revision}
+    return httpio.json_response(200, row)
+
+  async def _range(self, call: dict) -> httpio.Response:
+    items = [
+        self._row(item)
+        for item in self._store.range(call["prefix"])
+        if item.key > call.get("after", "")
+    ]
+    answer = {"items": items, "hasMore": False}
+    answer["currentRev"] = self._store.revision
+    return httpio.json_response(200, answer)
+
+  def _row(self, item: kvtypes.Item) -> dict:
+    row = {"key": item.key, "revision": item.revision}
+    if item.value is None:
+      return {**row, "tombstone": True}
+    value = base64.b64encode(item.value).decode()
+    return {**row, "value": value, "lease": self._store.lease_of(item.key)}
+
+  async def _watch(self, call: dict) -> httpio.Response:
+    prefix, after = call["prefix"], int(call["after"])
+    wait_s = min(LONGEST_WATCH_S, int(call["waitMs"]) / 1000)
+    await curio.ignore_after(wait_s, self._wait, prefix, after)
+    found = self._store.changes(prefix, after)
+    if found is None:
+      return httpio.json_response(410, {})
+    events = [self._row(item) for item in found]
+    answer = {"events": events, "currentRev": self._store.revision}
+    return httpio.json_response(200, answer)
+
+  async def _wait(self, prefix: str, after: int):
+    while not self.down and self._store.changes(prefix, after) == []:
+      await self._changes.wait()
+
+  async def _transact(self, call: dict) -> httpio.Response:
+    entries = call.get("setKeys", ())
+    wanted = kvtypes.Transaction(
+        {row["key"]: row["revision"] for row in call.get("expected", ())},
+        {row["key"]: base64.b64decode(row["value"]) for row in entries},
+        tuple(call.get("remove", ())),
+        max((row.get("lease", 0) for row in entries), default=0),
+    )
+    try:
+      revision = self._store.transact(wanted)
+    except kvtypes.ConflictError as exc:
+      items = [self._row(item) for item in exc.items.values()]
+      return httpio.json_response(412, {"items": items})
+    except kvtypes.LeaseGoneError:
+      return httpio.json_response(404, {})
+    await self.changed()
+    return httpio.json_response(200, {"revision": revision})
+
+  async def _grant(self, call: dict) -> httpio.Response:
+    lease = self._store.grant(call["ttlMs"] / 1000, self._now())
+    answer = {"lease": lease, "ttlMs": call["ttlMs"]}
+    return httpio.json_response(200, answer)
+
+  async def _keep(self, call: dict) -> httpio.Response:
+    kept = self._store.keep(int(call["argument"]), self._now())
+    return httpio.json_response(200 if kept else 404, {})
+
+  async def _end(self, call: dict) -> httpio.Response:
+    ended = self._store.end(int(call["argument"]))
+    await self.changed()
+    return httpio.json_response(200 if ended else 404, {})
+
+
+_CALLS = {
+    ("GET", "kv-key"): WireServer._key,
+    ("GET", "kv-range"): WireServer._range,
+    ("GET", "kv-watch"): WireServer._watch,
+    ("POST", "kv-txn"): WireServer._transact,
+    ("POST", "kv-lease"): WireServer._grant,
+    ("POST", "kv-keep"): WireServer._keep,
+    ("DELETE", "kv-lease-end"): WireServer._end,
+}
--- a/fescueturn/standins/kvstore.py
+++ b/fescueturn/standins/kvstore.py
@@ -1,9 +1,8 @@
-"""The state of the platform stand-in: keys, revisions, leases, host list.
+"""The state of the platform stand-in: keys, revisions, leases, a history.
 
-This is the test stand-in's memory, not a product store. It mimics what the
-brief says the platform's key-value service offers: compare-and-swap on a
-revision, leases that delete their keys when they lapse, watches from a
-revision, and a host list that lags by a set number of seconds.
+It behaves as the brief says the platform's key-value service does: transactions
+that depend on revisions, leases that remove their keys when they lapse, and
+watches from a revision. What it lists under one prefix may lag.
 """
 
 from fescueturn import kvtypes
@@ -12,122 +11,131 @@
 
 
 class KvStore:
-  """Keys with revisions, leases and a change history; no I/O."""
+  """Keys with revisions, leases and a history; no I/O."""
 
   def __init__(self):
     self.revision = 0
-    self.items: dict[str, kvtypes.Item] = {}
-    self.history: list[kvtypes.Change] = []
-    self.leases: dict[int, float] = {}
-    self.lease_ttl: dict[int, float] = {}
+    self._items: dict[str, kvtypes.Item] = {}
+    self._lease_of: dict[str, int] = {}
+    self._history: list[kvtypes.Item] = []
+    self._lease_ends: dict[int, float] = {}
+    self._lease_ttl_s: dict[int, float] = {}
     self._next_lease = 1
 
   def get(self, key: str) -> kvtypes.Item | None:
     """Returns the key's item, or None."""
-    return self.items.get(key)
+    return self._items.get(key)
 
-  def prefix(self, prefix: str) -> list[kvtypes.Item]:
+  def lease_of(self, key: str) -> int:
+    """Returns the lease that holds a key, or 0."""
+    return self._lease_of.get(key, 0)
+
+  def range(self, prefix: str) -> list[kvtypes.Item]:
     """Returns the items whose keys start with `prefix`, in key order."""
-    return [self.items[k] for k in sorted(self.items) if k.startswith(prefix)]
+    return [self._items[k] for k in sorted(self._items) if k.startswith(prefix)]
 
-  def put(
-      self, key: str, value: str, expect: int | None, lease: int
-  ) -> int | None:
-    """Writes `key` if its revision is `expect` (0: absent; None: any).
+  def transact(self, wanted: kvtypes.Transaction) -> int:
+    """Makes changes, all or none; returns their common revision.
 
-    Returns:
-      The new revision, or None when the compare failed or the lease is gone.
+    Raises:
+      kvtypes.ConflictError: a condition does not hold.
+      kvtypes.LeaseGoneError: there is no such lease.
     """
-    current = self.items.get(key)
-    if expect is not None and (current.revision if current else 0) != expect:
-      return None
-    if lease and lease not in self.leases:
-      return None
+    for key, revision in wanted.expected.items():
+      item = self._items.get(key)
+      if (item.revision if item else 0) != revision:
+        found = [self._items[k] for k in wanted.expected if k in self._items]
+        raise kvtypes.ConflictError(f"{key}: not at {revision}", tuple(found))
+    if wanted.lease and wanted.lease not in self._lease_ends:
+      raise kvtypes.LeaseGoneError(f"lease {wanted.lease}")
     self.revision += 1
-    self.items[key] = kvtypes.Item(key, value, self.revision, lease)
-    self._record(kvtypes.Change(self.revision, key, value))
+    for key, value in wanted.puts.items():
+      self._items[key] = kvtypes.Item(key, self.revision, value)
+      self._lease_of[key] = wanted.lease
+      self._record(self._items[key])
+    for key in wanted.removes:
+      self._remove(key)
     return self.revision
 
-  def delete(self, key: str, expect: int | None = None) -> int | None:
-    """Deletes `key` if its revision is `expect`; returns the new revision."""
-    current = self.items.get(key)
-    if current is None:
-      return None
-    if expect is not None and current.revision != expect:
-      return None
-    del self.items[key]
-    self.revision += 1
-    self._record(kvtypes.Change(self.revision, key, None))
-    return self.revision
+  def put(self, key: str, value: bytes, lease: int = 0) -> int:
+    """Writes a key whatever its revision; returns the new one."""
+    return self.transact(kvtypes.Transaction(puts={key: value}, lease=lease))
+
+  def _remove(self, key: str):
+    if self._items.pop(key, None) is not None:
+      self._lease_of.pop(key, None)
+      self._record(kvtypes.Item(key, self.revision, None))
 
-  def _record(self, change: kvtypes.Change):
-    self.history.append(change)
-    if len(self.history) > HISTORY_LIMIT:
-      del self.history[: HISTORY_LIMIT // 2]
+  def _record(self, item: kvtypes.Item):
+    self._history.append(item)
+    if len(self._history) > HISTORY_LIMIT:
+      del self._history[: HISTORY_LIMIT // 2]
 
-  def changes(self, prefix: str, after: int) -> list[kvtypes.Change] | None:
-    """Returns changes under `prefix` with revision > `after`.
+  def changes(self, prefix: str, after: int) -> list[kvtypes.Item] | None:
+    """Returns changes under `prefix` with a revision above `after`.
 
     Returns None when the history no longer reaches back that far; the
     watcher must then read the prefix afresh.
     """
-    if self.history and after < self.history[0].revision - 1:
+    if self._history and after < self._history[0].revision - 1:
       return None
     return [
-        c
-        for c in self.history
-        if c.revision > after and c.key.startswith(prefix)
+        item
+        for item in self._history
+        if item.revision > after and item.key.startswith(prefix)
     ]
 
   def grant(self, ttl_s: float, now: float) -> int:
     """Grants a lease for `ttl_s` seconds; returns its id."""
     lease = self._next_lease
     self._next_lease += 1
-    self.leases[lease] = now + ttl_s
-    self.lease_ttl[lease] = ttl_s
+    self._lease_ends[lease] = now + ttl_s
+    self._lease_ttl_s[lease] = ttl_s
     return lease
 
-  def keep_alive(self, lease: int, now: float) -> bool:
-    """Renews a lease; False if it has lapsed already."""
-    if lease not in self.leases:
+  def keep(self, lease: int, now: float) -> bool:
+    """Renews a lease; False if it has ended already."""
+    if lease not in self._lease_ends:
       return False
-    self.leases[lease] = now + self.lease_ttl[lease]
+    self._lease_ends[lease] = now + self._lease_ttl_s[lease]
     return True
 
-  def revoke(self, lease: int) -> None:
-    """Ends a lease and deletes its keys."""
-    self.leases.pop(lease, None)
-    self.lease_ttl.pop(lease, None)
-    for item in [i for i in self.items.values() if i.lease == lease]:
-      self.delete(item.key)
+  def end(self, lease: int) -> bool:
+    """Ends a lease and removes its keys; False if it has ended already."""
+    self._lease_ttl_s.pop(lease, None)
+    if self._lease_ends.pop(lease, None) is None:
+      return False
+    self.revision += 1
+    for key in [k for k, held in self._lease_of.items() if held == lease]:
+      self._remove(key)
+    return True
 
   def expire(self, now: float) -> int:
     """Ends every lease past its time; returns how many ended."""
-    lapsed = [lease for lease, until in self.leases.items() if until <= now]
-    for lease in lapsed:
-      self.revoke(lease)
-    return len(lapsed)
+    over = [lease for lease, until in self._lease_ends.items() if until <= now]
+    for lease in over:
+      self.end(lease)
+    return len(over)
 
 
-class HostList:
-  """The platform's list of live and leaving hosts, read with a lag."""
+class LaggingList:
+  """What a reader of one prefix sees: changes of some time ago."""
 
   def __init__(self, lag_s: float):
     self._lag_s = lag_s
-    self._changes: list[tuple[float, str, kvtypes.HostRecord | None]] = []
+    self._changes: list[tuple[float, kvtypes.Item]] = []
 
-  def set(self, now: float, name: str, record: kvtypes.HostRecord | None):
-    """Records a host joining, changing or (record None) going away."""
-    self._changes.append((now, name, record))
+  def note(self, now: float, item: kvtypes.Item):
+    """Takes a change under the prefix."""
+    self._changes.append((now, item))
 
-  def view(self, now: float) -> list[kvtypes.HostRecord]:
-    """Returns the list as the platform shows it at `now`: lagging."""
-    hosts: dict[str, kvtypes.HostRecord] = {}
-    for when, name, record in self._changes:
+  def view(self, now: float) -> list[kvtypes.Item]:
+    """Returns the items as they were the lag ago, in key order."""
+    items: dict[str, kvtypes.Item] = {}
+    for when, item in self._changes:
       if when > now - self._lag_s:
         break
-      if record is None:
-        hosts.pop(name, None)
-      else:
-        hosts[name] = record
-    return [hosts[n] for n in sorted(hosts)]
+      items.pop(item.key, None)
+      if item.value is not None:
+        items[item.key] = item
+    return [items[key] for key in sorted(items)]
--- a/fescueturn/standins/standin_endpoint.py
+++ b/fescueturn/standins/standin_endpoint.py
@@ -16,8 +16,8 @@
 from loguru import logger
 
 from fescueturn import codes
+from fescueturn import errors
 from fescueturn import httpio
-from fescueturn import kvclient
 from fescueturn import kvtypes
 from fescueturn import settings
 from fescueturn import timer
@@ -34,12 +34,13 @@
       process: settings.ProcessSettings,
       config: settings.EndpointSettings,
       clock: timer.TimerService,
+      store: kvtypes.Store,
   ):
     self._process = process
     self._config = config
     self._timer = clock
     self._slots = curio.Semaphore(config.slots)
-    self._kv = kvclient.KvClient(config.platform)
+    self._kv = store
     self._server = httpio.Server(config.listen, self._handle)
     self._starts: collections.Counter[str] = collections.Counter()
     self._fault = "none"
@@ -54,7 +55,6 @@
     return kvtypes.HostRecord(
         name=self._process.name,
         address=str(self._config.listen),
-        role="endpoint",
         data_centre=self._process.data_centre,
         services=self._config.services,
         slots=self._config.slots,
@@ -65,19 +65,24 @@
     """Warms the dictionary, listens and joins the host list."""
     work.warm_up()
     await self._server.start()
-    await self._kv.set_host(self.record)
+    await self._list()
     logger.info(
         "event=endpoint_started name={} listen={}",
         self._process.name,
         self._config.listen,
     )
 
+  async def _list(self):
+    """Writes this endpoint's entry of the host list."""
+    puts = {self.record.key: self.record.encode()}
+    await self._kv.transact(kvtypes.Transaction(puts=puts))
+
   async def leave(self):
     """Marks this endpoint as leaving on the host list; it keeps serving."""
     self._leaving_since = self._timer.now()
     try:
-      await self._kv.set_host(self.record)
-    except Exception as exc:  # The platform may be down; leave anyway.
+      await self._list()
+    except errors.KvError as exc:  # The platform may be down; leave anyway.
       logger.warning("event=leave_unlisted error={!r}", exc)
     logger.info("event=endpoint_leaving name={}", self._process.name)
 
@@ -87,8 +92,9 @@
     while self._open:
       await curio.sleep(0.05)
     try:
-      await self._kv.set_host(None, name=self._process.name)
-    except Exception as exc:
+      removal = kvtypes.Transaction(removes=(self.record.key,))
+      await self._kv.transact(removal)
+    except errors.KvError as exc:
       logger.warning("event=unlist_failed error={!r}", exc)
     await self._kv.close()
 
--- a/fescueturn/teamconfig.py
+++ b/fescueturn/teamconfig.py
@@ -10,7 +10,7 @@
 
 from fescueturn import codes
 from fescueturn import errors
-from fescueturn import kvclient
+from fescueturn import kvtypes
 from fescueturn import membership
 from fescueturn import settings
 
@@ -31,19 +31,20 @@
   return settings.loads_team(text, source=membership.team_key(team))
 
 
-async def get(kv: kvclient.KvClient, team: str) -> TeamConfig:
+async def get(kv: kvtypes.Store, team: str) -> TeamConfig:
   """Returns a team's stored settings.
 
   Raises:
     errors.KvNotFoundError: the team has no settings (code 302).
   """
-  item = await kv.get(membership.team_key(team))
-  if item is None:
+  found = await kv.get(membership.team_key(team))
+  if not found.items:
     raise errors.KvNotFoundError(f"no settings for team {team!r}")
-  return TeamConfig(team, item.value, item.revision)
+  (item,) = found.items
+  return TeamConfig(team, item.value.decode(), item.revision)
 
 
-async def put(kv: kvclient.KvClient, team: str, text: str, expect: int) -> int:
+async def put(kv: kvtypes.Store, team: str, text: str, expect: int) -> int:
   """Checks, then writes a team's settings if its revision is `expect`.
 
   Args:
@@ -62,25 +63,17 @@
   """
   check(text, team)
   key = membership.team_key(team)
+  wanted = kvtypes.Transaction({key: expect}, {key: text.encode()})
   last_error = None
   for _ in range(PUT_TRIES):
     try:
-      return await kv.put(key, text, expect=expect)
-    except errors.KvConflictError:
-      applied = await _applied(kv, key, text, last_error)
-      if applied is not None:
-        return applied
+      return await kv.transact(wanted)
+    except kvtypes.ConflictError as exc:
+      applied = exc.items.get(key)
+      if last_error and applied and applied.value == text.encode():
+        # Our own write took effect, and its reply was lost.
+        return applied.revision
       raise
     except errors.KvError as exc:
       last_error = exc
   raise errors.KvError(f"{key}: {last_error}", codes.Code.KV_UNAVAILABLE)
-
-
-async def _applied(kv, key: str, text: str, last_error) -> int | None:
-  """After a lost reply, tells whether our own write is the one stored."""
-  if last_error is None:
-    return None
-  item = await kv.get(key)
-  if item is not None and item.value == text:
-    return item.revision
-  return None
--- a/tests/fakeplatform.py
+++ b/tests/fakeplatform.py
@@ -5,12 +5,10 @@
 ``POST /test/put`` writes a key as the platform's operator would.
 """
 
-import base64
 import functools
 import json
 import sys
 import time
-import urllib.parse
 
 import curio
 
@@ -18,8 +16,10 @@
 from fescueturn import settings
 from fescueturn.emulator import endpoint as endpoint_lib
 from fescueturn.platform import endpoints as platform_endpoints
+from fescueturn.platform import wireserver
 from fescueturn.scheduler import events
 from fescueturn.scheduler import model
+from fescueturn.standins import kvstore
 
 SERVICE = "speller"
 RACK = "r1"
@@ -53,131 +53,6 @@
       await curio.sleep(0.002)
 
 
-class FakeStore:
-  """Keys with revisions, leases and watches, in memory."""
-
-  def __init__(self):
-    self.revision = 1
-    self.items = {}
-    self.history = []
-    self.leases = {}
-    self.next_lease = 100
-    self.changed = curio.Event()
-
-  async def put(self, key, value, lease=0):
-    self.revision += 1
-    await self._write(key, value, lease)
-
-  async def _write(self, key, value, lease):
-    item = {"key": key, "value": value, "revision": self.revision}
-    self.items[key] = {**item, "lease": lease, "created": self.revision}
-    await self._note(self.items[key])
-
-  async def remove(self, key):
-    if key in self.items:
-      self.revision += 1
-      await self._remove(key)
-
-  async def _remove(self, key):
-    if self.items.pop(key, None) is not None:
-      gone = {"key": key, "revision": self.revision, "tombstone": True}
-      await self._note(gone)
-
-  async def _note(self, event):
-    self.history.append(event)
-    changed, self.changed = self.changed, curio.Event()
-    await changed.set()
-
-  async def expire(self):
-    while True:
-      await curio.sleep(0.05)
-      now = time.monotonic()
-      for lease in [i for i, (_, end) in self.leases.items() if end < now]:
-        await self.end_lease(lease)
-
-  async def end_lease(self, lease):
-    del self.leases[lease]
-    for key in [k for k, i in self.items.items() if i["lease"] == lease]:
-      await self.remove(key)
-
-  async def handle(self, request):
-    url = urllib.parse.urlsplit(request.target)
-    query = dict(urllib.parse.parse_qsl(url.query))
-    body = json.loads(request.body) if request.body else {}
-    if url.path == "/test/put":
-      value = base64.b64encode(json.dumps(body["value"]).encode()).decode()
-      await self.put(body["key"], value)
-      return httpio.json_response(200, {})
-    if url.path == "/-/kv-key":
-      item = self.items.get(query["key"])
-      answer = {**(item or {}), "currentRev": self.revision}
-      return httpio.json_response(200 if item else 404, answer)
-    if url.path == "/-/kv-range":
-      items = [i for k, i in sorted(self.items.items()) if _in(k, query)]
-      answer = {"items": items, "hasMore": False}
-      return httpio.json_response(200, {**answer, "currentRev": self.revision})
-    if url.path == "/-/kv-watch":
-      return await self._watch(query)
-    if url.path == "/-/kv-txn":
-      return await self._transact(body)
-    return await self._lease(request, url.path, body)
-
-  async def _watch(self, query):
-    after = int(query["after"])
-    end = time.monotonic() + int(query["waitMs"]) / 1000
-    while True:
-      found = [
-          e
-          for e in self.history
-          if e["revision"] > after and _in(e["key"], query)
-      ]
-      left = end - time.monotonic()
-      if found or left <= 0:
-        answer = {"events": found, "currentRev": self.revision}
-        return httpio.json_response(200, answer)
-      await curio.ignore_after(left, self.changed.wait)
-
-  async def _transact(self, body):
-    for row in body.get("expected", ()):
-      item = self.items.get(row["key"])
-      if (item["revision"] if item else 0) != row["revision"]:
-        found = [self.items.get(r["key"]) for r in body["expected"]]
-        items = [item for item in found if item is not None]
-        return httpio.json_response(412, {"items": items})
-    for entry in body.get("setKeys", ()):
-      if entry.get("lease") and entry["lease"] not in self.leases:
-        return httpio.json_response(404, {})
-    # All changes of a transaction have one revision.
-    self.revision += 1
-    for entry in body.get("setKeys", ()):
-      await self._write(entry["key"], entry["value"], entry.get("lease", 0))
-    for key in body.get("remove", ()):
-      await self._remove(key)
-    return httpio.json_response(200, {"revision": self.revision})
-
-  async def _lease(self, request, path, body):
-    now = time.monotonic()
-    if path == "/-/kv-lease":
-      self.next_lease += 1
-      ttl_s = body["ttlMs"] / 1000
-      self.leases[self.next_lease] = (ttl_s, now + ttl_s)
-      answer = {"lease": self.next_lease, "ttlMs": body["ttlMs"]}
-      return httpio.json_response(200, answer)
-    lease = int(path.rpartition("/")[2])
-    if lease not in self.leases:
-      return httpio.json_response(404, {})
-    if request.method == "DELETE":
-      await self.end_lease(lease)
-    else:
-      ttl_s, _ = self.leases[lease]
-      self.leases[lease] = (ttl_s, now + ttl_s)
-    return httpio.json_response(200, {})
-
-
-def _in(key, query):
-  return key.startswith(query["prefix"]) and key > query.get("pageAfter", "")
-
-
 _REASONS = {
     model.CallResult.FENCED: "fence",
     model.CallResult.OLD_ATTEMPT: "old",
@@ -271,8 +146,9 @@
 
 
 async def main(store_port: int, endpoint_port: int, count: int, zones: list):
-  store = FakeStore()
   clock = RealClock()
+  store = kvstore.KvStore()
+  wire = wireserver.WireServer(store, time.monotonic)
   specs, broken, alive, noted, emulated = {}, [], {}, set(), []
 
   async def report(request):
@@ -290,7 +166,12 @@
   async def handle(request):
     if request.target == "/test/report":
       return await report(request)
-    return await store.handle(request)
+    if request.target == "/test/put":
+      body = request.json()
+      store.put(body["key"], json.dumps(body["value"]).encode())
+      await wire.changed()
+      return httpio.json_response(200, {})
+    return await wire.handle(request)
 
   await httpio.Server(settings.Address("127.0.0.1", store_port), handle).start()
   for number in range(count):
@@ -322,10 +203,12 @@
         "labels": ["a", RACK],
         "sequence": 1,
     }
-    value = base64.b64encode(json.dumps(entry).encode()).decode()
-    await store.put(f"servers/{info.id}", value)
+    store.put(f"servers/{info.id}", json.dumps(entry).encode())
   await curio.spawn(clock.run, daemon=True)
-  await store.expire()
+  while True:
+    await curio.sleep(0.05)
+    if store.expire(time.monotonic()):
+      await wire.changed()
 
 
 if __name__ == "__main__":
--- a/tests/test_entry_failures.py
+++ b/tests/test_entry_failures.py
@@ -8,11 +8,11 @@
 from fescueturn import codes
 from fescueturn import errors
 from fescueturn import httpio
-from fescueturn import kvclient
 from fescueturn import messages
 from fescueturn import teamconfig
 from fescueturn.lab import caller
 from fescueturn.lab import launcher
+from fescueturn.standins import control
 
 TIME_SCALE = 0.5
 LAG_S = 1.0
@@ -107,7 +107,7 @@
 
 def test_platform_down_entry_hosts_keep_serving(cluster):
   async def go():
-    kv = kvclient.KvClient(cluster.platform)
+    kv = control.PlatformControl(cluster.platform)
     await kv.fault("down")
     await curio.sleep(1.0)
     results = [
@@ -163,7 +163,7 @@
   text = launcher.TEAM_SETTINGS["altamaha"]
 
   async def go():
-    kv = kvclient.KvClient(cluster.platform)
+    kv, steering = cluster.client(), control.PlatformControl(cluster.platform)
     current = await teamconfig.get(kv, "altamaha")
     first = await teamconfig.put(
         kv, "altamaha", text.replace("15000", "9000"), current.revision
@@ -172,13 +172,14 @@
       await teamconfig.put(
           kv, "altamaha", text.replace("15000", "8000"), current.revision
       )
-    await kv.fault("lose_reply")
+    await steering.fault("lose_reply")
     lost = await teamconfig.put(
         kv, "altamaha", text.replace("15000", "7000"), first
     )
-    await kv.fault("none")
+    await steering.fault("none")
     stored = await teamconfig.get(kv, "altamaha")
     await kv.close()
+    await steering.close()
     revisions = []
     for _ in range(100):
       dumps = [
@@ -275,7 +276,7 @@
 
 def test_entry_host_killed_while_the_platform_is_down(cluster):
   async def go():
-    kv = kvclient.KvClient(cluster.platform)
+    kv = control.PlatformControl(cluster.platform)
     done = await caller.submit(pool(cluster, "entry-1"), release_job("o", 100))
     await kv.fault("down")
     await curio.sleep(4.0)  # Every lease lapses by its holder's clock.
--- a/tests/test_kvstore.py
+++ b/tests/test_kvstore.py
@@ -1,34 +1,75 @@
+import pytest
+
 from fescueturn import kvtypes
 from fescueturn.standins import kvstore
 
 
+def swap(store, key, expected, value, lease=0):
+  wanted = kvtypes.Transaction({key: expected}, {key: value}, lease=lease)
+  return store.transact(wanted)
+
+
 def test_compare_and_swap_and_history():
   store = kvstore.KvStore()
-  first = store.put("/a", "1", expect=0, lease=0)
-  assert store.put("/a", "2", expect=0, lease=0) is None
-  second = store.put("/a", "2", expect=first, lease=0)
+  first = swap(store, "/a", 0, b"1")
+  with pytest.raises(kvtypes.ConflictError) as caught:
+    swap(store, "/a", 0, b"2")
+  assert caught.value.items["/a"].value == b"1"
+  second = swap(store, "/a", first, b"2")
   assert second == first + 1
-  assert [c.value for c in store.changes("/a", 0)] == ["1", "2"]
+  assert [item.value for item in store.changes("/a", 0)] == [b"1", b"2"]
+
+
+def test_transaction_is_made_whole_or_not_at_all():
+  store = kvstore.KvStore()
+  store.put("/a", b"1")
+  with pytest.raises(kvtypes.ConflictError):
+    store.transact(
+        kvtypes.Transaction({"/a": 1, "/b": 7}, {"/c": b"3"}, ("/a",))
+    )
+  assert store.get("/a") is not None and store.get("/c") is None
+  revision = store.transact(
+      kvtypes.Transaction({"/a": 1, "/b": 0}, {"/c": b"3"}, ("/a",))
+  )
+  assert store.get("/a") is None
+  assert store.get("/c") == kvtypes.Item("/c", revision, b"3")
 
 
 def test_lapsed_lease_deletes_its_keys():
   store = kvstore.KvStore()
   lease = store.grant(1.0, now=10.0)
-  store.put("/m/x", "addr", expect=None, lease=lease)
-  assert store.keep_alive(lease, now=10.5)
+  store.put("/m/x", b"addr", lease)
+  assert store.keep(lease, now=10.5)
   assert store.expire(now=11.4) == 0
   assert store.expire(now=11.6) == 1
   assert store.get("/m/x") is None
-  assert not store.keep_alive(lease, now=11.7)
-  assert store.put("/m/y", "addr", expect=None, lease=lease) is None
+  assert store.changes("/m/", 0)[-1].value is None
+  assert not store.keep(lease, now=11.7)
+  with pytest.raises(kvtypes.LeaseGoneError):
+    store.put("/m/y", b"addr", lease)
 
 
-def test_host_list_lags():
-  hosts = kvstore.HostList(lag_s=2.0)
-  hosts.set(0.0, "e1", kvtypes.HostRecord("e1", "a:1", "endpoint", "dc"))
-  hosts.set(
-      5.0, "e1", kvtypes.HostRecord("e1", "a:1", "endpoint", "dc", leaving=True)
-  )
-  assert hosts.view(1.0) == []
-  assert not hosts.view(6.0)[0].leaving
-  assert hosts.view(7.0)[0].leaving
+def test_key_written_again_without_a_lease_outlives_it():
+  store = kvstore.KvStore()
+  lease = store.grant(1.0, now=10.0)
+  store.put("/m/x", b"1", lease)
+  store.put("/m/x", b"2")
+  store.expire(now=11.6)
+  assert store.get("/m/x").value == b"2"
+
+
+def test_list_lags():
+  hosts = kvstore.LaggingList(lag_s=2.0)
+  here = kvtypes.HostRecord("e1", "a:1", "dc")
+  leaving = kvtypes.HostRecord("e1", "a:1", "dc", leaving=True)
+  hosts.note(0.0, kvtypes.Item(here.key, 1, here.encode()))
+  hosts.note(5.0, kvtypes.Item(here.key, 2, leaving.encode()))
+  hosts.note(9.0, kvtypes.Item(here.key, 3, None))
+
+  def seen(now):
+    return [kvtypes.decode_host(item.value) for item in hosts.view(now)]
+
+  assert seen(1.0) == []
+  assert seen(6.0) == [here]
+  assert seen(7.0) == [leaving]
+  assert seen(11.0) == []
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -10,8 +10,9 @@
     "scheduler": set(),
     "platform": {"scheduler"},
     "emulator": {"scheduler"},
-    "standins": set(),
-    "lab": {"standins", "emulator", "scheduler"},
+    # The platform's stand-in serves the platform's wire.
+    "standins": {"platform"},
+    "lab": {"standins", "emulator", "scheduler", "platform"},
 }
 # The command line joins everything.
 JOINS = {"cli.py", "__main__.py"}
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -6,13 +6,14 @@
 
 from fescueturn import errors
 from fescueturn import events
+from fescueturn import kvtypes
 from fescueturn import membership
 from fescueturn import settings
 from fescueturn.standins import kvstore
 
 ME = events.Member("entry-1", settings.Address("127.0.0.1", 1), "boot-1")
 PEER = events.Member("entry-2", settings.Address("127.0.0.1", 2), "boot-2", 7)
-TEAM_TEXT = "[team]\nservice = speller\n"
+TEAM_TEXT = b"[team]\nservice = speller\n"
 
 
 class _FakeKv:
@@ -24,30 +25,32 @@
     self.apply_lost_writes = True
     self.missed = []  # What happens while a watch is broken.
 
-  async def grant(self, ttl_s):
-    return self.store.grant(ttl_s, now=0.0)
+  async def grant(self, ttl_ms):
+    return self.store.grant(ttl_ms / 1000, now=0.0)
 
-  async def keep_alive(self, lease):
-    return self.store.keep_alive(lease, now=0.0)
+  async def keep(self, lease):
+    if not self.store.keep(lease, now=0.0):
+      raise kvtypes.LeaseGoneError("gone")
 
-  async def put(self, key, value, expect=None, lease=0):
+  async def transact(self, wanted):
     if self.losing:
       self.losing -= 1
       if self.apply_lost_writes:
-        self.store.put(key, value, expect, lease)
+        self.store.transact(wanted)
       raise errors.KvError("reply lost")
-    return self.store.put(key, value, expect, lease)
+    return self.store.transact(wanted)
 
-  async def prefix(self, prefix):
-    return self.store.revision, self.store.prefix(prefix)
+  async def range(self, prefix):
+    return kvtypes.Changes(self.store.revision, tuple(self.store.range(prefix)))
 
-  async def watch(self, prefix, after):
+  async def watch(self, prefix, after, wait_ms):
+    del wait_ms
     if self.missed:
       self.missed.pop()()
-      raise errors.KvError("compacted", errors.KvNotFoundError.code)
+      raise kvtypes.HistoryGoneError("compacted")
     while not (changes := self.store.changes(prefix, after)):
       await curio.sleep(0.005)
-    return self.store.revision, changes
+    return kvtypes.Changes(self.store.revision, tuple(changes))
 
 
 class _Events(list):
@@ -94,9 +97,9 @@
     )
     await until(lambda: seen)
     key = membership.member_key("dc", PEER.name)
-    kv.store.put(key, membership.member_value(PEER), None, 0)
-    kv.store.put("/members/dc/odd", "not json", None, 0)
-    kv.store.delete(key)
+    kv.store.put(key, membership.member_value(PEER))
+    kv.store.put("/members/dc/odd", b"not json")
+    kv.store.transact(kvtypes.Transaction(removes=(key,)))
     await until(lambda: len(seen) == 4)
     await task.cancel()
 
@@ -109,8 +112,9 @@
 def test_team_removed_while_the_watch_was_broken_is_removed_here():
   kv, seen = _FakeKv(), _Events()
   key = membership.team_key("altamaha")
-  kv.store.put(key, TEAM_TEXT, None, 0)
-  kv.missed.append(lambda: kv.store.delete(key))
+  kv.store.put(key, TEAM_TEXT)
+  removal = kvtypes.Transaction(removes=(key,))
+  kv.missed.append(lambda: kv.store.transact(removal))
 
   async def go():
     task = await curio.spawn(
--- a/tests/test_platform_configuration.py
+++ b/tests/test_platform_configuration.py
@@ -5,6 +5,7 @@
 import pytest
 
 from fescueturn import errors
+from fescueturn import kvtypes
 from fescueturn.platform import configuration
 from fescueturn.platform import store
 from fescueturn.scheduler import model
@@ -34,17 +35,17 @@
 
   async def get(self, key):
     self.calls.append(("get", key))
-    item = store.Item(key, 2, value(1))
-    return store.Changes(100, (item,))
+    item = kvtypes.Item(key, 2, value(1))
+    return kvtypes.Changes(100, (item,))
 
   async def watch(self, prefix, after, wait_ms):
     self.calls.append(("watch", after))
     await curio.sleep(0.01)
     if after < 90:
-      raise store.HistoryGoneError("gone")
+      raise kvtypes.HistoryGoneError("gone")
     if self.changes:
       return self.changes.pop(0)
-    return store.Changes(after, ())
+    return kvtypes.Changes(after, ())
 
 
 def watch_for(client, seconds: float) -> list[model.Config]:
@@ -75,8 +76,8 @@
   client = FakeClient()
   key = configuration.KEY
   client.changes = [
-      store.Changes(101, (store.Item(key, 101, b"{"),)),
-      store.Changes(102, (store.Item(key, 102, value(5)),)),
+      kvtypes.Changes(101, (kvtypes.Item(key, 101, b"{"),)),
+      kvtypes.Changes(102, (kvtypes.Item(key, 102, value(5)),)),
   ]
   assert [c.version for c in watch_for(client, 0.3)] == [1, 5]
 
@@ -86,7 +87,7 @@
 
   async def gone(prefix, after, wait_ms):
     client.calls.append(("watch", after))
-    raise store.HistoryGoneError("gone")
+    raise kvtypes.HistoryGoneError("gone")
 
   client.watch = gone
   watch_for(client, 1.0)
@@ -109,6 +110,6 @@
 
 def test_item_of_the_wire_is_decoded_once():
   raw = {"key": "k", "revision": 3, "value": base64.b64encode(b"x").decode()}
-  assert store._item(raw) == store.Item("k", 3, b"x")
+  assert store._item(raw) == kvtypes.Item("k", 3, b"x")
   gone = {"key": "k", "revision": 4, "tombstone": True}
-  assert store._item(gone) == store.Item("k", 4, None)
+  assert store._item(gone) == kvtypes.Item("k", 4, None)
--- a/tests/test_platform_endpoints.py
+++ b/tests/test_platform_endpoints.py
@@ -3,12 +3,12 @@
 import pytest
 
 from fescueturn import errors
+from fescueturn import kvtypes
 from fescueturn.platform import endpoints
-from fescueturn.platform import store
 from fescueturn.scheduler import model
 
 
-def item(name: str, **changed) -> store.Item:
+def item(name: str, **changed) -> kvtypes.Item:
   raw = {
       "service": "speller",
       "address": "10.128.0.9:8080",
@@ -19,7 +19,7 @@
       "labels": ["a", "r1-3"],
       **changed,
   }
-  return store.Item(endpoints.PREFIX + name, 5, json.dumps(raw).encode())
+  return kvtypes.Item(endpoints.PREFIX + name, 5, json.dumps(raw).encode())
 
 
 def test_entry_is_decoded_into_an_endpoint():
@@ -31,7 +31,7 @@
 
 
 def test_malformed_entry_is_left_out_and_the_others_kept():
-  bad = store.Item(endpoints.PREFIX + "i-2", 6, b"{}")
+  bad = kvtypes.Item(endpoints.PREFIX + "i-2", 6, b"{}")
   with pytest.raises(errors.SettingsError):
     endpoints.decode_entry(bad)
   listed = endpoints.EndpointList().update((item("i-1"), bad), 0.0)
--- a/tests/test_platform_keeper.py
+++ b/tests/test_platform_keeper.py
@@ -4,32 +4,32 @@
 import pytest
 
 from fescueturn import errors
+from fescueturn import kvtypes
 from fescueturn.platform import claims
 from fescueturn.platform import keeper
-from fescueturn.platform import store
 from fescueturn.scheduler import keptevents
 from fescueturn.scheduler import model
+from fescueturn.standins import kvstore
 
 SHARD = model.Shard("north")
 NEED = model.Room(27000, 64, 0)
 
 
 class MemoryStore:
-  """Keys with revisions; `faults` says what becomes of the next writes."""
+  """A client over a store in memory; `faults` meet the next writes."""
 
   def __init__(self):
-    self.items: dict[str, store.Item] = {}
-    self.revision = 10
+    self.store = kvstore.KvStore()
     self.faults: list[str] = []
-    self.late: list[store.Transaction] = []
+    self.late: list[kvtypes.Transaction] = []
 
   async def get(self, key):
-    found = (self.items[key],) if key in self.items else ()
-    return store.Changes(self.revision, found)
+    item = self.store.get(key)
+    found = (item,) if item is not None else ()
+    return kvtypes.Changes(self.store.revision, found)
 
   async def range(self, prefix):
-    found = [i for k, i in sorted(self.items.items()) if k.startswith(prefix)]
-    return store.Changes(self.revision, tuple(found))
+    return kvtypes.Changes(self.store.revision, tuple(self.store.range(prefix)))
 
   async def transact(self, wanted):
     fault = self.faults.pop(0) if self.faults else ""
@@ -38,27 +38,16 @@
     if fault == "late":
       self.late.append(wanted)
       raise errors.KvError("no answer")
-    revision = self.apply(wanted)
+    revision = self.store.transact(wanted)
     if fault == "lost":
       raise errors.KvError("no answer")
     return revision
 
-  def apply(self, wanted):
-    for key, revision in wanted.expected.items():
-      item = self.items.get(key)
-      if (item.revision if item else 0) != revision:
-        found = [self.items[k] for k in wanted.expected if k in self.items]
-        raise store.ConflictError(key, tuple(found))
-    self.revision += 1
-    for key, value in wanted.puts.items():
-      self.items[key] = store.Item(key, self.revision, value)
-    for key in wanted.removes:
-      self.items.pop(key, None)
-    return self.revision
-
   def claim(self) -> int:
-    key = claims.claim_key(SHARD)
-    return self.apply(store.Transaction({}, {key: b"holder"}))
+    return self.store.put(claims.claim_key(SHARD), b"holder")
+
+  def keys(self) -> list[str]:
+    return [item.key for item in self.store.range("")]
 
 
 def job(name: str) -> model.Job:
@@ -116,7 +105,7 @@
   holder.write(keptevents.KeepJob(job("k")))
   holder.write(keptevents.KeepProgress("k", model.Progress((TASK,))))
   holder.write(keptevents.KeepEnd("k", model.KeptState.DONE))
-  assert not [k for k in memory.items if "open/" in k or "ends/" in k]
+  assert not [k for k in memory.keys() if "open/" in k or "ends/" in k]
   assert holder.state("k").state is model.KeptState.DONE
   wanted = keptevents.ListEnded(SHARD, holder.fence)
   assert curio.run(holder.keeper.ended, wanted).job_ids == ("k",)
@@ -132,8 +121,8 @@
   assert holder.write(keptevents.KeepJob(job("k"))).result is DONE
   assert holder.write(keptevents.KeepJob(job("l"))).result is DONE
   for wanted in memory.late:
-    with pytest.raises(store.ConflictError):
-      memory.apply(wanted)
+    with pytest.raises(kvtypes.ConflictError):
+      memory.store.transact(wanted)
 
 
 def test_replaced_holder_writes_nothing_more_and_is_told():
@@ -150,7 +139,8 @@
 def test_holder_whose_claim_is_gone_is_told():
   memory = MemoryStore()
   holder = Holder(memory)
-  del memory.items[claims.claim_key(SHARD)]
+  key = claims.claim_key(SHARD)
+  memory.store.transact(kvtypes.Transaction(removes=(key,)))
   written = holder.write(keptevents.KeepJob(job("k")))
   assert written.result is keptevents.WriteResult.REPLACED
   loaded = curio.run(
@@ -184,7 +174,7 @@
   memory = MemoryStore()
   holder = Holder(memory)
   holder.write(keptevents.KeepJob(job("k")), keptevents.KeepJob(job("l")))
-  key = next(k for k in memory.items if k.endswith("open/north/0/k"))
-  memory.items[key] = store.Item(key, 1, b'{"version": 9}')
+  key = next(k for k in memory.keys() if k.endswith("open/north/0/k"))
+  memory.store.put(key, b'{"version": 9}')
   assert [k.job.id for k in Holder(memory).loaded.jobs] == ["l"]
-  assert key in memory.items
+  assert key in memory.keys()
--- a/tests/test_standin_platform.py
+++ b/tests/test_standin_platform.py
@@ -1,10 +1,13 @@
 import curio
+import pytest
 
 from fescueturn import errors
-from fescueturn import kvclient
+from fescueturn import kvtypes
 from fescueturn import settings
 from fescueturn import timer
 from fescueturn.lab import launcher
+from fescueturn.platform import store
+from fescueturn.standins import control
 from fescueturn.standins import standin_platform
 
 
@@ -13,24 +16,28 @@
   clock = timer.TimerService(0.02)
   config = settings.PlatformSettings(address)
   platform = standin_platform.PlatformStandIn(config, clock)
-  kv = kvclient.KvClient(address)
+  kv = store.StoreClient(address, clock.now)
+  steering = control.PlatformControl(address)
   await clock.start()
   await platform.start()
   try:
-    return await body(kv)
+    return await body(kv, steering)
   finally:
     await kv.close()
+    await steering.close()
     await platform.close()
     await clock.close()
 
 
 def test_down_fails_watches_that_wait_and_tells_them_nothing():
-  async def body(kv):
-    lease = await kv.grant(0.2)
-    revision = await kv.put("/m/x", "1", lease=lease)
-    watch = await curio.spawn(kv.watch, "/m/", revision)
+  async def body(kv, steering):
+    lease = await kv.grant(200)
+    revision = await kv.transact(
+        kvtypes.Transaction(puts={"/m/x": b"1"}, lease=lease)
+    )
+    watch = await curio.spawn(kv.watch, "/m/", revision, 10_000)
     await curio.sleep(0.05)
-    await kv.fault("down")
+    await steering.fault("down")
     await curio.sleep(0.4)  # The lease runs out meanwhile.
     try:
       return await watch.join()
@@ -41,12 +48,39 @@
 
 
 def test_watch_wakes_for_its_own_prefix_only():
-  async def body(kv):
-    watch = await curio.spawn(kv.watch, "/teams/", 0)
+  async def body(kv, steering):
+    watch = await curio.spawn(kv.watch, "/teams/", 0, 10_000)
     await curio.sleep(0.05)
-    await kv.put("/jobs/1", "x")
-    await kv.put("/teams/a", "y")
-    _, changes = await watch.join()
-    return [c.key for c in changes], (await kv.stats())["calls"]["/v1/watch"]
+    await steering.put("/jobs/1", "x")
+    await steering.put("/teams/a", "y")
+    changes = await watch.join()
+    calls = (await steering.stats())["calls"]
+    return [item.key for item in changes.items], calls["kv-watch"]
 
   assert curio.run(with_platform, body) == (["/teams/a"], 1)
+
+
+def test_lost_reply_follows_a_write_that_took_effect():
+  async def body(kv, steering):
+    await steering.fault("lose_reply")
+    with pytest.raises(errors.KvError):
+      await kv.transact(kvtypes.Transaction({"/a": 0}, {"/a": b"1"}))
+    await steering.fault("none")
+    return await kv.get("/a")
+
+  found = curio.run(with_platform, body)
+  assert [item.value for item in found.items] == [b"1"]
+
+
+def test_leases_are_kept_ended_and_told_gone():
+  async def body(kv, steering):
+    del steering
+    lease = await kv.grant(60_000)
+    await kv.keep(lease)
+    await kv.transact(kvtypes.Transaction(puts={"/m/x": b"1"}, lease=lease))
+    await kv.end(lease)
+    with pytest.raises(kvtypes.LeaseGoneError):
+      await kv.keep(lease)
+    return await kv.range("/m/")
+
+  assert curio.run(with_platform, body).items == ()
