The platform's wire is decoded by type; entries of other writers name no endpoint

Cause: bodies and entries were read as bare JSON. Change: platform/wire.py declares every body, entry and file (msgspec), and one function decodes them: a value of the declared types, or one numbered error that names key, field and what was wrong, said once an entry. An entry that was sound and can't be used any more (unreadable, moved, another state) gets no new tasks, and what runs there keeps its room. A claim that names no holder is replaced by its revision. A life that another answers for (421) is asked once instead of each 0.7 s; an address where nothing ever answered is called once a second at most instead of seven times. Weighed: hand-written checks a field (as decode_job had; three lines a field), pydantic (a larger dependency, slower), msgspec (checks while it parses).

--- a/fescueturn/platform/callers.py
+++ b/fescueturn/platform/callers.py
@@ -1,6 +1,5 @@
 """Callers' HTTP requests on the platform: jobs, their state, queues."""
 
-import json
 import math
 import re
 from collections.abc import Callable
@@ -11,6 +10,7 @@
 from fescueturn import errors
 from fescueturn import httpio
 from fescueturn.platform import keeper
+from fescueturn.platform import wire
 from fescueturn.scheduler import coordinator
 from fescueturn.scheduler import events
 from fescueturn.scheduler import figures
@@ -24,8 +24,6 @@
 BODY_S = 9.0
 # When to come back to a host that can't take a job at all yet.
 RETRY_AFTER_S = 1
-# What the messages between hosts can carry.
-MAX_NUMBER = 2**32 - 1
 _STATE_NAMES = {
     model.KeptState.OPEN: "running",
     model.KeptState.DONE: "succeeded",
@@ -45,7 +43,7 @@
     model.Outcome.CANCELLED: model.KeptState.CANCELLED,
 }
 _JOB_ID = re.compile(r"[0-9a-fA-F]{16}")
-_UNSERVED_FIELDS = ("gang", "longRunning", "fills", "mayMiss", "targetMs")
+_UNSERVED_FIELDS = ("gang", "long_running", "fills", "may_miss", "target_ms")
 
 
 def decode_job(job_id: str, body: bytes, queue: model.Queue) -> model.Job:
@@ -55,73 +53,49 @@
     errors.BadRequestError: the body is malformed.
     errors.UnservedError: the job asks for something that is not served yet.
   """
-  try:
-    raw = json.loads(body)
-    spec = raw.get("spec", "")
-    # What the wire calls phases are the job's steps.
-    steps = tuple(_decode_step(n, s) for n, s in enumerate(raw["phases"]))
-  except (KeyError, TypeError, ValueError, AttributeError) as exc:
-    raise errors.BadRequestError(f"job: {exc!r}") from exc
-  if not steps or not isinstance(spec, str):
-    raise errors.BadRequestError("job: no steps, or a spec that is no text")
+  raw = wire.decode(wire.jobs, body, "job", errors.BadRequestError)
   _check_served(raw, queue)
   return model.Job(
       id=job_id,
       service=queue.service,
-      spec=spec,
-      steps=steps,
+      spec=raw.spec,
+      steps=tuple(_step(n, phase) for n, phase in enumerate(raw.phases)),
       attempts=queue.attempts,
       stretch=queue.stretch,
       slo_ms=queue.slo_ms,
       queue=queue.name,
       # A job that isn't best-effort outlives its caller and every host.
-      kept=not raw.get("bestEffort"),
+      kept=not raw.best_effort,
   )
 
 
-def _check_served(raw: dict, queue: model.Queue):
+def _check_served(raw: wire.Job, queue: model.Queue):
   if queue.needs_advice:
     raise errors.UnservedError("job: queues under a policy are not served")
-  if raw.get("repeatCount"):
+  if raw.repeat_count:
     raise errors.UnservedError("job: schedules are not served")
-  for step in raw["phases"]:
+  if raw.long_running:
+    raise errors.UnservedError("job: lasting tasks are not served")
+  for step in raw.phases:
     for name in _UNSERVED_FIELDS:
-      if step.get(name):
+      if getattr(step, name):
         raise errors.UnservedError(f"job: {name} is not served")
 
 
-def _decode_step(number: int, raw: dict) -> model.Step:
-  after = tuple(raw.get("after", ()))
-  if not all(isinstance(a, int) and 0 <= a < number for a in after):
-    raise ValueError(f"after: {after!r} names no earlier step")
+def _step(number: int, raw: wire.Phase) -> model.Step:
+  if not all(a < number for a in raw.after):
+    raise errors.BadRequestError(f"job: after: {raw.after} names a later step")
   return model.Step(
-      count=_number(raw, "taskCount", 1),
-      need=model.Room(
-          _number(raw, "cpu"), _number(raw, "memMb"), _number(raw, "gpu")
-      ),
-      estimate_ms=_number(raw, "estimateMs"),
-      after=after,
-      requires=_text(raw, "requires"),
-      near=_text(raw, "affinity"),
-      # At most this many tasks of the step on one endpoint.
-      most_per_endpoint=_number(raw, "antiAffinity"),
+      count=raw.task_count,
+      need=model.Room(raw.cpu, raw.mem_mb, raw.gpu),
+      estimate_ms=raw.estimate_ms,
+      after=raw.after,
+      requires=raw.requires,
+      near=raw.affinity,
+      most_per_endpoint=raw.anti_affinity,
   )
 
 
-def _number(raw: dict, name: str, least: int = 0) -> int:
-  value = raw.get(name, 0)
-  if type(value) not in (int, float) or not least <= value <= MAX_NUMBER:
-    raise ValueError(f"{name}: {value!r}")
-  return int(value)
-
-
-def _text(raw: dict, name: str) -> str:
-  value = raw.get(name, "")
-  if not isinstance(value, str):
-    raise ValueError(f"{name}: {value!r}")
-  return value
-
-
 class CallerHttp:
   """Turns callers' requests into jobs, and the answers back into HTTP."""
 
--- a/fescueturn/platform/claims.py
+++ b/fescueturn/platform/claims.py
@@ -4,17 +4,18 @@
 write is its holder's fence number.
 """
 
-import json
 from collections.abc import Awaitable
 from collections.abc import Callable
 
 import curio
+import msgspec
 from loguru import logger
 
 from fescueturn import errors
 from fescueturn import kvtypes
 from fescueturn import settings
 from fescueturn.platform import reach
+from fescueturn.platform import wire
 from fescueturn.scheduler import events
 from fescueturn.scheduler import model
 
@@ -28,6 +29,8 @@
 # second, and one that has gone silent is noticed when it is over.
 WATCH_MS = 5000
 _LEASE_GONE = "lease_gone"
+# What the messages between hosts carry: 16 bits.
+MAX_SHARD_NUMBER = 2**16 - 1
 
 
 def claim_key(shard: model.Shard) -> str:
@@ -35,15 +38,23 @@
   return f"{PREFIX}{shard.data_centre}/{shard.number}"
 
 
-def _shard(key: str) -> model.Shard:
+def _shard(key: str) -> model.Shard | None:
+  """Returns the shard whose claim has this key, or None for no such key."""
   data_centre, _, number = key.removeprefix(PREFIX).rpartition("/")
+  if not data_centre or not number.isascii() or not number.isdigit():
+    return None
+  if int(number) > MAX_SHARD_NUMBER:
+    return None
   return model.Shard(data_centre, int(number))
 
 
 def _holder(item: kvtypes.Item) -> model.Holder:
-  raw = json.loads(item.value)
-  peer = settings.parse_address(raw["peer"])
-  return model.Holder(raw["host"], raw["boot"], peer, item.revision)
+  raw = wire.decode(wire.claims, item.value, item.key, errors.SettingsError)
+  try:
+    peer = settings.parse_address(raw.peer)
+  except ValueError as exc:
+    raise errors.SettingsError(f"{item.key}: {exc}") from exc
+  return model.Holder(raw.host, raw.boot, peer, item.revision)
 
 
 class Claims:
@@ -61,7 +72,7 @@
     self._peer = peer
     self._lease_ms = lease_ms
     value = {"host": party.host, "boot": party.boot, "peer": str(peer)}
-    self._value = json.dumps(value).encode()
+    self._value = msgspec.json.encode(value)
     self._lease: int | None = None
     self._owning = curio.Event()
     self._keeper = None
@@ -176,8 +187,7 @@
         changes = await client.watch(PREFIX, revision, WATCH_MS)
         revision = changes.revision
         for item in changes.items:
-          known.add(_shard(item.key))
-          await on_holder(_change(item))
+          await _tell(item, known, on_holder)
       store_reach.found(revision, anew)
     except kvtypes.HistoryGoneError:
       await store_reach.history_gone(revision)
@@ -188,16 +198,30 @@
 
 async def _read_all(client, known: set[model.Shard], on_holder) -> int:
   changes = await client.range(PREFIX)
-  held = set()
+  held = {_shard(item.key) for item in changes.items}
   for item in changes.items:
-    held.add(_shard(item.key))
-    await on_holder(_change(item))
+    await _tell(item, known, on_holder)
   for shard in known - held:
     await on_holder(events.HolderChanged(shard, None))
-  known |= held
   return changes.revision
 
 
-def _change(item: kvtypes.Item) -> events.HolderChanged:
-  holder = _holder(item) if item.value is not None else None
-  return events.HolderChanged(_shard(item.key), holder)
+async def _tell(item: kvtypes.Item, known: set[model.Shard], on_holder):
+  """Tells of one claim's change."""
+  shard = _shard(item.key)
+  if shard is None:
+    logger.error("event=claim_rejected key={}", item.key)
+    return
+  known.add(shard)
+  await on_holder(_change(shard, item))
+
+
+def _change(shard: model.Shard, item: kvtypes.Item) -> events.HolderChanged:
+  if item.value is None:
+    return events.HolderChanged(shard, None)
+  try:
+    return events.HolderChanged(shard, _holder(item))
+  except errors.SettingsError as exc:
+    # Whoever claims the shard replaces it.
+    logger.error('event=claim_rejected error="{}"', exc)
+    return events.HolderChanged(shard, None, item.revision)
--- a/fescueturn/platform/configuration.py
+++ b/fescueturn/platform/configuration.py
@@ -1,6 +1,5 @@
 """The operator's configuration in the platform's store: decoded and watched."""
 
-import json
 from collections.abc import Awaitable
 from collections.abc import Callable
 
@@ -9,6 +8,7 @@
 from fescueturn import errors
 from fescueturn import kvtypes
 from fescueturn.platform import reach
+from fescueturn.platform import wire
 from fescueturn.scheduler import model
 
 KEY = "op/config"
@@ -23,40 +23,39 @@
   Raises:
     errors.SettingsError: a field is missing or malformed.
   """
-  try:
-    raw = json.loads(value)
-    return model.Config(
-        int(raw["version"]),
-        tuple(_queue(route) for route in raw["routes"]),
-        _limits(raw.get("limits", {})),
-    )
-  except (KeyError, TypeError, ValueError) as exc:
-    raise errors.SettingsError(f"{KEY}: {exc!r}") from exc
+  raw = wire.decode(wire.configs, value, KEY, errors.SettingsError)
+  routes = tuple(_queue(route) for route in raw.routes)
+  services = {service.name for service in raw.services}
+  services |= {queue.service for queue in routes}
+  return model.Config(
+      raw.version, routes, _limits(raw.limits), frozenset(services)
+  )
 
 
-def _queue(raw: dict) -> model.Queue:
-  # A route is a queue of jobs: `host` and `prefix` say which requests are its.
+def _queue(raw: wire.Route) -> model.Queue:
   return model.Queue(
-      name=raw["name"],
-      host=raw["host"].lower(),
-      prefix=raw["prefix"],
-      service=raw["service"],
-      attempts=max(1, raw.get("attempts", 1)),
-      stretch=raw.get("stretch", 1.0),
-      slo_ms=raw.get("sloMs", 0),
-      timeout_ms=raw.get("timeoutMs", 0),
-      priority=raw.get("priority", 0),
-      needs_advice=bool(raw.get("advice")),
+      name=raw.name,
+      host=raw.host.lower(),
+      prefix=raw.prefix,
+      service=raw.service,
+      attempts=max(1, raw.attempts),
+      stretch=raw.stretch,
+      slo_ms=raw.slo_ms,
+      timeout_ms=raw.timeout_ms,
+      priority=raw.priority,
+      needs_advice=bool(raw.advice),
   )
 
 
-def _limits(raw: dict) -> model.RequestLimits:
-  usual = model.RequestLimits()
+def _limits(raw: wire.Limits) -> model.RequestLimits:
+  told = {
+      "header_bytes": raw.max_header_bytes,
+      "body_bytes": raw.max_body_bytes,
+      "header_ms": raw.header_timeout_ms,
+      "idle_ms": raw.idle_timeout_ms,
+  }
   return model.RequestLimits(
-      header_bytes=raw.get("maxHeaderBytes", usual.header_bytes),
-      body_bytes=raw.get("maxBodyBytes", usual.body_bytes),
-      header_ms=raw.get("headerTimeoutMs", usual.header_ms),
-      idle_ms=raw.get("idleTimeoutMs", usual.idle_ms),
+      **{name: limit for name, limit in told.items() if limit is not None}
   )
 
 
--- a/fescueturn/platform/endpoints.py
+++ b/fescueturn/platform/endpoints.py
@@ -1,19 +1,19 @@
 """Endpoints on the platform: their list in the store, and orders to them."""
 
 import dataclasses
-import json
 from collections.abc import Awaitable
 from collections.abc import Callable
 
 import curio
+import msgspec
 from loguru import logger
 
 from fescueturn import errors
 from fescueturn import httpio
 from fescueturn import kvtypes
 from fescueturn import listener
-from fescueturn import settings
 from fescueturn.platform import reach
+from fescueturn.platform import wire
 from fescueturn.scheduler import events
 from fescueturn.scheduler import figures
 from fescueturn.scheduler import model
@@ -56,33 +56,87 @@
   """Returns the endpoint that a store item describes.
 
   Raises:
-    errors.SettingsError: a field is missing or malformed.
+    errors.SettingsError: the value can't be read, or a field is missing, of
+      another type or out of bounds.
   """
+  raw = wire.decode(wire.entries, item.value, item.key, errors.SettingsError)
   try:
-    raw = json.loads(item.value)
-    capacity = raw.get("capacity", {})
-    return model.Endpoint(
-        id=item.key.removeprefix(PREFIX),
-        address=settings.parse_address(raw["address"]),
-        service=raw["service"],
-        data_centre=raw["zone"],
-        slots=raw["slots"],
-        draining=raw["state"] != "ready",
-        capacity=model.Room(
-            capacity.get("cpu", 0),
-            capacity.get("memMb", 0),
-            capacity.get("gpu", 0),
-        ),
-        labels=tuple(raw.get("labels", ())),
-    )
-  except (KeyError, TypeError, ValueError) as exc:
-    raise errors.SettingsError(f"{item.key}: {exc!r}") from exc
+    address = wire.parse_endpoint_address(raw.address)
+  except ValueError as exc:
+    raise errors.SettingsError(f"{item.key}: address: {exc}") from exc
+  capacity = raw.capacity
+  return model.Endpoint(
+      id=item.key.removeprefix(PREFIX),
+      address=address,
+      service=raw.service,
+      data_centre=raw.zone,
+      slots=raw.slots,
+      draining=raw.state != "ready",
+      capacity=model.Room(capacity.cpu, capacity.mem_mb, capacity.gpu),
+      labels=raw.labels,
+  )
+
+
+def _moved(before: model.Endpoint, after: model.Endpoint) -> bool:
+  """Returns whether an entry says what one endpoint's life can't change."""
+  return (before.address, before.service, before.data_centre) != (
+      after.address,
+      after.service,
+      after.data_centre,
+  )
+
+
+class EntryReader:
+  """Reads endpoints' entries, and says once of each why it can't be used.
+
+  Entries may come from other writers. One that can't be used names no
+  endpoint; if it did before, the endpoint gets no new tasks and what runs
+  there still takes its room.
+  """
+
+  def __init__(self, named: Callable[[str], bool] = lambda service: True):
+    # Whether the operator's configuration names a service.
+    self._named = named
+    self._rejected: dict[str, str] = {}
+
+  def read(
+      self, item: kvtypes.Item, before: model.Endpoint | None
+  ) -> model.Endpoint | None:
+    """Returns the endpoint that an entry names.
+
+    Args:
+      item: the entry.
+      before: the endpoint that it named until now, if any.
+    """
+    try:
+      endpoint = decode_entry(item)
+      if before is not None and _moved(before, endpoint):
+        raise errors.SettingsError(f"{item.key}: moved from {before.address}")
+      if before is None and not self._named(endpoint.service):
+        raise errors.SettingsError(
+            f"{item.key}: no such service: {endpoint.service}"
+        )
+    except errors.SettingsError as exc:
+      self._reject(item.key, str(exc), known=before is not None)
+      return before and dataclasses.replace(before, draining=True)
+    self._rejected.pop(item.key, None)
+    return endpoint
+
+  def _reject(self, key: str, why: str, known: bool):
+    if self._rejected.get(key) != why:
+      self._rejected[key] = why
+      logger.error('event=endpoint_rejected known={} error="{}"', known, why)
+
+  def forget(self, keys: set[str]):
+    """Forgets entries whose keys are not among these."""
+    self._rejected = {k: w for k, w in self._rejected.items() if k in keys}
 
 
 class EndpointList:
   """What the store lists; endpoints just gone from it are kept for a while."""
 
-  def __init__(self):
+  def __init__(self, reader: EntryReader | None = None):
+    self._reader = reader or EntryReader()
     self._listed: dict[str, model.Endpoint] = {}
     self._missing: dict[str, float] = {}
 
@@ -91,21 +145,22 @@
   ) -> tuple[model.Endpoint, ...]:
     """Takes a reading of the store's list and returns the endpoints."""
     found = {}
+    names = set()
     for item in items:
-      try:
-        endpoint = decode_entry(item)
-      except errors.SettingsError as exc:
-        logger.error('event=endpoint_rejected error="{}"', exc)
-        continue
-      found[endpoint.id] = endpoint
+      name = item.key.removeprefix(PREFIX)
+      names.add(name)
+      endpoint = self._reader.read(item, self._listed.get(name))
+      if endpoint is not None:
+        found[name] = endpoint
     for name, endpoint in self._listed.items():
-      if name not in found and self._kept(name, now):
+      if name not in names and self._kept(name, now):
         found[name] = endpoint
     self._missing = {
         n: at for n, at in self._missing.items() if n in self._listed
     }
-    for name in [i.key.removeprefix(PREFIX) for i in items]:
+    for name in names:
       self._missing.pop(name, None)
+    self._reader.forget({item.key for item in items})
     self._listed = found
     return tuple(found.values())
 
@@ -122,12 +177,13 @@
       client: kvtypes.Store,
       now: Callable[[], float],
       on_list: Callable[[events.EndpointsListed], Awaitable[None]],
+      named: Callable[[str], bool] = lambda service: True,
   ):
     self._client = client
     self._now = now
     self._on_list = on_list
     self._owning = curio.Event()
-    self._list = EndpointList()
+    self._list = EndpointList(EntryReader(named))
     self._task = None
 
   async def start(self):
@@ -173,16 +229,43 @@
   return model.Task(job.removesuffix(".0"), int(step), int(index))
 
 
+def _running(row: wire.RunningRow) -> model.Running:
+  run = model.RunId(parse_run_name(row.task), row.attempt)
+  return model.Running(run, int(row.percent))
+
+
+def _ended(row: wire.FinishedRow) -> model.Ended:
+  run = model.RunId(parse_run_name(row.task), row.attempt)
+  return model.Ended(row.number, run, _HOW.get(row.how, model.EndHow.LOST))
+
+
+def _decode_reply(
+    endpoint: model.Endpoint, response: httpio.Response
+) -> wire.OrderReply:
+  """Returns an answer's body; one that can't be read is as good as lost."""
+  if not response.body:
+    return wire.OrderReply()
+  try:
+    return wire.decode(
+        wire.order_replies, response.body, endpoint.id, httpio.LostReplyError
+    )
+  except httpio.LostReplyError as exc:
+    logger.error(
+        'event=reply_malformed endpoint={} error="{}"', endpoint.id, exc
+    )
+    raise
+
+
 @dataclasses.dataclass(frozen=True)
 class _Reply:
   """What came of a call: a result and the decoded body, if there is one."""
 
   result: model.CallResult
-  body: dict
+  body: wire.OrderReply = wire.OrderReply()
 
   @property
   def clock_ms(self) -> int | None:
-    return self.body.get("clockMs")
+    return self.body.clock_ms
 
 
 class EndpointCalls:
@@ -214,17 +297,17 @@
     )
     try:
       response = await self._pool(endpoint).request(
-          "POST", path, json.dumps(body).encode(), headers, timeout_s
+          "POST", path, msgspec.json.encode(body), headers, timeout_s
       )
-      reply = json.loads(response.body) if response.body else {}
+      reply = _decode_reply(endpoint, response)
     except httpio.NotSentError:
-      return _Reply(model.CallResult.NOT_SENT, {})
-    except (httpio.LostReplyError, ValueError) as exc:
+      return _Reply(model.CallResult.NOT_SENT)
+    except httpio.LostReplyError as exc:
       logger.debug("event=call_lost endpoint={} error={!r}", endpoint.id, exc)
-      return _Reply(model.CallResult.NO_ANSWER, {})
+      return _Reply(model.CallResult.NO_ANSWER)
     if response.status == 409:
-      reason = reply.get("reason")
-      return _Reply(_REASONS.get(reason, model.CallResult.REJECTED), reply)
+      result = _REASONS.get(reply.reason, model.CallResult.REJECTED)
+      return _Reply(result, reply)
     result = _STATUSES.get(response.status, model.CallResult.NO_ANSWER)
     return _Reply(result, reply)
 
@@ -278,25 +361,21 @@
       body["waitMs"] = order.wait_ms
     timeout_s = order.wait_ms / 1000 + CALL_SLACK_S
     reply = await self._call(order.endpoint, "/-/hold", body, timeout_s)
+    result = reply.result
+    try:
+      running = tuple(_running(row) for row in reply.body.running)
+      ended = tuple(_ended(row) for row in reply.body.finished)
+    except ValueError as exc:
+      name = order.endpoint.id
+      logger.error('event=reply_malformed endpoint={} error="{}"', name, exc)
+      result, running, ended = model.CallResult.NO_ANSWER, (), ()
     return events.LeaseAnswered(
         order.endpoint.id,
         order.number,
-        reply.result,
+        result,
         reply.clock_ms,
-        # Rows: task, attempt, checkpoint, percent done (and a load figure).
-        tuple(
-            model.Running(model.RunId(parse_run_name(row[0]), row[1]), row[3])
-            for row in reply.body.get("running", ())
-        ),
-        # Rows: number, task, attempt, how it ended, checkpoint.
-        tuple(
-            model.Ended(
-                row[0],
-                model.RunId(parse_run_name(row[1]), row[2]),
-                _HOW.get(row[3], model.EndHow.LOST),
-            )
-            for row in reply.body.get("finished", ())
-        ),
+        running,
+        ended,
     )
 
   async def forget(self, listed: tuple[model.Endpoint, ...]):
--- a/fescueturn/platform/keeper.py
+++ b/fescueturn/platform/keeper.py
@@ -7,14 +7,15 @@
 """
 
 import dataclasses
-import json
 
+import msgspec
 from loguru import logger
 
 from fescueturn import errors
 from fescueturn import kvtypes
 from fescueturn.platform import claims
 from fescueturn.platform import reach
+from fescueturn.platform import wire
 from fescueturn.scheduler import keptcodec
 from fescueturn.scheduler import keptevents
 from fescueturn.scheduler import model
@@ -45,30 +46,25 @@
 
 def _encode_known(known: Known) -> bytes:
   shard = known.shard
-  raw = [known.state.value, shard.data_centre, shard.number]
-  return json.dumps(raw).encode()
+  row = wire.KnownRow(known.state.value, shard.data_centre, shard.number)
+  return msgspec.json.encode(row)
 
 
-def _decode_known(value: bytes) -> Known:
-  state, data_centre, number = json.loads(value)
-  return Known(model.KeptState(state), model.Shard(data_centre, number))
+def _decode_known(item: kvtypes.Item) -> Known:
+  """Returns how far a job is.
 
-
-@dataclasses.dataclass(frozen=True)
-class _Head:
-  """The last write to a shard's records: by which holder, and its number."""
-
-  fence: int
-  number: int
-  takeovers: int
-
-  def encode(self) -> bytes:
-    """Returns its record."""
-    return json.dumps(dataclasses.astuple(self)).encode()
+  Raises:
+    errors.KvError: the record can't be read.
+  """
+  row = wire.decode(wire.known_rows, item.value, item.key, errors.KvError)
+  shard = model.Shard(row.data_centre, row.number)
+  return Known(model.KeptState(row.state), shard)
 
 
-def _decode_head(item: kvtypes.Item | None) -> _Head | None:
-  return _Head(*json.loads(item.value)) if item is not None else None
+def _decode_head(item: kvtypes.Item | None) -> wire.HeadRow | None:
+  if item is None:
+    return None
+  return wire.decode(wire.head_rows, item.value, item.key, errors.KvError)
 
 
 class Keeper:
@@ -85,7 +81,7 @@
       errors.KvError: the store did not answer.
     """
     found = await self._client.get(JOBS + job_id)
-    return _decode_known(found.items[0].value) if found.items else None
+    return _decode_known(found.items[0]) if found.items else None
 
   async def load(self, effect: keptevents.LoadKept) -> keptevents.KeptLoaded:
     """Takes a shard's records over and reads them; tries until it is known."""
@@ -111,7 +107,7 @@
       takeovers, revision = before.takeovers, item.revision
     else:
       takeovers = before.takeovers + 1 if before else 0
-      head = _Head(effect.fence, 0, takeovers)
+      head = wire.HeadRow(effect.fence, 0, takeovers)
       try:
         revision = await self._client.transact(
             kvtypes.Transaction(
@@ -119,7 +115,7 @@
                     claims.claim_key(effect.shard): effect.fence,
                     key: item.revision if item else 0,
                 },
-                {key: head.encode()},
+                {key: msgspec.json.encode(head)},
             )
         )
       except kvtypes.ConflictError as exc:
@@ -173,8 +169,8 @@
     head_key = _place(_HEADS, shard)
     takeovers = self._takeovers[shard]
     expected = {claims.claim_key(shard): effect.fence, head_key: effect.after}
-    head = _Head(effect.fence, effect.number, takeovers)
-    puts = {head_key: head.encode()}
+    head = wire.HeadRow(effect.fence, effect.number, takeovers)
+    puts = {head_key: msgspec.json.encode(head)}
     removes: list[str] = []
     for change in effect.changes:
       if isinstance(change, keptevents.KeepJob):
@@ -203,7 +199,7 @@
       job_ids = tuple(
           item.key.removeprefix(JOBS)
           for item in found.items
-          if _is_over(_decode_known(item.value), effect.shard)
+          if _is_over(item, effect.shard)
       )
     except errors.KvError as exc:
       # They stay in the store until the next holder looks for them.
@@ -226,7 +222,12 @@
     return None
 
 
-def _is_over(known: Known, shard: model.Shard) -> bool:
+def _is_over(item: kvtypes.Item, shard: model.Shard) -> bool:
+  try:
+    known = _decode_known(item)
+  except errors.KvError as exc:
+    logger.error('event=kept_job_unreadable error="{}"', exc)
+    return False
   return known.shard == shard and known.state is not model.KeptState.OPEN
 
 
--- a/fescueturn/platform/nodefile.py
+++ b/fescueturn/platform/nodefile.py
@@ -5,12 +5,12 @@
 """
 
 import dataclasses
-import json
 import os
 import pathlib
 
 from fescueturn import errors
 from fescueturn import settings
+from fescueturn.platform import wire
 
 PATH_VARIABLE = "FESCUETURN_NODE_FILE"
 # Where statsd metrics go, as host:port; the settings file has no place for it.
@@ -33,6 +33,7 @@
     min_lease_ms: the shortest lease of the store.
     grace_s: from SIGTERM to SIGKILL.
     ended_kept_s: how long a kept job that is over must stay known.
+    cores: how much processor it gets, in cores of the usual speed.
   """
 
   host: str
@@ -45,6 +46,7 @@
   min_lease_ms: int
   grace_s: float
   ended_kept_s: float
+  cores: float
 
 
 def path() -> pathlib.Path:
@@ -71,31 +73,27 @@
   Raises:
     errors.SettingsError: a field is missing or malformed.
   """
+  raw = wire.decode(wire.nodes, text, "settings file", errors.SettingsError)
   try:
-    raw = json.loads(text)
-    return _decode(raw)
-  except KeyError as exc:
-    raise errors.SettingsError(f"settings file: no field {exc}") from exc
-  except (TypeError, ValueError, AttributeError) as exc:
+    return _settings(raw)
+  except ValueError as exc:
     raise errors.SettingsError(f"settings file: {exc}") from exc
 
 
-def _decode(raw: dict) -> NodeSettings:
-  listen = raw["listen"]
-  ip = raw["ip"]
-  # The ports from the first to the last of this pair are ours.
-  first_port, _ = raw["internalPorts"]
+def _settings(raw: wire.Node) -> NodeSettings:
+  first_port, _ = raw.internal_ports
   return NodeSettings(
-      host=raw["node"],
-      data_centre=raw["zone"],
-      callers=settings.parse_address(listen["frontend"]),
-      readiness=settings.parse_address(listen["readiness"]),
-      links=settings.Address(ip, int(first_port)),
-      metrics=settings.Address(ip, int(first_port) + 1),
-      store=settings.parse_address(raw["platform"]["address"]),
-      min_lease_ms=int(raw["platform"].get("minTtlMs", 1000)),
-      grace_s=float(raw["bounds"].get("graceS", 6)),
-      ended_kept_s=float(raw["bounds"].get("status_s", 120)),
+      host=raw.node,
+      data_centre=raw.zone,
+      callers=settings.parse_address(raw.listen.frontend),
+      readiness=settings.parse_address(raw.listen.readiness),
+      links=settings.Address(raw.ip, first_port),
+      metrics=settings.Address(raw.ip, first_port + 1),
+      store=settings.parse_address(raw.platform.address),
+      min_lease_ms=raw.platform.min_ttl_ms,
+      grace_s=raw.bounds.grace_s,
+      ended_kept_s=raw.bounds.status_s,
+      cores=raw.limits.cpu_share * raw.limits.cores,
   )
 
 
--- a/fescueturn/platform/role.py
+++ b/fescueturn/platform/role.py
@@ -72,7 +72,11 @@
     )
     self._keeper = keeper.Keeper(self._store)
     self._calls = endpoints.EndpointCalls(clock.now, self._observe)
-    self._lister = endpoints.Lister(self._store, clock.now, self._on_list)
+    # Every service that a configuration has named; None before the first.
+    self._services: frozenset[str] | None = None
+    self._lister = endpoints.Lister(
+        self._store, clock.now, self._on_list, self._names_service
+    )
     shards = (model.Shard(node.data_centre),)
     self._host = host_lib.SchedulerHost(
         state_lib.Identity(
@@ -214,7 +218,11 @@
     await self._claims.owning(owning)
     await self._lister.owning(owning)
 
+  def _names_service(self, service: str) -> bool:
+    return self._services is None or service in self._services
+
   async def _on_config(self, config: model.Config):
+    self._services = (self._services or frozenset()) | config.services
     if self._callers.set_config(config):
       self._figures.config(config.version)
       logger.info(
--- a/fescueturn/platform/store.py
+++ b/fescueturn/platform/store.py
@@ -5,15 +5,19 @@
 """
 
 import base64
-import json
+import binascii
 import urllib.parse
 from collections.abc import Callable
 
+import msgspec
+from loguru import logger
+
 from fescueturn import errors
 from fescueturn import httpio
 from fescueturn import kvtypes
 from fescueturn import listener
 from fescueturn import settings
+from fescueturn.platform import wire
 from fescueturn.scheduler import figures
 
 # An answer takes 4 to 6 ms, and up to half a second when the store is slow;
@@ -24,10 +28,24 @@
 WATCH_SLACK_S = 1.0
 
 
-def _item(raw: dict) -> kvtypes.Item:
+def _item(raw: wire.KeyItem) -> kvtypes.Item:
   # A removal comes as a key and revision with a flag in place of a value.
-  value = None if raw.get("tombstone") else base64.b64decode(raw["value"])
-  return kvtypes.Item(raw["key"], raw["revision"], value)
+  if raw.tombstone or raw.value is None:
+    return kvtypes.Item(raw.key, raw.revision, None)
+  return kvtypes.Item(raw.key, raw.revision, _value(raw.key, raw.value))
+
+
+def _value(key: str, text: str) -> bytes:
+  try:
+    return base64.b64decode(text)
+  except binascii.Error as exc:
+    # Whoever reads this key rejects an empty value; the others hold.
+    logger.error('event=value_unreadable key={} error="{}"', key, exc)
+    return b""
+
+
+def _decode(decoder: msgspec.json.Decoder, response: httpio.Response, path):
+  return wire.decode(decoder, response.body, path, errors.KvError)
 
 
 class StoreClient:
@@ -56,7 +74,7 @@
       self, method, path, query=None, body=None, timeout_s=CALL_TIMEOUT_S
   ):
     target = f"{path}?{urllib.parse.urlencode(query)}" if query else path
-    data = b"" if body is None else json.dumps(body).encode()
+    data = b"" if body is None else msgspec.json.encode(body)
     headers = (("content-type", "application/json"),) if data else ()
     began = self._now()
     result = "no_answer"
@@ -81,9 +99,12 @@
     an item that was written long ago may be gone.
     """
     response = await self._call("GET", "/-/kv-key", {"key": key})
-    body = response.json()
-    items = (_item(body),) if response.status == 200 else ()
-    return kvtypes.Changes(body.get("currentRev", 0), items)
+    raw = _decode(wire.key_replies, response, "/-/kv-key")
+    items = ()
+    if response.status == 200 and raw.key is not None:
+      value = None if raw.value is None else _value(raw.key, raw.value)
+      items = (kvtypes.Item(raw.key, raw.revision, value),)
+    return kvtypes.Changes(raw.current_rev, items)
 
   async def range(self, prefix: str) -> kvtypes.Changes:
     """Returns all items under `prefix`; the pages are not one snapshot."""
@@ -91,11 +112,12 @@
     query: dict[str, object] = {"prefix": prefix}
     revision = None
     while True:
-      body = (await self._call("GET", "/-/kv-range", query)).json()
-      items += [_item(raw) for raw in body["items"]]
+      response = await self._call("GET", "/-/kv-range", query)
+      page = _decode(wire.range_replies, response, "/-/kv-range")
+      items += [_item(raw) for raw in page.items]
       # Watching from the first page's revision misses nothing after it.
-      revision = body["currentRev"] if revision is None else revision
-      if not body.get("hasMore"):
+      revision = page.current_rev if revision is None else revision
+      if not page.has_more or not page.items:
         return kvtypes.Changes(revision, tuple(items))
       query["after"] = items[-1].key
 
@@ -117,10 +139,9 @@
     )
     if response.status == 410:
       raise kvtypes.HistoryGoneError(f"watch {prefix} after {after}")
-    body = response.json()
-    events = body.get("events", ())
+    raw = _decode(wire.watch_replies, response, "/-/kv-watch")
     return kvtypes.Changes(
-        body["currentRev"], tuple(_item(raw) for raw in events)
+        raw.current_rev, tuple(_item(event) for event in raw.events)
     )
 
   async def transact(self, wanted: kvtypes.Transaction) -> int:
@@ -148,20 +169,21 @@
     }
     response = await self._call("POST", "/-/kv-txn", body=body)
     if response.status == 412:
+      raw = _decode(wire.conflict_replies, response, "/-/kv-txn")
       items = tuple(
-          _item(raw)
-          for raw in response.json().get("items", ())
-          if raw.get("revision") and "value" in raw
+          _item(item)
+          for item in raw.items
+          if item.revision and item.value is not None
       )
       raise kvtypes.ConflictError(f"not as expected: {wanted.expected}", items)
     if response.status == 404:
       raise kvtypes.LeaseGoneError(f"lease {wanted.lease}")
-    return response.json()["revision"]
+    return _decode(wire.transact_replies, response, "/-/kv-txn").revision
 
   async def grant(self, ttl_ms: int) -> int:
     """Returns a new lease of `ttl_ms`."""
     response = await self._call("POST", "/-/kv-lease", body={"ttlMs": ttl_ms})
-    return response.json()["lease"]
+    return _decode(wire.lease_replies, response, "/-/kv-lease").lease
 
   async def keep(self, lease: int):
     """Renews a lease; raises `kvtypes.LeaseGoneError` once it has ended."""
--- a/fescueturn/scheduler/election.py
+++ b/fescueturn/scheduler/election.py
@@ -38,8 +38,8 @@
   def __init__(self, shard: model.Shard, host: str):
     self.shard = shard
     self.holder: model.Holder | None = None
-    # The highest revision at which this shard's claim was seen to change.
-    self.revision = 0
+    # The revision of a claim that names no holder; a claim replaces it.
+    self.blank = 0
     self.free_since: float | None = 0.0
     self.gone = False
     self.claiming_since: float | None = None
@@ -66,9 +66,13 @@
 
 
 def holder_changed(
-    candidate: Candidate, holder: model.Holder | None, now: float
+    candidate: Candidate,
+    holder: model.Holder | None,
+    now: float,
+    blank: int = 0,
 ):
   """Takes what the store says of the shard's claim."""
+  candidate.blank = blank
   first = not candidate.seen_store
   candidate.seen_store = True
   if holder is None:
@@ -131,7 +135,7 @@
   ):
     return None
   candidate.claiming_since = now
-  replaces = candidate.holder.fence if candidate.holder else 0
+  replaces = candidate.holder.fence if candidate.holder else candidate.blank
   return events.ClaimShard(candidate.shard, replaces)
 
 
--- a/fescueturn/scheduler/events.py
+++ b/fescueturn/scheduler/events.py
@@ -64,10 +64,17 @@
 
 @dataclasses.dataclass(frozen=True)
 class HolderChanged:
-  """The store names another holder of a shard, or none."""
+  """The store names another holder of a shard, or none.
+
+  Attributes:
+    shard: which shard.
+    holder: its holder; None if there is none.
+    blank: the revision of a claim that is there and names no holder, or 0.
+  """
 
   shard: model.Shard
   holder: model.Holder | None
+  blank: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/fescueturn/scheduler/leases.py
+++ b/fescueturn/scheduler/leases.py
@@ -22,8 +22,11 @@
   """Takes the platform's list; new endpoints are asked what runs there."""
   owner.list_sizes(listed)
   own = {e.id: e for e in listed if e.data_centre == owner.shard.data_centre}
+  owner.gone &= {(e.id, e.address) for e in own.values()}
   for name, info in own.items():
     record = owner.endpoints.get(name)
+    if record is None and (name, info.address) in owner.gone:
+      continue
     if record is None:
       record = ledger.EndpointRecord(info, owner.now)
       owner.endpoints[name] = record
@@ -204,7 +207,7 @@
   if result is model.CallResult.FENCED:
     _stand_down(owner, record)
   elif result is model.CallResult.GONE:
-    endpoint_gone(owner, record)
+    _other_life(owner, record)
   elif result is model.CallResult.NOT_SENT:
     _unreached(owner, record)
   elif result is model.CallResult.NO_ANSWER:
@@ -240,8 +243,14 @@
     owner.out(ownerstate.endpoint_log("fenced", record, fence=owner.fence))
 
 
+def _other_life(owner, record):
+  """Another life answered at its address: this one is not asked for again."""
+  owner.gone.add((record.info.id, record.info.address))
+  endpoint_gone(owner, record)
+
+
 def endpoint_gone(owner, record):
-  """The machine runs another life by now: nothing of this one is left."""
+  """Nothing of this life of a machine is left."""
   owner.out(ownerstate.endpoint_log("endpoint_gone", record))
   record.listed = False
   for run in list(record.runs.values()):
@@ -285,7 +294,7 @@
     _stand_down(owner, record)
     return
   if result is model.CallResult.GONE:
-    endpoint_gone(owner, record)
+    _other_life(owner, record)
     return
   if result is model.CallResult.NO_ANSWER:
     _no_answer(owner, record, run.since)
@@ -319,7 +328,7 @@
   if event.result is model.CallResult.FENCED:
     _stand_down(owner, record)
   elif event.result is model.CallResult.GONE:
-    endpoint_gone(owner, record)
+    _other_life(owner, record)
   elif event.result is model.CallResult.NOT_SENT:
     _unreached(owner, record)
   elif event.result is model.CallResult.NO_ANSWER and run is not None:
--- a/fescueturn/scheduler/ledger.py
+++ b/fescueturn/scheduler/ledger.py
@@ -37,6 +37,9 @@
 BACK_OFF_S = 0.25
 # A lease call that failed is repeated after this: six tries in a lease.
 CALL_AGAIN_S = 0.15
+# The longest pause between calls to an endpoint that never answered: an entry
+# may name an address where nothing is, and a connection there hangs for 0.25 s.
+CALL_UNKNOWN_MAX_S = 1.0
 # An endpoint lists ends that it may not forget yet with each lease call, at
 # once: calls are this far apart until the ends are in the store, some 25 ms.
 UNSAVED_CALL_S = 0.15
@@ -121,6 +124,8 @@
     self.call_sent_at = now
     self.lease_end_ms = 0
     self.call_again_at = now
+    # Lease calls that failed before the first that was answered.
+    self._calls_in_vain = 0
     self.out_until = 0.0
     self.ejections = 0
     self.failed_jobs: set[str] = set()
@@ -236,7 +241,11 @@
 
   def call_later(self, now: float):
     """Has the next lease call wait a little after one that failed."""
-    self.call_again_at = now + CALL_AGAIN_S
+    pause_s = CALL_AGAIN_S
+    if not self.known:
+      pause_s = min(CALL_UNKNOWN_MAX_S, pause_s * 2**self._calls_in_vain)
+      self._calls_in_vain += 1
+    self.call_again_at = now + pause_s
 
   def forgotten(self, now: float) -> bool:
     """Returns whether an endpoint off the list has been silent for good."""
--- a/fescueturn/scheduler/model.py
+++ b/fescueturn/scheduler/model.py
@@ -298,3 +298,5 @@
   version: int
   queues: tuple[Queue, ...] = ()
   limits: RequestLimits = RequestLimits()
+  # Every pool of endpoints that it names.
+  services: frozenset[str] = frozenset()
--- a/fescueturn/scheduler/ownerstate.py
+++ b/fescueturn/scheduler/ownerstate.py
@@ -4,6 +4,7 @@
 import dataclasses
 import enum
 
+from fescueturn import settings
 from fescueturn.scheduler import events
 from fescueturn.scheduler import keeping
 from fescueturn.scheduler import ledger
@@ -168,6 +169,8 @@
     self.ended_kept_s = ended_kept_s
     self.keeper = keeping.Keeper()
     self.endpoints: dict[str, ledger.EndpointRecord] = {}
+    # Lives that are over though they are listed: another answers there.
+    self.gone: set[tuple[str, settings.Address]] = set()
     # By service, how many listed endpoints of each size there are.
     self._sizes: dict[str, collections.Counter[_Size]] = {}
     self.jobs: dict[events.JobKey, JobRecord] = {}
--- a/fescueturn/scheduler/reducer.py
+++ b/fescueturn/scheduler/reducer.py
@@ -98,7 +98,7 @@
   candidate = state.candidates.get(event.shard)
   if candidate is None:
     return []
-  election.holder_changed(candidate, event.holder, state.now)
+  election.holder_changed(candidate, event.holder, state.now, event.blank)
   holder = candidate.holder
   if holder is None:
     return []
--- a/tests/fakeplatform.py
+++ b/tests/fakeplatform.py
@@ -201,6 +201,7 @@
         "state": "ready",
         "capacity": {"cpu": 64000, "memMb": 131072, "gpu": 0},
         "labels": ["a", RACK],
+        "coldRemainingMs": 0,
         "sequence": 1,
     }
     store.put(f"servers/{info.id}", json.dumps(entry).encode())
--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -38,6 +38,12 @@
   assert decide(made, 10.1) == events.ClaimShard(SHARD, 7)
 
 
+def test_claim_that_names_no_holder_is_replaced():
+  made = candidate()
+  election.holder_changed(made, None, 10.0, blank=9)
+  assert decide(made, 10.1) == events.ClaimShard(SHARD, 9)
+
+
 def test_holder_heard_from_again_is_not_replaced():
   made = candidate()
   election.holder_gone(made, 10.0, grace_s=0.1)
--- a/tests/test_platform_configuration.py
+++ b/tests/test_platform_configuration.py
@@ -8,6 +8,7 @@
 from fescueturn import kvtypes
 from fescueturn.platform import configuration
 from fescueturn.platform import store
+from fescueturn.platform import wire
 from fescueturn.scheduler import model
 
 ROUTE = {
@@ -110,6 +111,12 @@
 
 def test_item_of_the_wire_is_decoded_once():
   raw = {"key": "k", "revision": 3, "value": base64.b64encode(b"x").decode()}
-  assert store._item(raw) == kvtypes.Item("k", 3, b"x")
   gone = {"key": "k", "revision": 4, "tombstone": True}
-  assert store._item(gone) == kvtypes.Item("k", 4, None)
+  unreadable = {"key": "k", "revision": 5, "value": "x"}
+  body = json.dumps({"currentRev": 5, "events": [raw, gone, unreadable]})
+  reply = wire.decode(wire.watch_replies, body, "watch", errors.KvError)
+  assert [store._item(event) for event in reply.events] == [
+      kvtypes.Item("k", 3, b"x"),
+      kvtypes.Item("k", 4, None),
+      kvtypes.Item("k", 5, b""),
+  ]
--- a/tests/test_platform_endpoints.py
+++ b/tests/test_platform_endpoints.py
@@ -1,6 +1,8 @@
+import dataclasses
 import json
 
 import pytest
+from loguru import logger
 
 from fescueturn import errors
 from fescueturn import kvtypes
@@ -13,8 +15,11 @@
       "service": "speller",
       "address": "10.128.0.9:8080",
       "zone": "north",
+      "version": "v1",
       "slots": 8,
       "state": "ready",
+      "coldRemainingMs": 0,
+      "sequence": 4,
       "capacity": {"cpu": 64000, "memMb": 131072, "gpu": 0},
       "labels": ["a", "r1-3"],
       **changed,
@@ -38,6 +43,96 @@
   assert [e.id for e in listed] == ["i-1"]
 
 
+FIELDS = ("service", "address", "zone", "version", "slots", "state")
+FIELDS += ("coldRemainingMs", "sequence", "capacity", "labels")
+# Each is of a type or a value that no field of an entry has.
+WRONG = (None, -1, 1.5, 2**70, True, "", "8", [], ["a", 3], {}, {"cpu": "1"})
+FITTING = {
+    ("version", ""),
+    ("version", "8"),
+    ("zone", "8"),
+    ("service", "8"),
+    ("labels", "[]"),
+}
+UNREADABLE = (
+    b"",
+    b"\xff\xfe",
+    b"null",
+    b"3",
+    b'"text"',
+    b"[]",
+    b'["service"]',
+    b"{",
+    b"[" * 100_000,
+    b"{}",
+)
+
+
+def bad_entries():
+  for field in FIELDS:
+    raw = json.loads(item("i-2").value)
+    del raw[field]
+    yield f"no {field}", json.dumps(raw).encode()
+    for wrong in WRONG:
+      if (field, str(wrong)) in FITTING and wrong not in (None, True):
+        continue
+      yield f"{field}={wrong!r}", item("i-2", **{field: wrong}).value
+  yield "state", item("i-2", state="gone").value
+  yield "address", item("i-2", address="nowhere:80").value
+  yield "slots", item("i-2", slots=0).value
+  yield "capacity", item("i-2", capacity={"cpu": 1, "memMb": 1}).value
+  for value in UNREADABLE:
+    yield repr(value[:12]), value
+
+
+BAD = dict(bad_entries())
+
+
+@pytest.mark.parametrize("name", BAD)
+def test_entry_of_another_writer_names_no_endpoint_and_the_others_hold(name):
+  bad = kvtypes.Item(endpoints.PREFIX + "i-2", 6, BAD[name])
+  with pytest.raises(errors.SettingsError, match="i-2"):
+    endpoints.decode_entry(bad)
+  listed = endpoints.EndpointList().update((item("i-1"), bad, item("i-3")), 0.0)
+  assert [e.id for e in listed] == ["i-1", "i-3"]
+
+
+@pytest.mark.parametrize("name", BAD)
+def test_entry_that_turns_unreadable_keeps_its_room_and_gets_nothing_new(name):
+  known = endpoints.EndpointList()
+  before = known.update((item("i-1"), item("i-2")), 0.0)[1]
+  bad = kvtypes.Item(endpoints.PREFIX + "i-2", 6, BAD[name])
+  for now in (1.0, 9.0):
+    kept = known.update((item("i-1"), bad), now)
+    assert kept[1] == dataclasses.replace(before, draining=True)
+  assert known.update((item("i-1"), item("i-2")), 9.5)[1] == before
+
+
+def test_service_that_no_configuration_names_is_not_used():
+  reader = endpoints.EntryReader(lambda service: service == "speller")
+  known = endpoints.EndpointList(reader)
+  listed = known.update((item("i-1"), item("i-2", service="other")), 0.0)
+  assert [e.id for e in listed] == ["i-1"]
+
+
+def test_endpoint_whose_entry_names_another_address_gets_nothing_new():
+  """A life keeps its address: what runs there is not asked for elsewhere."""
+  known = endpoints.EndpointList()
+  before = known.update((item("i-1"),), 0.0)[0]
+  after = known.update((item("i-1", address="10.128.0.10:8080"),), 1.0)[0]
+  assert after == dataclasses.replace(before, draining=True)
+
+
+def test_rejected_entry_is_said_once():
+  reader, lines = endpoints.EntryReader(), []
+  sink = logger.add(lines.append, format="{message}")
+  bad = kvtypes.Item(endpoints.PREFIX + "i-2", 6, b"{}")
+  for _ in range(3):
+    assert reader.read(bad, None) is None
+  logger.remove(sink)
+  assert len(lines) == 1 and "service" in lines[0]
+
+
 def test_missing_entry_is_kept_for_a_while():
   """Entries lapse with a store that is away, and are back within 2 s."""
   known = endpoints.EndpointList()
