--- a/fescueturn/emulator/endpoint.py
+++ b/fescueturn/emulator/endpoint.py
@@ -173,7 +173,8 @@
     longest = self.clock_ms + MAX_LEASE_MS
     self._lease_end_ms = max(self._lease_end_ms, min(deadline_ms, longest))
     end_s = (self._lease_end_ms - self._offset_ms) / 1000
-    self._clock.at(end_s + 0.001, self._expire)
+    # Half a millisecond more, as the clock's milliseconds are rounded down.
+    self._clock.at(end_s + 0.0015, self._expire)
 
   def _expire(self):
     if self.clock_ms <= self._lease_end_ms:
