Hosts without jobs ping less; a roster is told only of endpoints that were listed

Change: a host pings its data centre's holder every 0.2 s while it has no job there; one with jobs, every 0.1 s as before. An endpoint that joins waits only where a roster was told, and none is told before the list was read.

--- a/fescueturn/scheduler/coordinator.py
+++ b/fescueturn/scheduler/coordinator.py
@@ -16,6 +16,9 @@
 # A coordinator tells a holder this often that it is alive: three pings within
 # the holder's patience of 0.35 s.
 PING_PERIOD_S = 0.1
+# A holder of this data centre that has no job of this host's is told less often:
+# two and a half pings within the silence (0.5 s) that makes a holder unusable.
+IDLE_PING_PERIOD_S = 0.19
 # Holders of other data centres are asked how many jobs wait there this often,
 # while no job of this host is there: callers may be told a count 2 s old.
 FAR_PING_PERIOD_S = 1.0
@@ -330,7 +333,9 @@
   busy = {job.shard for job in state.jobs.values()}
   for shard, holder in state.holders.items():
     near = shard.data_centre == state.data_centre
-    if near or far_too or shard in busy or holder.lost:
+    due = state.now - holder.pinged_at > IDLE_PING_PERIOD_S
+    if (near and due) or far_too or shard in busy or holder.lost:
+      holder.pinged_at = state.now
       # Only a host of the same data centre may be the shard's next holder.
       roster = holder.roster_version if near else None
       state.tell(shard, events.Ping(shard, state.me, state.now, roster))
--- a/fescueturn/scheduler/coordinatorstate.py
+++ b/fescueturn/scheduler/coordinatorstate.py
@@ -86,6 +86,7 @@
   def __init__(self, holder: model.Holder, now: float):
     self.holder = holder
     self.heard_at = now
+    self.pinged_at = 0.0
     self.lost = False
     # Kept jobs that wait to begin there, by queue, as last told.
     self.pending: dict[str, int] = {}
--- a/fescueturn/scheduler/leases.py
+++ b/fescueturn/scheduler/leases.py
@@ -30,7 +30,7 @@
       continue
     if record is None:
       record = ledger.EndpointRecord(info, owner.now)
-      if owner.settled and not owner.roster.holds(name, owner.now):
+      if owner.roster.lacks(name, owner.now):
         record.hold_back(owner.now + roster.JOIN_WAIT_S)
       owner.endpoints[name] = record
       owner.out(ownerstate.endpoint_log("endpoint_seen", record))
--- a/fescueturn/scheduler/owner.py
+++ b/fescueturn/scheduler/owner.py
@@ -55,6 +55,8 @@
   for party in silent:
     del owner.heard[party]
     mine = [job for job in owner.jobs.values() if job.key.party == party]
+    if not mine:
+      continue  # It may ping less often while it has no job here.
     owner.out(events.log("coordinator_silent", host=party.host, jobs=len(mine)))
     for job in mine:
       outcomes.end_job(owner, job, model.Outcome.UNKNOWN, "coordinator_silent")
--- a/fescueturn/scheduler/reducer.py
+++ b/fescueturn/scheduler/reducer.py
@@ -213,14 +213,15 @@
 
 def _pong(owner: ownerstate.Owner, ping: events.Ping) -> events.Pong:
   """Returns the answer to a ping."""
-  told = (
-      owner.roster.tell(ping.roster, owner) if ping.roster is not None else None
-  )
+  told = roster.NOTHING_TOLD
+  if ping.roster is not None and owner.settled:
+    # Before that, runs of the holder before may go on elsewhere.
+    told = owner.roster.tell(ping.roster, owner.endpoints, owner.now)
   return events.Pong(
       pending=tuple(sorted(keptjobs.pending(owner).items())),
       at=ping.at,
-      roster=told.version if told else 0,
-      endpoints=told.endpoints if told else None,
+      roster=told.version,
+      endpoints=told.endpoints,
   )
 
 
--- a/fescueturn/scheduler/roster.py
+++ b/fescueturn/scheduler/roster.py
@@ -10,6 +10,7 @@
 """
 
 import dataclasses
+from collections.abc import Iterable
 
 from fescueturn.scheduler import coordinatorstate
 
@@ -39,6 +40,9 @@
   endpoints: tuple[str, ...] | None = None
 
 
+NOTHING_TOLD = Told(0)
+
+
 class Roster:
   """The endpoints of one holder, in versions that rise with each change."""
 
@@ -51,21 +55,23 @@
     """Notes an endpoint that the holder has dropped for now."""
     self._dropped[endpoint] = now + DROPPED_KEPT_S
 
-  def holds(self, endpoint: str, now: float) -> bool:
-    """Returns whether an endpoint that comes back is still in the roster."""
-    return self._dropped.get(endpoint, 0.0) > now
+  def lacks(self, endpoint: str, now: float) -> bool:
+    """Returns whether hosts may know a roster without an endpoint that joins."""
+    return self._version > 0 and self._dropped.get(endpoint, 0.0) <= now
 
-  def tell(self, known: int, owner) -> Told:
+  def tell(self, known: int, in_use: Iterable[str], now: float) -> Told:
     """Returns what to tell a host that knows the version `known`.
 
-    Nothing is told before the holder is settled: things of the holder before
-    it may still run elsewhere.
+    Args:
+      known: the version.
+      in_use: the holder's endpoints.
+      now: the time (s).
     """
-    if not owner.settled:
-      return Told(0)
-    self._dropped = {e: t for e, t in self._dropped.items() if t > owner.now}
-    endpoints = frozenset(owner.endpoints) | frozenset(self._dropped)
-    if endpoints != self._endpoints or not self._version:
+    self._dropped = {e: t for e, t in self._dropped.items() if t > now}
+    endpoints = frozenset(in_use).union(self._dropped)
+    if not endpoints and not self._version:
+      return NOTHING_TOLD  # The list of endpoints has not been read yet.
+    if endpoints != self._endpoints:
       self._endpoints = endpoints
       self._version += 1
     if known == self._version:
--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -10,6 +10,7 @@
 from fescueturn.scheduler import leases
 from fescueturn.scheduler import model
 from fescueturn.scheduler import ownerstate
+from fescueturn.scheduler import reducer
 from fescueturn.scheduler import roster
 from tests import test_leases
 from tests import test_scheduler_fleet as fleets
@@ -47,50 +48,79 @@
   assert record.roster_at == 11.0
 
 
-def settled_owner(now: float = 10.0) -> ownerstate.Owner:
-  owner = ownerstate.Owner(test_leases.SHARD, 7, 0.0, left=frozenset())
-  owner.now = now
+def told_owner() -> ownerstate.Owner:
+  """Returns an owner that has told a roster of one endpoint, i-0."""
+  owner = ownerstate.Owner(test_leases.SHARD, 7, 0.0)
+  first = dataclasses.replace(test_leases.ENDPOINT, id="i-0")
+  leases.endpoints_listed(owner, (first,))
+  assert owner.endpoints["i-0"].out_until <= owner.now
+  assert tell(owner).endpoints == ("i-0",)
+  owner.now = 10.0
   return owner
 
 
-def test_holder_that_is_not_settled_tells_nothing():
-  owner = ownerstate.Owner(test_leases.SHARD, 7, 0.0)
-  leases.endpoints_listed(owner, (test_leases.ENDPOINT,))
-  assert owner.roster.tell(0, owner) == roster.Told(0)
-  owner.now = ownerstate.SETTLE_S + 0.1
-  assert owner.roster.tell(0, owner) == roster.Told(1, ("i-1",))
-  assert owner.roster.tell(1, owner) == roster.Told(1)
+def tell(owner: ownerstate.Owner, known: int = 0) -> roster.Told:
+  return owner.roster.tell(known, owner.endpoints, owner.now)
+
+
+def ping(made, owner, known: int = 0) -> events.Pong:
+  """Returns what a holder of an emulated fleet answers to a ping."""
+  shard = model.Shard(owner.data_centre)
+  asker = fleets.other_than(made, owner).party
+  effects = reducer.reduce(
+      owner.state, events.Ping(shard, asker, 3.5, known), made.clock.now
+  )
+  (pong,) = [
+      e.message for e in effects if isinstance(e, events.TellCoordinator)
+  ]
+  return pong
+
+
+def test_holder_tells_nothing_before_it_is_settled():
+  made = fleets.fleet()
+  owner = fleets.owner_of(made, "a")
+  assert ping(made, owner).roster == 0
+  made.clock.run_until(4.0)
+  pong = ping(made, owner)
+  assert pong.at == 3.5
+  assert pong.roster == 1
+  assert pong.endpoints == tuple(f"e-a{number}" for number in range(8))
+  assert ping(made, owner, known=1).endpoints is None
+
+
+def test_holder_without_a_list_of_endpoints_tells_nothing():
+  assert roster.Roster().tell(0, (), 1.0) == roster.NOTHING_TOLD
 
 
 def test_endpoint_that_joins_waits_until_rosters_without_it_are_too_old():
-  owner = settled_owner()
+  owner = told_owner()
   leases.endpoints_listed(owner, (test_leases.ENDPOINT,))
   record = owner.endpoints["i-1"]
   assert record.out_until == owner.now + roster.JOIN_WAIT_S
   assert roster.JOIN_WAIT_S > roster.GOOD_S
-  assert owner.roster.tell(0, owner).endpoints == ("i-1",)
+  assert "i-1" in tell(owner).endpoints
 
 
 def test_endpoint_whose_entry_lapsed_with_the_store_comes_back_at_once():
-  owner = settled_owner()
+  owner = told_owner()
   leases.endpoints_listed(owner, (test_leases.ENDPOINT,))
-  owner.take_effects()
   owner.endpoints["i-1"].call_waits = False
   leases.endpoints_listed(owner, ())
-  assert not owner.endpoints
-  assert owner.roster.tell(0, owner).endpoints == ("i-1",)
+  assert "i-1" not in owner.endpoints
+  assert "i-1" in tell(owner).endpoints
   owner.now += roster.DROPPED_KEPT_S - 1
   leases.endpoints_listed(owner, (test_leases.ENDPOINT,))
   assert owner.endpoints["i-1"].out_until <= owner.now
 
 
 def test_endpoint_that_left_is_in_no_roster():
-  owner = settled_owner()
+  owner = told_owner()
   leaving = dataclasses.replace(test_leases.ENDPOINT, draining=True)
   leases.endpoints_listed(owner, (leaving,))
+  assert "i-1" in tell(owner).endpoints
   owner.endpoints["i-1"].call_waits = False
   leases.endpoints_listed(owner, ())
-  assert owner.roster.tell(0, owner).endpoints == ()
+  assert "i-1" not in tell(owner).endpoints
 
 
 def test_new_holder_is_settled_once_every_endpoint_of_the_roster_has_told():
