--- a/tests/test_kept_jobs.py
+++ b/tests/test_kept_jobs.py
@@ -9,7 +9,7 @@
 from fescueturn.scheduler import coordinator
 from fescueturn.scheduler import events
 from fescueturn.scheduler import model
-from tests import test_scheduler_fleet as fleets
+from tests import fleets
 
 SHARD = model.Shard("a")
 
--- a/tests/test_random_faults.py
+++ b/tests/test_random_faults.py
@@ -11,7 +11,7 @@
 
 from fescueturn.scheduler import events
 from fescueturn.scheduler import model
-from tests import test_scheduler_fleet as fleets
+from tests import fleets
 
 LOAD_S = 16
 LOAD_PER_S = 60
--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -12,8 +12,8 @@
 from fescueturn.scheduler import ownerstate
 from fescueturn.scheduler import reducer
 from fescueturn.scheduler import roster
+from tests import fleets
 from tests import test_leases
-from tests import test_scheduler_fleet as fleets
 
 HOLDER = model.Holder("h", "b", settings.Address("10.0.0.1", 1), 7)
 
--- a/tests/test_scheduler_fleet.py
+++ b/tests/test_scheduler_fleet.py
@@ -2,98 +2,27 @@
 
 import pytest
 
-from fescueturn.emulator import fleet as fleet_lib
-from fescueturn.emulator import hosts as hosts_lib
 from fescueturn.scheduler import events
 from fescueturn.scheduler import model
-
-NEED = model.Room(27000, 64, 0)
-ZONES = ("a", "b", "c")
-
-
-def job(name: str, count: int, run_ms: int, slo_ms: int = 60) -> model.Job:
-  steps = (model.Step(count, NEED, run_ms),)
-  return model.Job(name, "s", "spec", steps, 3, 1.6, slo_ms)
-
-
-def fleet(hosts: int = 3, endpoints: int = 8, seed: int = 0) -> fleet_lib.Fleet:
-  made = fleet_lib.Fleet(seed)
-  for zone in ZONES:
-    for number in range(hosts):
-      made.add_host(f"{zone}{number}", zone)
-    for number in range(endpoints):
-      cpu = 96000 if number % 3 == 2 else 64000
-      made.add_endpoint(f"e-{zone}{number}", zone, cpu)
-  made.clock.run_until(1.0)
-  return made
-
-
-def owner_of(made: fleet_lib.Fleet, zone: str) -> hosts_lib.EmulatedHost:
-  owners = [
-      h
-      for h in made.hosts.values()
-      if h.up and not h.frozen and h.data_centre == zone and h.state.owners
-  ]
-  assert len(owners) == 1
-  return owners[0]
-
-
-def other_than(made, owner) -> hosts_lib.EmulatedHost:
-  return next(
-      h
-      for h in made.hosts.values()
-      if h is not owner and h.data_centre == owner.data_centre
-  )
-
-
-def load(made, hosts, seconds: float, per_s: float, prefix: str = "j"):
-  """Hands in the sheets' mix of jobs at `hosts`, `per_s` in all."""
-  kinds = ((17, 8, 60), (3, 4, 900), (50, 2, 200))
-  requests = []
-  start = made.clock.now
-  count = int(seconds * per_s)
-  for number in range(count):
-    when = start + number / per_s
-    _, tasks, run_ms = made.rng.choices(kinds, [k[0] for k in kinds])[0]
-    real = [run_ms / 1000 * made.rng.uniform(0.7, 1.4) for _ in range(tasks)]
-
-    def hand_in(number=number, tasks=tasks, run_ms=run_ms, real=real):
-      host = made.rng.choice([h for h in hosts if h.up and not h.frozen])
-      wanted = job(f"{prefix}{number}", tasks, run_ms)
-      requests.append(made.submit(host.name, wanted, real))
-
-    made.clock.at(when, hand_in)
-  return requests
-
-
-def outcomes(made, requests) -> dict[model.Outcome, int]:
-  found = {}
-  for request in requests:
-    outcome = made.answers[request].answer.outcome
-    found[outcome] = found.get(outcome, 0) + 1
-  return found
-
-
-def zone_hosts(made, zone):
-  return [h for h in made.hosts.values() if h.data_centre == zone]
+from tests import fleets
 
 
 def test_one_host_a_data_centre_owns_its_endpoints():
-  made = fleet()
+  made = fleets.fleet()
   fences = set()
-  for zone in ZONES:
-    (owner,) = owner_of(made, zone).state.owners.values()
+  for zone in fleets.ZONES:
+    (owner,) = fleets.owner_of(made, zone).state.owners.values()
     assert set(owner.endpoints) == {f"e-{zone}{n}" for n in range(8)}
     fences.add(owner.fence)
   assert len(fences) == 3
 
 
 def test_calm_load_is_answered_whole_and_in_time():
-  made = fleet()
-  requests = load(made, list(made.hosts.values()), 10, 60)
+  made = fleets.fleet()
+  requests = fleets.load(made, list(made.hosts.values()), 10, 60)
   made.clock.run_until(15)
   assert made.broken == []
-  found = outcomes(made, requests)
+  found = fleets.outcomes(made, requests)
   assert found[model.Outcome.DONE] > 0.95 * len(requests)
   for request in requests:
     answer = made.answers[request].answer
@@ -102,54 +31,54 @@
 
 @pytest.mark.parametrize("seed", range(4))
 def test_takeover_from_a_living_owner_starts_no_task_twice(seed):
-  made = fleet(seed=seed)
-  requests = load(made, zone_hosts(made, "a"), 6, 40)
-  owner = owner_of(made, "a")
+  made = fleets.fleet(seed=seed)
+  requests = fleets.load(made, fleets.zone_hosts(made, "a"), 6, 40)
+  owner = fleets.owner_of(made, "a")
   # The store turns the owner away: its claim lapses, another host's holds.
   made.clock.at(2.0, lambda: owner.cut.add("store"))
   made.clock.run_until(12)
-  assert owner_of(made, "a") is not owner
+  assert fleets.owner_of(made, "a") is not owner
   assert made.broken == []
-  found = outcomes(made, requests)
+  found = fleets.outcomes(made, requests)
   assert found[model.Outcome.DONE] > 0.85 * len(requests)
 
 
 @pytest.mark.parametrize("seed", range(4))
 def test_killed_owner_is_replaced_and_its_runs_go_on(seed):
-  made = fleet(seed=seed)
-  owner = owner_of(made, "a")
-  others = [h for h in zone_hosts(made, "a") if h is not owner]
-  requests = load(made, others, 6, 40)
+  made = fleets.fleet(seed=seed)
+  owner = fleets.owner_of(made, "a")
+  others = [h for h in fleets.zone_hosts(made, "a") if h is not owner]
+  requests = fleets.load(made, others, 6, 40)
   made.clock.at(3.0, lambda: made.kill(owner.name))
   made.clock.run_until(12)
   assert made.broken == []
-  found = outcomes(made, requests)
+  found = fleets.outcomes(made, requests)
   assert found[model.Outcome.DONE] > 0.85 * len(requests)
-  (new_owner,) = owner_of(made, "a").state.owners.values()
+  (new_owner,) = fleets.owner_of(made, "a").state.owners.values()
   assert new_owner.counters["adopted"] > 0
 
 
 @pytest.mark.parametrize("seed", range(4))
 def test_frozen_owner_is_fenced_off_when_it_wakes(seed):
-  made = fleet(seed=seed)
-  owner = owner_of(made, "a")
-  others = [h for h in zone_hosts(made, "a") if h is not owner]
-  requests = load(made, others, 8, 40)
+  made = fleets.fleet(seed=seed)
+  owner = fleets.owner_of(made, "a")
+  others = [h for h in fleets.zone_hosts(made, "a") if h is not owner]
+  requests = fleets.load(made, others, 8, 40)
   made.clock.at(3.0, lambda: setattr(owner, "frozen", True))
   made.clock.at(6.0, owner.thaw)
   made.clock.run_until(14)
-  assert owner_of(made, "a") is not owner
+  assert fleets.owner_of(made, "a") is not owner
   assert made.broken == []
-  assert len(outcomes(made, requests)) >= 1
+  assert len(fleets.outcomes(made, requests)) >= 1
   assert len(made.answers) == len(requests)
 
 
 @pytest.mark.parametrize("seed", range(4))
 def test_coordinator_killed_its_runs_are_stopped_before_a_resend(seed):
-  made = fleet(seed=seed)
-  owner = owner_of(made, "a")
-  first = other_than(made, owner)
-  wanted = job("again", 4, 900)
+  made = fleets.fleet(seed=seed)
+  owner = fleets.owner_of(made, "a")
+  first = fleets.other_than(made, owner)
+  wanted = fleets.job("again", 4, 900)
   made.submit(first.name, wanted, [1.0] * 4, deadline_s=3.5)
   made.clock.run_until(1.1)
   made.kill(first.name)
@@ -163,8 +92,8 @@
 
 
 def test_late_orders_overfill_no_endpoint_and_start_no_task_twice():
-  made = fleet()
-  load(made, list(made.hosts.values()), 20, 70)
+  made = fleets.fleet()
+  fleets.load(made, list(made.hosts.values()), 20, 70)
   for number, name in enumerate(made.endpoints):
     endpoint = made.endpoints[name]
     begin = 2.0 + number * 0.6
@@ -175,8 +104,8 @@
 
 
 def test_draining_endpoint_gets_no_new_task():
-  made = fleet()
-  load(made, zone_hosts(made, "a"), 8, 30)
+  made = fleets.fleet()
+  fleets.load(made, fleets.zone_hosts(made, "a"), 8, 30)
   made.clock.at(3.0, lambda: made.drain("e-a0"))
   made.clock.run_until(4.2)
   before = len(made.endpoints["e-a0"].starts)
@@ -186,8 +115,8 @@
 
 
 def test_caller_that_hangs_up_frees_its_room():
-  made = fleet()
-  request = made.submit("a0", job("gone", 4, 900), [0.9] * 4)
+  made = fleets.fleet()
+  request = made.submit("a0", fleets.job("gone", 4, 900), [0.9] * 4)
   made.clock.run_until(1.2)
   assert sum(len(e.running) for e in made.endpoints.values()) == 4
   made.hang_up("a0", request)
@@ -196,30 +125,30 @@
 
 
 def test_store_away_changes_nothing_for_callers():
-  made = fleet()
-  requests = load(made, list(made.hosts.values()), 8, 50)
+  made = fleets.fleet()
+  requests = fleets.load(made, list(made.hosts.values()), 8, 50)
   made.clock.at(2.0, lambda: setattr(made, "store_up", False))
   made.clock.run_until(14)
   assert made.broken == []
-  found = outcomes(made, requests)
+  found = fleets.outcomes(made, requests)
   assert found[model.Outcome.DONE] > 0.95 * len(requests)
 
 
 def test_claim_taken_away_from_a_living_owner_comes_back_to_it():
-  made = fleet()
-  owner = owner_of(made, "a")
-  requests = load(made, zone_hosts(made, "a"), 4, 30)
+  made = fleets.fleet()
+  owner = fleets.owner_of(made, "a")
+  requests = fleets.load(made, fleets.zone_hosts(made, "a"), 4, 30)
   made.clock.at(2.0, lambda: made.end_claim(model.Shard("a")))
   made.clock.run_until(8)
-  assert owner_of(made, "a") is owner
+  assert fleets.owner_of(made, "a") is owner
   assert made.broken == []
-  found = outcomes(made, requests)
+  found = fleets.outcomes(made, requests)
   assert found[model.Outcome.DONE] > 0.95 * len(requests)
 
 
 def test_crashed_endpoints_task_runs_again_elsewhere():
-  made = fleet()
-  request = made.submit("a0", job("j", 2, 200, 3000), [0.4] * 2, 3.5)
+  made = fleets.fleet()
+  request = made.submit("a0", fleets.job("j", 2, 200, 3000), [0.4] * 2, 3.5)
   made.clock.run_until(1.1)
   victim = next(e for e in made.endpoints.values() if e.running)
   victim.crash()
@@ -229,35 +158,35 @@
 
 
 def test_failing_endpoint_is_left_out():
-  made = fleet()
+  made = fleets.fleet()
   made.endpoints["e-a0"].failing = True
   # At all data centres: one alone would pass its jobs on rather than let
   # them wait, and keep the endpoints that it compares with idle.
-  requests = load(made, list(made.hosts.values()), 6, 60)
+  requests = fleets.load(made, list(made.hosts.values()), 6, 60)
   made.clock.run_until(12)
-  found = outcomes(made, requests)
+  found = fleets.outcomes(made, requests)
   assert found[model.Outcome.DONE] > 0.95 * len(requests)
   starts = {n: len(e.starts) for n, e in made.endpoints.items()}
   assert starts["e-a0"] < 0.3 * starts["e-a1"]
 
 
 def test_stuck_run_is_stopped_and_run_elsewhere():
-  made = fleet()
+  made = fleets.fleet()
   made.endpoints["e-a0"].hanging = True
-  requests = load(made, zone_hosts(made, "a"), 6, 30)
+  requests = fleets.load(made, fleets.zone_hosts(made, "a"), 6, 30)
   made.clock.run_until(12)
   assert made.broken == []
-  found = outcomes(made, requests)
+  found = fleets.outcomes(made, requests)
   assert found[model.Outcome.DONE] > 0.9 * len(requests)
 
 
 @pytest.mark.parametrize("seed", range(4))
 def test_takeover_with_entries_lapsed_starts_no_task_twice(seed):
   """A new holder's first list may lack endpoints that run its jobs' tasks."""
-  made = fleet(seed=seed)
-  owner = owner_of(made, "a")
-  others = [h for h in zone_hosts(made, "a") if h is not owner]
-  load(made, others, 6, 60)
+  made = fleets.fleet(seed=seed)
+  owner = fleets.owner_of(made, "a")
+  others = [h for h in fleets.zone_hosts(made, "a") if h is not owner]
+  fleets.load(made, others, 6, 60)
   made.clock.at(2.9, lambda: made.unlisted.update(("e-a0", "e-a1", "e-a2")))
   made.clock.at(3.0, lambda: made.kill(owner.name))
   made.clock.at(4.5, made.unlisted.clear)
@@ -267,52 +196,52 @@
 
 def test_all_hosts_killed_and_back_serve_within_half_a_second():
   """The claims in the store name processes that are gone."""
-  made = fleet()
+  made = fleets.fleet()
   names = [(h.name, h.data_centre) for h in made.hosts.values()]
   for name, _ in names:
     made.kill(name)
   made.clock.run_until(1.2)
   for name, zone in names:
     made.add_host(name, zone)
-  requests = load(made, list(made.hosts.values()), 1.0, 60)
+  requests = fleets.load(made, list(made.hosts.values()), 1.0, 60)
   made.clock.run_until(1.6)
-  assert all(owner_of(made, zone) for zone in ZONES)
+  assert all(fleets.owner_of(made, zone) for zone in fleets.ZONES)
   made.clock.run_until(6)
   assert made.broken == []
-  found = outcomes(made, requests)
+  found = fleets.outcomes(made, requests)
   assert found[model.Outcome.DONE] > 0.9 * len(requests)
   assert model.Outcome.UNKNOWN not in found
 
 
 def test_one_order_in_ten_lost_takes_no_endpoint_out_of_use():
-  made = fleet()
+  made = fleets.fleet()
   for endpoint in made.endpoints.values():
     endpoint.loses = 0.1
-  requests = load(made, list(made.hosts.values()), 8, 50)
+  requests = fleets.load(made, list(made.hosts.values()), 8, 50)
   made.clock.run_until(14)
   assert made.broken == []
-  found = outcomes(made, requests)
+  found = fleets.outcomes(made, requests)
   assert found[model.Outcome.DONE] > 0.9 * len(requests)
 
 
 def test_host_just_started_leaves_a_claim_to_its_living_holder():
   """The store was away: the claim lapsed, the holder did not."""
-  made = fleet()
-  owner = owner_of(made, "a")
+  made = fleets.fleet()
+  owner = fleets.owner_of(made, "a")
   made.clock.run_until(2.0)
   made.end_claim(model.Shard("a"))
   # The holder hears of it late, and a host starts meanwhile.
   made.add_host("a9", "a")
   made.clock.run_until(6)
-  assert owner_of(made, "a") is owner
+  assert fleets.owner_of(made, "a") is owner
 
 
 def test_decline_of_an_earlier_offer_does_not_move_a_job_on():
   """The job was offered again after a pause; the first answer comes late."""
-  made = fleet()
-  owner = owner_of(made, "a")
-  host = other_than(made, owner)
-  request = made.submit(host.name, job("j", 2, 200), [0.2] * 2)
+  made = fleets.fleet()
+  owner = fleets.owner_of(made, "a")
+  host = fleets.other_than(made, owner)
+  request = made.submit(host.name, fleets.job("j", 2, 200), [0.2] * 2)
   record = host.state.coordinator.jobs["j"]
   record.offers += 1  # As if it had been offered again meanwhile.
   late = events.Declined(record.key, 1, 100)
@@ -322,8 +251,10 @@
 
 
 def test_ending_process_answers_whoever_waits():
-  made = fleet()
-  request = made.submit("a0", job("long", 2, 3000), [3.0] * 2, deadline_s=9.0)
+  made = fleets.fleet()
+  request = made.submit(
+      "a0", fleets.job("long", 2, 3000), [3.0] * 2, deadline_s=9.0
+  )
   made.clock.run_until(1.5)
   made.hosts["a0"].apply(events.DrainStarted())
   made.clock.run_until(2.5)
@@ -336,14 +267,14 @@
 
 @pytest.mark.parametrize("seed", range(6))
 def test_planned_stops_in_turn_start_no_task_twice(seed):
-  made = fleet(seed=seed)
+  made = fleets.fleet(seed=seed)
   hosts = list(made.hosts.values())
-  requests = load(made, hosts, 8, 70)
-  for number, zone in enumerate(ZONES * 2):
+  requests = fleets.load(made, hosts, 8, 70)
+  for number, zone in enumerate(fleets.ZONES * 2):
     when = 1.5 + number
 
     def stop(zone=zone):
-      owner = owner_of(made, zone)
+      owner = fleets.owner_of(made, zone)
       owner.apply(events.DrainStarted())
       hosts.remove(owner)
 
@@ -357,16 +288,16 @@
     made.clock.at(when, stop)
   made.clock.run_until(15)
   assert made.broken == []
-  found = outcomes(made, requests)
+  found = fleets.outcomes(made, requests)
   assert found[model.Outcome.DONE] > 0.93 * len(requests)
 
 
 def test_job_whose_offer_met_a_replaced_holder_is_never_said_not_to_have_run():
   """The holder took the job and was replaced before its answer came."""
-  made = fleet()
-  owner = owner_of(made, "a")
-  host = other_than(made, owner)
-  request = made.submit(host.name, job("j", 2, 200), [0.2] * 2)
+  made = fleets.fleet()
+  owner = fleets.owner_of(made, "a")
+  host = fleets.other_than(made, owner)
+  request = made.submit(host.name, fleets.job("j", 2, 200), [0.2] * 2)
   record = host.state.coordinator.jobs["j"]
   shard = model.Shard("a")
   before = host.state.coordinator.holders[shard].holder
@@ -385,10 +316,10 @@
 
 def test_job_whose_offer_has_no_answer_yet_is_never_said_not_to_have_run():
   """The caller's time is over while the holder's word is on its way."""
-  made = fleet()
-  owner = owner_of(made, "a")
-  host = other_than(made, owner)
-  request = made.submit(host.name, job("j", 2, 200), [0.2] * 2, 1.0)
+  made = fleets.fleet()
+  owner = fleets.owner_of(made, "a")
+  host = fleets.other_than(made, owner)
+  request = made.submit(host.name, fleets.job("j", 2, 200), [0.2] * 2, 1.0)
   host.cut.add(owner.name)  # The offer is out; no answer comes.
   (record,) = host.state.coordinator.jobs.values()
   record.deadline = made.clock.now
@@ -397,16 +328,16 @@
 
 
 def test_new_holder_takes_jobs_while_it_asks_its_endpoints():
-  made = fleet()
-  owner = owner_of(made, "a")
+  made = fleets.fleet()
+  owner = fleets.owner_of(made, "a")
   owner.apply(events.DrainStarted())
-  others = [h for h in zone_hosts(made, "a") if h is not owner]
+  others = [h for h in fleets.zone_hosts(made, "a") if h is not owner]
   while not any(h.state.owners for h in others):
     made.clock.run_until(made.clock.now + 0.001)
-  host = owner_of(made, "a")
+  host = fleets.owner_of(made, "a")
   (held,) = host.state.owners.values()
   assert held.just_taken
-  request = made.submit(host.name, job("j", 2, 200), [0.2] * 2)
+  request = made.submit(host.name, fleets.job("j", 2, 200), [0.2] * 2)
   made.clock.run_until(made.clock.now + 1.0)
   assert made.answers[request].answer.outcome is model.Outcome.DONE
   starts = [e.info.data_centre for e in made.endpoints.values() if e.starts]
@@ -414,10 +345,10 @@
 
 
 def test_job_begins_at_once_in_another_data_centre_rather_than_wait():
-  made = fleet()
-  fill = made.submit("a0", job("fill", 18, 150), [0.15] * 18)
+  made = fleets.fleet()
+  fill = made.submit("a0", fleets.job("fill", 18, 150), [0.15] * 18)
   made.clock.run_until(1.05)
-  request = made.submit("a0", job("next", 2, 200), [0.2] * 2)
+  request = made.submit("a0", fleets.job("next", 2, 200), [0.2] * 2)
   made.clock.run_until(1.1)
   began = [
       e.info.data_centre
@@ -432,20 +363,20 @@
 
 
 def test_job_waits_where_it_waits_least():
-  made = fleet()
-  for zone, run_ms in zip(ZONES, (200, 100, 200), strict=True):
-    filling = job(f"fill-{zone}", 18, run_ms)
+  made = fleets.fleet()
+  for zone, run_ms in zip(fleets.ZONES, (200, 100, 200), strict=True):
+    filling = fleets.job(f"fill-{zone}", 18, run_ms)
     made.submit(f"{zone}0", filling, [run_ms / 1000] * 18)
   made.clock.run_until(1.05)
-  request = made.submit("a0", job("next", 2, 200), [0.2] * 2)
+  request = made.submit("a0", fleets.job("next", 2, 200), [0.2] * 2)
   made.clock.run_until(2.0)
   assert made.answers[request].answer.outcome is model.Outcome.DONE
   assert made.answers[request].took_s < 0.3
 
 
 def test_job_that_would_outlast_its_caller_is_refused_at_once():
-  made = fleet()
-  wide = job("wide", 400, 1000)
+  made = fleets.fleet()
+  wide = fleets.job("wide", 400, 1000)
   request = made.submit("a0", wide, [1.0] * 400, deadline_s=3.0)
   made.clock.run_until(1.2)
   answered = made.answers[request].answer
