Jobs and settings are taken with fractions, unknown policies and missing limits

Cause: read from the diff: a configuration whose queue has a policy of another form would have been refused whole, a job with a fractional estimate as well, and a host with an empty processor limit would not have started. Change: these fields take what they took before the wire was typed. Tests: one each; fail before.

--- a/fescueturn/platform/callers.py
+++ b/fescueturn/platform/callers.py
@@ -87,8 +87,8 @@
     raise errors.BadRequestError(f"job: after: {raw.after} names a later step")
   return model.Step(
       count=raw.task_count,
-      need=model.Room(raw.cpu, raw.mem_mb, raw.gpu),
-      estimate_ms=raw.estimate_ms,
+      need=model.Room(int(raw.cpu), int(raw.mem_mb), int(raw.gpu)),
+      estimate_ms=int(raw.estimate_ms),
       after=raw.after,
       requires=raw.requires,
       near=raw.affinity,
--- a/fescueturn/platform/nodefile.py
+++ b/fescueturn/platform/nodefile.py
@@ -11,6 +11,7 @@
 from fescueturn import errors
 from fescueturn import settings
 from fescueturn.platform import wire
+from fescueturn.scheduler import election
 
 PATH_VARIABLE = "FESCUETURN_NODE_FILE"
 # Where statsd metrics go, as host:port; the settings file has no place for it.
@@ -93,10 +94,17 @@
       min_lease_ms=raw.platform.min_ttl_ms,
       grace_s=raw.bounds.grace_s,
       ended_kept_s=raw.bounds.status_s,
-      cores=raw.limits.cpu_share * raw.limits.cores,
+      cores=_cores(raw.limits or wire.MachineLimits()),
   )
 
 
+def _cores(limits: wire.MachineLimits) -> float:
+  """Returns the processor's size; a host that isn't told is taken as roomy."""
+  if limits.cpu_share is None or limits.cores is None:
+    return election.ROOMY_CORES
+  return limits.cpu_share * limits.cores
+
+
 def load() -> NodeSettings:
   """Reads and decodes the settings file.
 
--- a/fescueturn/platform/wire.py
+++ b/fescueturn/platform/wire.py
@@ -21,6 +21,8 @@
 MAX_COUNTER = 2**63 - 1
 
 Amount = Annotated[int, msgspec.Meta(ge=0, le=MAX_AMOUNT)]
+# What a caller asks for; a fraction is cut off.
+Quantity = Annotated[float, msgspec.Meta(ge=0, le=MAX_AMOUNT)]
 Counter = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNTER)]
 Name = Annotated[str, msgspec.Meta(min_length=1)]
 
@@ -78,7 +80,8 @@
   slo_ms: Amount = 0
   timeout_ms: Amount = 0
   priority: int = 0
-  advice: dict[str, object] | None = None
+  # A policy of the queue's; there or not is all that is asked for.
+  advice: object = None
 
 
 class Service(_Body):
@@ -220,11 +223,11 @@
   """A step of a job; fields that are 0, false or empty are left out."""
 
   task_count: Annotated[int, msgspec.Meta(ge=1, le=MAX_AMOUNT)]
-  cpu: Amount = 0
-  mem_mb: Amount = 0
-  gpu: Amount = 0
+  cpu: Quantity = 0
+  mem_mb: Quantity = 0
+  gpu: Quantity = 0
   # A rough guess of one task's run time.
-  estimate_ms: Amount = 0
+  estimate_ms: Quantity = 0
   after: tuple[Amount, ...] = ()
   requires: str = ""
   # The rack where its data is.
@@ -261,8 +264,8 @@
 class MachineLimits(_Body):
   """The processor that a program gets: a share of a core, so many times."""
 
-  cpu_share: Annotated[float, msgspec.Meta(gt=0)] = 1.0
-  cores: Annotated[float, msgspec.Meta(gt=0)] = 1.0
+  cpu_share: Annotated[float, msgspec.Meta(gt=0)] | None = None
+  cores: Annotated[float, msgspec.Meta(gt=0)] | None = None
 
 
 class Platform(_Body):
@@ -294,7 +297,7 @@
   ]
   platform: Platform
   bounds: Bounds
-  limits: MachineLimits = MachineLimits()
+  limits: MachineLimits | None = None
 
 
 entries = msgspec.json.Decoder(Entry)
--- a/tests/test_nodefile.py
+++ b/tests/test_nodefile.py
@@ -6,6 +6,7 @@
 from fescueturn import errors
 from fescueturn import settings
 from fescueturn.platform import nodefile
+from fescueturn.scheduler import election
 
 RAW = {
     "node": "entry-1",
@@ -31,6 +32,12 @@
   assert node.cores == pytest.approx(2.151)
 
 
+@pytest.mark.parametrize("limits", [None, {}, {"cpuShare": 0.5, "cores": None}])
+def test_host_that_is_not_told_its_processor_starts_all_the_same(limits):
+  node = nodefile.decode(json.dumps({**RAW, "limits": limits}))
+  assert node.cores == election.ROOMY_CORES
+
+
 @pytest.mark.parametrize("name", ["node", "zone", "listen", "platform"])
 def test_missing_field_is_named_with_a_number(name):
   raw = {k: v for k, v in RAW.items() if k != name}
--- a/tests/test_platform_callers.py
+++ b/tests/test_platform_callers.py
@@ -35,6 +35,12 @@
   assert (second.after, second.requires, second.near) == ((0,), "a", "r1-3")
 
 
+def test_fraction_of_what_a_job_asks_for_is_cut_off():
+  (step,) = decode(phases=[{**STEP, "cpu": 500.5, "estimateMs": 900.0}]).steps
+  assert (step.need.cpu, step.estimate_ms) == (500, 900)
+  assert type(step.estimate_ms) is int
+
+
 def test_job_that_is_not_best_effort_is_kept():
   assert not decode().kept
   assert decode(bestEffort=False).kept
--- a/tests/test_platform_configuration.py
+++ b/tests/test_platform_configuration.py
@@ -109,6 +109,15 @@
     configuration.decode(value(7, ({"name": "r", "host": "h"},)))
 
 
+@pytest.mark.parametrize("advice", [True, {"decisionMs": 30}, "10.0.0.1:80"])
+def test_queue_under_a_policy_is_known_however_the_policy_is_written(advice):
+  route = {"name": "r", "host": "h", "prefix": "/a/", "service": "s"}
+  (queue,) = configuration.decode(
+      value(7, ({**route, "advice": advice},))
+  ).queues
+  assert queue.needs_advice
+
+
 def test_item_of_the_wire_is_decoded_once():
   raw = {"key": "k", "revision": 3, "value": base64.b64encode(b"x").decode()}
   gone = {"key": "k", "revision": 4, "tombstone": True}
