--- a/fescueturn/emulator/fleet.py
+++ b/fescueturn/emulator/fleet.py
@@ -16,6 +16,7 @@
 from fescueturn.emulator import keptstore
 from fescueturn.scheduler import events
 from fescueturn.scheduler import keptevents
+from fescueturn.scheduler import linkmessages
 from fescueturn.scheduler import model
 
 # One way, as on the sheets: within a data centre, between two, to the store.
@@ -261,7 +262,7 @@
 
   def _tell_holder(self, host, effect: events.TellHolder):
     other = self.hosts[effect.holder.host]
-    party = events.Party(effect.holder.host, effect.holder.boot)
+    party = linkmessages.Party(effect.holder.host, effect.holder.boot)
     delay_s = self._delay_s(host, other)
     if not self._reaches(host, other.name):
       return
--- a/fescueturn/emulator/hosts.py
+++ b/fescueturn/emulator/hosts.py
@@ -1,6 +1,7 @@
 """An emulated host: the real reducer, its ticks, kills and pauses."""
 
 from fescueturn.scheduler import events
+from fescueturn.scheduler import linkmessages
 from fescueturn.scheduler import model
 from fescueturn.scheduler import reducer
 from fescueturn.scheduler import state as state_lib
@@ -23,7 +24,7 @@
   def __init__(self, fleet, name: str, data_centre: str, boot: int):
     self.name = name
     self.data_centre = data_centre
-    self.party = events.Party(name, f"{name}.{boot}")
+    self.party = linkmessages.Party(name, f"{name}.{boot}")
     shards = (model.Shard(data_centre),)
     self.state = state_lib.HostState(
         state_lib.Identity(self.party, data_centre, shards, ENDED_KEPT_S)
--- a/fescueturn/platform/claims.py
+++ b/fescueturn/platform/claims.py
@@ -17,6 +17,7 @@
 from fescueturn.platform import reach
 from fescueturn.platform import wire
 from fescueturn.scheduler import events
+from fescueturn.scheduler import linkmessages
 from fescueturn.scheduler import model
 
 PREFIX = "fescueturn/holders/"
@@ -69,7 +70,7 @@
   def __init__(
       self,
       client: kvtypes.Store,
-      party: events.Party,
+      party: linkmessages.Party,
       peer: settings.Address,
       lease_ms: int = LEASE_MS,
   ):
--- a/fescueturn/platform/role.py
+++ b/fescueturn/platform/role.py
@@ -29,6 +29,7 @@
 from fescueturn.scheduler import events
 from fescueturn.scheduler import figures
 from fescueturn.scheduler import host as host_lib
+from fescueturn.scheduler import linkmessages
 from fescueturn.scheduler import model
 from fescueturn.scheduler import state as state_lib
 
@@ -62,7 +63,7 @@
   ):
     self._node = node
     self._timer = clock
-    self._party = events.Party(node.host, secrets.token_hex(6))
+    self._party = linkmessages.Party(node.host, secrets.token_hex(6))
     self._store = store.StoreClient(node.store, clock.now, self._observe)
     self._claims = claims.Claims(
         self._store,
--- a/fescueturn/scheduler/coordinator.py
+++ b/fescueturn/scheduler/coordinator.py
@@ -10,6 +10,7 @@
 from fescueturn.scheduler import coordinatorstate
 from fescueturn.scheduler import events
 from fescueturn.scheduler import keptevents
+from fescueturn.scheduler import linkmessages
 from fescueturn.scheduler import model
 from fescueturn.scheduler import offering
 
@@ -44,7 +45,7 @@
     offering.answer(
         state, earlier, model.Outcome.UNKNOWN, "sent_again", keep=True
     )
-  key = events.JobKey(state.me, event.job.id)
+  key = linkmessages.JobKey(state.me, event.job.id)
   record = coordinatorstate.JobRecord(
       event.request_id, key, event.job, state.now, event.deadline_s, event.trace
   )
@@ -80,7 +81,7 @@
     return
   holder.heard_at = state.now
   message = event.message
-  if isinstance(message, events.Pong):
+  if isinstance(message, linkmessages.Pong):
     _ponged(state, event.shard, holder, message)
     return
   if isinstance(message, keptevents.Told):
@@ -95,7 +96,10 @@
 
 
 def _ponged(
-    state, shard, holder: coordinatorstate.HolderRecord, message: events.Pong
+    state,
+    shard,
+    holder: coordinatorstate.HolderRecord,
+    message: linkmessages.Pong,
 ):
   holder.pending = dict(message.pending)
   holder.take_roster(message)
@@ -139,7 +143,7 @@
 
 
 def _accepted(
-    state, record: coordinatorstate.JobRecord, message: events.Accepted
+    state, record: coordinatorstate.JobRecord, message: linkmessages.Accepted
 ):
   if record.job.kept:
     # It is stored and runs on its own from now on.
@@ -153,7 +157,7 @@
 
 
 def _declined(
-    state, record: coordinatorstate.JobRecord, message: events.Declined
+    state, record: coordinatorstate.JobRecord, message: linkmessages.Declined
 ):
   if message.number != record.offers:
     # A later offer to the same holder may have been accepted.
@@ -176,15 +180,15 @@
 
 
 def _job_ended(
-    state, record: coordinatorstate.JobRecord, message: events.JobEnded
+    state, record: coordinatorstate.JobRecord, message: linkmessages.JobEnded
 ):
   offering.answer(state, record, message.outcome, message.reason)
 
 
 _ON_MESSAGE = {
-    events.Accepted: _accepted,
-    events.Declined: _declined,
-    events.JobEnded: _job_ended,
+    linkmessages.Accepted: _accepted,
+    linkmessages.Declined: _declined,
+    linkmessages.JobEnded: _job_ended,
 }
 
 
@@ -338,4 +342,4 @@
       holder.pinged_at = state.now
       # Only a host of the same data centre may be the shard's next holder.
       roster = holder.roster_version if near else None
-      state.tell(shard, events.Ping(shard, state.me, state.now, roster))
+      state.tell(shard, linkmessages.Ping(shard, state.me, state.now, roster))
--- a/fescueturn/scheduler/coordinatorstate.py
+++ b/fescueturn/scheduler/coordinatorstate.py
@@ -4,6 +4,7 @@
 import enum
 
 from fescueturn.scheduler import events
+from fescueturn.scheduler import linkmessages
 from fescueturn.scheduler import model
 
 
@@ -44,14 +45,14 @@
 
   def __init__(self, request_id, key, job, now, deadline_s, trace):
     self.request_id: int = request_id
-    self.key: events.JobKey = key
+    self.key: linkmessages.JobKey = key
     self.job: model.Job = job
     self.arrived: float = now
     self.deadline: float = now + deadline_s
     self.trace: str = trace
     self.phase = Phase.OFFERED
     self.shard: model.Shard | None = None
-    self.party: events.Party | None = None
+    self.party: linkmessages.Party | None = None
     self.offers = 0
     self.orphaned_at = 0.0
     self.tried: set[model.Shard] = set()
@@ -97,11 +98,11 @@
     self.roster_at = 0.0
 
   @property
-  def party(self) -> events.Party:
+  def party(self) -> linkmessages.Party:
     """The holder's process."""
-    return events.Party(self.holder.host, self.holder.boot)
+    return linkmessages.Party(self.holder.host, self.holder.boot)
 
-  def take_roster(self, pong: events.Pong):
+  def take_roster(self, pong: linkmessages.Pong):
     """Takes what an answer to a ping says of the holder's roster."""
     if pong.endpoints is not None:
       self.roster = frozenset(pong.endpoints)
@@ -113,7 +114,7 @@
 class Coordinator:
   """The state of a host's coordinator."""
 
-  def __init__(self, me: events.Party, data_centre: str):
+  def __init__(self, me: linkmessages.Party, data_centre: str):
     self.me = me
     self.data_centre = data_centre
     self.now = 0.0
--- a/fescueturn/scheduler/events.py
+++ b/fescueturn/scheduler/events.py
@@ -6,27 +6,18 @@
 
 import dataclasses
 
+from fescueturn.scheduler import linkmessages
 from fescueturn.scheduler import model
 
-# A job is named by who coordinates it and its id: two hosts may be given the
-# same id when a caller sends a job again.
-
-
-@dataclasses.dataclass(frozen=True)
-class Party:
-  """A host process at the other end of a link (or this one itself)."""
-
-  host: str
-  boot: str
-
-
-@dataclasses.dataclass(frozen=True)
-class JobKey:
-  """A job in the hands of one coordinator."""
-
-  party: Party
-  job_id: str
-
+FromCoordinator = (
+    linkmessages.Offered | linkmessages.Withdrawn | linkmessages.Ping
+)
+FromHolder = (
+    linkmessages.Accepted
+    | linkmessages.Declined
+    | linkmessages.JobEnded
+    | linkmessages.Pong
+)
 
 # Events of the coordinator.
 
@@ -85,8 +76,8 @@
   """A message came in from a shard's holder."""
 
   shard: model.Shard
-  party: Party
-  message: "Accepted | Declined | JobEnded | Pong"
+  party: linkmessages.Party
+  message: FromHolder
 
 
 @dataclasses.dataclass(frozen=True)
@@ -94,7 +85,7 @@
   """A link to a holder broke; `refused` when nothing listens there."""
 
   shard: model.Shard
-  party: Party
+  party: linkmessages.Party
   refused: bool
 
 
@@ -108,58 +99,6 @@
   endpoints: tuple[model.Endpoint, ...]
 
 
-@dataclasses.dataclass(frozen=True)
-class Offered:
-  """A coordinator offers a job (a message too).
-
-  Attributes:
-    shard: whose holder it is offered to.
-    key: the job and its coordinator.
-    job: what to run.
-    age_s: how long ago the job reached its coordinator.
-    left_s: how much longer its caller waits.
-    resumed: True when another holder had the job before: runs that still
-      go on are the job's own.
-    number: tells the offers of one job apart.
-    at_once: True to have it taken only if nothing of it has to wait.
-  """
-
-  shard: model.Shard
-  key: JobKey
-  job: model.Job
-  age_s: float
-  left_s: float
-  resumed: bool = False
-  number: int = 0
-  at_once: bool = False
-
-
-@dataclasses.dataclass(frozen=True)
-class Withdrawn:
-  """A coordinator gives a job up (a message too): its runs are stopped."""
-
-  shard: model.Shard
-  key: JobKey
-
-
-@dataclasses.dataclass(frozen=True)
-class Ping:
-  """A coordinator is alive (a message too).
-
-  Attributes:
-    shard: whose holder is told.
-    party: the coordinator.
-    at: the coordinator's clock (s); the answer returns it.
-    roster: the version of the holder's roster that it knows, 0 for none;
-      None if it wants none.
-  """
-
-  shard: model.Shard
-  party: Party
-  at: float = 0.0
-  roster: int | None = None
-
-
 @dataclasses.dataclass(frozen=True)
 class StartAnswered:
   """What came of a `StartRun`; `clock_ms` is None without an answer."""
@@ -234,9 +173,7 @@
     | Heard
     | LinkLost
     | EndpointsListed
-    | Offered
-    | Withdrawn
-    | Ping
+    | FromCoordinator
     | StartAnswered
     | StopAnswered
     | LeaseAnswered
@@ -246,67 +183,6 @@
     | ProcessEnding
 )
 
-# Messages from a holder to coordinators.
-
-
-@dataclasses.dataclass(frozen=True)
-class Accepted:
-  """The holder took the job; its tasks may start from now on."""
-
-  key: JobKey
-  number: int
-
-
-@dataclasses.dataclass(frozen=True)
-class Declined:
-  """The holder did not take the job: nothing of it has run or will.
-
-  Attributes:
-    key: the job.
-    number: which of its offers is declined.
-    wait_ms: in how long the holder expects to have room for it; 0 from a
-      host that holds no endpoints.
-    in_time: True if it would be done in time after that wait: the holder was
-      asked to take it only without one.
-    reason: why, in one word, for the logs.
-  """
-
-  key: JobKey
-  number: int
-  wait_ms: int
-  in_time: bool = False
-  reason: str = "no_room"
-
-
-@dataclasses.dataclass(frozen=True)
-class JobEnded:
-  """The job ended at its holder."""
-
-  key: JobKey
-  outcome: model.Outcome
-  reason: str = ""
-
-
-@dataclasses.dataclass(frozen=True)
-class Pong:
-  """The holder is alive.
-
-  Attributes:
-    holding: False once it stood down.
-    pending: how many of its kept jobs wait to begin, by queue.
-    at: the coordinator's clock when it sent the ping that this answers.
-    roster: the version of its roster in force; 0 while it has none.
-    endpoints: the roster, if the ping named another version: every endpoint
-      where something may run by its orders.
-  """
-
-  holding: bool = True
-  pending: tuple[tuple[str, int], ...] = ()
-  at: float = 0.0
-  roster: int = 0
-  endpoints: tuple[str, ...] | None = None
-
-
 # Effects.
 
 
@@ -367,16 +243,16 @@
 
   shard: model.Shard
   holder: model.Holder
-  message: Offered | Withdrawn | Ping
+  message: FromCoordinator
 
 
 @dataclasses.dataclass(frozen=True)
 class TellCoordinator:
   """Send a message to a coordinator."""
 
-  party: Party
+  party: linkmessages.Party
   shard: model.Shard
-  message: Accepted | Declined | JobEnded | Pong
+  message: FromHolder
 
 
 @dataclasses.dataclass(frozen=True)
--- a/fescueturn/scheduler/host.py
+++ b/fescueturn/scheduler/host.py
@@ -20,6 +20,7 @@
 from fescueturn.scheduler import events
 from fescueturn.scheduler import keptevents
 from fescueturn.scheduler import link
+from fescueturn.scheduler import linkmessages
 from fescueturn.scheduler import model
 from fescueturn.scheduler import reducer
 from fescueturn.scheduler import state as state_lib
@@ -304,12 +305,12 @@
         holder.peer, self._state.me.party, self._timer.now, on_message, on_lost
     )
 
-  def _party_at(self, holder: model.Holder) -> events.Party:
+  def _party_at(self, holder: model.Holder) -> linkmessages.Party:
     """Returns which process the holder's address is known to belong to."""
     for record in self._state.coordinator.holders.values():
       if record.holder.peer == holder.peer:
         return record.party
-    return events.Party(holder.host, holder.boot)
+    return linkmessages.Party(holder.host, holder.boot)
 
   async def _tell_coordinator(self, effect: events.TellCoordinator):
     if effect.party == self._state.me.party:
--- a/fescueturn/scheduler/keeping.py
+++ b/fescueturn/scheduler/keeping.py
@@ -7,12 +7,12 @@
 import dataclasses
 from collections.abc import Callable
 
-from fescueturn.scheduler import events
 from fescueturn.scheduler import keptevents
+from fescueturn.scheduler import linkmessages
 from fescueturn.scheduler import model
 
 # Whose jobs the kept ones are: no host's, so that no host's silence ends them.
-KEPT = events.Party("", "")
+KEPT = linkmessages.Party("", "")
 # Writes to the store follow each other no sooner. An answer takes 4 to 6 ms;
 # three holders at 83 writes a second use 250 of the 400 that the store takes.
 WRITE_PERIOD_S = 0.012
@@ -33,9 +33,9 @@
 EndName = tuple[str, int]
 
 
-def job_key(job_id: str) -> events.JobKey:
+def job_key(job_id: str) -> linkmessages.JobKey:
   """Returns the key of a kept job."""
-  return events.JobKey(KEPT, job_id)
+  return linkmessages.JobKey(KEPT, job_id)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -71,12 +71,12 @@
   def __init__(self):
     self.loaded = False
     self.takeovers = 0
-    self.arriving: dict[str, list[events.Offered]] = {}
+    self.arriving: dict[str, list[linkmessages.Offered]] = {}
     self.over: dict[str, model.KeptState] = {}
     self.ended: dict[str, Ended] = {}
     self.unsaved: dict[str, set[EndName]] = {}
     self.early_ends: dict[str, set[EndName]] = {}
-    self.early_offers: list[events.Offered] = []
+    self.early_offers: list[linkmessages.Offered] = []
     self.questions: dict[str, list[keptevents.Asked]] = {}
     self.in_flight: keptevents.WriteKept | None = None
     self.listed_ended = False
--- a/fescueturn/scheduler/keptevents.py
+++ b/fescueturn/scheduler/keptevents.py
@@ -9,7 +9,7 @@
 import dataclasses
 import enum
 
-from fescueturn.scheduler import events
+from fescueturn.scheduler import linkmessages
 from fescueturn.scheduler import model
 
 # Changes in one write.
@@ -178,7 +178,7 @@
   """A coordinator asks a holder for a kept job's state, or to cancel it."""
 
   shard: model.Shard
-  party: events.Party
+  party: linkmessages.Party
   job_id: str
   cancel: bool
 
--- a/fescueturn/scheduler/keptjobs.py
+++ b/fescueturn/scheduler/keptjobs.py
@@ -6,6 +6,7 @@
 from fescueturn.scheduler import keeping
 from fescueturn.scheduler import keptevents
 from fescueturn.scheduler import leases
+from fescueturn.scheduler import linkmessages
 from fescueturn.scheduler import model
 from fescueturn.scheduler import offers
 from fescueturn.scheduler import orders
@@ -18,7 +19,7 @@
 LOAD_PATIENCE_S = 0.5
 
 
-def offered(owner: ownerstate.Owner, offer: events.Offered):
+def offered(owner: ownerstate.Owner, offer: linkmessages.Offered):
   """Takes a job on its way into the store, or declines it."""
   keeper = owner.keeper
   if not keeper.loaded:
@@ -33,11 +34,11 @@
     keeper.arriving[offer.job.id] = [offer]
 
 
-def _tell_accepted(owner, offer: events.Offered):
-  owner.tell(offer.key.party, events.Accepted(offer.key, offer.number))
+def _tell_accepted(owner, offer: linkmessages.Offered):
+  owner.tell(offer.key.party, linkmessages.Accepted(offer.key, offer.number))
 
 
-def _decline_store_away(owner, offer: events.Offered):
+def _decline_store_away(owner, offer: linkmessages.Offered):
   reason = "store_away" if owner.keeper.stalled(owner.now) else "store_busy"
   owner.counters[reason] += 1
   owner.out(
@@ -51,7 +52,7 @@
           fence=owner.fence,
       )
   )
-  declined = events.Declined(
+  declined = linkmessages.Declined(
       offer.key, offer.number, STORE_AWAY_WAIT_MS, reason=reason
   )
   owner.tell(offer.key.party, declined)
@@ -103,7 +104,7 @@
 ):
   """Has a stored job's tasks run."""
   key = keeping.job_key(job.id)
-  offer = events.Offered(owner.shard, key, job, age_s, math.inf, resumed)
+  offer = linkmessages.Offered(owner.shard, key, job, age_s, math.inf, resumed)
   record = offers.new_record(owner, offer)
   first_attempt = owner.keeper.takeovers * ownerstate.ATTEMPTS_PER_HOLDER
   for task in record.tasks.values():
--- a/fescueturn/scheduler/link.py
+++ b/fescueturn/scheduler/link.py
@@ -15,8 +15,8 @@
 from fescueturn import framing
 from fescueturn import listener
 from fescueturn import settings
-from fescueturn.scheduler import events
 from fescueturn.scheduler import linkcodec
+from fescueturn.scheduler import linkmessages
 from fescueturn.scheduler import model
 
 # A connection inside a region is made within 2 ms; one that takes this long
@@ -74,7 +74,7 @@
     await self._sock.close()
 
 
-OnMessage = Callable[[events.Party, model.Shard, object], Awaitable[None]]
+OnMessage = Callable[[linkmessages.Party, model.Shard, object], Awaitable[None]]
 
 
 class LinkServer:
@@ -83,13 +83,13 @@
   def __init__(self, address: settings.Address, on_message: OnMessage):
     self._on_message = on_message
     self._listener = listener.Listener(address, self._serve)
-    self._outboxes: dict[events.Party, _Outbox] = {}
+    self._outboxes: dict[linkmessages.Party, _Outbox] = {}
 
   async def start(self):
     """Listens for coordinators."""
     await self._listener.start()
 
-  async def send(self, party: events.Party, shard: model.Shard, message):
+  async def send(self, party: linkmessages.Party, shard: model.Shard, message):
     """Sends a message to a coordinator; one that is not connected misses it."""
     outbox = self._outboxes.get(party)
     if outbox is None:
@@ -141,7 +141,7 @@
   def __init__(
       self,
       address: settings.Address,
-      me: events.Party,
+      me: linkmessages.Party,
       now: Callable[[], float],
       on_message: Callable[[model.Shard, object], Awaitable[None]],
       on_lost: OnLost,
--- a/fescueturn/scheduler/linkcodec.py
+++ b/fescueturn/scheduler/linkcodec.py
@@ -11,8 +11,8 @@
 
 from fescueturn import codes
 from fescueturn import errors
-from fescueturn.scheduler import events
 from fescueturn.scheduler import keptevents
+from fescueturn.scheduler import linkmessages
 from fescueturn.scheduler import model
 
 capnp.remove_import_hook()
@@ -44,7 +44,7 @@
 class Hello:
   """The first message of a connection: who opened it."""
 
-  party: events.Party
+  party: linkmessages.Party
 
 
 def encode(shard: model.Shard, message) -> bytes:
@@ -60,13 +60,13 @@
   group.boot = message.party.boot
 
 
-def _encode_ping(out, message: events.Ping):
+def _encode_ping(out, message: linkmessages.Ping):
   out.at = message.at
   out.roster = _NO_ROSTER if message.roster is None else message.roster
   out.ping = None
 
 
-def _encode_offered(out, message: events.Offered):
+def _encode_offered(out, message: linkmessages.Offered):
   out.jobId = message.key.job_id
   out.number = message.number
   group = out.init("offered")
@@ -99,12 +99,12 @@
   target.mostPerEndpoint = step.most_per_endpoint
 
 
-def _encode_withdrawn(out, message: events.Withdrawn):
+def _encode_withdrawn(out, message: linkmessages.Withdrawn):
   out.jobId = message.key.job_id
   out.withdrawn = None
 
 
-def _encode_pong(out, message: events.Pong):
+def _encode_pong(out, message: linkmessages.Pong):
   out.at = message.at
   out.roster = message.roster
   group = out.init("pong")
@@ -130,13 +130,13 @@
   group.state = message.state.value if message.state else _NO_STATE
 
 
-def _encode_accepted(out, message: events.Accepted):
+def _encode_accepted(out, message: linkmessages.Accepted):
   out.jobId = message.key.job_id
   out.number = message.number
   out.accepted = None
 
 
-def _encode_declined(out, message: events.Declined):
+def _encode_declined(out, message: linkmessages.Declined):
   out.jobId = message.key.job_id
   out.number = message.number
   group = out.init("declined")
@@ -145,7 +145,7 @@
   group.why = message.reason
 
 
-def _encode_ended(out, message: events.JobEnded):
+def _encode_ended(out, message: linkmessages.JobEnded):
   out.jobId = message.key.job_id
   group = out.init("ended")
   group.outcome = _OUTCOME_NAMES[message.outcome]
@@ -154,19 +154,19 @@
 
 _ENCODERS = {
     Hello: _encode_hello,
-    events.Ping: _encode_ping,
-    events.Offered: _encode_offered,
-    events.Withdrawn: _encode_withdrawn,
-    events.Pong: _encode_pong,
-    events.Accepted: _encode_accepted,
-    events.Declined: _encode_declined,
-    events.JobEnded: _encode_ended,
+    linkmessages.Ping: _encode_ping,
+    linkmessages.Offered: _encode_offered,
+    linkmessages.Withdrawn: _encode_withdrawn,
+    linkmessages.Pong: _encode_pong,
+    linkmessages.Accepted: _encode_accepted,
+    linkmessages.Declined: _encode_declined,
+    linkmessages.JobEnded: _encode_ended,
     keptevents.Asked: _encode_asked,
     keptevents.Told: _encode_told,
 }
 
 
-def decode(data: bytes, coordinator: events.Party | None):
+def decode(data: bytes, coordinator: linkmessages.Party | None):
   """Returns the shard and the message that `data` holds.
 
   Args:
@@ -188,10 +188,10 @@
 
 def _decode_hello(message, shard, coordinator) -> Hello:
   del shard, coordinator
-  return Hello(events.Party(message.hello.host, message.hello.boot))
+  return Hello(linkmessages.Party(message.hello.host, message.hello.boot))
 
 
-def _decode_offered(message, shard, coordinator) -> events.Offered:
+def _decode_offered(message, shard, coordinator) -> linkmessages.Offered:
   group = message.offered
   job = group.job
   decoded = model.Job(
@@ -205,8 +205,8 @@
       job.queue,
       job.kept,
   )
-  key = events.JobKey(coordinator, message.jobId)
-  return events.Offered(
+  key = linkmessages.JobKey(coordinator, message.jobId)
+  return linkmessages.Offered(
       shard,
       key,
       decoded,
@@ -230,15 +230,15 @@
   )
 
 
-def _decode_ping(message, shard, coordinator) -> events.Ping:
+def _decode_ping(message, shard, coordinator) -> linkmessages.Ping:
   roster = None if message.roster == _NO_ROSTER else message.roster
-  return events.Ping(shard, coordinator, message.at, roster)
+  return linkmessages.Ping(shard, coordinator, message.at, roster)
 
 
-def _decode_pong(message, shard, coordinator) -> events.Pong:
+def _decode_pong(message, shard, coordinator) -> linkmessages.Pong:
   del shard, coordinator
   pong = message.pong
-  return events.Pong(
+  return linkmessages.Pong(
       pong.holding,
       tuple((row.queue, row.jobs) for row in pong.pending),
       message.at,
@@ -247,10 +247,10 @@
   )
 
 
-def _decode_ended(message, shard, coordinator) -> events.JobEnded:
+def _decode_ended(message, shard, coordinator) -> linkmessages.JobEnded:
   del shard
-  return events.JobEnded(
-      events.JobKey(coordinator, message.jobId),
+  return linkmessages.JobEnded(
+      linkmessages.JobKey(coordinator, message.jobId),
       _OUTCOMES[str(message.ended.outcome)],
       message.ended.reason,
   )
@@ -267,15 +267,15 @@
     "hello": _decode_hello,
     "ping": _decode_ping,
     "offered": _decode_offered,
-    "withdrawn": lambda m, shard, party: events.Withdrawn(
-        shard, events.JobKey(party, m.jobId)
+    "withdrawn": lambda m, shard, party: linkmessages.Withdrawn(
+        shard, linkmessages.JobKey(party, m.jobId)
     ),
     "pong": _decode_pong,
-    "accepted": lambda m, shard, party: events.Accepted(
-        events.JobKey(party, m.jobId), m.number
+    "accepted": lambda m, shard, party: linkmessages.Accepted(
+        linkmessages.JobKey(party, m.jobId), m.number
     ),
-    "declined": lambda m, shard, party: events.Declined(
-        events.JobKey(party, m.jobId),
+    "declined": lambda m, shard, party: linkmessages.Declined(
+        linkmessages.JobKey(party, m.jobId),
         m.number,
         m.declined.waitMs,
         m.declined.inTime,
--- a/fescueturn/scheduler/offering.py
+++ b/fescueturn/scheduler/offering.py
@@ -4,6 +4,7 @@
 
 from fescueturn.scheduler import coordinatorstate
 from fescueturn.scheduler import events
+from fescueturn.scheduler import linkmessages
 from fescueturn.scheduler import model
 
 # A holder that is silent for this long gets no new jobs: five pings' answers.
@@ -117,7 +118,7 @@
   state.out(_offer_log(state, record, holder, resumed))
   state.tell(
       shard,
-      events.Offered(
+      linkmessages.Offered(
           shard,
           record.key,
           record.job,
@@ -192,4 +193,4 @@
     return
   holder = state.holders.get(record.shard) if record.shard else None
   if holder is not None and holder.party == record.party:
-    state.tell(record.shard, events.Withdrawn(record.shard, record.key))
+    state.tell(record.shard, linkmessages.Withdrawn(record.shard, record.key))
--- a/fescueturn/scheduler/offers.py
+++ b/fescueturn/scheduler/offers.py
@@ -5,6 +5,7 @@
 from fescueturn.scheduler import events
 from fescueturn.scheduler import leases
 from fescueturn.scheduler import ledger
+from fescueturn.scheduler import linkmessages
 from fescueturn.scheduler import model
 from fescueturn.scheduler import orders
 from fescueturn.scheduler import outcomes
@@ -16,11 +17,11 @@
 AT_ONCE_S = 0.005
 
 
-def offered(owner: ownerstate.Owner, offer: events.Offered):
+def offered(owner: ownerstate.Owner, offer: linkmessages.Offered):
   """Takes or declines a job."""
   owner.heard[offer.key.party] = owner.now
   if offer.key in owner.jobs:
-    owner.tell(offer.key.party, events.Accepted(offer.key, offer.number))
+    owner.tell(offer.key.party, linkmessages.Accepted(offer.key, offer.number))
     return
   earlier = owner.by_id.get(offer.job.id)
   if earlier is not None:
@@ -31,12 +32,12 @@
     return
   record = new_record(owner, offer)
   owner.counters["accepted"] += 1
-  owner.tell(offer.key.party, events.Accepted(offer.key, offer.number))
+  owner.tell(offer.key.party, linkmessages.Accepted(offer.key, offer.number))
   find_runs(owner, record)
   orders.place(owner)
 
 
-def fits(owner: ownerstate.Owner, offer: events.Offered) -> bool:
+def fits(owner: ownerstate.Owner, offer: linkmessages.Offered) -> bool:
   """Returns whether a job would be done in time; declines it if not."""
   outlook_lib.note_demand(owner, offer)
   if offer.resumed or owner.just_taken:
@@ -49,7 +50,7 @@
   return True
 
 
-def _decline(owner, offer: events.Offered, outlook: outlook_lib.Outlook):
+def _decline(owner, offer: linkmessages.Offered, outlook: outlook_lib.Outlook):
   in_time = not outlook.late_s
   wait_ms = max(1, int(1000 * (outlook.wait_s if in_time else outlook.late_s)))
   owner.counters["put_off" if in_time else "declined"] += 1
@@ -66,12 +67,12 @@
   )
   owner.tell(
       offer.key.party,
-      events.Declined(offer.key, offer.number, wait_ms, in_time),
+      linkmessages.Declined(offer.key, offer.number, wait_ms, in_time),
   )
 
 
 def new_record(
-    owner: ownerstate.Owner, offer: events.Offered
+    owner: ownerstate.Owner, offer: linkmessages.Offered
 ) -> ownerstate.JobRecord:
   """Notes a job that is taken."""
   record = ownerstate.JobRecord(
@@ -107,7 +108,7 @@
     task.previous = run.id
 
 
-def withdrawn(owner: ownerstate.Owner, key: events.JobKey):
+def withdrawn(owner: ownerstate.Owner, key: linkmessages.JobKey):
   """The coordinator gave the job up."""
   job = owner.jobs.get(key)
   if job is not None:
--- a/fescueturn/scheduler/outcomes.py
+++ b/fescueturn/scheduler/outcomes.py
@@ -6,6 +6,7 @@
 
 from fescueturn.scheduler import events
 from fescueturn.scheduler import ledger
+from fescueturn.scheduler import linkmessages
 from fescueturn.scheduler import model
 from fescueturn.scheduler import orders
 from fescueturn.scheduler import ownerstate
@@ -138,4 +139,4 @@
   if job.job.kept:
     owner.keeper.over[job.job.id] = _KEPT_STATES[outcome]
   elif outcome is not None:
-    owner.tell(job.key.party, events.JobEnded(job.key, outcome, why))
+    owner.tell(job.key.party, linkmessages.JobEnded(job.key, outcome, why))
--- a/fescueturn/scheduler/outlook.py
+++ b/fescueturn/scheduler/outlook.py
@@ -4,7 +4,7 @@
 import dataclasses
 
 from fescueturn.scheduler import admission
-from fescueturn.scheduler import events
+from fescueturn.scheduler import linkmessages
 from fescueturn.scheduler import model
 from fescueturn.scheduler import ownerstate
 
@@ -12,7 +12,7 @@
 NO_PLACE_WAIT_S = 1.0
 
 
-def note_demand(owner: ownerstate.Owner, offer: events.Offered):
+def note_demand(owner: ownerstate.Owner, offer: linkmessages.Offered):
   """Counts a job where it is offered first, and only there."""
   if offer.number > 1 or offer.resumed:
     return
@@ -39,7 +39,7 @@
 _NO_PLACE = Outlook(NO_PLACE_WAIT_S, NO_PLACE_WAIT_S)
 
 
-def outlook(owner: ownerstate.Owner, offer: events.Offered) -> Outlook:
+def outlook(owner: ownerstate.Owner, offer: linkmessages.Offered) -> Outlook:
   """Plays what is at work and what waits against the job's tasks."""
   job = offer.job
   first = [s for s in job.steps if not s.after]
@@ -104,7 +104,7 @@
   ]
 
 
-def latest_start(owner: ownerstate.Owner, offer: events.Offered) -> float:
+def latest_start(owner: ownerstate.Owner, offer: linkmessages.Offered) -> float:
   """Returns when the job's first tasks should start, to end in time (s)."""
   need = offer.job.steps[0].need
   total = owner.places(offer.job.service, need)
--- a/fescueturn/scheduler/ownerstate.py
+++ b/fescueturn/scheduler/ownerstate.py
@@ -8,6 +8,7 @@
 from fescueturn.scheduler import events
 from fescueturn.scheduler import keeping
 from fescueturn.scheduler import ledger
+from fescueturn.scheduler import linkmessages
 from fescueturn.scheduler import model
 from fescueturn.scheduler import roster
 from fescueturn.scheduler import shares
@@ -74,7 +75,9 @@
     begun: True once a run of it was ordered.
   """
 
-  def __init__(self, offer: events.Offered, now: float, latest_start: float):
+  def __init__(
+      self, offer: linkmessages.Offered, now: float, latest_start: float
+  ):
     self.key = offer.key
     self.job = offer.job
     self.arrived = now - offer.age_s
@@ -179,9 +182,9 @@
     self.gone: set[tuple[str, settings.Address]] = set()
     # By service, how many listed endpoints of each size there are.
     self._sizes: dict[str, collections.Counter[_Size]] = {}
-    self.jobs: dict[events.JobKey, JobRecord] = {}
+    self.jobs: dict[linkmessages.JobKey, JobRecord] = {}
     self.by_id: dict[str, JobRecord] = {}
-    self.heard: dict[events.Party, float] = {}
+    self.heard: dict[linkmessages.Party, float] = {}
     self.early_ends: dict[model.Task, EarlyEnd] = {}
     self.demand = shares.Demand()
     self.fenced = False
@@ -234,7 +237,7 @@
     effects, self.effects = self.effects, []
     return effects
 
-  def tell(self, party: events.Party, message):
+  def tell(self, party: linkmessages.Party, message):
     """Has a message sent to a coordinator."""
     self.out(events.TellCoordinator(party, self.shard, message))
 
--- a/fescueturn/scheduler/reducer.py
+++ b/fescueturn/scheduler/reducer.py
@@ -11,6 +11,7 @@
 from fescueturn.scheduler import keptevents
 from fescueturn.scheduler import keptjobs
 from fescueturn.scheduler import leases
+from fescueturn.scheduler import linkmessages
 from fescueturn.scheduler import model
 from fescueturn.scheduler import offers
 from fescueturn.scheduler import owner as owner_lib
@@ -51,7 +52,7 @@
 def _stand_down(state, owner: ownerstate.Owner, why: str):
   """Gives up ownership at once; its coordinators wait for the next holder."""
   for party in owner.heard:
-    owner.tell(party, events.Pong(holding=False))
+    owner.tell(party, linkmessages.Pong(holding=False))
   owner.out(
       events.log(
           "shard_lost",
@@ -103,7 +104,7 @@
   holder = candidate.holder
   if holder is None:
     return []
-  mine = events.Party(holder.host, holder.boot) == state.me.party
+  mine = linkmessages.Party(holder.host, holder.boot) == state.me.party
   if holder.host == state.me.party.host and not mine:
     # This host's own process of before, which is gone.
     election.holder_gone(candidate, state.now)
@@ -152,7 +153,7 @@
 
 
 def _on_heard(state, event: events.Heard):
-  pong = event.message if isinstance(event.message, events.Pong) else None
+  pong = event.message if isinstance(event.message, linkmessages.Pong) else None
   if pong is not None and not pong.holding:
     # The holder stood down, or another process runs at its address.
     grace_s = election.NOT_HOLDING_GRACE_S
@@ -162,13 +163,13 @@
   coordinator.heard(state.coordinator, event)
 
 
-def _holder_gone(state, shard, party: events.Party, grace_s: float):
+def _holder_gone(state, shard, party: linkmessages.Party, grace_s: float):
   """The process that the store names as holder surely isn't one any more."""
   candidate = state.candidates.get(shard)
   holder = candidate.holder if candidate else None
   if holder is None or party == state.me.party:
     return
-  if events.Party(holder.host, holder.boot) == party:
+  if linkmessages.Party(holder.host, holder.boot) == party:
     election.holder_gone(candidate, state.now, grace_s)
 
 
@@ -177,12 +178,12 @@
     leases.endpoints_listed(owner, event.endpoints)
 
 
-def _on_offered(state, event: events.Offered) -> list:
+def _on_offered(state, event: linkmessages.Offered) -> list:
   owner = state.owners.get(event.shard)
   if owner is None:
     # The decline first: it says that this very offer was not taken.
     party = event.key.party
-    decline = events.Declined(event.key, event.number, 0)
+    decline = linkmessages.Declined(event.key, event.number, 0)
     return [
         events.TellCoordinator(party, event.shard, decline),
         _not_holding(party, event.shard),
@@ -192,17 +193,17 @@
   return []
 
 
-def _not_holding(party: events.Party, shard: model.Shard):
-  return events.TellCoordinator(party, shard, events.Pong(holding=False))
+def _not_holding(party: linkmessages.Party, shard: model.Shard):
+  return events.TellCoordinator(party, shard, linkmessages.Pong(holding=False))
 
 
-def _on_withdrawn(state, event: events.Withdrawn):
+def _on_withdrawn(state, event: linkmessages.Withdrawn):
   owner = state.owners.get(event.shard)
   if owner is not None:
     offers.withdrawn(owner, event.key)
 
 
-def _on_ping(state, event: events.Ping) -> list:
+def _on_ping(state, event: linkmessages.Ping) -> list:
   owner = state.owners.get(event.shard)
   if owner is None:
     return [_not_holding(event.party, event.shard)]
@@ -211,13 +212,15 @@
   return []
 
 
-def _pong(owner: ownerstate.Owner, ping: events.Ping) -> events.Pong:
+def _pong(
+    owner: ownerstate.Owner, ping: linkmessages.Ping
+) -> linkmessages.Pong:
   """Returns the answer to a ping."""
   told = roster.NOTHING_TOLD
   if ping.roster is not None and owner.settled:
     # Before that, runs of the holder before may go on elsewhere.
     told = owner.roster.tell(ping.roster, owner.endpoints, owner.now)
-  return events.Pong(
+  return linkmessages.Pong(
       pending=tuple(sorted(keptjobs.pending(owner).items())),
       at=ping.at,
       roster=told.version,
@@ -312,9 +315,9 @@
     events.Heard: _on_heard,
     events.LinkLost: _on_link_lost,
     events.EndpointsListed: _on_listed,
-    events.Offered: _on_offered,
-    events.Withdrawn: _on_withdrawn,
-    events.Ping: _on_ping,
+    linkmessages.Offered: _on_offered,
+    linkmessages.Withdrawn: _on_withdrawn,
+    linkmessages.Ping: _on_ping,
     events.StartAnswered: _for_endpoint(leases.start_answered),
     events.StopAnswered: _for_endpoint(leases.stop_answered),
     events.LeaseAnswered: _for_endpoint(leases.lease_answered),
--- a/fescueturn/scheduler/state.py
+++ b/fescueturn/scheduler/state.py
@@ -4,7 +4,7 @@
 
 from fescueturn.scheduler import coordinatorstate
 from fescueturn.scheduler import election
-from fescueturn.scheduler import events
+from fescueturn.scheduler import linkmessages
 from fescueturn.scheduler import model
 from fescueturn.scheduler import ownerstate
 
@@ -21,7 +21,7 @@
     cores: how much processor it gets, in cores of the usual speed.
   """
 
-  party: events.Party
+  party: linkmessages.Party
   data_centre: str
   shards: tuple[model.Shard, ...]
   ended_kept_s: float = 0.0
--- a/tests/test_figures.py
+++ b/tests/test_figures.py
@@ -1,13 +1,13 @@
 import statsd
 
-from fescueturn.scheduler import events
 from fescueturn.scheduler import figures
+from fescueturn.scheduler import linkmessages
 from fescueturn.scheduler import model
 from fescueturn.scheduler import state
 
 
 def new_state() -> state.HostState:
-  party = events.Party("host-1", "boot-1")
+  party = linkmessages.Party("host-1", "boot-1")
   return state.HostState(state.Identity(party, "a", (model.Shard("a"),)))
 
 
--- a/tests/test_linkcodec.py
+++ b/tests/test_linkcodec.py
@@ -1,13 +1,13 @@
 import pytest
 
-from fescueturn.scheduler import events
 from fescueturn.scheduler import keptevents
 from fescueturn.scheduler import linkcodec
+from fescueturn.scheduler import linkmessages
 from fescueturn.scheduler import model
 
-PARTY = events.Party("host-1", "boot-1")
+PARTY = linkmessages.Party("host-1", "boot-1")
 SHARD = model.Shard("north", 2)
-KEY = events.JobKey(PARTY, "00000000000000a1")
+KEY = linkmessages.JobKey(PARTY, "00000000000000a1")
 NEED = model.Room(27000, 64, 1)
 JOB = model.Job(
     KEY.job_id,
@@ -28,25 +28,25 @@
     "message",
     [
         linkcodec.Hello(PARTY),
-        events.Ping(SHARD, PARTY),
-        events.Ping(SHARD, PARTY, 12.5, 0),
-        events.Ping(SHARD, PARTY, 12.5, 7),
-        events.Offered(SHARD, KEY, JOB, 0.25, 1.5, True, 7),
-        events.Offered(SHARD, KEY, JOB, 0.25, 1.5, False, 8, True),
-        events.Withdrawn(SHARD, KEY),
-        events.Pong(),
-        events.Pong(holding=False),
-        events.Pong(at=12.5, roster=7),
-        events.Pong(at=12.5, roster=8, endpoints=("i-1", "i-2")),
-        events.Accepted(KEY, 3),
-        events.Declined(KEY, 4, 95),
-        events.Declined(KEY, 4, 95, in_time=True),
-        events.Pong(pending=(("q1", 3), ("q2", 1))),
-        events.Declined(KEY, 4, 95, reason="store_away"),
+        linkmessages.Ping(SHARD, PARTY),
+        linkmessages.Ping(SHARD, PARTY, 12.5, 0),
+        linkmessages.Ping(SHARD, PARTY, 12.5, 7),
+        linkmessages.Offered(SHARD, KEY, JOB, 0.25, 1.5, True, 7),
+        linkmessages.Offered(SHARD, KEY, JOB, 0.25, 1.5, False, 8, True),
+        linkmessages.Withdrawn(SHARD, KEY),
+        linkmessages.Pong(),
+        linkmessages.Pong(holding=False),
+        linkmessages.Pong(at=12.5, roster=7),
+        linkmessages.Pong(at=12.5, roster=8, endpoints=("i-1", "i-2")),
+        linkmessages.Accepted(KEY, 3),
+        linkmessages.Declined(KEY, 4, 95),
+        linkmessages.Declined(KEY, 4, 95, in_time=True),
+        linkmessages.Pong(pending=(("q1", 3), ("q2", 1))),
+        linkmessages.Declined(KEY, 4, 95, reason="store_away"),
         keptevents.Asked(SHARD, PARTY, KEY.job_id, True),
         keptevents.Told(KEY.job_id, True, None),
         *(keptevents.Told(KEY.job_id, False, s) for s in model.KeptState),
-        *(events.JobEnded(KEY, o, "why") for o in model.Outcome),
+        *(linkmessages.JobEnded(KEY, o, "why") for o in model.Outcome),
     ],
 )
 def test_message_comes_back_as_it_went(message):
--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -8,6 +8,7 @@
 from fescueturn.scheduler import coordinatorstate
 from fescueturn.scheduler import events
 from fescueturn.scheduler import leases
+from fescueturn.scheduler import linkmessages
 from fescueturn.scheduler import model
 from fescueturn.scheduler import ownerstate
 from fescueturn.scheduler import reducer
@@ -20,7 +21,9 @@
 
 def holder_record(at: float = 10.0) -> coordinatorstate.HolderRecord:
   record = coordinatorstate.HolderRecord(HOLDER, at)
-  record.take_roster(events.Pong(at=at, roster=3, endpoints=("i-1", "i-2")))
+  record.take_roster(
+      linkmessages.Pong(at=at, roster=3, endpoints=("i-1", "i-2"))
+  )
   return record
 
 
@@ -41,10 +44,10 @@
 
 def test_roster_of_the_same_version_is_as_old_as_the_ping_that_it_answers():
   record = holder_record(10.0)
-  record.take_roster(events.Pong(at=11.0, roster=3))
+  record.take_roster(linkmessages.Pong(at=11.0, roster=3))
   assert record.roster_at == 11.0
   # An answer that names a version not known here says nothing of this one.
-  record.take_roster(events.Pong(at=12.0, roster=4))
+  record.take_roster(linkmessages.Pong(at=12.0, roster=4))
   assert record.roster_at == 11.0
 
 
@@ -63,12 +66,12 @@
   return owner.roster.tell(known, owner.endpoints, owner.now)
 
 
-def ping(made, owner, known: int = 0) -> events.Pong:
+def ping(made, owner, known: int = 0) -> linkmessages.Pong:
   """Returns what a holder of an emulated fleet answers to a ping."""
   shard = model.Shard(owner.data_centre)
   asker = fleets.other_than(made, owner).party
   effects = reducer.reduce(
-      owner.state, events.Ping(shard, asker, 3.5, known), made.clock.now
+      owner.state, linkmessages.Ping(shard, asker, 3.5, known), made.clock.now
   )
   (pong,) = [
       e.message for e in effects if isinstance(e, events.TellCoordinator)
--- a/tests/test_scheduler_fleet.py
+++ b/tests/test_scheduler_fleet.py
@@ -3,6 +3,7 @@
 import pytest
 
 from fescueturn.scheduler import events
+from fescueturn.scheduler import linkmessages
 from fescueturn.scheduler import model
 from tests import fleets
 
@@ -244,7 +245,7 @@
   request = made.submit(host.name, fleets.job("j", 2, 200), [0.2] * 2)
   record = host.state.coordinator.jobs["j"]
   record.offers += 1  # As if it had been offered again meanwhile.
-  late = events.Declined(record.key, 1, 100)
+  late = linkmessages.Declined(record.key, 1, 100)
   host.apply(events.Heard(model.Shard("a"), owner.party, late))
   assert record.shard == model.Shard("a")
   assert request not in made.answers
@@ -306,8 +307,8 @@
   made.hosts["a8"] = host
   record.tried.update((model.Shard("b"), model.Shard("c")))
   host.apply(events.HolderChanged(shard, after))
-  decline = events.Declined(record.key, record.offers, 100)
-  host.apply(events.Heard(shard, events.Party("a8", "a8.boot"), decline))
+  decline = linkmessages.Declined(record.key, record.offers, 100)
+  host.apply(events.Heard(shard, linkmessages.Party("a8", "a8.boot"), decline))
   answered = made.answers.get(request)
   assert (
       answered is None or answered.answer.outcome is not model.Outcome.NOT_RUN
--- a/tests/test_scheduler_host.py
+++ b/tests/test_scheduler_host.py
@@ -7,10 +7,11 @@
 from fescueturn import timer
 from fescueturn.scheduler import events
 from fescueturn.scheduler import host
+from fescueturn.scheduler import linkmessages
 from fescueturn.scheduler import model
 from fescueturn.scheduler import state
 
-PARTY = events.Party("host-1", "boot-1")
+PARTY = linkmessages.Party("host-1", "boot-1")
 JOB = model.Job(
     "j", "s", "spec", (model.Step(1, model.Room(1, 1, 0), 50),), 1, 1.6, 60
 )
@@ -58,7 +59,7 @@
   async def run():
     await made.apply(events.HolderChanged(shard, holder))
     assert made.tick_period_s == host.IDLE_TICK_S
-    gone = events.Party("host-2", "b")
+    gone = linkmessages.Party("host-2", "b")
     await made.apply(events.LinkLost(shard, gone, refused=True))
     assert made.tick_period_s == host.TICK_S
 
