An item without a value is malformed like any other

Cause: read from the diff: a listed key without a value would have ended the reading with a TypeError. Test: fails before on each of the decoders.

--- a/fescueturn/platform/wire.py
+++ b/fescueturn/platform/wire.py
@@ -318,7 +318,7 @@
 
 def decode(
     decoder: msgspec.json.Decoder,
-    data: bytes | str,
+    data: bytes | str | None,
     what: str,
     error: type[errors.FescueError],
 ):
@@ -326,7 +326,7 @@
 
   Args:
     decoder: one of this module's.
-    data: JSON.
+    data: JSON; None where there is none, which is an error as well.
     what: names the data in the error.
     error: the error to raise.
 
@@ -335,7 +335,7 @@
       one of another type or out of bounds.
   """
   try:
-    return decoder.decode(data)
+    return decoder.decode(data or b"")
   except (msgspec.MsgspecError, ValueError, RecursionError) as exc:
     raise error(f"{what}: {exc}") from exc
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -46,7 +46,7 @@
 
 
 @pytest.mark.parametrize(
-    "data", [b"[" * 100_000, b'{"a":' * 100_000, b"\xff", b""]
+    "data", [b"[" * 100_000, b'{"a":' * 100_000, b"\xff", b"", None]
 )
 @pytest.mark.parametrize("name", sorted(DECODERS))
 def test_deep_and_empty_data_give_the_one_error(name, data):
