--- a/fescueturn/cli.py
+++ b/fescueturn/cli.py
@@ -23,8 +23,6 @@
 from fescueturn import teamconfig
 from fescueturn import timer
 from fescueturn.emulator import load
-from fescueturn.lab import bench
-from fescueturn.lab import benchpoints
 from fescueturn.lab import caller
 from fescueturn.lab import demo
 from fescueturn.lab import faultbench
@@ -325,20 +323,7 @@
 
 @main.group("bench")
 def bench_group():
-  """Benchmarks (not tests): measured slopes for docs/CAPACITY.md."""
-
-
-@bench_group.command("capacity")
-@click.option(
-    "--out",
-    default="bench-capacity.json",
-    show_default=True,
-    help="Where the points and fits go.",
-)
-def bench_capacity(out):
-  """Measure the entry hosts' costs at several sizes and fit slopes."""
-  logs.setup("bench", "WARNING")
-  click.echo(benchpoints.report(bench.run(out)))
+  """Benchmarks (not tests): jobs under faults, and what decisions cost."""
 
 
 @bench_group.command("faults")
@@ -373,10 +358,3 @@
   costs = hotpath.measure(load.Plan(**options))
   for field, value in dataclasses.asdict(costs).items():
     click.echo(f"{field}={value:.1f}")
-
-
-@bench_group.command("report")
-@click.argument("file", type=click.File())
-def bench_report(file):
-  """Print the tables of a saved bench run, as in docs/CAPACITY.md."""
-  click.echo(benchpoints.report(json.load(file)))
