--- a/fescueturn/explain.py
+++ b/fescueturn/explain.py
@@ -51,7 +51,8 @@
         "the order to start task {step}.{task} on {endpoint} failed: {result}"
     ),
     "no_route": (
-        "no queue for {method} {path} in configuration version {config}"
+        "no queue for {method} {path} in configuration version {config}, last"
+        " confirmed by the store {unheard_ms} ms before"
     ),
     "holder_lost": (
         "the holder of {data_centre}, {holder}, was lost: {why}; last heard"
--- a/fescueturn/platform/callers.py
+++ b/fescueturn/platform/callers.py
@@ -111,6 +111,7 @@
     self._figures = page
     self._kept = kept
     self._routes: routes.RouteTable | None = None
+    self._config_heard_at: float | None = None
     self._closing = False
 
   @property
@@ -120,6 +121,17 @@
     ready = self._routes is not None and not state.draining
     return ready and state.coordinator.serves
 
+  @property
+  def config_unheard_s(self) -> float:
+    """Seconds since the store last told what is in force; infinite at first."""
+    if self._config_heard_at is None:
+      return math.inf
+    return self._now() - self._config_heard_at
+
+  def config_heard(self):
+    """Takes that all that the store knows of the configuration is in force."""
+    self._config_heard_at = self._now()
+
   def refuse_new(self):
     """Has jobs refused from now on, as the process ends soon."""
     self._closing = True
@@ -163,11 +175,13 @@
     queue = self._routes.find(request.headers.get("host", ""), path)
     if queue is None:
       logger.info(
-          "event=no_route request={} method={} path={} config={}",
+          "event=no_route request={} method={} path={} config={}"
+          " unheard_ms={:.0f}",
           request.headers.get("request-id", ""),
           request.method,
           path,
           self._routes.config.version,
+          self.config_unheard_s * 1000,
       )
       return _error(404, codes.Code.NO_QUEUE, "no such queue")
     rest = path[len(queue.prefix) :]
--- a/fescueturn/platform/claims.py
+++ b/fescueturn/platform/claims.py
@@ -201,6 +201,7 @@
 
 async def watch_loop(
     client: kvtypes.Store,
+    now: Callable[[], float],
     shards: tuple[model.Shard, ...],
     on_holder: OnHolder,
 ):
@@ -208,10 +209,11 @@
 
   Args:
     client: the store.
+    now: returns the time (s).
     shards: this host's shards, which are told of even while nobody holds them.
     on_holder: takes the changes.
   """
-  store_reach = reach.Reach("holders")
+  store_reach = reach.Reach("holders", now)
   known: set[model.Shard] = set(shards)
   revision = None
   while True:
--- a/fescueturn/platform/configuration.py
+++ b/fescueturn/platform/configuration.py
@@ -70,22 +70,28 @@
 
 OnConfig = Callable[[model.Config], Awaitable[None]]
 OnEvacuations = Callable[[events.EvacuationsChanged], Awaitable[None]]
+OnHeard = Callable[[], None]
 
 
 async def watch_loop(
     client: kvtypes.Store,
+    now: Callable[[], float],
     on_config: OnConfig,
     on_evacuations: OnEvacuations,
+    on_heard: OnHeard,
 ):
   """Tells what the operator has written, and each change of it, for ever.
 
   Args:
     client: the store.
+    now: returns the time (s).
     on_config: takes each configuration.
     on_evacuations: takes all requests to evacuate data centres, once they were
       read and whenever they change.
+    on_heard: told after each answer of the store, once all that it says is in
+      force.
   """
-  store_reach = reach.Reach("config")
+  store_reach = reach.Reach("config", now)
   evacuations: dict[str, model.Evacuation] = {}
   revision = None
   while True:
@@ -105,6 +111,7 @@
       for item in found.items:
         await _tell_config(item, on_config)
       store_reach.found(revision, anew)
+      on_heard()
     except kvtypes.HistoryGoneError:
       await store_reach.history_gone(revision)
       revision = None
--- a/fescueturn/platform/endpoints.py
+++ b/fescueturn/platform/endpoints.py
@@ -195,7 +195,7 @@
       self._owning.clear()
 
   async def _run(self):
-    store_reach = reach.Reach("endpoints")
+    store_reach = reach.Reach("endpoints", self._now)
     while True:
       await self._owning.wait()
       try:
--- a/fescueturn/platform/keeper.py
+++ b/fescueturn/platform/keeper.py
@@ -7,6 +7,7 @@
 """
 
 import dataclasses
+from collections.abc import Callable
 
 import msgspec
 from loguru import logger
@@ -70,8 +71,9 @@
 class Keeper:
   """Writes and reads the records; has no state that must last."""
 
-  def __init__(self, client: kvtypes.Store):
+  def __init__(self, client: kvtypes.Store, now: Callable[[], float]):
     self._client = client
+    self._now = now
     self._takeovers: dict[model.Shard, int] = {}
 
   async def state(self, job_id: str) -> Known | None:
@@ -85,7 +87,7 @@
 
   async def load(self, effect: keptevents.LoadKept) -> keptevents.KeptLoaded:
     """Takes a shard's records over and reads them; tries until it is known."""
-    store_reach = reach.Reach("kept_load")
+    store_reach = reach.Reach("kept_load", self._now)
     while True:
       try:
         loaded = await self._try_load(effect)
@@ -144,7 +146,7 @@
 
   async def write(self, effect: keptevents.WriteKept) -> keptevents.KeptWritten:
     """Makes a write; tries until it is known what came of it."""
-    store_reach = reach.Reach("kept_write")
+    store_reach = reach.Reach("kept_write", self._now)
     while True:
       try:
         revision = await self._client.transact(self._transaction(effect))
--- a/fescueturn/platform/reach.py
+++ b/fescueturn/platform/reach.py
@@ -1,5 +1,7 @@
 """Whether the store is reached: logged once a change, with a pause to retry."""
 
+from collections.abc import Callable
+
 import curio
 from loguru import logger
 
@@ -14,10 +16,17 @@
 class Reach:
   """One loop's view of the store; `what` names in logs what it reads."""
 
-  def __init__(self, what: str):
+  def __init__(self, what: str, now: Callable[[], float]):
     self._what = what
+    self._now = now
     self._reached = True
     self._pause_s = RETRY_MIN_S
+    self._heard_at = now()
+
+  @property
+  def unheard_s(self) -> float:
+    """Seconds since the store last answered this loop."""
+    return self._now() - self._heard_at
 
   def found(self, revision: int, anew: bool = False):
     """A call was answered, at this revision of the store.
@@ -29,16 +38,25 @@
     """
     if not self._reached:
       logger.info(
-          "event=store_regained what={} revision={}", self._what, revision
+          "event=store_regained what={} revision={} unheard_ms={}",
+          self._what,
+          revision,
+          _ms(self.unheard_s),
       )
     self._reached = True
+    self._heard_at = self._now()
     if not anew:
       self._pause_s = RETRY_MIN_S
 
   async def lost(self, error: errors.KvError):
     """A call failed: waits before the next, twice as long each time."""
     if self._reached:
-      logger.warning('event=store_lost what={} error="{}"', self._what, error)
+      logger.warning(
+          'event=store_lost what={} unheard_ms={} error="{}"',
+          self._what,
+          _ms(self.unheard_s),
+          error,
+      )
     self._reached = False
     await self.pause()
 
@@ -55,3 +73,7 @@
     """
     logger.info("event=history_gone what={} after={}", self._what, after)
     await self.pause()
+
+
+def _ms(seconds: float) -> int:
+  return int(seconds * 1000)
--- a/fescueturn/platform/role.py
+++ b/fescueturn/platform/role.py
@@ -71,7 +71,7 @@
         node.links,
         max(claims.LEASE_MS, node.min_lease_ms),
     )
-    self._keeper = keeper.Keeper(self._store)
+    self._keeper = keeper.Keeper(self._store, clock.now)
     self._calls = endpoints.EndpointCalls(clock.now, self._observe)
     # Every service that a configuration has named; None before the first.
     self._services: frozenset[str] | None = None
@@ -106,6 +106,7 @@
     self._callers = callers.CallerHttp(
         self._host, clock.now, self._figures, self._keeper
     )
+    self._figures.config_unheard(lambda: self._callers.config_unheard_s)
     self._servers = [
         httpio.Server(
             node.callers, self._callers.handle, limits=self._callers.limits
@@ -127,12 +128,20 @@
     await self._lister.start()
     shards = self._host.state.me.shards
     loops = [
-        (claims.watch_loop, self._store, shards, self._host.apply),
+        (
+            claims.watch_loop,
+            self._store,
+            self._timer.now,
+            shards,
+            self._host.apply,
+        ),
         (
             configuration.watch_loop,
             self._store,
+            self._timer.now,
             self._on_config,
             self._host.apply,
+            self._callers.config_heard,
         ),
     ]
     self._loops = [await curio.spawn(*loop, daemon=True) for loop in loops]
@@ -237,9 +246,10 @@
     if self._callers.set_config(config):
       self._figures.config(config.version)
       logger.info(
-          "event=config_in_force version={} queues={}",
+          "event=config_in_force version={} queues={} unheard_ms={:.0f}",
           config.version,
           len(config.queues),
+          self._callers.config_unheard_s * 1000,
       )
 
   async def _on_ready(self, request: httpio.Request) -> httpio.Response:
--- a/fescueturn/scheduler/figures.py
+++ b/fescueturn/scheduler/figures.py
@@ -57,6 +57,11 @@
         "Version of the configuration in force.",
         registry=self._registry,
     )
+    self._config_unheard = prometheus_client.Gauge(
+        "fescueturn_config_unheard_seconds",
+        "Since the store last told whether the configuration has changed.",
+        registry=self._registry,
+    )
 
   def job(self, queue: str, outcome: str, took_s: float):
     """Notes a job answered."""
@@ -74,6 +79,10 @@
     """Notes the configuration in force."""
     self._config.set(version)
 
+  def config_unheard(self, seconds: Callable[[], float]):
+    """Takes how to tell how long ago the store last told the configuration."""
+    self._config_unheard.set_function(seconds)
+
   def page(self) -> bytes:
     """Returns the metrics page."""
     return prometheus_client.generate_latest(self._registry)
--- a/tests/test_figures.py
+++ b/tests/test_figures.py
@@ -34,6 +34,12 @@
   ]
 
 
+def test_page_says_how_long_ago_the_store_told_the_configuration():
+  made = figures.Figures(new_state())
+  made.config_unheard(lambda: 2.5)
+  assert b"fescueturn_config_unheard_seconds 2.5" in made.page()
+
+
 def test_page_needs_no_collector():
   made = figures.Figures(new_state())
   made.job("word-check", "done", 0.25)
--- a/tests/test_platform_configuration.py
+++ b/tests/test_platform_configuration.py
@@ -1,5 +1,6 @@
 import base64
 import json
+import time
 
 import curio
 import pytest
@@ -63,7 +64,13 @@
 
   async def run():
     await curio.ignore_after(
-        seconds, configuration.watch_loop, client, on_config, on_evacuations
+        seconds,
+        configuration.watch_loop,
+        client,
+        time.monotonic,
+        on_config,
+        on_evacuations,
+        lambda: None,
     )
 
   curio.run(run)
--- a/tests/test_platform_keeper.py
+++ b/tests/test_platform_keeper.py
@@ -1,5 +1,7 @@
 """Kept jobs' records over a store in memory: writes lost, late and replaced."""
 
+import time
+
 import curio
 import pytest
 
@@ -62,7 +64,7 @@
   """A holder's writes, one after the other."""
 
   def __init__(self, memory: MemoryStore):
-    self.keeper = keeper.Keeper(memory)
+    self.keeper = keeper.Keeper(memory, time.monotonic)
     self.fence = memory.claim()
     self.loaded = curio.run(
         self.keeper.load, keptevents.LoadKept(SHARD, self.fence)
@@ -188,7 +190,7 @@
 
 def open_at(memory: MemoryStore, data_centre: str):
   effect = keptevents.ListOpen(model.Shard(data_centre), 1)
-  return curio.run(keeper.Keeper(memory).open_jobs, effect).jobs
+  return curio.run(keeper.Keeper(memory, time.monotonic).open_jobs, effect).jobs
 
 
 def test_moved_job_is_found_at_its_next_shard_with_what_is_over_of_it():
--- a/tests/test_platform_stories.py
+++ b/tests/test_platform_stories.py
@@ -52,3 +52,4 @@
   assert (response.status, body["code"]) == (404, 215)
   story = explained(deployment, "q-nowhere")
   assert "no queue for GET /gone/ in configuration version" in story
+  assert "last confirmed by the store" in story
