--- a/tests/test_platform_configuration.py
+++ b/tests/test_platform_configuration.py
@@ -6,11 +6,16 @@
 import pytest
 
 from fescueturn import errors
+from fescueturn import httpio
 from fescueturn import kvtypes
+from fescueturn import settings
 from fescueturn.platform import configuration
 from fescueturn.platform import store
 from fescueturn.platform import wire
+from fescueturn.platform import wireserver
 from fescueturn.scheduler import model
+from fescueturn.standins import kvstore
+from tests import deployments
 
 ROUTE = {
     "name": "r",
@@ -194,3 +199,101 @@
 
   client.range = away
   assert watch_both(client, 0.5) == ([], [])
+
+
+# The shortest time after which hosts count as well again once the store is.
+CONTACT_S = 3.0
+# As long as a few watches and the pauses between them.
+SILENCES_S = [0.25 * n for n in range(1, 33)]
+
+
+class SilentStore:
+  """A store behind its wire; calls that meet a silence are never answered."""
+
+  def __init__(self, port: int):
+    self._silent = False
+    self._silences = 0
+    self._store = kvstore.KvStore()
+    self._wire = wireserver.WireServer(self._store, time.monotonic)
+    self._server = httpio.Server(
+        settings.Address("127.0.0.1", port), self._handle
+    )
+
+  async def _handle(self, request):
+    silences = self._silences
+    swallowed = self._silent
+    response = await self._wire.handle(request)
+    if swallowed or silences != self._silences:
+      await curio.sleep(3600.0)
+    return response
+
+  def fall_silent(self):
+    self._silent = True
+    self._silences += 1
+
+  def answer_again(self):
+    self._silent = False
+
+  async def start(self):
+    await self._server.start()
+    await self.put(1)
+
+  async def put(self, version):
+    self._store.put(configuration.KEY, value(version))
+    await self._wire.changed()
+
+  async def close(self):
+    await self._server.close()
+
+
+async def time_unheard(port: int, silence_s: float) -> float:
+  """Returns how long after a silence a change made at its end is in force."""
+  silent_store = SilentStore(port)
+  await silent_store.start()
+  client = store.StoreClient(
+      settings.Address("127.0.0.1", port), time.monotonic
+  )
+  in_force = {}
+
+  async def on_config(config):
+    in_force[config.version] = time.monotonic()
+
+  async def ignore(event):
+    del event
+
+  watch = await curio.spawn(
+      configuration.watch_loop,
+      client,
+      time.monotonic,
+      on_config,
+      ignore,
+      lambda: None,
+      daemon=True,
+  )
+  await curio.sleep(0.2)
+  silent_store.fall_silent()
+  await curio.sleep(silence_s)
+  silent_store.answer_again()
+  ended = time.monotonic()
+  await silent_store.put(2)
+  while 2 not in in_force:
+    await curio.sleep(0.01)
+  await watch.cancel()
+  await client.close()
+  await silent_store.close()
+  return in_force[2] - ended
+
+
+def test_change_is_in_force_in_time_however_long_the_store_was_silent():
+  ports = deployments.free_ports(len(SILENCES_S))
+
+  async def run():
+    async with curio.TaskGroup() as group:
+      tasks = [
+          await group.spawn(time_unheard, port, silence_s)
+          for port, silence_s in zip(ports, SILENCES_S, strict=True)
+      ]
+    return [task.result for task in tasks]
+
+  unheard = dict(zip(SILENCES_S, curio.run(run), strict=True))
+  assert {s: t for s, t in unheard.items() if t > CONTACT_S} == {}
