A watch waits no longer than the host's contact time allows

Callers saw: a request to a route that had been added refused with 404, more than 2 s after the change was acknowledged, by a host that counted as well again.

Cause: three waits that were each chosen alone add up to more than the bound they serve. A watch swallowed by a silent store was waited for 2.5 s and 1.0 s more, then came a pause of up to 1 s: up to 4.5 s from the end of a silence to the next answer, where hosts have 3 s. The comment at WATCH_MS reckoned with 2.5 s.

Change: reach.watch_ms gives a watch what the time-outs and the longest pause (now 0.4 s) leave of contactMs in the settings file, so the sum is the bound by construction: 1.3 s at 3 s, 2.3 s at 4 s, 3.3 s at 5 s.

Ruled out here: a rejected configuration (no config_rejected in any log), and a wait inside the host (the answer and config_in_force are some 5 ms apart).

--- a/fescueturn/platform/configuration.py
+++ b/fescueturn/platform/configuration.py
@@ -21,9 +21,6 @@
 # Followed by the data centre's name; there while the request stands, whatever
 # its value.
 EVACUATE_PREFIX = PREFIX + "evacuate/"
-# A change must be in force 2 s after it was written, also by a host whose
-# watch has gone silent more than 3 s before: the watch is over by then.
-WATCH_MS = 2500
 
 
 def decode(value: bytes) -> model.Config:
@@ -76,6 +73,7 @@
 async def watch_loop(
     client: kvtypes.Store,
     now: Callable[[], float],
+    contact_s: float,
     on_config: OnConfig,
     on_evacuations: OnEvacuations,
     on_heard: OnHeard,
@@ -85,6 +83,7 @@
   Args:
     client: the store.
     now: returns the time (s).
+    contact_s: how soon after a silence of the store all must be in force.
     on_config: takes each configuration.
     on_evacuations: takes all requests to evacuate data centres, once they were
       read and whenever they change.
@@ -92,6 +91,7 @@
       force.
   """
   store_reach = reach.Reach("config", now)
+  watch_ms = reach.watch_ms(contact_s)
   evacuations: dict[str, model.Evacuation] = {}
   revision = None
   while True:
@@ -102,7 +102,7 @@
         # What was taken back meanwhile is not among the items.
         evacuations.clear()
       else:
-        found = await client.watch(PREFIX, revision, WATCH_MS)
+        found = await client.watch(PREFIX, revision, watch_ms)
       revision = found.revision
       changed = [_note(item, evacuations) for item in found.items]
       if anew or any(changed):
--- a/fescueturn/platform/reach.py
+++ b/fescueturn/platform/reach.py
@@ -1,4 +1,8 @@
-"""Whether the store is reached: logged once a change, with a pause to retry."""
+"""Whether the store is reached: logged once a change, with a pause to retry.
+
+A call that a silent store swallowed is given up, and made again after a pause.
+What a watch may wait is what these leave of the host's contact time.
+"""
 
 from collections.abc import Callable
 
@@ -6,11 +10,27 @@
 from loguru import logger
 
 from fescueturn import errors
+from fescueturn.platform import store
 
-# First and longest pause after a call that failed: the store answers some
-# 250 calls in the longest.
+# First and longest pause after a call that failed: a store answers some 100
+# calls in the longest, and a host that must be back within 3 s can afford it.
 RETRY_MIN_S = 0.1
-RETRY_MAX_S = 1.0
+RETRY_MAX_S = 0.4
+# For the call that is answered in the end: a new connection, the answer of a
+# slow store (up to 0.2 s), and what the host does with it.
+ANSWER_S = 0.3
+# The shortest wait of a watch: with less, hosts do little else than ask.
+WATCH_MIN_S = 0.5
+
+
+def watch_ms(contact_s: float) -> int:
+  """Returns how long a watch may wait at the store, in ms.
+
+  Given up, paused for and made again, a watch that was swallowed in a silence's
+  last moment is answered within `contact_s` of its end.
+  """
+  left_s = contact_s - store.WATCH_SLACK_S - RETRY_MAX_S - ANSWER_S
+  return int(max(WATCH_MIN_S, left_s) * 1000)
 
 
 class Reach:
--- a/fescueturn/platform/role.py
+++ b/fescueturn/platform/role.py
@@ -139,6 +139,7 @@
             configuration.watch_loop,
             self._store,
             self._timer.now,
+            self._node.contact_s,
             self._on_config,
             self._host.apply,
             self._callers.config_heard,
--- a/tests/test_platform_configuration.py
+++ b/tests/test_platform_configuration.py
@@ -27,6 +27,8 @@
     "sloMs": 60,
     "timeoutMs": 1500,
 }
+# How soon after a silence of the store its changes must be in force.
+CONTACT_S = 3.0
 
 
 def value(version, routes=(ROUTE,)) -> bytes:
@@ -73,6 +75,7 @@
         configuration.watch_loop,
         client,
         time.monotonic,
+        CONTACT_S,
         on_config,
         on_evacuations,
         lambda: None,
@@ -201,8 +204,6 @@
   assert watch_both(client, 0.5) == ([], [])
 
 
-# The shortest time after which hosts count as well again once the store is.
-CONTACT_S = 3.0
 # As long as a few watches and the pauses between them.
 SILENCES_S = [0.25 * n for n in range(1, 33)]
 
@@ -265,6 +266,7 @@
       configuration.watch_loop,
       client,
       time.monotonic,
+      CONTACT_S,
       on_config,
       ignore,
       lambda: None,
