A lost call to the store takes the idle connections with it

Cause: connections can go silent for good, all at once, while new ones work. A call that met one was given up after its time-out, and the next took another idle connection of the same age: each cost its own time-out, 1 s a call and more a watch.

Change: after a call without an answer the client drops its idle connections, so that the next call opens one.

Evidence: test_connections_that_fell_silent_together_cost_one_call failed before (four idle connections: the second call was lost as well, after 1 s) and passes. Costs: a new connection to the store after a lost call.

--- a/fescueturn/httpio.py
+++ b/fescueturn/httpio.py
@@ -386,6 +386,6 @@
     return _ClientConnection(sock, str(self._address))
 
   async def close(self):
-    """Closes every idle connection."""
+    """Closes every idle connection; later requests open new ones."""
     while self._idle:
       await self._idle.pop().sock.close()
--- a/fescueturn/platform/store.py
+++ b/fescueturn/platform/store.py
@@ -95,7 +95,11 @@
           method, target, data, headers, timeout_s
       )
       result = str(response.status)
-    except (httpio.NotSentError, httpio.LostReplyError) as exc:
+    except httpio.NotSentError as exc:
+      raise errors.KvError(f"{path}: {exc}") from exc
+    except httpio.LostReplyError as exc:
+      # Idle connections may have gone silent along with this one.
+      await self._pool.close()
       raise errors.KvError(f"{path}: {exc}") from exc
     finally:
       name = "store_" + path.split("/")[2]
