Watches of the store don't wait for the turn of other calls

Cause: all calls to the store shared 16 places. While the store is silent each call holds its place for 1 s; with some hundred records of kept jobs to write, a watch waited its turn for longer than a host may go without hearing of a change.

Change: watches have connections of their own.

Evidence: test_watch_is_not_held_up_by_calls_that_a_silent_store_swallowed failed before (200 calls waiting: the watch was not sent within 1 s) and passes.

--- a/fescueturn/platform/store.py
+++ b/fescueturn/platform/store.py
@@ -27,6 +27,11 @@
 CONNECT_TIMEOUT_S = 1.0
 # What a watch may be late by beyond the time it was asked to wait.
 WATCH_SLACK_S = 1.0
+# Calls under way at once; more wait their turn. A host writes for each kept job
+# that it runs, and a store that answers in 5 ms does 3,000 such calls a second.
+MAX_CALLS = 16
+# There are two watches, of the configuration and of the shards' holders.
+MAX_WATCHES = 4
 
 
 def _item(raw: wire.KeyItem) -> kvtypes.Item:
@@ -60,6 +65,15 @@
   return wire.decode(decoder, response.body, path, errors.KvError)
 
 
+def _pool(address: settings.Address, limit: int) -> httpio.Pool:
+  return httpio.Pool(
+      address,
+      limit=limit,
+      connect_s=CONNECT_TIMEOUT_S,
+      prepare=listener.impatient,
+  )
+
+
 class StoreClient:
   """Calls the store at one address; `close` drops its connections."""
 
@@ -71,35 +85,36 @@
   ):
     self._now = now
     self._observe = observe or (lambda *_: None)
-    self._pool = httpio.Pool(
-        address,
-        limit=16,
-        connect_s=CONNECT_TIMEOUT_S,
-        prepare=listener.impatient,
-    )
+    self._calls = _pool(address, MAX_CALLS)
+    # Watches never wait for the turn of calls that go unanswered.
+    self._watches = _pool(address, MAX_WATCHES)
 
   async def close(self):
     """Closes idle connections."""
-    await self._pool.close()
+    await self._calls.close()
+    await self._watches.close()
 
-  async def _call(
-      self, method, path, query=None, body=None, timeout_s=CALL_TIMEOUT_S
-  ):
+  async def _call(self, method, path, query=None, body=None):
+    return await self._ask(
+        self._calls, CALL_TIMEOUT_S, method, path, query, body
+    )
+
+  async def _ask(
+      self, pool: httpio.Pool, timeout_s, method, path, query=None, body=None
+  ) -> httpio.Response:
     target = f"{path}?{urllib.parse.urlencode(query)}" if query else path
     data = b"" if body is None else msgspec.json.encode(body)
     headers = (("content-type", "application/json"),) if data else ()
     began = self._now()
     result = "no_answer"
     try:
-      response = await self._pool.request(
-          method, target, data, headers, timeout_s
-      )
+      response = await pool.request(method, target, data, headers, timeout_s)
       result = str(response.status)
     except httpio.NotSentError as exc:
       raise errors.KvError(f"{path}: {exc}") from exc
     except httpio.LostReplyError as exc:
       # Idle connections may have gone silent along with this one.
-      await self._pool.close()
+      await self.close()
       raise errors.KvError(f"{path}: {exc}") from exc
     finally:
       name = "store_" + path.split("/")[2]
@@ -147,11 +162,9 @@
       errors.KvError: no answer came, or the store refused the call.
     """
     query = {"prefix": prefix, "after": after, "waitMs": wait_ms}
-    response = await self._call(
-        "GET",
-        "/-/kv-watch",
-        query,
-        timeout_s=wait_ms / 1000 + WATCH_SLACK_S,
+    timeout_s = wait_ms / 1000 + WATCH_SLACK_S
+    response = await self._ask(
+        self._watches, timeout_s, "GET", "/-/kv-watch", query
     )
     if response.status == 410:
       raise kvtypes.HistoryGoneError(f"watch {prefix} after {after}")
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -59,3 +59,31 @@
     return lease
 
   assert curio.run(run)
+
+
+def test_watch_is_not_held_up_by_calls_that_a_silent_store_swallowed():
+  (port,) = deployments.free_ports(1)
+  address = settings.Address("127.0.0.1", port)
+  wire = wireserver.WireServer(kvstore.KvStore(), time.monotonic)
+  watched = curio.Event()
+
+  async def handle(request):
+    if "kv-watch" in request.target:
+      await watched.set()
+    elif "kv-lease" in request.target:
+      await curio.sleep(3600.0)
+    return await wire.handle(request)
+
+  async def run():
+    server = httpio.Server(address, handle)
+    await server.start()
+    client = store.StoreClient(address, time.monotonic)
+    async with curio.TaskGroup(wait=None) as group:
+      for _ in range(200):
+        await group.spawn(client.grant, TTL_MS)
+      await curio.sleep(0.1)
+      await group.spawn(client.watch, "op/", 0, 1000)
+      await curio.ignore_after(store.CALL_TIMEOUT_S, watched.wait)
+    return watched.is_set()
+
+  assert curio.run(run)
