The watch of the shards' holders keeps to the contact time too

Callers would see: jobs offered to a holder that is gone, by a host that does not hear of the next one.

A watch of the holders that a silent store had swallowed was given up after 6 s, and up to 1 s later asked again; a host may be held to what the store says 3 s after the silence. The others (endpoints, kept jobs, renewals) give a call up after 1 s and pause for 0.4 s at most: 1.4 s.

Change: its wait comes from reach.watch_ms as well. Evidence: the new test (contact times of 3, 4 and 5 s) can't pass with a wait of 5 s.

--- a/fescueturn/platform/claims.py
+++ b/fescueturn/platform/claims.py
@@ -28,9 +28,6 @@
 LEASE_MS = 1500
 # Three renewals in a lease's time.
 KEEP_PERIOD_S = 0.5
-# A claim changes a few times a day; a watch of this length costs 0.2 calls a
-# second, and one that has gone silent is noticed when it is over.
-WATCH_MS = 5000
 _LEASE_GONE = "lease_gone"
 # What the messages between hosts carry: 16 bits.
 MAX_SHARD_NUMBER = 2**16 - 1
@@ -202,6 +199,7 @@
 async def watch_loop(
     client: kvtypes.Store,
     now: Callable[[], float],
+    contact_s: float,
     shards: tuple[model.Shard, ...],
     on_holder: OnHolder,
 ):
@@ -210,10 +208,12 @@
   Args:
     client: the store.
     now: returns the time (s).
+    contact_s: how soon after a silence of the store its holders must be known.
     shards: this host's shards, which are told of even while nobody holds them.
     on_holder: takes the changes.
   """
   store_reach = reach.Reach("holders", now)
+  watch_ms = reach.watch_ms(contact_s)
   known: set[model.Shard] = set(shards)
   revision = None
   while True:
@@ -222,7 +222,7 @@
       if anew:
         revision = await _read_all(client, known, on_holder)
       else:
-        changes = await client.watch(PREFIX, revision, WATCH_MS)
+        changes = await client.watch(PREFIX, revision, watch_ms)
         revision = changes.revision
         for item in changes.items:
           await _tell(item, known, on_holder)
--- a/fescueturn/platform/role.py
+++ b/fescueturn/platform/role.py
@@ -132,6 +132,7 @@
             claims.watch_loop,
             self._store,
             self._timer.now,
+            self._node.contact_s,
             shards,
             self._host.apply,
         ),
--- a/tests/test_platform_claims.py
+++ b/tests/test_platform_claims.py
@@ -1,10 +1,14 @@
 import json
+import time
 
+import curio
 import pytest
 
 from fescueturn import kvtypes
 from fescueturn import settings
 from fescueturn.platform import claims
+from fescueturn.platform import reach
+from fescueturn.platform import store
 from fescueturn.scheduler import events
 from fescueturn.scheduler import model
 
@@ -55,3 +59,43 @@
 )
 def test_key_names_a_shard_or_none(rest, shard):
   assert claims._shard(claims.PREFIX + rest) == shard
+
+
+class SilentClient:
+  """A store in which nothing changes; notes how long watches may wait."""
+
+  def __init__(self):
+    self.waits_ms = []
+
+  async def range(self, prefix):
+    del prefix
+    return kvtypes.Changes(1, ())
+
+  async def watch(self, prefix, after, wait_ms):
+    del prefix
+    self.waits_ms.append(wait_ms)
+    await curio.sleep(0.01)
+    return kvtypes.Changes(after, ())
+
+
+@pytest.mark.parametrize("contact_s", [3.0, 4.0, 5.0])
+def test_swallowed_watch_of_holders_is_made_again_within_the_contact_time(
+    contact_s,
+):
+  client = SilentClient()
+
+  async def ignore(event):
+    del event
+
+  curio.run(
+      curio.ignore_after,
+      0.1,
+      claims.watch_loop,
+      client,
+      time.monotonic,
+      contact_s,
+      (SHARD,),
+      ignore,
+  )
+  given_up_s = max(client.waits_ms) / 1000 + store.WATCH_SLACK_S
+  assert given_up_s + reach.RETRY_MAX_S < contact_s
