A configuration is in force before the evacuations beside it are worked out

One answer of the store brings both; the evacuations were applied first, and what they change in a host's decisions (jobs handed back, moves) is carried out before that returns. A configuration only replaces a table.

Change: the configuration is told first. Nothing starts earlier for it: a holder starts nothing before it was told the evacuations.

Evidence: test_configuration_does_not_wait_for_the_evacuations_beside_it failed before and passes.

--- a/fescueturn/platform/configuration.py
+++ b/fescueturn/platform/configuration.py
@@ -104,12 +104,12 @@
       else:
         found = await client.watch(PREFIX, revision, watch_ms)
       revision = found.revision
+      for item in found.items:
+        await _tell_config(item, on_config)
       changed = [_note(item, evacuations) for item in found.items]
       if anew or any(changed):
         requests = tuple(evacuations.values())
         await on_evacuations(events.EvacuationsChanged(requests))
-      for item in found.items:
-        await _tell_config(item, on_config)
       store_reach.found(revision, anew)
       on_heard()
     except kvtypes.HistoryGoneError:
--- a/tests/test_platform_configuration.py
+++ b/tests/test_platform_configuration.py
@@ -299,3 +299,28 @@
 
   unheard = dict(zip(SILENCES_S, curio.run(run), strict=True))
   assert {s: t for s, t in unheard.items() if t > CONTACT_S} == {}
+
+
+def test_configuration_does_not_wait_for_the_evacuations_beside_it():
+  """What an evacuation changes in a host's decisions can take its time."""
+  found = []
+
+  async def on_config(config):
+    found.append(config.version)
+
+  async def stuck(event):
+    del event
+    await curio.sleep(3600.0)
+
+  curio.run(
+      curio.ignore_after,
+      0.1,
+      configuration.watch_loop,
+      FakeClient(),
+      time.monotonic,
+      CONTACT_S,
+      on_config,
+      stuck,
+      lambda: None,
+  )
+  assert found == [1]
