Team settings changed in a silence of the platform are in force within 5 s

Callers of the product's own interface would see: a job refused by limits that were raised more than 5 s before.

Found by looking for the cause in the other loops.

Change: that watch waits 2 s and its pause is at most 0.45 s.

Evidence: the new test adds up what the loop asks for; with the former watch the sum is 11 s and more.

--- a/fescueturn/entry.py
+++ b/fescueturn/entry.py
@@ -115,7 +115,7 @@
             membership.teams_loop,
             self._kv,
             self._apply,
-            self._backoff(),
+            membership.Backoff(self._rng, membership.SETTINGS_BACKOFF_MAX_S),
             config.settings_pause_s,
         ),
         (
--- a/fescueturn/membership.py
+++ b/fescueturn/membership.py
@@ -36,6 +36,11 @@
 RENEWALS_PER_TTL = 3
 # A waiting watch is one call: 0.1 calls a second while nothing changes.
 WATCH_MS = 10_000
+# Settings must be in force everywhere within 5 s, also where the platform has
+# swallowed a watch: these, the client's 1 s of slack and the pause after a change
+# (1 s) stay below that.
+SETTINGS_WATCH_MS = 2000
+SETTINGS_BACKOFF_MAX_S = 0.3
 
 Apply = Callable[[events.Event], Awaitable[None]]
 
@@ -270,7 +275,7 @@
       if revision is None:
         changes = await _read_teams(kv, known)
       else:
-        changes = await kv.watch(TEAMS_PREFIX, revision, WATCH_MS)
+        changes = await kv.watch(TEAMS_PREFIX, revision, SETTINGS_WATCH_MS)
       revision = changes.revision
       backoff.reset()
     except errors.KvError as exc:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -9,6 +9,7 @@
 from fescueturn import kvtypes
 from fescueturn import membership
 from fescueturn import settings
+from fescueturn.platform import store
 from fescueturn.standins import kvstore
 
 ME = events.Member("entry-1", settings.Address("127.0.0.1", 1), "boot-1")
@@ -127,3 +128,27 @@
   assert seen[0].team_settings.service == "speller"
   assert seen[1].team_settings is None
   assert seen[1].revision > seen[0].revision
+
+
+def test_settings_changed_in_a_silence_are_in_force_within_five_seconds():
+  waits_ms = []
+
+  class Silent(_FakeKv):
+
+    async def watch(self, prefix, after, wait_ms):
+      del prefix, after
+      waits_ms.append(wait_ms)
+      raise errors.KvError("no answer")
+
+  async def go():
+    task = await curio.spawn(
+        membership.teams_loop, Silent(), _Events().apply, backoff(), 0.0
+    )
+    await until(lambda: waits_ms)
+    await task.cancel()
+
+  curio.run(go)
+  longest_pause_s = 1.5 * membership.SETTINGS_BACKOFF_MAX_S
+  settings_pause_s = settings.EntrySettings.settings_pause_s
+  given_up_s = max(waits_ms) / 1000 + store.WATCH_SLACK_S
+  assert given_up_s + longest_pause_s + settings_pause_s < 5.0
