A holder that was just chosen refuses at once what its endpoints can never do

Callers saw: a job told 'unknown' at the end of its wait (504 after 3 s), some of whose tasks had run, where it could have been refused at once: 131 s of waiting stood against 3.

Cause: until a new holder knows its endpoints it takes every job unseen, and began this one as soon as the first endpoint answered. Nothing looked at a job again that had been taken so.

Change: listed endpoints that have not answered count as free while none has, so that only what could never be in time is refused; jobs taken before the first list are looked at once it is there, and handed back for another data centre to take.

--- a/fescueturn/scheduler/ledger.py
+++ b/fescueturn/scheduler/ledger.py
@@ -210,6 +210,11 @@
         and self.doubted_since is None
     )
 
+  @property
+  def may_be_free(self) -> bool:
+    """True of a listed endpoint that has not told what runs there."""
+    return not self.known and self.listed and not self.info.draining
+
   @property
   def settles_run(self) -> bool:
     """True while the next call is to show what became of a stopped run."""
--- a/fescueturn/scheduler/offers.py
+++ b/fescueturn/scheduler/offers.py
@@ -49,7 +49,7 @@
     refuse(owner, offer, "evacuated", EVACUATED_WAIT_MS)
     return False
   outlook_lib.note_demand(owner, offer)
-  if offer.resumed or owner.just_taken:
+  if offer.resumed or (owner.just_taken and not owner.endpoints):
     return True
   outlook = outlook_lib.outlook(owner, offer)
   must_wait = outlook.wait_s > AT_ONCE_S
@@ -59,6 +59,20 @@
   return True
 
 
+def review(owner: ownerstate.Owner):
+  """Hands back jobs taken unseen that the listed endpoints can't do in time."""
+  unseen = [
+      job for job in owner.jobs.values() if not (job.begun or job.job.kept)
+  ]
+  for job in unseen:
+    del owner.jobs[job.key]
+  for job in unseen:
+    outlook = outlook_lib.outlook(owner, job.offer(owner.now))
+    owner.jobs[job.key] = job
+    if outlook.late_s:
+      outcomes.hand_back(owner, job)
+
+
 def _decline(owner, offer: linkmessages.Offered, outlook: outlook_lib.Outlook):
   in_time = not outlook.late_s
   wait_ms = max(1, int(1000 * (outlook.wait_s if in_time else outlook.late_s)))
--- a/fescueturn/scheduler/outlook.py
+++ b/fescueturn/scheduler/outlook.py
@@ -48,7 +48,8 @@
   records = [
       r
       for r in owner.endpoints.values()
-      if r.usable(owner.now) and r.info.service == job.service
+      if r.info.service == job.service
+      and (r.usable(owner.now) or (owner.just_taken and r.may_be_free))
   ]
   free = admission.free_places(records, widest.need)
   taken = sum(len(r.runs) for r in records)
--- a/fescueturn/scheduler/ownerstate.py
+++ b/fescueturn/scheduler/ownerstate.py
@@ -85,6 +85,7 @@
   def __init__(
       self, offer: linkmessages.Offered, now: float, latest_start: float
   ):
+    self._offer = offer
     self.key = offer.key
     self.job = offer.job
     self.arrived = now - offer.age_s
@@ -122,6 +123,12 @@
     states = (TaskState.ACTIVE, TaskState.DONE)
     return any(task.state in states for task in self.tasks.values())
 
+  def offer(self, now: float) -> linkmessages.Offered:
+    """Returns the job as its coordinator would offer it now."""
+    return dataclasses.replace(
+        self._offer, age_s=now - self.arrived, left_s=self.deadline - now
+    )
+
   def release_steps(self):
     """Makes the tasks wait whose earlier steps are all done."""
     for record in self.tasks.values():
--- a/fescueturn/scheduler/reducer.py
+++ b/fescueturn/scheduler/reducer.py
@@ -94,7 +94,10 @@
 
 def _on_listed(state, event: events.EndpointsListed):
   for owner in state.owners.values():
+    listed_first = owner.listed_at is None
     leases.endpoints_listed(owner, event.endpoints)
+    if listed_first:
+      offers.review(owner)
 
 
 def _on_offered(state, event: linkmessages.Offered) -> list:
