A task that crashes the endpoints that start it is given up

Callers would see: endpoint after endpoint lost to one task, each with what else ran on it, and no answer before the caller's time was over; a kept job would go on for ever.

Cause: a run that went away with its endpoint counted as no attempt, and nothing told a task that crashes endpoints from an endpoint that crashes by itself.

Change: scheduler/crashes.py counts the endpoints lost under a task. A loss is in doubt until another life answers at the address (a crash), and forgotten if the same life does (a cut); an endpoint that leaves as planned is none. With losses a task starts on the endpoint with the fewest runs; with three it starts no more, and with two of them sure its job fails, code 217. A kept job's losses are stored with its progress, and from the second one on before its next start; a job that an earlier holder had is given up one loss sooner, since a holder killed within a second of a loss has not stored it.

Weighed: giving up at two losses (a sound task that meets two crashes of others fails) against three (one start more); counting losses at once against only sure crashes (a task cut off three times would fail; the wait for the third costs a job that crashes endpoints some seconds).

Evidence: tests/test_crashes.py (16).

--- a/fescueturn/codes.py
+++ b/fescueturn/codes.py
@@ -48,6 +48,7 @@
   NO_CONFIG = 214
   NO_QUEUE = 215
   NO_JOB = 216
+  ENDPOINTS_CRASHED = 217
   # The platform's service.
   KV_CONFLICT = 300
   KV_UNAVAILABLE = 301
--- a/fescueturn/emulator/endpoint.py
+++ b/fescueturn/emulator/endpoint.py
@@ -13,6 +13,8 @@
 
 MAX_LEASE_MS = 1000
 STOP_S = 0.03
+# Holders must heed a smaller capacity so long after it was told.
+RESIZED_S = 4.5
 
 
 @dataclasses.dataclass
@@ -36,12 +38,14 @@
     run_s: how long it runs on a usual endpoint.
     fails: True if it fails wherever it runs.
     once: True if it must not start again once it was noted as done.
+    crash_s: how long after its start it crashes its endpoint; None: never.
   """
 
   need: model.Room
   run_s: float
   fails: bool = False
   once: bool = False
+  crash_s: float | None = None
 
 
 class EmulatedEndpoint:
@@ -55,6 +59,8 @@
     busy: it refuses every order.
     loses: share of the calls that get no answer; orders are carried out late.
     late_s: orders are carried out this much later and never answered.
+    reborn: another life answers at its address.
+    on_crash: called when a task has crashed it.
   """
 
   def __init__(
@@ -75,6 +81,8 @@
     self.busy = False
     self.loses = 0.0
     self.late_s = 0.0
+    self.reborn = False
+    self.on_crash: Callable[[EmulatedEndpoint], None] = lambda endpoint: None
     self.starts: list[model.RunId] = []
     self.stops = 0
     self._clock = clock
@@ -84,6 +92,8 @@
     # Tasks whose end as done was noted by a holder.
     self._noted = noted
     self._offset_ms = clock_offset_ms
+    # Capacities told before, and until when they may be used.
+    self._capacities: list[tuple[float, model.Room]] = []
     self._fence = 0
     self._lease_end_ms = 0
     self._runs: dict[model.RunId, _Run] = {}
@@ -105,6 +115,8 @@
   def start(self, order: events.StartRun) -> model.CallResult:
     """Carries out an order to start a run."""
     run_id = order.run
+    if self.reborn:
+      return model.CallResult.GONE
     if self.busy:
       return model.CallResult.BUSY
     if order.fence < self._fence:
@@ -131,9 +143,29 @@
     self.starts.append(run_id)
     self._check(run_id)
     self._clock.at(ends, lambda: self._finish(run_id, how))
+    if work.crash_s is not None:
+      self._clock.after(work.crash_s, lambda: self._crash_under(run_id))
+
+  def _crash_under(self, run_id: model.RunId):
+    if run_id in self._runs and not self.dark:
+      self.crash()
+      self.on_crash(self)
+
+  def resize(self, capacity: model.Room):
+    """Has the endpoint say another capacity from now on."""
+    before = (self._clock.now + RESIZED_S, self.info.capacity)
+    self._capacities.append(before)
+    self.info = dataclasses.replace(self.info, capacity=capacity)
+
+  def _allowed(self) -> model.Room:
+    """Returns the most that may be at work there now."""
+    now = self._clock.now
+    told = [room for until, room in self._capacities if until > now]
+    told.append(self.info.capacity)
+    return max(told, key=lambda room: room.cpu)
 
   def _check(self, run_id: model.RunId):
-    free = self.info.capacity
+    free = self._allowed()
     for run in self._runs.values():
       free = free.minus(run.need)
     if min(free.cpu, free.mem_mb, free.gpu) < 0:
@@ -191,6 +223,8 @@
 
   def stop(self, order: events.StopRun) -> model.CallResult:
     """Carries out an order to stop a run."""
+    if self.reborn:
+      return model.CallResult.GONE
     if order.fence < self._fence:
       return model.CallResult.FENCED
     self._fence = order.fence
@@ -210,6 +244,9 @@
       answer: Callable[[events.LeaseAnswered], None],
   ):
     """Renews the lease; calls `answer` at once, or at the next end."""
+    if self.reborn:
+      answer(self._lists(call, model.CallResult.GONE))
+      return
     if call.fence < self._fence:
       answer(self._lists(call, model.CallResult.FENCED))
       return
--- a/fescueturn/emulator/fleet.py
+++ b/fescueturn/emulator/fleet.py
@@ -60,6 +60,9 @@
     self.noted: set[model.Task] = set()
     self._asked_at: dict[int, float] = {}
     self._store = fleetstore.FleetStore(self)
+    # How long a crashed endpoint takes to be back.
+    self.crashed_s = 3.0
+    self._lives = 0
     self._boots = 0
     self._requests = 0
     self._default_work: Callable[[model.Task], endpoint_lib.Work] | None = None
@@ -93,9 +96,23 @@
     endpoint = endpoint_lib.EmulatedEndpoint(
         info, self.clock, self._work_of, self.broken, self.alive, self.noted
     )
+    endpoint.on_crash = self._crashed
     self.endpoints[name] = endpoint
     return endpoint
 
+  def _crashed(self, endpoint: endpoint_lib.EmulatedEndpoint):
+    """Has a crashed endpoint back after a while, as another life."""
+    self.clock.after(self.crashed_s, lambda: self.rebirth(endpoint))
+
+  def rebirth(self, endpoint: endpoint_lib.EmulatedEndpoint):
+    """Starts another life at a crashed endpoint's address."""
+    info = endpoint.info
+    endpoint.reborn, endpoint.dark = True, False
+    self._lives += 1
+    name = f"{info.address.host}.{self._lives}"
+    made = self.add_endpoint(name, info.data_centre, info.capacity.cpu)
+    made.info = dataclasses.replace(made.info, address=info.address)
+
   def _work_of(self, task: model.Task) -> endpoint_lib.Work:
     return self.work[task]
 
@@ -107,8 +124,17 @@
       job: model.Job,
       run_s: list[float],
       deadline_s: float = 2.0,
+      crash_s: float | None = None,
   ) -> int:
-    """Hands in a job at a host; `run_s` are its tasks' true run times.
+    """Hands in a job at a host.
+
+    Args:
+      host: the host's name.
+      job: the job.
+      run_s: its tasks' true run times (s).
+      deadline_s: how long its caller waits.
+      crash_s: how long after its start its first task crashes its endpoint;
+        None: never.
 
     Returns:
       The request's number, by which `answers` holds the answer.
@@ -120,6 +146,8 @@
     ]
     for (task, need), seconds in zip(tasks, run_s, strict=True):
       self.work[task] = endpoint_lib.Work(need, seconds, once=job.kept)
+    if crash_s is not None:
+      self.work[tasks[0][0]].crash_s = crash_s
     self._requests += 1
     request = self._requests
     self._asked_at[request] = self.clock.now
@@ -305,7 +333,7 @@
     listed = tuple(
         e.info
         for name, e in self.endpoints.items()
-        if not e.dark and name not in self.unlisted
+        if not (e.dark or e.reborn) and name not in self.unlisted
     )
     self.clock.after(
         2 * fleetstore.STORE_S,
--- a/fescueturn/explain.py
+++ b/fescueturn/explain.py
@@ -50,6 +50,13 @@
     "start_failed": (
         "the order to start task {step}.{task} on {endpoint} failed: {result}"
     ),
+    "task_suspected": (
+        "task {step}.{task} lost {endpoint} on its start {attempt}, its"
+        " endpoint number {losses}; {crashes} of them surely crashed"
+    ),
+    "task_given_up": (
+        "task {step}.{task} was given up: it crashed {crashed}; in doubt: {lost}"
+    ),
     "no_route": (
         "no queue for {method} {path} in configuration version {config}, last"
         " confirmed by the store {unheard_ms} ms before"
--- a/fescueturn/platform/callers.py
+++ b/fescueturn/platform/callers.py
@@ -12,6 +12,7 @@
 from fescueturn.platform import keeper
 from fescueturn.platform import wire
 from fescueturn.scheduler import coordinator
+from fescueturn.scheduler import crashes
 from fescueturn.scheduler import events
 from fescueturn.scheduler import figures
 from fescueturn.scheduler import host as host_lib
@@ -313,13 +314,20 @@
   return _error(status, code, why, (("retry-after", str(after_s)),))
 
 
+def _failed_body(reason: str) -> dict[str, object]:
+  body: dict[str, object] = {"state": _STATE_NAMES[model.KeptState.FAILED]}
+  if reason == crashes.REASON:
+    body["code"] = int(codes.Code.ENDPOINTS_CRASHED)
+  return body
+
+
 def _to_http(answer: events.Answer) -> httpio.Response:
   if answer.outcome is model.Outcome.KEPT:
     return httpio.json_response(200, {"state": "queued"})
   if answer.outcome is model.Outcome.DONE:
     return httpio.json_response(200, {"state": "succeeded"})
   if answer.outcome is model.Outcome.FAILED:
-    return httpio.json_response(200, {"state": "failed"})
+    return httpio.json_response(200, _failed_body(answer.reason))
   after_s = answer.retry_after_s
   if answer.outcome is not model.Outcome.NOT_RUN:
     # The caller may send it again, and it may then run again.
--- /dev/null
+++ b/fescueturn/scheduler/crashes.py
@@ -0,0 +1,170 @@
+"""Tasks that take their endpoints down: the endpoints lost under each are counted.
+
+An endpoint that falls silent under a task may have crashed or be cut off: the
+loss is doubtful until another life answers at its address, and forgotten if the
+same life does. A task under which too many have crashed is given up.
+"""
+
+from fescueturn.scheduler import events
+from fescueturn.scheduler import keeping
+from fescueturn.scheduler import ledger
+from fescueturn.scheduler import ownerstate
+
+# Why a job failed whose task was given up.
+REASON = "endpoints_crashed"
+# A task that lost so many endpoints is suspected: one that crashes for a reason of
+# its own takes a task with it in one of some hundred runs, two one after the other
+# in one of ten thousand.
+SUSPECTED_LOSSES = 2
+# A task that lost so many starts no more until it is known what became of them. A
+# crashed endpoint is back after some seconds; a task is lost anew each second.
+MOST_LOSSES = 3
+# The same for a job that an earlier holder had: one that is killed within a second
+# of a loss has not stored it.
+MOST_LOSSES_RESUMED = 2
+# It is given up once all of these but so many have surely crashed: the endpoint of an
+# earlier holder's loss may never be heard of again.
+MOST_DOUBTFUL = 1
+# An endpoint that crashed this short a time ago may be one that does so by itself.
+LATELY_S = 15.0
+
+
+def note_loss(owner: ownerstate.Owner, record, run: ledger.Run):
+  """Counts the endpoint as lost under the run's task, if it is its run.
+
+  An endpoint that leaves as planned takes its runs with it, and is no loss.
+  """
+  job = owner.by_id.get(run.id.task.job_id)
+  task = job.tasks.get(run.id.task) if job else None
+  if task is None or task.run != run.id or record.info.draining:
+    return
+  name = record.info.id
+  task.lost_with.add(name)
+  _doubt(owner, name, task)
+  if job.job.kept:
+    _save(owner, job, name)
+  losses = _losses(task)
+  if losses < SUSPECTED_LOSSES:
+    return
+  owner.counters["task_suspected"] += 1
+  owner.out(
+      ownerstate.run_log(
+          "task_suspected",
+          record,
+          run,
+          losses=losses,
+          crashes=len(task.crashed),
+          lived_ms=int((record.heard_at - run.since) * 1000),
+      )
+  )
+
+
+def _doubt(owner, name: str, task: ownerstate.TaskRecord):
+  loss = owner.lost_under.setdefault(name, ownerstate.Loss(owner.now))
+  loss.tasks.add(task.task)
+
+
+def _losses(task: ownerstate.TaskRecord) -> int:
+  return len(task.lost_with) + len(task.crashed)
+
+
+def _most_losses(job: ownerstate.JobRecord) -> int:
+  return MOST_LOSSES_RESUMED if job.resumed else MOST_LOSSES
+
+
+def _save(owner, job: ownerstate.JobRecord, endpoint: str):
+  """Has what a job's tasks lost written to the store."""
+  unsaved = owner.keeper.unsaved.setdefault(job.job.id, set())
+  unsaved.add((endpoint, keeping.LOSS))
+
+
+def endpoint_crashed(
+    owner: ownerstate.Owner, record
+) -> list[ownerstate.JobRecord]:
+  """Takes it that the endpoint surely crashed; returns the jobs that lost it."""
+  name = record.info.id
+  owner.crashed_at[record.info.address] = owner.now
+  jobs = {}
+  for job, task in _take_losses(owner, name):
+    task.lost_with.discard(name)
+    task.crashed.add(name)
+    jobs[job.key] = job
+    if job.job.kept:
+      _save(owner, job, name)
+  return list(jobs.values())
+
+
+def _take_losses(owner, name: str):
+  """Returns the tasks that lost an endpoint, each with its job."""
+  loss = owner.lost_under.pop(name, None)
+  tasks = loss.tasks if loss is not None else ()
+  jobs = [(owner.by_id.get(task.job_id), task) for task in tasks]
+  return [(job, job.tasks[task]) for job, task in jobs if job is not None]
+
+
+def endpoint_lives(owner: ownerstate.Owner, name: str):
+  """Takes it that an endpoint did not crash, or that it can't be told."""
+  for _, task in _take_losses(owner, name):
+    task.lost_with.discard(name)
+
+
+def resume(owner: ownerstate.Owner, job: ownerstate.JobRecord):
+  """Takes up the losses that an earlier holder has counted for a job."""
+  for task in job.tasks.values():
+    for name in task.lost_with:
+      _doubt(owner, name, task)
+
+
+def held(
+    owner: ownerstate.Owner,
+    job: ownerstate.JobRecord,
+    task: ownerstate.TaskRecord,
+) -> bool:
+  """Returns whether a task must not start yet for the endpoints it lost."""
+  losses = _losses(task)
+  if losses < SUSPECTED_LOSSES:
+    return False
+  # The next holder must know of them before another endpoint is put at risk.
+  unsaved = job.job.kept and owner.keeper.saves_loss(job.job.id)
+  return unsaved or losses >= _most_losses(job)
+
+
+def condemned(job: ownerstate.JobRecord, task: ownerstate.TaskRecord) -> bool:
+  """Returns whether a task surely crashes the endpoints that start it."""
+  most = _most_losses(job)
+  sure = len(task.crashed) >= most - MOST_DOUBTFUL
+  return _losses(task) >= most and sure
+
+
+def crashed_lately(owner: ownerstate.Owner, record) -> bool:
+  """Returns whether an earlier life at the endpoint's address crashed of late."""
+  at = owner.crashed_at.get(record.info.address)
+  return at is not None and owner.now - at < LATELY_S
+
+
+def forget_old(owner: ownerstate.Owner):
+  """Forgets crashes, and losses in doubt, that say nothing any more."""
+  old = [a for a, at in owner.crashed_at.items() if owner.now - at > LATELY_S]
+  for address in old:
+    del owner.crashed_at[address]
+  untold = [
+      name
+      for name, loss in owner.lost_under.items()
+      if name not in owner.endpoints and owner.now - loss.since > LATELY_S
+  ]
+  for name in untold:
+    endpoint_lives(owner, name)
+
+
+def give_up_log(job: ownerstate.JobRecord) -> events.Log:
+  """Returns the log line of a job given up for the endpoints it crashed."""
+  task = next(t for t in job.tasks.values() if condemned(job, t))
+  return events.log(
+      "task_given_up",
+      job=job.job.id,
+      step=task.task.step,
+      task=task.task.index,
+      starts=task.attempt,
+      crashed=",".join(sorted(task.crashed)),
+      lost=",".join(sorted(task.lost_with)) or "none",
+  )
--- a/fescueturn/scheduler/keeping.py
+++ b/fescueturn/scheduler/keeping.py
@@ -36,8 +36,10 @@
 # often: they wait no longer, against a bound of 3 s for a task that could run.
 LIST_OPEN_S = 1.0
 
-# An end that an endpoint lists: its endpoint and its number there.
+# An end that an endpoint lists: its endpoint and its number there, from 1.
 EndName = tuple[str, int]
+# In the place of such a number: the endpoint was lost under a task.
+LOSS = 0
 
 
 def job_key(job_id: str) -> linkmessages.JobKey:
@@ -212,6 +214,11 @@
     self._revision = written.revision
     return changes
 
+  def saves_loss(self, job_id: str) -> bool:
+    """Returns whether endpoints that a job lost are not in the store yet."""
+    ends = self.unsaved.get(job_id, ())
+    return any(number == LOSS for _, number in ends)
+
   def take_saved(self, job_id: str) -> frozenset[EndName]:
     """Returns the ends of a job that the write has put into the store."""
     saved = self._ends_in_flight.pop(job_id, frozenset())
--- a/fescueturn/scheduler/keptcodec.py
+++ b/fescueturn/scheduler/keptcodec.py
@@ -85,10 +85,22 @@
           "failed": [
               [r.task.step, r.task.index, r.attempt] for r in progress.failed
           ],
+          "crashed": _loss_rows(progress.crashed),
+          "lost": _loss_rows(progress.lost),
       }
   )
 
 
+def _loss_rows(losses: tuple[tuple[model.Task, str], ...]) -> list:
+  return [[task.step, task.index, endpoint] for task, endpoint in losses]
+
+
+def _losses(job_id: str, rows: list) -> tuple[tuple[model.Task, str], ...]:
+  return tuple(
+      (model.Task(job_id, step, i), endpoint) for step, i, endpoint in rows
+  )
+
+
 def decode_progress(job_id: str, value: bytes) -> model.Progress:
   """Returns what is over of a job, from its record.
 
@@ -103,8 +115,11 @@
             model.RunId(model.Task(job_id, step, i), attempt)
             for step, i, attempt in raw["failed"]
         ),
+        # Records of earlier versions have no losses.
+        _losses(job_id, raw.get("crashed", ())),
+        _losses(job_id, raw.get("lost", ())),
     )
-  except (KeyError, TypeError, ValueError) as exc:
+  except (AttributeError, KeyError, TypeError, ValueError) as exc:
     raise MalformedRecordError(f"progress of {job_id}: {exc!r}") from exc
 
 
--- a/fescueturn/scheduler/keptjobs.py
+++ b/fescueturn/scheduler/keptjobs.py
@@ -2,6 +2,7 @@
 
 import math
 
+from fescueturn.scheduler import crashes
 from fescueturn.scheduler import events
 from fescueturn.scheduler import keeping
 from fescueturn.scheduler import keptevents
@@ -101,6 +102,11 @@
     task.failed.add(run.attempt)
     # Another shard may have counted further: no number stands for two runs.
     task.attempt = max(task.attempt, run.attempt)
+  for task, endpoint in progress.crashed:
+    record.tasks[task].crashed.add(endpoint)
+  for task, endpoint in progress.lost:
+    record.tasks[task].lost_with.add(endpoint)
+  crashes.resume(owner, record)
   for task in progress.done:
     record.task_done(record.tasks[task])
   offers.find_runs(owner, record)
@@ -208,7 +214,7 @@
   """Endpoints may forget these ends: they are in the store, or not needed."""
   for endpoint, number in ends:
     record = owner.endpoints.get(endpoint)
-    if record is not None:
+    if record is not None and number != keeping.LOSS:
       record.end_saved(number)
       if not record.unsaved:
         leases.call_lease(owner, record)
@@ -325,7 +331,13 @@
       for task in job.tasks.values()
       for attempt in sorted(task.failed)
   ]
-  return model.Progress(tuple(done), tuple(failed))
+  tasks = job.tasks.values()
+  return model.Progress(
+      tuple(done),
+      tuple(failed),
+      tuple((t.task, name) for t in tasks for name in sorted(t.crashed)),
+      tuple((t.task, name) for t in tasks for name in sorted(t.lost_with)),
+  )
 
 
 def pending(owner: ownerstate.Owner) -> dict[str, int]:
--- a/fescueturn/scheduler/leases.py
+++ b/fescueturn/scheduler/leases.py
@@ -4,6 +4,7 @@
 capacity, orders without an answer counted.
 """
 
+from fescueturn.scheduler import crashes
 from fescueturn.scheduler import events
 from fescueturn.scheduler import ledger
 from fescueturn.scheduler import model
@@ -132,10 +133,11 @@
 def _take_lists(owner, record, event: events.LeaseAnswered):
   newly_known = not record.known
   record.known = True
+  crashes.endpoint_lives(owner, record.info.id)
   for ended in event.ended:
     if ended.number > record.last_seen:
       record.last_seen = ended.number
-      _run_ended(owner, record, ended)
+      outcomes.end_listed(owner, record, ended)
   listed = {r.run for r in event.running}
   for running in event.running:
     _run_listed(owner, record, running)
@@ -186,56 +188,6 @@
   owner.out(ownerstate.run_log("run_adopted", record, run))
 
 
-def _run_ended(owner, record, ended: model.Ended):
-  _keep_end(owner, record, ended)
-  run = record.runs.get(ended.run)
-  known = run is not None and ended.run.task.job_id in owner.by_id
-  if run is not None:
-    outcomes.run_over(owner, record, run, ended.how, "listed")
-  if not known:
-    _end_of_unknown(owner, ended)
-
-
-def _keep_end(owner, record, ended: model.Ended):
-  """Has the endpoint list the end of a kept task until it is in the store."""
-  if ended.how is model.EndHow.LOST:
-    return
-  keeper = owner.keeper
-  job = owner.by_id.get(ended.run.task.job_id)
-  if job is not None and job.job.kept:
-    waiting = keeper.unsaved
-  elif not keeper.loaded:
-    waiting = keeper.early_ends
-  else:
-    return
-  record.unsaved.add(ended.number)
-  ends = waiting.setdefault(ended.run.task.job_id, set())
-  ends.add((record.info.id, ended.number))
-
-
-def _end_of_unknown(owner, ended: model.Ended):
-  """Takes the end of a run that an earlier holder ordered.
-
-  Its job may have been offered already, or may still be.
-  """
-  task, attempt, how = ended.run.task, ended.run.attempt, ended.how
-  failed = frozenset((attempt,) if how is model.EndHow.FAILED else ())
-  earlier = owner.early_ends.get(task)
-  if earlier is not None:
-    attempt = max(attempt, earlier.attempt)
-    failed |= earlier.failed
-    if earlier.how is model.EndHow.DONE:
-      how = earlier.how
-  until = owner.now + ownerstate.EARLY_ENDS_KEEP_S
-  early = ownerstate.EarlyEnd(attempt, how, until, failed)
-  job = owner.by_id.get(task.job_id)
-  if job is None:
-    owner.early_ends[task] = early
-    return
-  outcomes.take_early_end(job, task, early)
-  outcomes.end_if_over(owner, job)
-
-
 def _call_failed(owner, record, result: model.CallResult):
   """A lease call was not answered as it should be."""
   if result is model.CallResult.FENCED:
@@ -298,16 +250,28 @@
   """Another life answered at its address: this one is not asked for again."""
   owner.gone.add((record.info.id, record.info.address))
   owner.heard_from(record.info.id)
-  endpoint_gone(owner, record)
+  endpoint_gone(owner, record, crashed=True)
 
 
-def endpoint_gone(owner, record):
-  """Nothing of this life of a machine is left."""
-  owner.out(ownerstate.endpoint_log("endpoint_gone", record))
+def endpoint_gone(owner, record, crashed: bool):
+  """Nothing of this life of a machine is left.
+
+  Args:
+    owner: the owner.
+    record: the endpoint.
+    crashed: False if it was last heard so long ago that it can't be told.
+  """
+  owner.out(ownerstate.endpoint_log("endpoint_gone", record, crashed=crashed))
   record.listed = False
   for run in list(record.runs.values()):
+    crashes.note_loss(owner, record, run)
     outcomes.run_over(owner, record, run, model.EndHow.LOST, "endpoint_gone")
   owner.endpoints.pop(record.info.id, None)
+  if not crashed:
+    crashes.endpoint_lives(owner, record.info.id)
+    return
+  for job in crashes.endpoint_crashed(owner, record):
+    outcomes.end_if_over(owner, job)
 
 
 def start_answered(owner: ownerstate.Owner, event: events.StartAnswered):
--- a/fescueturn/scheduler/model.py
+++ b/fescueturn/scheduler/model.py
@@ -163,10 +163,14 @@
   Attributes:
     done: its tasks that ended well.
     failed: its runs that failed.
+    crashed: its tasks and the endpoints that crashed under each.
+    lost: its tasks and the endpoints lost under each that may have crashed.
   """
 
   done: tuple[Task, ...] = ()
   failed: tuple[RunId, ...] = ()
+  crashed: tuple[tuple[Task, str], ...] = ()
+  lost: tuple[tuple[Task, str], ...] = ()
 
 
 @dataclasses.dataclass(frozen=True)
--- a/fescueturn/scheduler/orders.py
+++ b/fescueturn/scheduler/orders.py
@@ -1,5 +1,6 @@
 """An owner's orders: which waiting task starts where, and what is stopped."""
 
+from fescueturn.scheduler import crashes
 from fescueturn.scheduler import events
 from fescueturn.scheduler import ledger
 from fescueturn.scheduler import model
@@ -31,7 +32,7 @@
     if job.returning or (job.resumed and not owner.settled):
       continue
     for task in list(job.waiting):
-      if task.previous is not None:
+      if task.previous is not None or crashes.held(owner, job, task):
         continue
       record = _choose(owner, job, task, usable)
       if record is None:
@@ -41,8 +42,8 @@
 
 def _choose(owner, job, task: ownerstate.TaskRecord, usable):
   """Returns the quickest endpoint with room for the task, or None."""
-  del owner
   step = task.step
+  lost = bool(task.lost_with or task.crashed)
   best, best_rank = None, None
   for record in usable:
     if record.info.service != job.job.service or not record.fits(step.need):
@@ -55,7 +56,15 @@
       continue
     near = not step.near or step.near in record.info.labels
     left = record.info.id == task.moved_from
-    rank = (left, not near, round(record.slowness, 1), -record.free.cpu)
+    # A task that may take its endpoint down puts as few others at risk as can be.
+    risk = (crashes.crashed_lately(owner, record), len(record.runs))
+    rank = (
+        left,
+        risk if lost else (),
+        not near,
+        round(record.slowness, 1),
+        -record.free.cpu,
+    )
     if best is None or rank < best_rank:
       best, best_rank = record, rank
   return best
--- a/fescueturn/scheduler/outcomes.py
+++ b/fescueturn/scheduler/outcomes.py
@@ -4,6 +4,7 @@
 ended, surely will never start, or its lease is over.
 """
 
+from fescueturn.scheduler import crashes
 from fescueturn.scheduler import events
 from fescueturn.scheduler import ledger
 from fescueturn.scheduler import linkmessages
@@ -86,12 +87,66 @@
     job.task_done(task)
 
 
+def end_listed(owner, record, ended: model.Ended):
+  """Takes an end of a run that an endpoint lists."""
+  _keep_end(owner, record, ended)
+  run = record.runs.get(ended.run)
+  known = run is not None and ended.run.task.job_id in owner.by_id
+  if run is not None:
+    run_over(owner, record, run, ended.how, "listed")
+  if not known:
+    _end_of_unknown(owner, ended)
+
+
+def _keep_end(owner, record, ended: model.Ended):
+  """Has the endpoint list the end of a kept task until it is in the store."""
+  if ended.how is model.EndHow.LOST:
+    return
+  keeper = owner.keeper
+  job = owner.by_id.get(ended.run.task.job_id)
+  if job is not None and job.job.kept:
+    waiting = keeper.unsaved
+  elif not keeper.loaded:
+    waiting = keeper.early_ends
+  else:
+    return
+  record.unsaved.add(ended.number)
+  ends = waiting.setdefault(ended.run.task.job_id, set())
+  ends.add((record.info.id, ended.number))
+
+
+def _end_of_unknown(owner, ended: model.Ended):
+  """Takes the end of a run that an earlier holder ordered.
+
+  Its job may have been offered already, or may still be.
+  """
+  task, attempt, how = ended.run.task, ended.run.attempt, ended.how
+  failed = frozenset((attempt,) if how is model.EndHow.FAILED else ())
+  earlier = owner.early_ends.get(task)
+  if earlier is not None:
+    attempt = max(attempt, earlier.attempt)
+    failed |= earlier.failed
+    if earlier.how is model.EndHow.DONE:
+      how = earlier.how
+  until = owner.now + ownerstate.EARLY_ENDS_KEEP_S
+  early = ownerstate.EarlyEnd(attempt, how, until, failed)
+  job = owner.by_id.get(task.job_id)
+  if job is None:
+    owner.early_ends[task] = early
+    return
+  take_early_end(job, task, early)
+  end_if_over(owner, job)
+
+
 def end_if_over(owner, job: ownerstate.JobRecord):
   """Ends a job that is done, or has a task that failed too often."""
   if job.done:
     end_job(owner, job, model.Outcome.DONE, "done")
   elif any(used_up(job, task) for task in job.tasks.values()):
     end_job(owner, job, model.Outcome.FAILED, "attempts_used")
+  elif any(crashes.condemned(job, task) for task in job.tasks.values()):
+    owner.out(crashes.give_up_log(job))
+    end_job(owner, job, model.Outcome.FAILED, crashes.REASON)
 
 
 def hand_back(owner, job: ownerstate.JobRecord):
@@ -136,6 +191,7 @@
   owner.out(
       ownerstate.run_log("run_ended", record, run, how="lost", why="lapsed")
   )
+  crashes.note_loss(owner, record, run)
   run.given_back = True
   if run.state is not ledger.RunState.STOPPING:
     run.state = ledger.RunState.UNSURE
--- a/fescueturn/scheduler/owner.py
+++ b/fescueturn/scheduler/owner.py
@@ -5,6 +5,7 @@
 
 import zlib
 
+from fescueturn.scheduler import crashes
 from fescueturn.scheduler import events
 from fescueturn.scheduler import keptjobs
 from fescueturn.scheduler import leases
@@ -42,6 +43,7 @@
   if owner.keeper.loaded:
     _drop_early_ends(owner)
   keptjobs.tick(owner)
+  crashes.forget_old(owner)
   orders.place(owner)
 
 
@@ -112,7 +114,7 @@
     _tend_run(owner, record, run)
   if record.forgotten(owner.now):
     owner.out(ownerstate.endpoint_log("endpoint_forgotten", record))
-    leases.endpoint_gone(owner, record)
+    leases.endpoint_gone(owner, record, crashed=False)
     return
   silent = record.silent_since is not None
   wants_call = record.runs or silent or not record.known or record.acknowledges
--- a/fescueturn/scheduler/ownerstate.py
+++ b/fescueturn/scheduler/ownerstate.py
@@ -53,6 +53,9 @@
     self.attempt = 0
     # Attempts that failed.
     self.failed: set[int] = set()
+    # Endpoints lost under it: those that surely crashed, and those in doubt.
+    self.crashed: set[str] = set()
+    self.lost_with: set[str] = set()
     self.run: model.RunId | None = None
     self.endpoint = ""
     # The endpoint where a run of it was stopped for being slow, if any.
@@ -155,6 +158,14 @@
     self.waiting.insert(0, record)
 
 
+class Loss:
+  """An endpoint that fell silent under tasks: since when, and which."""
+
+  def __init__(self, since: float):
+    self.since = since
+    self.tasks: set[model.Task] = set()
+
+
 @dataclasses.dataclass(frozen=True)
 class EarlyEnd:
   """Ends of a task that were listed before its job was known here.
@@ -219,6 +230,10 @@
     # When the list of endpoints was last read.
     self.listed_at: float | None = None
     self.early_ends: dict[model.Task, EarlyEnd] = {}
+    # Endpoints lost under tasks, of which it is in doubt whether they crashed.
+    self.lost_under: dict[str, Loss] = {}
+    # When an endpoint last crashed at an address.
+    self.crashed_at: dict[settings.Address, float] = {}
     self.demand = shares.Demand()
     self.fenced = False
     self.patient_until = now
--- /dev/null
+++ b/tests/test_crashes.py
@@ -0,0 +1,129 @@
+"""Tasks that crash the endpoints that start them, in an emulated fleet."""
+
+import pytest
+
+from fescueturn.emulator import fleet as fleet_lib
+from fescueturn.scheduler import crashes as crashes_lib
+from fescueturn.scheduler import keptcodec
+from fescueturn.scheduler import model
+from tests import fleets
+from tests import test_kept_jobs as kept
+
+# Three endpoints lost, and the two starts more that are allowed after that.
+MOST_STARTS = 5
+CRASH_S = (0.001, 0.05, 0.3)
+
+
+def starts_of(made: fleet_lib.Fleet, job_id: str, index: int = 0) -> int:
+  return sum(
+      run.task == model.Task(job_id, 0, index)
+      for endpoint in made.endpoints.values()
+      for run in endpoint.starts
+  )
+
+
+def crashes(made: fleet_lib.Fleet) -> int:
+  return sum(endpoint.reborn for endpoint in made.endpoints.values())
+
+
+def hand_in(made, host: str, name: str, crash_s: float | None, is_kept=True):
+  make = kept.job if is_kept else fleets.job
+  wanted = make(name, 2, 400)
+  return made.submit(host, wanted, [0.4] * 2, 20.0, crash_s)
+
+
+@pytest.mark.parametrize("crash_s", CRASH_S)
+def test_kept_task_that_crashes_its_endpoints_is_given_up(crash_s):
+  made = fleets.fleet()
+  hand_in(made, "a0", "bad", crash_s)
+  made.clock.run_until(20)
+  assert made.kept.states["bad"] is model.KeptState.FAILED
+  assert starts_of(made, "bad") <= MOST_STARTS
+  assert crashes(made) <= MOST_STARTS
+  assert made.broken == []
+
+
+@pytest.mark.parametrize("crash_s", CRASH_S)
+def test_caller_is_told_at_once_that_its_task_crashes_endpoints(crash_s):
+  made = fleets.fleet()
+  request = hand_in(made, "a0", "bad", crash_s, is_kept=False)
+  made.clock.run_until(20)
+  answered = made.answers[request].answer
+  assert answered.outcome is model.Outcome.FAILED
+  assert answered.reason == crashes_lib.REASON
+  assert starts_of(made, "bad") <= 3
+  assert made.answers[request].took_s < 10
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_losses_are_counted_across_changes_of_holder(seed):
+  made = fleets.fleet(seed=seed)
+  hand_in(made, "a0", "bad", 0.05)
+  for number in range(4):
+    when = made.rng.uniform(0.3, 1.5) * (number + 1)
+
+    def kill():
+      holders = [h for h in fleets.zone_hosts(made, "a") if h.state.owners]
+      for host in holders:
+        made.kill(host.name)
+        made.clock.after(0.5, lambda h=host: made.add_host(h.name, "a"))
+
+    made.clock.at(1.2 + when, kill)
+  made.clock.run_until(40)
+  assert starts_of(made, "bad") <= MOST_STARTS
+  assert made.broken == []
+
+
+def test_task_whose_endpoints_were_cut_off_is_not_given_up():
+  made = fleets.fleet()
+  hand_in(made, "a0", "good", None)
+  for _ in range(4):
+    made.clock.run_until(made.clock.now + 0.1)
+    for endpoint in made.endpoints.values():
+      if any(run.task.job_id == "good" for run in endpoint.running):
+        endpoint.dark = True
+        made.clock.after(4.0, lambda e=endpoint: setattr(e, "dark", False))
+    made.clock.run_until(made.clock.now + 1.2)
+  made.clock.run_until(30)
+  assert made.kept.states["good"] is model.KeptState.DONE
+  assert made.broken == []
+
+
+def test_job_whose_endpoint_crashed_under_another_task_is_done():
+  made = fleets.fleet(seed=3)
+  requests = fleets.load(made, fleets.zone_hosts(made, "a"), 8, 10)
+  for number in range(3):
+    made.clock.at(
+        2.0 + number,
+        lambda n=number: hand_in(made, "a0", f"bad{n}", 0.05),
+    )
+  made.clock.run_until(25)
+  found = fleets.outcomes(made, requests)
+  assert found.get(model.Outcome.FAILED, 0) == 0
+  assert found[model.Outcome.DONE] > 0.9 * len(requests)
+  for number in range(3):
+    assert made.kept.states[f"bad{number}"] is model.KeptState.FAILED
+    assert starts_of(made, f"bad{number}") <= MOST_STARTS
+  assert made.broken == []
+
+
+def test_endpoints_that_leave_as_planned_are_no_losses():
+  made = fleets.fleet()
+  hand_in(made, "a0", "good", None)
+  made.clock.run_until(1.1)
+  (owner,) = fleets.owner_of(made, "a").state.owners.values()
+  (record,) = [r for r in owner.endpoints.values() if r.runs][:1]
+  made.drain(record.info.id)
+  made.clock.run_until(2.2)
+  assert not owner.lost_under
+
+
+def test_losses_survive_in_the_store():
+  task = model.Task("k", 0, 1)
+  progress = model.Progress(
+      (), (), ((task, "e1"), (task, "e2")), ((task, "e3"),)
+  )
+  stored = keptcodec.encode_progress(progress)
+  assert keptcodec.decode_progress("k", stored) == progress
+  earlier = b'{"done":[[0,1]],"failed":[]}'
+  assert keptcodec.decode_progress("k", earlier) == model.Progress((task,))
--- a/tests/test_random_faults.py
+++ b/tests/test_random_faults.py
@@ -12,6 +12,7 @@
 from fescueturn.scheduler import events
 from fescueturn.scheduler import model
 from tests import fleets
+from tests import test_kept_jobs
 
 LOAD_S = 16
 LOAD_PER_S = 60
@@ -100,6 +101,21 @@
 
     self._later(mend)
 
+  def fault_task_crashes_its_endpoints(self):
+    made = self._made
+    host = self._rng.choice([h for h in made.hosts.values() if h.up])
+    name = f"crash{self._rng.random()}"
+    wanted = test_kept_jobs.job(name, 2, 200)
+    crash_s = self._rng.choice((0.001, 0.1))
+    made.submit(host.name, wanted, [0.2] * 2, 5.0, crash_s)
+
+  def fault_capacity_moves(self):
+    endpoint = self._made.endpoints[self._rng.choice(self._names)]
+    before = endpoint.info.capacity
+    cpu = self._rng.choice((0, 27000, 40000, 150000))
+    endpoint.resize(model.Room(cpu, before.mem_mb, before.gpu))
+    self._later(lambda: endpoint.resize(before))
+
   def fault_planned_stop(self):
     host = self._host()
     host.apply(events.DrainStarted())
