Only the newest configuration of one answer is put in force; room that moves has tests

A configuration that can't be read leaves the newest readable one in force, as before.

Evidence: test_newest_configuration_of_one_answer_is_told_alone failed before (all seven were told). tests/test_ledger.py has a property over any order of listings, orders, stops and lost answers: no start beyond the capacity told last.

--- a/fescueturn/platform/configuration.py
+++ b/fescueturn/platform/configuration.py
@@ -104,8 +104,7 @@
       else:
         found = await client.watch(PREFIX, revision, watch_ms)
       revision = found.revision
-      for item in found.items:
-        await _tell_config(item, on_config)
+      await _tell_newest(found.items, on_config)
       changed = [_note(item, evacuations) for item in found.items]
       if anew or any(changed):
         requests = tuple(evacuations.values())
@@ -131,15 +130,18 @@
   return True
 
 
-async def _tell_config(item: kvtypes.Item, on_config: OnConfig):
-  if item.key != KEY or item.value is None:
-    return
-  try:
-    config = decode(item.value)
-  except errors.SettingsError as exc:
-    # The configuration before stays in force.
-    logger.error(
-        'event=config_rejected revision={} error="{}"', item.revision, exc
-    )
+async def _tell_newest(items: tuple[kvtypes.Item, ...], on_config: OnConfig):
+  """Tells the newest configuration of one answer; those before it are over."""
+  for item in sorted(items, key=lambda item: -item.revision):
+    if item.key != KEY or item.value is None:
+      continue
+    try:
+      config = decode(item.value)
+    except errors.SettingsError as exc:
+      # The configuration before stays in force.
+      logger.error(
+          'event=config_rejected revision={} error="{}"', item.revision, exc
+      )
+      continue
+    await on_config(config)
     return
-  await on_config(config)
--- /dev/null
+++ b/tests/test_ledger.py
@@ -0,0 +1,97 @@
+"""Room at an endpoint, whatever its capacity does."""
+
+import dataclasses
+
+import hypothesis
+from hypothesis import strategies
+
+from fescueturn import settings
+from fescueturn.scheduler import ledger
+from fescueturn.scheduler import model
+
+NEED = model.Room(27000, 64, 0)
+SLOTS = 8
+
+
+def endpoint(cpu: int) -> model.Endpoint:
+  address = settings.Address("e", 1)
+  room = model.Room(cpu, 131072, 0)
+  return model.Endpoint("e", address, "s", "a", SLOTS, False, room)
+
+
+def run(number: int, need=NEED) -> ledger.Run:
+  task = model.Task("j", 0, number)
+  return ledger.Run(
+      model.RunId(task, 1), need, ledger.RunState.ORDERED, 0.0, 100
+  )
+
+
+def test_endpoint_that_shrank_takes_nothing_until_its_runs_fit():
+  record = ledger.EndpointRecord(endpoint(96000), 0.0)
+  runs = [run(number) for number in range(3)]
+  for ordered in runs:
+    record.add(ordered)
+  record.update(endpoint(64000))
+  assert not record.fits(NEED)
+  record.remove(runs[0].id)
+  assert not record.fits(NEED)
+  record.remove(runs[1].id)
+  assert record.fits(NEED)
+
+
+def test_endpoint_that_grew_takes_more_than_it_first_could():
+  record = ledger.EndpointRecord(endpoint(27000), 0.0)
+  record.add(run(0))
+  assert not record.fits(NEED)
+  record.update(endpoint(108000))
+  assert record.free.count(NEED) == 3
+
+
+STEPS = strategies.lists(
+    strategies.one_of(
+        strategies.tuples(
+            strategies.just("listed"), strategies.integers(0, 200_000)
+        ),
+        strategies.tuples(
+            strategies.just("start"), strategies.integers(1, 60_000)
+        ),
+        strategies.tuples(strategies.just("found"), strategies.just(0)),
+        strategies.tuples(strategies.just("over"), strategies.integers(0, 9)),
+        strategies.tuples(strategies.just("stop"), strategies.integers(0, 9)),
+        strategies.tuples(strategies.just("unsure"), strategies.integers(0, 9)),
+    ),
+    max_size=60,
+)
+
+
+@hypothesis.given(STEPS)
+def test_no_start_goes_beyond_the_capacity_told_last(steps):
+  """Stops under way and orders without an answer keep their room."""
+  record = ledger.EndpointRecord(endpoint(64000), 0.0)
+  taken: dict[model.RunId, int] = {}
+  for number, (what, amount) in enumerate(steps):
+    runs = list(record.runs.values())
+    if what == "listed":
+      record.update(endpoint(amount))
+    elif what == "start":
+      need = dataclasses.replace(NEED, cpu=amount)
+      if record.fits(need):
+        record.add(run(number, need))
+        taken[run(number).id] = amount
+        assert sum(taken.values()) <= record.info.capacity.cpu
+        assert len(record.runs) <= SLOTS
+    elif what == "found":
+      found = run(number, None)
+      record.add(found)
+      assert not record.fits(NEED)
+      record.remove(found.id)
+    elif runs and what == "over":
+      ended = runs[amount % len(runs)].id
+      record.remove(ended)
+      taken.pop(ended)
+    elif runs:
+      states = {
+          "stop": ledger.RunState.STOPPING,
+          "unsure": ledger.RunState.UNSURE,
+      }
+      runs[amount % len(runs)].state = states[what]
--- a/tests/test_platform_configuration.py
+++ b/tests/test_platform_configuration.py
@@ -108,6 +108,25 @@
   assert [c.version for c in watch_for(client, 0.3)] == [1, 5]
 
 
+def test_newest_configuration_of_one_answer_is_told_alone():
+  """A host that was cut off during a storm of changes reads the last one."""
+  client = FakeClient()
+  key = configuration.KEY
+  client.changes = [
+      kvtypes.Changes(
+          109, tuple(kvtypes.Item(key, 100 + n, value(n)) for n in range(2, 9))
+      ),
+      kvtypes.Changes(
+          111,
+          (
+              kvtypes.Item(key, 110, value(10)),
+              kvtypes.Item(key, 111, b"{"),
+          ),
+      ),
+  ]
+  assert [c.version for c in watch_for(client, 0.3)] == [1, 8, 10]
+
+
 def test_store_without_history_is_not_asked_without_end():
   client = FakeClient()
 
