A kept job's loss is stored before its next start; spec/losses.pml

Cause: found by the new model. A task was started again in the same moment in which the loss of its endpoint was noted; a holder killed within the 20 ms of the write forgot two losses at once, so that a task that crashes endpoints could start a sixth time.

Change: a kept job's task waits for its loss to be in the store, unless it is the first one and the store is away.

Evidence: the model breaks the bound of five starts without the wait (three holders killed) and holds with it over its whole state space, 1,341 states; its four mutants are refuted. Left out of it: a loss in doubt that is forgotten after 15 s.

--- a/fescueturn/scheduler/crashes.py
+++ b/fescueturn/scheduler/crashes.py
@@ -122,11 +122,14 @@
 ) -> bool:
   """Returns whether a task must not start yet for the endpoints it lost."""
   losses = _losses(task)
-  if losses < SUSPECTED_LOSSES:
+  if not losses:
     return False
-  # The next holder must know of them before another endpoint is put at risk.
-  unsaved = job.job.kept and owner.keeper.saves_loss(job.job.id)
-  return unsaved or losses >= _most_losses(job)
+  if losses >= _most_losses(job):
+    return True
+  # The next holder must know of them before another endpoint is put at risk; a
+  # first loss is no reason to wait for a store that is away.
+  wait = losses >= SUSPECTED_LOSSES or not owner.keeper.stalled(owner.now)
+  return wait and job.job.kept and owner.keeper.saves_loss(job.job.id)
 
 
 def condemned(job: ownerstate.JobRecord, task: ownerstate.TaskRecord) -> bool:
--- a/tests/test_spec.py
+++ b/tests/test_spec.py
@@ -10,6 +10,7 @@
 ONE_RUN = "!(running["
 NONE_LEFT = "( !(running[0])&& !(running[1]))"
 ONE_DATA_CENTRE = "!(running[(1-s)])"
+MORE_STARTS = "((starts<5)||sound)"
 STARTS_TWICE = "assertion violated (starts<=1)"
 
 
@@ -38,6 +39,7 @@
         ("shards.pml", []),
         ("kept.pml", []),
         ("moves.pml", []),
+        ("losses.pml", []),
     ],
 )
 def test_protocol_holds(tmp_path, spec, defines):
@@ -70,6 +72,10 @@
         ("moves.pml", "-DMOVE_RUNNING", ONE_DATA_CENTRE),
         ("moves.pml", "-DSTALE_LIST", ONE_DATA_CENTRE),
         ("moves.pml", "-DGUESS", ONE_DATA_CENTRE),
+        ("losses.pml", "-DNO_STORE", MORE_STARTS),
+        ("losses.pml", "-DNO_HOLD", MORE_STARTS),
+        ("losses.pml", "-DSAME_LIMIT", MORE_STARTS),
+        ("losses.pml", "-DCOUNT_CUTS", "!(sound)"),
         ("settings.pml", "-DNO_CAS", "base_of[revision]==(revision-1)"),
         ("settings.pml", "-DNO_MONOTONIC", "applied[h]>=highest[h]"),
     ],
