A task is given up only when two of its endpoints have surely crashed

Cause: found by reading the diff again. A job that an earlier holder had was given up with one sure crash and one loss in doubt: a sound job that met a crash and a cut would have failed without cause. The doubt could not be settled by the next holder, which knew the lost endpoint's id alone.

Change: two sure crashes in every case. A loss in doubt is stored with the endpoint's address, and another life at that address in the list makes it sure, for the holder that saw the loss as well. The lower limit after a takeover holds for kept jobs only, since only theirs are stored.

--- a/fescueturn/scheduler/crashes.py
+++ b/fescueturn/scheduler/crashes.py
@@ -5,9 +5,13 @@
 same life does. A task under which too many have crashed is given up.
 """
 
+from collections.abc import Iterable
+
+from fescueturn import settings
 from fescueturn.scheduler import events
 from fescueturn.scheduler import keeping
 from fescueturn.scheduler import ledger
+from fescueturn.scheduler import model
 from fescueturn.scheduler import ownerstate
 
 # Why a job failed whose task was given up.
@@ -22,9 +26,8 @@
 # The same for a job that an earlier holder had: one that is killed within a second
 # of a loss has not stored it.
 MOST_LOSSES_RESUMED = 2
-# It is given up once all of these but so many have surely crashed: the endpoint of an
-# earlier holder's loss may never be heard of again.
-MOST_DOUBTFUL = 1
+# It is given up once so many of them have surely crashed.
+SURE_CRASHES = 2
 # An endpoint that crashed this short a time ago may be one that does so by itself.
 LATELY_S = 15.0
 
@@ -39,7 +42,7 @@
   if task is None or task.run != run.id or record.info.draining:
     return
   name = record.info.id
-  task.lost_with.add(name)
+  task.lost_with[name] = record.info.address
   _doubt(owner, name, task)
   if job.job.kept:
     _save(owner, job, name)
@@ -60,7 +63,10 @@
 
 
 def _doubt(owner, name: str, task: ownerstate.TaskRecord):
-  loss = owner.lost_under.setdefault(name, ownerstate.Loss(owner.now))
+  loss = owner.lost_under.get(name)
+  if loss is None:
+    loss = ownerstate.Loss(task.lost_with[name], owner.now)
+    owner.lost_under[name] = loss
   loss.tasks.add(task.task)
 
 
@@ -69,7 +75,9 @@
 
 
 def _most_losses(job: ownerstate.JobRecord) -> int:
-  return MOST_LOSSES_RESUMED if job.resumed else MOST_LOSSES
+  if job.resumed and job.job.kept:
+    return MOST_LOSSES_RESUMED
+  return MOST_LOSSES
 
 
 def _save(owner, job: ownerstate.JobRecord, endpoint: str):
@@ -78,15 +86,41 @@
   unsaved.add((endpoint, keeping.LOSS))
 
 
+def other_lives(
+    owner: ownerstate.Owner, listed: Iterable[model.Endpoint]
+) -> list[ownerstate.JobRecord]:
+  """Looks for other lives at the addresses of endpoints in doubt.
+
+  Args:
+    owner: the owner.
+    listed: the endpoints listed now.
+
+  Returns:
+    The jobs that lost an endpoint which has surely crashed.
+  """
+  if not owner.lost_under:
+    return []
+  lives = {endpoint.address: endpoint.id for endpoint in listed}
+  crashed = [
+      (name, loss.address)
+      for name, loss in owner.lost_under.items()
+      if lives.get(loss.address, name) != name
+  ]
+  return [
+      job
+      for name, address in crashed
+      for job in endpoint_crashed(owner, name, address)
+  ]
+
+
 def endpoint_crashed(
-    owner: ownerstate.Owner, record
+    owner: ownerstate.Owner, name: str, address: settings.Address
 ) -> list[ownerstate.JobRecord]:
-  """Takes it that the endpoint surely crashed; returns the jobs that lost it."""
-  name = record.info.id
-  owner.crashed_at[record.info.address] = owner.now
+  """Takes it that an endpoint surely crashed; returns the jobs that lost it."""
+  owner.crashed_at[address] = owner.now
   jobs = {}
   for job, task in _take_losses(owner, name):
-    task.lost_with.discard(name)
+    task.lost_with.pop(name, None)
     task.crashed.add(name)
     jobs[job.key] = job
     if job.job.kept:
@@ -105,7 +139,7 @@
 def endpoint_lives(owner: ownerstate.Owner, name: str):
   """Takes it that an endpoint did not crash, or that it can't be told."""
   for _, task in _take_losses(owner, name):
-    task.lost_with.discard(name)
+    task.lost_with.pop(name, None)
 
 
 def resume(owner: ownerstate.Owner, job: ownerstate.JobRecord):
@@ -134,9 +168,8 @@
 
 def condemned(job: ownerstate.JobRecord, task: ownerstate.TaskRecord) -> bool:
   """Returns whether a task surely crashes the endpoints that start it."""
-  most = _most_losses(job)
-  sure = len(task.crashed) >= most - MOST_DOUBTFUL
-  return _losses(task) >= most and sure
+  sure = len(task.crashed) >= SURE_CRASHES
+  return sure and _losses(task) >= _most_losses(job)
 
 
 def crashed_lately(owner: ownerstate.Owner, record) -> bool:
--- a/fescueturn/scheduler/keptcodec.py
+++ b/fescueturn/scheduler/keptcodec.py
@@ -4,6 +4,7 @@
 
 from fescueturn import codes
 from fescueturn import errors
+from fescueturn import settings
 from fescueturn.scheduler import model
 
 
@@ -85,22 +86,15 @@
           "failed": [
               [r.task.step, r.task.index, r.attempt] for r in progress.failed
           ],
-          "crashed": _loss_rows(progress.crashed),
-          "lost": _loss_rows(progress.lost),
+          "crashed": [[t.step, t.index, name] for t, name in progress.crashed],
+          "lost": [
+              [t.step, t.index, name, str(address)]
+              for t, name, address in progress.lost
+          ],
       }
   )
 
 
-def _loss_rows(losses: tuple[tuple[model.Task, str], ...]) -> list:
-  return [[task.step, task.index, endpoint] for task, endpoint in losses]
-
-
-def _losses(job_id: str, rows: list) -> tuple[tuple[model.Task, str], ...]:
-  return tuple(
-      (model.Task(job_id, step, i), endpoint) for step, i, endpoint in rows
-  )
-
-
 def decode_progress(job_id: str, value: bytes) -> model.Progress:
   """Returns what is over of a job, from its record.
 
@@ -116,8 +110,14 @@
             for step, i, attempt in raw["failed"]
         ),
         # Records of earlier versions have no losses.
-        _losses(job_id, raw.get("crashed", ())),
-        _losses(job_id, raw.get("lost", ())),
+        tuple(
+            (model.Task(job_id, step, i), name)
+            for step, i, name in raw.get("crashed", ())
+        ),
+        tuple(
+            (model.Task(job_id, step, i), name, settings.parse_address(address))
+            for step, i, name, address in raw.get("lost", ())
+        ),
     )
   except (AttributeError, KeyError, TypeError, ValueError) as exc:
     raise MalformedRecordError(f"progress of {job_id}: {exc!r}") from exc
--- a/fescueturn/scheduler/keptjobs.py
+++ b/fescueturn/scheduler/keptjobs.py
@@ -104,8 +104,8 @@
     task.attempt = max(task.attempt, run.attempt)
   for task, endpoint in progress.crashed:
     record.tasks[task].crashed.add(endpoint)
-  for task, endpoint in progress.lost:
-    record.tasks[task].lost_with.add(endpoint)
+  for task, endpoint, address in progress.lost:
+    record.tasks[task].lost_with[endpoint] = address
   crashes.resume(owner, record)
   for task in progress.done:
     record.task_done(record.tasks[task])
@@ -336,7 +336,11 @@
       tuple(done),
       tuple(failed),
       tuple((t.task, name) for t in tasks for name in sorted(t.crashed)),
-      tuple((t.task, name) for t in tasks for name in sorted(t.lost_with)),
+      tuple(
+          (t.task, name, address)
+          for t in tasks
+          for name, address in sorted(t.lost_with.items())
+      ),
   )
 
 
--- a/fescueturn/scheduler/leases.py
+++ b/fescueturn/scheduler/leases.py
@@ -33,6 +33,8 @@
   owner.list_sizes(listed)
   own = {e.id: e for e in listed if e.data_centre == owner.shard.data_centre}
   owner.gone &= {(e.id, e.address) for e in own.values()}
+  for job in crashes.other_lives(owner, own.values()):
+    outcomes.end_if_over(owner, job)
   for name, info in own.items():
     record = owner.endpoints.get(name)
     if record is None and (name, info.address) in owner.gone:
@@ -270,7 +272,8 @@
   if not crashed:
     crashes.endpoint_lives(owner, record.info.id)
     return
-  for job in crashes.endpoint_crashed(owner, record):
+  info = record.info
+  for job in crashes.endpoint_crashed(owner, info.id, info.address):
     outcomes.end_if_over(owner, job)
 
 
--- a/fescueturn/scheduler/model.py
+++ b/fescueturn/scheduler/model.py
@@ -164,13 +164,14 @@
     done: its tasks that ended well.
     failed: its runs that failed.
     crashed: its tasks and the endpoints that crashed under each.
-    lost: its tasks and the endpoints lost under each that may have crashed.
+    lost: its tasks and the endpoints lost under each that may have crashed, with
+      their addresses.
   """
 
   done: tuple[Task, ...] = ()
   failed: tuple[RunId, ...] = ()
   crashed: tuple[tuple[Task, str], ...] = ()
-  lost: tuple[tuple[Task, str], ...] = ()
+  lost: tuple[tuple[Task, str, settings.Address], ...] = ()
 
 
 @dataclasses.dataclass(frozen=True)
--- a/fescueturn/scheduler/ownerstate.py
+++ b/fescueturn/scheduler/ownerstate.py
@@ -55,7 +55,7 @@
     self.failed: set[int] = set()
     # Endpoints lost under it: those that surely crashed, and those in doubt.
     self.crashed: set[str] = set()
-    self.lost_with: set[str] = set()
+    self.lost_with: dict[str, settings.Address] = {}
     self.run: model.RunId | None = None
     self.endpoint = ""
     # The endpoint where a run of it was stopped for being slow, if any.
@@ -159,9 +159,10 @@
 
 
 class Loss:
-  """An endpoint that fell silent under tasks: since when, and which."""
+  """An endpoint that fell silent under tasks: its address, when, and which."""
 
-  def __init__(self, since: float):
+  def __init__(self, address: settings.Address, since: float):
+    self.address = address
     self.since = since
     self.tasks: set[model.Task] = set()
 
--- a/spec/losses.pml
+++ b/spec/losses.pml
@@ -7,8 +7,8 @@
  * Up to three holders are killed, at any moment; the next one knows what is stored.
  *
  * The protocol checked, as in crashes.py: with three losses, or two for a job
- * that an earlier holder had, the task starts no more; it is given up once all
- * of these but one have surely crashed. Left out: a loss that stays in doubt for
+ * that an earlier holder had, the task starts no more; it is given up once two
+ * of them have surely crashed. Left out: a loss that stays in doubt for
  * 15 s is forgotten, and a first loss does not wait for a store that is away.
  *
  * Promised: five starts at the most, and a sound task is never given up.
@@ -22,7 +22,7 @@
 
 #define KILLS 3
 #define MOST_STARTS 5
-#define DOUBTFUL 1
+#define SURE_CRASHES 2
 
 bool sound;
 bool running = false;
@@ -78,12 +78,13 @@
 #endif
      }
   :: atomic { here > 0 && !sound -> here--; crashed++; unsaved = true }
+  :: atomic { before > 0 && !sound -> before--; crashed++; unsaved = true }
   :: atomic { here > 0 && sound -> here--; unsaved = true }    /* it lives */
   :: atomic { kills < KILLS && !given_up -> kills++;
        running = false; unnoticed = false; unsaved = false;
        here = 0; before = stored_doubts; crashed = stored_crashed;
        resumed = true }
-  :: atomic { !given_up && LOSSES >= LIMIT && SURE >= LIMIT - DOUBTFUL ->
+  :: atomic { !given_up && LOSSES >= LIMIT && SURE >= SURE_CRASHES ->
        assert(!sound); given_up = true }
   :: given_up -> break
   od
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from fescueturn import settings
 from fescueturn.emulator import fleet as fleet_lib
 from fescueturn.scheduler import crashes as crashes_lib
 from fescueturn.scheduler import keptcodec
@@ -120,8 +121,9 @@
 
 def test_losses_survive_in_the_store():
   task = model.Task("k", 0, 1)
+  address = settings.Address("10.1.0.7", 8120)
   progress = model.Progress(
-      (), (), ((task, "e1"), (task, "e2")), ((task, "e3"),)
+      (), (), ((task, "e1"), (task, "e2")), ((task, "e3", address),)
   )
   stored = keptcodec.encode_progress(progress)
   assert keptcodec.decode_progress("k", stored) == progress
