Names: convergence time and poison task

Cause: reading the diff as a newcomer. 'Contact' is the platform's own word for how soon a host must act on the store again, and means something else in the field; it stays in the adapter's field name on the wire. 'Condemned' was a metaphor of ours for what the field calls a poison task.

--- a/fescueturn/platform/claims.py
+++ b/fescueturn/platform/claims.py
@@ -199,7 +199,7 @@
 async def watch_loop(
     client: kvtypes.Store,
     now: Callable[[], float],
-    contact_s: float,
+    convergence_s: float,
     shards: tuple[model.Shard, ...],
     on_holder: OnHolder,
 ):
@@ -208,12 +208,12 @@
   Args:
     client: the store.
     now: returns the time (s).
-    contact_s: how soon after a silence of the store its holders must be known.
+    convergence_s: how soon after a silence of the store its holders must be known.
     shards: this host's shards, which are told of even while nobody holds them.
     on_holder: takes the changes.
   """
   store_reach = reach.Reach("holders", now)
-  watch_ms = reach.watch_ms(contact_s)
+  watch_ms = reach.watch_ms(convergence_s)
   known: set[model.Shard] = set(shards)
   revision = None
   while True:
--- a/fescueturn/platform/configuration.py
+++ b/fescueturn/platform/configuration.py
@@ -73,7 +73,7 @@
 async def watch_loop(
     client: kvtypes.Store,
     now: Callable[[], float],
-    contact_s: float,
+    convergence_s: float,
     on_config: OnConfig,
     on_evacuations: OnEvacuations,
     on_heard: OnHeard,
@@ -83,7 +83,7 @@
   Args:
     client: the store.
     now: returns the time (s).
-    contact_s: how soon after a silence of the store all must be in force.
+    convergence_s: how soon after a silence of the store all must be in force.
     on_config: takes each configuration.
     on_evacuations: takes all requests to evacuate data centres, once they were
       read and whenever they change.
@@ -91,7 +91,7 @@
       force.
   """
   store_reach = reach.Reach("config", now)
-  watch_ms = reach.watch_ms(contact_s)
+  watch_ms = reach.watch_ms(convergence_s)
   evacuations: dict[str, model.Evacuation] = {}
   revision = None
   while True:
--- a/fescueturn/platform/nodefile.py
+++ b/fescueturn/platform/nodefile.py
@@ -32,8 +32,8 @@
     metrics: where it serves metrics.
     store: the platform's key-value store.
     min_lease_ms: the shortest lease of the store.
-    contact_s: after a fault of the store, of its own or of the way between them
-      has passed, a host must act on what the store says within this time.
+    convergence_s: how soon a host must act on what the store says, once a fault
+      of the store, of the host or of the way between them has passed.
     grace_s: from SIGTERM to SIGKILL.
     ended_kept_s: how long a kept job that is over must stay known.
     cores: how much processor it gets, in cores of the usual speed.
@@ -47,7 +47,7 @@
   metrics: settings.Address
   store: settings.Address
   min_lease_ms: int
-  contact_s: float
+  convergence_s: float
   grace_s: float
   ended_kept_s: float
   cores: float
@@ -95,7 +95,7 @@
       metrics=settings.Address(raw.ip, first_port + 1),
       store=settings.parse_address(raw.platform.address),
       min_lease_ms=raw.platform.min_ttl_ms,
-      contact_s=raw.bounds.contact_ms / 1000,
+      convergence_s=raw.bounds.convergence_ms / 1000,
       grace_s=raw.bounds.grace_s,
       ended_kept_s=raw.bounds.status_s,
       cores=_cores(raw.limits or wire.MachineLimits()),
--- a/fescueturn/platform/reach.py
+++ b/fescueturn/platform/reach.py
@@ -1,7 +1,7 @@
 """Whether the store is reached: logged once a change, with a pause to retry.
 
 A call that a silent store swallowed is given up, and made again after a pause.
-What a watch may wait is what these leave of the host's contact time.
+What a watch may wait is what these leave of the host's convergence time.
 """
 
 from collections.abc import Callable
@@ -23,13 +23,13 @@
 WATCH_MIN_S = 0.5
 
 
-def watch_ms(contact_s: float) -> int:
+def watch_ms(convergence_s: float) -> int:
   """Returns how long a watch may wait at the store, in ms.
 
   Given up, paused for and made again, a watch that was swallowed in a silence's
-  last moment is answered within `contact_s` of its end.
+  last moment is answered within `convergence_s` of its end.
   """
-  left_s = contact_s - store.WATCH_SLACK_S - RETRY_MAX_S - ANSWER_S
+  left_s = convergence_s - store.WATCH_SLACK_S - RETRY_MAX_S - ANSWER_S
   return int(max(WATCH_MIN_S, left_s) * 1000)
 
 
--- a/fescueturn/platform/wire.py
+++ b/fescueturn/platform/wire.py
@@ -278,7 +278,7 @@
 class Bounds(msgspec.Struct, frozen=True):
   """Bounds in force; they are written in two different cases."""
 
-  contact_ms: Annotated[float, msgspec.Meta(gt=0)] = msgspec.field(
+  convergence_ms: Annotated[float, msgspec.Meta(gt=0)] = msgspec.field(
       default=3000.0, name="contactMs"
   )
   grace_s: Annotated[float, msgspec.Meta(ge=0)] = msgspec.field(
--- a/fescueturn/scheduler/crashes.py
+++ b/fescueturn/scheduler/crashes.py
@@ -166,7 +166,7 @@
   return wait and job.job.kept and owner.keeper.saves_loss(job.job.id)
 
 
-def condemned(job: ownerstate.JobRecord, task: ownerstate.TaskRecord) -> bool:
+def is_poison(job: ownerstate.JobRecord, task: ownerstate.TaskRecord) -> bool:
   """Returns whether a task surely crashes the endpoints that start it."""
   sure = len(task.crashed) >= SURE_CRASHES
   return sure and _losses(task) >= _most_losses(job)
@@ -194,7 +194,7 @@
 
 def give_up_log(job: ownerstate.JobRecord) -> events.Log:
   """Returns the log line of a job given up for the endpoints it crashed."""
-  task = next(t for t in job.tasks.values() if condemned(job, t))
+  task = next(t for t in job.tasks.values() if is_poison(job, t))
   return events.log(
       "task_given_up",
       job=job.job.id,
--- a/fescueturn/scheduler/outcomes.py
+++ b/fescueturn/scheduler/outcomes.py
@@ -144,7 +144,7 @@
     end_job(owner, job, model.Outcome.DONE, "done")
   elif any(used_up(job, task) for task in job.tasks.values()):
     end_job(owner, job, model.Outcome.FAILED, "attempts_used")
-  elif any(crashes.condemned(job, task) for task in job.tasks.values()):
+  elif any(crashes.is_poison(job, task) for task in job.tasks.values()):
     owner.out(crashes.give_up_log(job))
     end_job(owner, job, model.Outcome.FAILED, crashes.REASON)
 
--- a/tests/test_nodefile.py
+++ b/tests/test_nodefile.py
@@ -30,13 +30,13 @@
   assert node.metrics == settings.Address("10.1.0.13", 7721)
   assert node.grace_s == 6.0
   assert node.cores == pytest.approx(2.151)
-  assert node.contact_s == 3.0
+  assert node.convergence_s == 3.0
 
 
-def test_contact_time_is_the_deployments():
+def test_convergence_time_is_the_deployments():
   bounds = {**RAW["bounds"], "contactMs": 4500}
   node = nodefile.decode(json.dumps({**RAW, "bounds": bounds}))
-  assert node.contact_s == 4.5
+  assert node.convergence_s == 4.5
 
 
 @pytest.mark.parametrize("limits", [None, {}, {"cpuShare": 0.5, "cores": None}])
--- a/tests/test_platform_claims.py
+++ b/tests/test_platform_claims.py
@@ -78,9 +78,9 @@
     return kvtypes.Changes(after, ())
 
 
-@pytest.mark.parametrize("contact_s", [3.0, 4.0, 5.0])
-def test_swallowed_watch_of_holders_is_made_again_within_the_contact_time(
-    contact_s,
+@pytest.mark.parametrize("convergence_s", [3.0, 4.0, 5.0])
+def test_swallowed_watch_of_holders_is_made_again_within_the_convergence_time(
+    convergence_s,
 ):
   client = SilentClient()
 
@@ -93,9 +93,9 @@
       claims.watch_loop,
       client,
       time.monotonic,
-      contact_s,
+      convergence_s,
       (SHARD,),
       ignore,
   )
   given_up_s = max(client.waits_ms) / 1000 + store.WATCH_SLACK_S
-  assert given_up_s + reach.RETRY_MAX_S < contact_s
+  assert given_up_s + reach.RETRY_MAX_S < convergence_s
--- a/tests/test_platform_configuration.py
+++ b/tests/test_platform_configuration.py
@@ -28,7 +28,7 @@
     "timeoutMs": 1500,
 }
 # How soon after a silence of the store its changes must be in force.
-CONTACT_S = 3.0
+CONVERGENCE_S = 3.0
 
 
 def value(version, routes=(ROUTE,)) -> bytes:
@@ -75,7 +75,7 @@
         configuration.watch_loop,
         client,
         time.monotonic,
-        CONTACT_S,
+        CONVERGENCE_S,
         on_config,
         on_evacuations,
         lambda: None,
@@ -285,7 +285,7 @@
       configuration.watch_loop,
       client,
       time.monotonic,
-      CONTACT_S,
+      CONVERGENCE_S,
       on_config,
       ignore,
       lambda: None,
@@ -317,7 +317,7 @@
     return [task.result for task in tasks]
 
   unheard = dict(zip(SILENCES_S, curio.run(run), strict=True))
-  assert {s: t for s, t in unheard.items() if t > CONTACT_S} == {}
+  assert {s: t for s, t in unheard.items() if t > CONVERGENCE_S} == {}
 
 
 def test_configuration_does_not_wait_for_the_evacuations_beside_it():
@@ -337,7 +337,7 @@
       configuration.watch_loop,
       FakeClient(),
       time.monotonic,
-      CONTACT_S,
+      CONVERGENCE_S,
       on_config,
       stuck,
       lambda: None,
