A test that fills both data centres waits until both have an owner

Traced by its hosts' logs: the test before it kills every host and waits until they are ready; ready is a host that knows any holder. At 10:07:18.171 the holder of north had no room left (wait_ms=687), and south's hosts, started at 17.93 and 18.07 s, had not claimed their shard yet (its holder was killed at 17.58 s). The job was refused at once and truly, with 'no_room'. So the test's own premise, that both data centres can be filled, did not hold yet.

Change: the test waits until every host knows a living owner of each data centre, as the deployment's start now does too (it waited for the owners alone). All checks stay.

--- a/tests/deployments.py
+++ b/tests/deployments.py
@@ -131,6 +131,13 @@
         e["known"] for o in owned for e in o["endpoints"].values()
     )
 
+  def knows_owner(self, zone: str, owner: "Host | None") -> bool:
+    _, dump = call(self.metrics, "GET", "/dump")
+    known = dump["scheduler"]["coordinator"]["holders"].get(f"{zone}/0")
+    if owner is None or known is None or known["lost"]:
+      return False
+    return known["host"] == owner.name
+
   def submit(
       self,
       job_id: str,
@@ -206,8 +213,16 @@
       host.start()
     for host in self.hosts:
       wait_for(host.is_ready, f"{host.name} ready")
+    self.await_owners()
+
+  def await_owners(self):
+    """Waits until every host knows a living owner of each data centre."""
     for zone in ZONES:
-      wait_for(lambda z=zone: self.owner(z), f"owner of {zone}")
+      for host in self.hosts:
+        wait_for(
+            lambda z=zone, h=host: h.knows_owner(z, self.owner(z)),
+            f"owner of {zone} at {host.name}",
+        )
 
   def _platform_up(self):
     return call(self.store_port, "GET", "/test/report")[0].status == 200
--- a/tests/test_platform_kept.py
+++ b/tests/test_platform_kept.py
@@ -84,6 +84,8 @@
 
 
 def test_jobs_that_wait_are_counted_at_every_host(deployment):
+  # Both data centres are filled, and hosts may have just been killed.
+  deployment.await_owners()
   host = deployment.hosts[0]
   fill = [job_id(0x40 + n) for n in range(6)]
   for each in fill:
