No port is given to two processes of a test's cluster

Its settings files give endpoint-1 and endpoint-3 the same port, 40251: each port was asked of the system and let go before the next was asked, and the system may give one twice. endpoint-3 ended with 'Address already in use'; the launcher's check of it was answered by endpoint-1, and the entry hosts waited in vain for a third endpoint.

Change: lab/ports.py hands out ports that were never handed out before, from below the range of outgoing connections. It is what tests/deployments.py had; there is one copy.

Ruled out: the load of the machine, which takes part of the 10 s but no port.

--- a/fescueturn/lab/launcher.py
+++ b/fescueturn/lab/launcher.py
@@ -8,7 +8,6 @@
 import dataclasses
 import os
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -18,6 +17,7 @@
 from fescueturn import httpio
 from fescueturn import settings
 from fescueturn import teamconfig
+from fescueturn.lab import ports
 from fescueturn.lab import workload
 from fescueturn.platform import store
 
@@ -31,17 +31,6 @@
 }
 
 
-def free_port() -> int:
-  """Returns a TCP port on 127.0.0.1 that was free a moment ago."""
-  with socket.socket() as sock:
-    sock.bind(("127.0.0.1", 0))
-    return sock.getsockname()[1]
-
-
-def _loopback() -> settings.Address:
-  return settings.Address("127.0.0.1", free_port())
-
-
 @dataclasses.dataclass(frozen=True)
 class Proc:
   """A started daemon: its name, role, address and settings file."""
@@ -72,7 +61,7 @@
     self._time_scale = time_scale
     self._drain_s = endpoint_drain_s
     self._entry_options = entry_options
-    self.platform = _loopback()
+    self.platform = ports.free_address()
     self.procs: dict[str, Proc] = {}
     self._popen: dict[str, subprocess.Popen] = {}
     self._plan(entries, endpoints)
@@ -85,14 +74,14 @@
         f"[platform]\nlisten = {self.platform}\nhost_list_lag_s = {self._lag}\n",
     )
     for i in range(1, endpoints + 1):
-      listen = _loopback()
+      listen = ports.free_address()
       body = (
           f"[endpoint]\nlisten = {listen}\nplatform = {self.platform}\n"
           f"time_scale = {self._time_scale}\ndrain_s = {self._drain_s}\n"
       )
       self._add(f"endpoint-{i}", "endpoint", listen, body)
     for i in range(1, entries + 1):
-      listen, peer = _loopback(), _loopback()
+      listen, peer = ports.free_address(), ports.free_address()
       body = f"[entry]\nlisten = {listen}\npeer_listen = {peer}\nplatform = {self.platform}\n{self._entry_options}"
       self._add(f"entry-{i}", "entry", listen, body)
 
--- a/tests/deployments.py
+++ b/tests/deployments.py
@@ -5,45 +5,19 @@
 import json
 import os
 import pathlib
-import random
-import socket
 import subprocess
 import sys
 import time
 
+from fescueturn.lab import ports
+
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 ZONES = ("north", "south")
 ENDPOINTS = 6
-# Ports handed out, in use by now or later.
-TAKEN: set[int] = set()
 HOST = "jobs.example"
 PREFIX = "/check/"
 
 
-def is_free(port: int) -> bool:
-  with contextlib.closing(socket.socket()) as sock:
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    try:
-      sock.bind(("127.0.0.1", port))
-    except OSError:
-      return False
-  return True
-
-
-def free_ports(count: int) -> list[int]:
-  """Returns ports in a row that are free, and stay so.
-
-  They lie below the range from which the system gives outgoing connections
-  theirs, so that none of these takes one before its server is started.
-  """
-  while True:
-    first = random.randrange(20_000, 32_000)
-    ports = list(range(first, first + count))
-    if TAKEN.isdisjoint(ports) and all(is_free(port) for port in ports):
-      TAKEN.update(ports)
-      return ports
-
-
 def call(port, method, path, body=None, headers=None, timeout=10.0):
   connection = http.client.HTTPConnection("127.0.0.1", port, timeout=timeout)
   with contextlib.closing(connection):
@@ -85,7 +59,7 @@
   """One role process."""
 
   def __init__(self, directory, name: str, zone: str, store_port: int):
-    callers, ready, links, metrics = free_ports(4)
+    callers, ready, links, metrics = ports.free_ports(4)
     self.name, self.zone = name, zone
     self.callers, self.ready, self.metrics = callers, ready, metrics
     self.file = directory / f"{name}.json"
@@ -189,7 +163,7 @@
   """The stand-in platform and two hosts in each of two data centres."""
 
   def __init__(self, directory):
-    self.store_port, endpoint_port, *_ = free_ports(1 + ENDPOINTS)
+    self.store_port, endpoint_port, *_ = ports.free_ports(1 + ENDPOINTS)
     self.platform = subprocess.Popen(
         [
             sys.executable,
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -1,7 +1,7 @@
 from click import testing
 
 from fescueturn import cli
-from fescueturn.lab import launcher
+from fescueturn.lab import ports
 
 
 def invoke(*args, stdin=None):
@@ -23,7 +23,7 @@
 
 
 def test_unreachable_daemon_and_bad_input_are_refused():
-  nobody = f"127.0.0.1:{launcher.free_port()}"
+  nobody = str(ports.free_address())
   for args in (
       ("dump", nobody),
       ("cancel", "--entry", nobody, "--team", "t", "k"),
--- a/tests/test_httpio.py
+++ b/tests/test_httpio.py
@@ -7,7 +7,7 @@
 
 from fescueturn import httpio
 from fescueturn import settings
-from fescueturn.lab import launcher
+from fescueturn.lab import ports
 
 
 async def hello(request):
@@ -16,7 +16,7 @@
 
 
 def test_idle_connection_that_the_server_closed_is_not_used_again():
-  address = settings.Address("127.0.0.1", launcher.free_port())
+  address = ports.free_address()
 
   async def closing(request):
     return httpio.closing(await hello(request))
@@ -44,7 +44,7 @@
 
 
 def test_body_over_the_limit_is_refused():
-  address = settings.Address("127.0.0.1", launcher.free_port())
+  address = ports.free_address()
 
   async def go():
     server = httpio.Server(address, hello, max_body=10)
--- a/tests/test_peer.py
+++ b/tests/test_peer.py
@@ -10,8 +10,7 @@
 from fescueturn import messages
 from fescueturn import peer
 from fescueturn import peercodec
-from fescueturn import settings
-from fescueturn.lab import launcher
+from fescueturn.lab import ports
 from tests import conftest
 
 
@@ -100,7 +99,7 @@
 
 
 def test_ask_tells_a_dead_peer_from_a_silent_one():
-  address = settings.Address("127.0.0.1", launcher.free_port())
+  address = ports.free_address()
   probe = claims.ProbeRequest(1, TOKEN)
 
   async def silent(request):
--- a/tests/test_platform_configuration.py
+++ b/tests/test_platform_configuration.py
@@ -9,13 +9,13 @@
 from fescueturn import httpio
 from fescueturn import kvtypes
 from fescueturn import settings
+from fescueturn.lab import ports
 from fescueturn.platform import configuration
 from fescueturn.platform import store
 from fescueturn.platform import wire
 from fescueturn.platform import wireserver
 from fescueturn.scheduler import model
 from fescueturn.standins import kvstore
-from tests import deployments
 
 ROUTE = {
     "name": "r",
@@ -306,13 +306,13 @@
 
 
 def test_change_is_in_force_in_time_however_long_the_store_was_silent():
-  ports = deployments.free_ports(len(SILENCES_S))
+  free = ports.free_ports(len(SILENCES_S))
 
   async def run():
     async with curio.TaskGroup() as group:
       tasks = [
           await group.spawn(time_unheard, port, silence_s)
-          for port, silence_s in zip(ports, SILENCES_S, strict=True)
+          for port, silence_s in zip(free, SILENCES_S, strict=True)
       ]
     return [task.result for task in tasks]
 
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -8,10 +8,10 @@
 from fescueturn import errors
 from fescueturn import httpio
 from fescueturn import settings
+from fescueturn.lab import ports
 from fescueturn.platform import store
 from fescueturn.platform import wireserver
 from fescueturn.standins import kvstore
-from tests import deployments
 
 TTL_MS = 5000
 
@@ -39,7 +39,7 @@
 
 
 def test_connections_that_fell_silent_together_cost_one_call():
-  (port,) = deployments.free_ports(1)
+  (port,) = ports.free_ports(1)
   address = settings.Address("127.0.0.1", port)
   wire = wireserver.WireServer(kvstore.KvStore(), time.monotonic)
 
@@ -62,7 +62,7 @@
 
 
 def test_watch_is_not_held_up_by_calls_that_a_silent_store_swallowed():
-  (port,) = deployments.free_ports(1)
+  (port,) = ports.free_ports(1)
   address = settings.Address("127.0.0.1", port)
   wire = wireserver.WireServer(kvstore.KvStore(), time.monotonic)
   watched = curio.Event()
--- a/tests/test_standin_platform.py
+++ b/tests/test_standin_platform.py
@@ -5,14 +5,14 @@
 from fescueturn import kvtypes
 from fescueturn import settings
 from fescueturn import timer
-from fescueturn.lab import launcher
+from fescueturn.lab import ports
 from fescueturn.platform import store
 from fescueturn.standins import control
 from fescueturn.standins import standin_platform
 
 
 async def with_platform(body):
-  address = settings.Address("127.0.0.1", launcher.free_port())
+  address = ports.free_address()
   clock = timer.TimerService(0.02)
   config = settings.PlatformSettings(address)
   platform = standin_platform.PlatformStandIn(config, clock)
