A job that lost two endpoints found crashed at once is looked at once

The list can show other lives at the addresses of two endpoints that one job lost; the job then stood twice among those to look at, and was ended twice, with its log lines and its answer repeated. Its twin, endpoint_crashed, has each job once already. A comment also gave odds that no run had shown; it goes.

--- a/fescueturn/scheduler/crashes.py
+++ b/fescueturn/scheduler/crashes.py
@@ -16,9 +16,8 @@
 
 # Why a job failed whose task was given up.
 REASON = "endpoints_crashed"
-# A task that lost so many endpoints is suspected: one that crashes for a reason of
-# its own takes a task with it in one of some hundred runs, two one after the other
-# in one of ten thousand.
+# A task that lost so many endpoints is suspected: one loss may be an endpoint's own
+# crash, two one after the other seldom are.
 SUSPECTED_LOSSES = 2
 # A task that lost so many starts no more until it is known what became of them. A
 # crashed endpoint is back after some seconds; a task is lost anew each second.
@@ -106,11 +105,12 @@
       for name, loss in owner.lost_under.items()
       if lives.get(loss.address, name) != name
   ]
-  return [
-      job
+  jobs = {
+      job.key: job
       for name, address in crashed
       for job in endpoint_crashed(owner, name, address)
-  ]
+  }
+  return list(jobs.values())
 
 
 def endpoint_crashed(
