--- a/fescueturn/explain.py
+++ b/fescueturn/explain.py
@@ -53,6 +53,15 @@
     ),
     "start_failed": (
         "the request to start task {step}.{task} on {endpoint} failed: {result}"
+        " (sent {sends} times, first {age_ms} ms before)"
+    ),
+    "stop_failed": (
+        "the first request to stop task {step}.{task} (attempt {attempt}) on"
+        " {endpoint} failed: {result}; it is retried"
+    ),
+    "run_duplicate": (
+        "{endpoint} runs task {step}.{task} as attempt {attempt}, but attempt"
+        " {current_attempt} on {current_endpoint} is its current run"
     ),
     "task_suspected": (
         "task {step}.{task} lost {endpoint} on attempt {attempt}; endpoints it"
--- a/fescueturn/scheduler/endpointstate.py
+++ b/fescueturn/scheduler/endpointstate.py
@@ -94,6 +94,8 @@
     sent_at: when its start request was last sent (s).
     sends: how often its start request was sent.
     stop_sent_at: when an unanswered stop request was last sent (s), if any.
+    stop_failures: how many of its stop requests failed.
+    duplicate_logged: True once it was logged that its task has another run.
     abandoned: True once its lease has expired and its task may run elsewhere.
   """
 
@@ -110,6 +112,8 @@
     self.sent_at: float = now
     self.sends = 1
     self.stop_sent_at: float | None = None
+    self.stop_failures = 0
+    self.duplicate_logged = False
     self.abandoned = False
 
   def expected_end(self, slowness: float) -> float:
--- a/fescueturn/scheduler/leases.py
+++ b/fescueturn/scheduler/leases.py
@@ -190,12 +190,37 @@
   elif run.state is endpointstate.RunState.ORDERED:
     run.state = endpointstate.RunState.RUNNING
     run.listed_from_call = record.call_number
+  _log_duplicate(owner, record, run)
   if running.percent > run.percent:
     run.percent = running.percent
     run.progressed_at = owner.now
     stragglers.handle_progress(owner, record, run)
 
 
+def _log_duplicate(owner, record, run: endpointstate.Run):
+  """Logs once that an endpoint runs a task that has another run or is done."""
+  job = owner.by_id.get(run.id.task.job_id)
+  task = job.tasks.get(run.id.task) if job else None
+  if task is None or run.duplicate_logged or task.run == run.id:
+    return
+  if task.run is None and task.state is not ownerstate.TaskState.DONE:
+    return
+  run.duplicate_logged = True
+  owner.counters["run_duplicate"] += 1
+  owner.emit(
+      ownerstate.run_log(
+          "run_duplicate",
+          record,
+          run,
+          sends=run.sends,
+          abandoned=run.abandoned,
+          current_attempt=task.attempt,
+          current_endpoint=task.endpoint,
+          task_state=task.state.value,
+      )
+  )
+
+
 def adopt_run(owner, record, run: endpointstate.Run):
   """Assigns a run found at an endpoint to its task, if its job is known."""
   job = owner.by_id.get(run.id.task.job_id)
@@ -346,14 +371,13 @@
 ):
   owner.counters[f"start_{result.value}"] += 1
   owner.emit(
-      events.log(
+      ownerstate.run_log(
           "start_failed",
-          job=run.id.task.job_id,
-          step=run.id.task.step,
-          task=run.id.task.index,
-          attempt=run.id.attempt,
-          endpoint=record.info.id,
+          record,
+          run,
           result=result.value,
+          sends=run.sends,
+          age_ms=int((owner.now - run.started_at) * 1000),
           fence=owner.fence,
       )
   )
@@ -398,6 +422,8 @@
       run.stop_sent_at = None
     renew_lease(owner, record, now=True)
     return
+  if run is not None:
+    _log_failed_stop(owner, record, run, event.result)
   if event.result is model.CallResult.FENCED:
     _step_down(owner, record)
   elif event.result is model.CallResult.GONE:
@@ -408,3 +434,22 @@
     _handle_lost_request(owner, record, run.stop_sent_at)
     if record.silent_since is None:
       runcontrol.stop_run(owner, record, run)
+
+
+def _log_failed_stop(owner, record, run, result: model.CallResult):
+  """Logs the first failed stop request of a run; it is retried until answered."""
+  owner.counters[f"stop_{result.value}"] += 1
+  run.stop_failures += 1
+  if run.stop_failures > 1:
+    return
+  owner.emit(
+      ownerstate.run_log(
+          "stop_failed",
+          record,
+          run,
+          result=result.value,
+          state=run.state.value,
+          age_ms=int((owner.now - run.started_at) * 1000),
+          fence=owner.fence,
+      )
+  )
--- a/fescueturn/scheduler/outcomes.py
+++ b/fescueturn/scheduler/outcomes.py
@@ -56,7 +56,15 @@
     return
   if how is not model.RunOutcome.DONE:
     owner.emit(
-        ownerstate.run_log("run_ended", record, run, how=how.value, why=reason)
+        ownerstate.run_log(
+            "run_ended",
+            record,
+            run,
+            how=how.value,
+            why=reason,
+            state=run.state.value,
+            sends=run.sends,
+        )
     )
   if how is model.RunOutcome.FAILED:
     task.failed.add(run.id.attempt)
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -177,3 +177,46 @@
   assert record.silent_since is None
   answer(owner, record, 0.1, no_answer)
   assert record.silent_since is not None
+
+
+def logged(effects, event: str) -> list[dict]:
+  """Returns the fields of the log lines of an event."""
+  lines = [e for e in effects if isinstance(e, events.Log) and e.event == event]
+  return [dict(line.fields) for line in lines]
+
+
+def test_run_beside_the_current_run_of_its_task_is_logged_once():
+  owner = new_owner()
+  record = known_endpoint(owner)
+  run = start_job(owner, record)
+  other = model.ActiveRun(model.RunId(run.id.task, 9), 0)
+  answer(owner, record, 0.01, running=(other,))
+  (fields,) = logged(owner.take_effects(), "run_duplicate")
+  assert (fields["attempt"], fields["current_attempt"]) == (9, 1)
+  assert owner.counters["run_duplicate"] == 1
+  answer(owner, record, 0.02, running=(other,))
+  assert not logged(owner.take_effects(), "run_duplicate")
+
+
+def test_failed_start_is_logged_with_the_number_of_its_sends():
+  owner = new_owner()
+  record = known_endpoint(owner)
+  run = start_job(owner, record)
+  lose_start_request(owner, run, 0.025)
+  effects = lose_start_request(owner, run, 0.05)
+  (fields,) = logged(effects, "start_failed")
+  assert (fields["sends"], fields["age_ms"]) == (2, 50)
+
+
+def test_only_the_first_failed_stop_of_a_run_is_logged():
+  owner = new_owner()
+  record = known_endpoint(owner)
+  run = start_job(owner, record)
+  runcontrol.stop_run(owner, record, run)
+  failed = events.StopAnswered(
+      ENDPOINT.id, run.id, model.CallResult.NO_ANSWER, None
+  )
+  for expected_lines in (1, 0):
+    owner.take_effects()
+    leases.handle_stop_answer(owner, failed)
+    assert len(logged(owner.take_effects(), "stop_failed")) == expected_lines
