Emulate endpoints behind paths that lose packets

In the emulator a call was answered, or lost as a whole; a copy that arrives after its timeout while the retry can't connect was not possible.

Calls moved from fleet.py to a module of their own (endpointcalls.py).

--- a/fescueturn/emulator/endpoint.py
+++ b/fescueturn/emulator/endpoint.py
@@ -73,6 +73,8 @@
     busy: True if it rejects every start order.
     loss_rate: share of the calls that get no answer; start and stop orders
       among them are executed seconds later.
+    packet_loss_rate: share of the packets on its paths that are lost; TCP sends
+      them again, so that calls are late and connections may not be opened.
     order_delay_s: delay (s) after which start and stop orders are executed;
       they get no answer. 0 executes them at once.
     superseded: True if a new incarnation of the endpoint has its address.
@@ -112,6 +114,7 @@
     self.hanging = False
     self.busy = False
     self.loss_rate = 0.0
+    self.packet_loss_rate = 0.0
     self.order_delay_s = 0.0
     self.superseded = False
     self.on_crash: Callable[[EmulatedEndpoint], None] = lambda endpoint: None
--- a/fescueturn/emulator/fleet.py
+++ b/fescueturn/emulator/fleet.py
@@ -13,6 +13,7 @@
 from fescueturn import settings
 from fescueturn.emulator import clock as clock_lib
 from fescueturn.emulator import endpoint as endpoint_lib
+from fescueturn.emulator import endpointcalls
 from fescueturn.emulator import fleetstore
 from fescueturn.emulator import hosts
 from fescueturn.emulator import keptstore
@@ -21,11 +22,9 @@
 from fescueturn.scheduler import keptevents
 from fescueturn.scheduler import linkmessages
 from fescueturn.scheduler import model
-from fescueturn.scheduler import timeouts
 
-# One-way network delays within a data centre and between two, as the users'
-# data sheets give them.
-LOCAL_DELAY_S = 0.0002
+# One-way network delay between two data centres, as the users' data sheets give
+# it.
 REMOTE_DELAY_S = 0.0007
 
 
@@ -84,6 +83,7 @@
     self.acknowledged_done: set[model.Task] = set()
     self._submitted_at: dict[int, float] = {}
     self._store = fleetstore.FleetStore(self)
+    self._calls = endpointcalls.EndpointCalls(self)
     self.restart_delay_s = 3.0
     self._incarnations = 0
     self._boots = 0
@@ -244,116 +244,26 @@
   def execute(self, host: hosts.EmulatedHost, effect: events.Effect):
     """Executes one effect of a host's reducer."""
     handler = _EFFECT_HANDLERS.get(type(effect))
+    call_handler = endpointcalls.EFFECT_HANDLERS.get(type(effect))
     if handler is not None:
       handler(self, host, effect)
+    elif call_handler is not None:
+      call_handler(self._calls, host, effect)
     else:
       fleetstore.EFFECT_HANDLERS[type(effect)](self._store, host, effect)
 
-  def _can_reach(self, host: hosts.EmulatedHost, name: str) -> bool:
+  def can_reach(self, host: hosts.EmulatedHost, name: str) -> bool:
+    """Returns whether packets pass between a host and a host or endpoint."""
     other = self.hosts.get(name)
     return name not in host.partitioned_from and (
         other is None or host.name not in other.partitioned_from
     )
 
-  def _start_run(self, host, effect: events.StartRun):
-    self._send_order(
-        host,
-        effect,
-        lambda endpoint: endpoint.start(effect),
-        events.StartAnswered,
-    )
-
-  def _stop_run(self, host, effect: events.StopRun):
-    self._send_order(
-        host,
-        effect,
-        lambda endpoint: endpoint.stop(effect),
-        events.StopAnswered,
-    )
-
-  def _send_order(self, host, effect, execute, answer_type):
-    endpoint = self.endpoints[effect.endpoint.id]
-    name, run = effect.endpoint.id, effect.run
-
-    def time_out():
-      host.apply(answer_type(name, run, model.CallResult.NO_ANSWER, None))
-
-    def arrive():
-      if endpoint.unreachable or not self._can_reach(host, name):
-        return
-      delay_s = endpoint.order_delay_s
-      if self.rng.random() < endpoint.loss_rate:
-        delay_s = self.rng.uniform(2.0, 12.0)
-      if delay_s:
-        self.clock.after(delay_s, lambda: execute(endpoint))
-        return
-      result = execute(endpoint)
-      clock_ms = endpoint.clock_ms
-      answered.append(False)
-      self.clock.after(
-          LOCAL_DELAY_S,
-          lambda: host.apply(answer_type(name, run, result, clock_ms)),
-      )
-
-    answered = []
-    self.clock.after(LOCAL_DELAY_S, arrive)
-    self.clock.after(timeouts.MIN_S, lambda: answered or time_out())
-
-  def _renew_lease(self, host, effect: events.RenewLease):
-    endpoint = self.endpoints[effect.endpoint.id]
-    answered = []
-
-    def answer(result: events.LeaseAnswered):
-      if (
-          answered
-          or endpoint.unreachable
-          or not self._can_reach(host, endpoint.info.id)
-      ):
-        return
-      answered.append(True)
-      self.clock.after(LOCAL_DELAY_S, lambda: host.apply(result))
-
-    lost = self.rng.random() < endpoint.loss_rate
-
-    def arrive():
-      arrived = not endpoint.unreachable and self._can_reach(
-          host, endpoint.info.id
-      )
-      if arrived and not lost:
-        endpoint.renew(effect, answer)
-
-    def time_out():
-      if not answered:
-        answered.append(True)
-        host.apply(
-            events.LeaseAnswered(
-                effect.endpoint.id,
-                effect.number,
-                model.CallResult.NO_ANSWER,
-                None,
-            )
-        )
-
-    self.clock.after(LOCAL_DELAY_S, arrive)
-    wait_s = effect.wait_ms / 1000
-    self.clock.after(wait_s + timeouts.MIN_S, time_out)
-
-  def _delay_s(
-      self, host: hosts.EmulatedHost, other: hosts.EmulatedHost
-  ) -> float:
-    if host is other:
-      return 0.0
-    return (
-        LOCAL_DELAY_S
-        if host.data_centre == other.data_centre
-        else REMOTE_DELAY_S
-    )
-
   def _send_to_holder(self, host, effect: events.SendToHolder):
     other = self.hosts[effect.holder.host]
     process = linkmessages.HostProcess(effect.holder.host, effect.holder.boot)
-    delay_s = self._delay_s(host, other)
-    if not self._can_reach(host, other.name):
+    delay_s = _delay_s(host, other)
+    if not self.can_reach(host, other.name):
       return
     if not other.up:
       lost = events.LinkLost(effect.shard, process, refused=True)
@@ -363,7 +273,7 @@
 
   def _send_to_coordinator(self, host, effect: events.SendToCoordinator):
     other = self.hosts[effect.process.host]
-    if other.process != effect.process or not self._can_reach(host, other.name):
+    if other.process != effect.process or not self.can_reach(host, other.name):
       return
     # A message from the known holder's host is attributed to that holder, even
     # if the host has been restarted since.
@@ -373,7 +283,7 @@
     received = events.HolderMessageReceived(
         effect.shard, process, effect.message
     )
-    self.clock.after(self._delay_s(host, other), lambda: other.apply(received))
+    self.clock.after(_delay_s(host, other), lambda: other.apply(received))
 
   def _answer(self, host, effect: events.Answer):
     del host
@@ -402,10 +312,15 @@
     self._store.set_claim(shard, None)
 
 
+def _delay_s(host: hosts.EmulatedHost, other: hosts.EmulatedHost) -> float:
+  """Returns the one-way network delay between two hosts (s)."""
+  if host is other:
+    return 0.0
+  is_local = host.data_centre == other.data_centre
+  return endpointcalls.LOCAL_DELAY_S if is_local else REMOTE_DELAY_S
+
+
 _EFFECT_HANDLERS = {
-    events.StartRun: Fleet._start_run,
-    events.StopRun: Fleet._stop_run,
-    events.RenewLease: Fleet._renew_lease,
     events.SendToHolder: Fleet._send_to_holder,
     events.SendToCoordinator: Fleet._send_to_coordinator,
     events.Answer: Fleet._answer,
