--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -1,5 +1,7 @@
 """Tests lost and failed calls to endpoints, and calls to dead incarnations."""
 
+import pytest
+
 from fescueturn import settings
 from fescueturn.scheduler import endpointstate
 from fescueturn.scheduler import events
@@ -220,3 +222,43 @@
     owner.take_effects()
     leases.handle_stop_answer(owner, failed)
     assert len(logged(owner.take_effects(), "stop_failed")) == expected_lines
+
+
+# Results that prove that the request they belong to was not carried out.
+NOT_CARRIED_OUT = (
+    model.CallResult.NOT_SENT,
+    model.CallResult.BUSY,
+    model.CallResult.LATE,
+    model.CallResult.NO_ROOM,
+    model.CallResult.REJECTED,
+)
+
+
+def start_answered(owner, run, result: model.CallResult):
+  leases.handle_start_answer(
+      owner, events.StartAnswered(ENDPOINT.id, run.id, result, None)
+  )
+
+
+@pytest.mark.parametrize("result", NOT_CARRIED_OUT)
+def test_failed_retry_does_not_free_a_task_whose_first_start_may_run(result):
+  owner = new_owner()
+  record = known_endpoint(owner)
+  run = start_job(owner, record)
+  lose_start_request(owner, run, 0.025)
+  start_answered(owner, run, result)
+  assert run.id in record.runs, "keeps its resources"
+  (job,) = owner.jobs.values()
+  assert not job.waiting, "its task waits for the end of the run"
+
+
+@pytest.mark.parametrize("result", NOT_CARRIED_OUT)
+def test_only_start_request_that_was_not_carried_out_frees_its_task(result):
+  owner = new_owner()
+  record = known_endpoint(owner)
+  run = start_job(owner, record)
+  record.exclude_until(10.0)
+  start_answered(owner, run, result)
+  assert not record.runs
+  (job,) = owner.jobs.values()
+  assert len(job.waiting) == 1
--- /dev/null
+++ b/tests/test_lossy_paths.py
@@ -0,0 +1,41 @@
+"""Tests endpoints behind paths that lose packets.
+
+A call may then arrive after its timeout, and the retry may fail to connect.
+"""
+
+import pytest
+
+from fescueturn.scheduler import model
+from tests import fleets
+
+# Three packets in ten are lost.
+LOSS_RATE = 0.3
+LOAD_S = 12
+LOAD_PER_S = 50
+
+
+def lose_packets(emulation, share: float, begin: float, end: float):
+  """Makes the paths to a share of the endpoints lossy for a time (s)."""
+  endpoints = list(emulation.endpoints.values())
+  lossy = emulation.rng.sample(endpoints, int(share * len(endpoints)))
+
+  def set_rate(rate: float):
+    for endpoint in lossy:
+      endpoint.packet_loss_rate = rate
+
+  emulation.clock.at(begin, lambda: set_rate(LOSS_RATE))
+  emulation.clock.at(end, lambda: set_rate(0.0))
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_lossy_paths_run_no_task_twice_and_overfill_no_endpoint(seed):
+  emulation = fleets.fleet(seed=seed)
+  requests = fleets.submit_load(
+      emulation, list(emulation.hosts.values()), LOAD_S, LOAD_PER_S
+  )
+  lose_packets(emulation, 0.4, 3.0, 8.0)
+  lose_packets(emulation, 0.3, 9.0, 12.0)
+  emulation.clock.run_until(LOAD_S + 6)
+  assert emulation.broken == []
+  outcomes = fleets.count_outcomes(emulation, requests)
+  assert outcomes[model.Outcome.DONE] > 0.6 * len(requests)
