A failed retry no longer frees a task whose first start request may run

Cause: a start request without an answer is sent again. When that second copy was provably not carried out (the connection failed, or the endpoint rejected it), its result was taken for the run's: the run counted as never begun, its task started elsewhere and its room was given away, while the first copy was carried out 0.2 s late.

Why this works: a run of which any copy got no answer ends only by what the endpoint itself says (its list after a confirmed stop), or when its lease has expired; a result of a later copy doesn't tell the fate of an earlier one.

--- a/fescueturn/scheduler/endpointstate.py
+++ b/fescueturn/scheduler/endpointstate.py
@@ -116,6 +116,11 @@
     self.duplicate_logged = False
     self.abandoned = False
 
+  @property
+  def has_unanswered_start(self) -> bool:
+    """True if a copy of its start request got no answer and was sent again."""
+    return self.sends > 1
+
   def expected_end(self, slowness: float) -> float:
     """Returns when the run will probably end (s)."""
     return self.started_at + self.estimate_ms * slowness / 1000
--- a/fescueturn/scheduler/leases.py
+++ b/fescueturn/scheduler/leases.py
@@ -387,23 +387,25 @@
   if result is model.CallResult.GONE:
     _remove_old_incarnation(owner, record)
     return
-  if result is model.CallResult.OLD_ATTEMPT and run.sends > 1:
+  if result is model.CallResult.OLD_ATTEMPT and run.has_unanswered_start:
     # An earlier copy of the request was carried out, and the run has ended.
     _confirm_start(owner, record, run)
     return
   if result is model.CallResult.NO_ANSWER:
     _handle_lost_request(owner, record, run.sent_at)
-    if runcontrol.resend_start(owner, record, run):
-      return
-    if run.state is endpointstate.RunState.ORDERED:
-      run.state = endpointstate.RunState.UNSURE
-    runcontrol.stop_run(owner, record, run)
+    if not runcontrol.resend_start(owner, record, run):
+      runcontrol.stop_unsure_run(owner, record, run)
     return
   if result is model.CallResult.NOT_SENT:
     _mark_silent(owner, record)
   elif result is not model.CallResult.LATE:
     record.back_off(owner.now)
-  if run.state is endpointstate.RunState.ORDERED:
+  if run.state is not endpointstate.RunState.ORDERED:
+    return
+  if run.has_unanswered_start:
+    # The result tells the fate of the last copy only.
+    runcontrol.stop_unsure_run(owner, record, run)
+  else:
     outcomes.finish_run(owner, record, run, model.RunOutcome.LOST, result.value)
 
 
--- a/fescueturn/scheduler/runcontrol.py
+++ b/fescueturn/scheduler/runcontrol.py
@@ -181,6 +181,13 @@
   owner.emit(events.StopRun(record.info, run.id, owner.fence))
 
 
+def stop_unsure_run(owner, record, run: endpointstate.Run):
+  """Stops a run that may have begun, or may begin when a request arrives late."""
+  if run.state is endpointstate.RunState.ORDERED:
+    run.state = endpointstate.RunState.UNSURE
+  stop_run(owner, record, run)
+
+
 def stop_task(owner, task: ownerstate.TaskRecord):
   """Stops the run of a task, unless it is stopping already."""
   record = owner.endpoints.get(task.endpoint)
