Model start requests that are sent again: one run of a task at a time

Cause of the change: the models knew a start request with one copy only, so the fault of the incident (a result of the second copy ends a run that the first one may still begin) couldn't show in them.

Mutants refuted: the old rule (LAST_COPY), a list taken as proof without a confirmed stop (NO_STOP), an endpoint given up before its lease expired (NO_EXPIRY).

--- a/tests/test_spec.py
+++ b/tests/test_spec.py
@@ -16,6 +16,7 @@
 NONE_LEFT = "( !(running[0])&& !(running[1]))"
 ONE_DATA_CENTRE = "!(running[(1-s)])"
 MORE_STARTS = "((starts<5)||sound)"
+ONE_ENDPOINT = "]==255)"
 STARTS_TWICE = "assertion violated (starts<=1)"
 
 
@@ -45,6 +46,7 @@
         ("kept.pml", []),
         ("moves.pml", []),
         ("losses.pml", []),
+        ("starts.pml", []),
     ],
 )
 def test_protocol_holds(tmp_path, spec, defines):
@@ -81,6 +83,9 @@
         ("losses.pml", "-DNO_HOLD", MORE_STARTS),
         ("losses.pml", "-DSAME_LIMIT", MORE_STARTS),
         ("losses.pml", "-DCOUNT_CUTS", "!(sound)"),
+        ("starts.pml", "-DLAST_COPY", ONE_ENDPOINT),
+        ("starts.pml", "-DNO_STOP", ONE_ENDPOINT),
+        ("starts.pml", "-DNO_EXPIRY", ONE_ENDPOINT),
         ("settings.pml", "-DNO_CAS", "base_of[revision]==(revision-1)"),
         ("settings.pml", "-DNO_MONOTONIC", "applied[h]>=highest[h]"),
     ],
