--- a/fescueturn/emulator/fleet.py
+++ b/fescueturn/emulator/fleet.py
@@ -1,11 +1,12 @@
 """An emulated fleet: hosts with their real reducers, endpoints and a store.
 
 Tests inject faults through its methods and attributes: a host can be killed,
-frozen or partitioned from others, the store can be unavailable, and endpoints
-can misbehave. The answers to callers are collected in `answers` and violations
+frozen or partitioned from others, a link between hosts can be reset, the store
+can be unavailable, and endpoints can misbehave. The answers to callers are collected in `answers` and violations
 of the scheduler's invariants in `broken`.
 """
 
+import collections
 import dataclasses
 import random
 from collections.abc import Callable
@@ -87,6 +88,10 @@
     self.restart_delay_s = 3.0
     self._incarnations = 0
     self._boots = 0
+    # How often the link from a coordinator to a holder was reset, by hosts.
+    self._link_resets: collections.Counter[tuple[str, str]] = (
+        collections.Counter()
+    )
     self._requests = 0
     self._default_profile: (
         Callable[[model.Task], endpoint_lib.TaskProfile] | None
@@ -230,6 +235,14 @@
     """Kills a host's process."""
     self.hosts[name].up = False
 
+  def reset_link(self, coordinator: str, holder: str):
+    """Resets the link between two hosts; loses the messages in flight on it."""
+    self._link_resets[coordinator, holder] += 1
+    host = self.hosts[coordinator]
+    for shard, record in list(host.state.coordinator.holders.items()):
+      if record.holder.host == holder:
+        host.apply(events.LinkLost(shard, record.process, refused=False))
+
   def drain(self, name: str, drained: bool = True):
     """Lists an endpoint as draining, or as ready again."""
     endpoint = self.endpoints[name]
@@ -269,7 +282,7 @@
       lost = events.LinkLost(effect.shard, process, refused=True)
       self.clock.after(2 * delay_s, lambda: host.apply(lost))
       return
-    self.clock.after(delay_s, lambda: other.apply(effect.message))
+    self._deliver((host.name, other.name), other, delay_s, effect.message)
 
   def _send_to_coordinator(self, host, effect: events.SendToCoordinator):
     other = self.hosts[effect.process.host]
@@ -283,7 +296,24 @@
     received = events.HolderMessageReceived(
         effect.shard, process, effect.message
     )
-    self.clock.after(_delay_s(host, other), lambda: other.apply(received))
+    link = (other.name, host.name)
+    self._deliver(link, other, _delay_s(host, other), received)
+
+  def _deliver(
+      self,
+      link: tuple[str, str],
+      receiver: hosts.EmulatedHost,
+      delay_s: float,
+      event: events.Event,
+  ):
+    """Delivers a message unless its link is reset before it arrives."""
+    resets = self._link_resets[link]
+
+    def arrive():
+      if self._link_resets[link] == resets:
+        receiver.apply(event)
+
+    self.clock.after(delay_s, arrive)
 
   def _answer(self, host, effect: events.Answer):
     del host
