Withdraw a job that is given up because its holder is lost

A lost holder's fate is unknown: it may be frozen, or its answers lost. The caller was told that the job may have run, and the job was forgotten; a holder that came back heard the coordinator's pings and started the job's tasks again, until the job's deadline. Its caller may have sent it to another data centre by then.

Every job that is given up while a holder may have it is now withdrawn, in one place: at its deadline, when its holder is lost, when the process ends.

--- a/fescueturn/scheduler/coordinator.py
+++ b/fescueturn/scheduler/coordinator.py
@@ -253,10 +253,7 @@
 def abort_all(state: coordinatorstate.Coordinator):
   """Withdraws every job and answers its caller, as the process is stopping."""
   for record in list(state.jobs.values()):
-    jobdispatch.withdraw(state, record)
-    jobdispatch.answer(
-        state, record, jobdispatch.unserved_outcome(record), "stopping"
-    )
+    jobdispatch.give_up(state, record, "stopping")
   jobqueries.abort_all(state)
 
 
@@ -348,10 +345,7 @@
   _update_unserved_since(state)
   for record in list(state.jobs.values()):
     if state.now > record.deadline - ANSWER_MARGIN_S:
-      jobdispatch.withdraw(state, record)
-      jobdispatch.answer(
-          state, record, jobdispatch.unserved_outcome(record), "deadline"
-      )
+      jobdispatch.give_up(state, record, "deadline")
     elif record.phase is coordinatorstate.Phase.HELD:
       if state.now - record.arrived > HELD_TIMEOUT_S:
         jobdispatch.answer(
@@ -359,9 +353,8 @@
         )
     elif record.phase is coordinatorstate.Phase.ORPHANED:
       if state.now - record.orphaned_at > ORPHAN_TIMEOUT_S:
-        jobdispatch.answer(
-            state, record, jobdispatch.unserved_outcome(record), "holder_lost"
-        )
+        # The holder may be alive, and hear this host's pings again.
+        jobdispatch.give_up(state, record, "holder_lost")
     elif not jobdispatch.reachable(state, record.shard):
       _holder_lost(state, record.shard, "silent")
 
--- a/fescueturn/scheduler/jobdispatch.py
+++ b/fescueturn/scheduler/jobdispatch.py
@@ -225,6 +225,12 @@
     state.jobs.pop(record.job.id, None)
 
 
+def give_up(state, record: coordinatorstate.JobRecord, reason: str):
+  """Withdraws a job that has no result and answers its caller."""
+  withdraw(state, record)
+  answer(state, record, unserved_outcome(record), reason)
+
+
 def withdraw(state, record: coordinatorstate.JobRecord):
   """Withdraws the job from its holder, if that still holds the shard.
 
