Repeat a job's withdrawal until its holder confirms it

A withdrawal was sent once and taken for received. Its link may break with it, or the link's send queue be full; the coordinator's pings go on, so the holder kept the job running to its deadline, while the caller sent the job again 1.3 s later to a host that offered it to another data centre.

The coordinator now keeps a withdrawal until the holder sends it back, and repeats it before each ping. A holder hears either both or neither, and ends the job when it hears nothing for 0.35 s. It is forgotten 1 s after the job's deadline, by when the holder has ended the job by itself.

The message gets a number, in the schema's field that offers use already. A holder sends back only a numbered withdrawal, so that a coordinator of the build before gets none; one of the build before confirms none, and the withdrawal is repeated to the job's deadline. Ruled out: a confirmation as a message of its own (a reader of the build before closes the link on it), and the end of the job as confirmation (a late one would end the job that the caller has sent again under the same key).

tests/test_withdrawals.py, withdrawal lost with its link: before 2 runs active 1.3 s after the caller's connection broke (2 of 2 fail), now 0. Without forgetting a withdrawal when its job is offered again, the test of a job sent again to its host fails. test_scheduler_fleet, test_evacuation, test_random_faults, test_kept_jobs, test_load, test_layout, test_hotpath: 130 passed.

--- a/fescueturn/scheduler/coordinator.py
+++ b/fescueturn/scheduler/coordinator.py
@@ -95,6 +95,9 @@
   if isinstance(message, keptevents.KeptJobReply):
     jobqueries.handle_state_report(state, message)
     return
+  if isinstance(message, linkmessages.Withdrawn):
+    state.withdrawals.pop(message.number, None)
+    return
   record = state.jobs.get(message.key.job_id)
   if record is None or record.key != message.key:
     return
@@ -340,6 +343,7 @@
 
 def tick(state: coordinatorstate.Coordinator):
   """Pings holders and checks the timeouts of holders, queries and jobs."""
+  jobdispatch.forget_withdrawals(state, lambda w: w.until < state.now)
   _ping(state)
   jobqueries.tick(state)
   _update_unserved_since(state)
@@ -375,6 +379,7 @@
   if remote_due:
     state.remote_pinged_at = state.now
   shards_with_jobs = {job.shard for job in state.jobs.values()}
+  shards_with_jobs |= {w.message.shard for w in state.withdrawals.values()}
   suspects = _suspects(state)
   for shard, holder in state.holders.items():
     is_local = shard.data_centre == state.data_centre
@@ -388,6 +393,7 @@
         or has_reports
     ):
       holder.pinged_at = state.now
+      jobdispatch.repeat_withdrawals(state, shard)
       # Only a host of the same data centre may be the shard's next holder.
       roster = holder.roster_version if is_local else None
       can_hold = is_local and state.can_hold
--- a/fescueturn/scheduler/coordinatorstate.py
+++ b/fescueturn/scheduler/coordinatorstate.py
@@ -1,6 +1,7 @@
 """The state of a coordinator: its callers' jobs, and the shards' holders."""
 
 import collections
+import dataclasses
 import enum
 
 from fescueturn.scheduler import evacuation
@@ -75,6 +76,21 @@
     self.wait_ms = 0
 
 
+@dataclasses.dataclass(frozen=True)
+class Withdrawal:
+  """A withdrawal that the job's holder has not confirmed yet.
+
+  Attributes:
+    message: the message to the holder.
+    process: the holder's process.
+    until: by when the holder has ended the job in any case (s).
+  """
+
+  message: linkmessages.Withdrawn
+  process: linkmessages.HostProcess
+  until: float
+
+
 class JobQuery:
   """A query about a kept job, shared by all callers that make the same one.
 
@@ -153,6 +169,9 @@
     self.holders: dict[model.Shard, HolderRecord] = {}
     self.jobs: dict[str, JobRecord] = {}
     self.by_request: dict[int, JobRecord] = {}
+    # Withdrawals by their numbers.
+    self.withdrawals: dict[int, Withdrawal] = {}
+    self.last_withdrawal = 0
     self.queries: dict[tuple[str, bool], JobQuery] = {}
     self.pinged_at = 0.0
     self.remote_pinged_at = 0.0
--- a/fescueturn/scheduler/jobdispatch.py
+++ b/fescueturn/scheduler/jobdispatch.py
@@ -1,6 +1,7 @@
 """Dispatch of a coordinator's job: offer it, withdraw it, answer its caller."""
 
 import zlib
+from collections.abc import Callable
 
 from fescueturn.scheduler import coordinatorstate
 from fescueturn.scheduler import events
@@ -18,6 +19,12 @@
 # Retry-After while every data centre is evacuated: the operator ends
 # evacuations one by one, after minutes.
 EVACUATED_RETRY_AFTER_S = 5
+# A holder ends a job at its caller's deadline, counted from the arrival of the
+# offer. No offer arrives later than this: a link without answers is closed after
+# 0.6 s.
+MAX_OFFER_DELAY_S = 1.0
+# The largest number of a withdrawal that a message can hold.
+_MAX_WITHDRAWAL = 2**16 - 1
 _EVACUATED = "evacuated"
 
 
@@ -146,6 +153,11 @@
   record.process = holder.process
   record.phase = coordinatorstate.Phase.OFFERED
   record.offer_count += 1
+  # The caller may have sent a withdrawn job again.
+  forget_withdrawals(
+      state,
+      lambda w: (w.message.key, w.message.shard) == (record.key, shard),
+  )
   state.emit(_offer_log(state, record, holder, resumed))
   state.send_to_holder(
       shard,
@@ -234,12 +246,39 @@
 def withdraw(state, record: coordinatorstate.JobRecord):
   """Withdraws the job from its holder, if that still holds the shard.
 
+  The withdrawal is repeated with each ping until the holder confirms it, since
+  pings alone would let the job run on. A holder that gets neither ends the job.
   A kept job is not withdrawn: it runs whether or not its caller still waits.
   """
   if record.job.kept:
     return
   holder = state.holders.get(record.shard) if record.shard else None
-  if holder is not None and holder.process == record.process:
-    state.send_to_holder(
-        record.shard, linkmessages.Withdrawn(record.shard, record.key)
-    )
+  if holder is None or holder.process != record.process:
+    return
+  number = state.last_withdrawal % _MAX_WITHDRAWAL + 1
+  state.last_withdrawal = number
+  message = linkmessages.Withdrawn(record.shard, record.key, number)
+  state.withdrawals[number] = coordinatorstate.Withdrawal(
+      message, record.process, record.deadline + MAX_OFFER_DELAY_S
+  )
+  state.send_to_holder(record.shard, message)
+
+
+def repeat_withdrawals(state, shard: model.Shard):
+  """Sends the unconfirmed withdrawals to a shard's holder again."""
+  holder = state.holders[shard]
+  for withdrawal in state.withdrawals.values():
+    message = withdrawal.message
+    if message.shard == shard and withdrawal.process == holder.process:
+      state.send_to_holder(shard, message)
+
+
+def forget_withdrawals(
+    state, is_over: Callable[[coordinatorstate.Withdrawal], bool]
+):
+  """Stops repeating the withdrawals for which `is_over` returns True."""
+  state.withdrawals = {
+      number: withdrawal
+      for number, withdrawal in state.withdrawals.items()
+      if not is_over(withdrawal)
+  }
--- a/fescueturn/scheduler/linkcodec.py
+++ b/fescueturn/scheduler/linkcodec.py
@@ -112,6 +112,7 @@
 
 def _encode_withdrawn(out, message: linkmessages.Withdrawn):
   out.jobId = message.key.job_id
+  out.number = message.number
   out.withdrawn = None
 
 
@@ -307,7 +308,7 @@
     "ping": _decode_ping,
     "offered": _decode_offered,
     "withdrawn": lambda m, shard, process: linkmessages.Withdrawn(
-        shard, linkmessages.JobKey(process, m.jobId)
+        shard, linkmessages.JobKey(process, m.jobId), m.number
     ),
     "pong": _decode_pong,
     "accepted": lambda m, shard, process: linkmessages.Accepted(
--- a/fescueturn/scheduler/linkmessages.py
+++ b/fescueturn/scheduler/linkmessages.py
@@ -59,10 +59,20 @@
 
 @dataclasses.dataclass(frozen=True)
 class Withdrawn:
-  """A coordinator abandons a job, whose runs are to be stopped."""
+  """A coordinator abandons a job, whose runs are to be stopped.
+
+  The holder sends the message back to confirm it.
+
+  Attributes:
+    shard: the shard whose holder may have the job.
+    key: the job and its coordinator.
+    number: distinguishes the coordinator's withdrawals; 0 from a coordinator
+      of an earlier version, which knows no confirmation.
+  """
 
   shard: model.Shard
   key: JobKey
+  number: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/fescueturn/scheduler/reducer.py
+++ b/fescueturn/scheduler/reducer.py
@@ -121,10 +121,13 @@
   )
 
 
-def _on_withdrawn(state, event: linkmessages.Withdrawn):
+def _on_withdrawn(state, event: linkmessages.Withdrawn) -> list:
   owner = state.owners.get(event.shard)
   if owner is not None:
     offers.handle_withdrawal(owner, event.key)
+  if not event.number:
+    return []
+  return [events.SendToCoordinator(event.key.process, event.shard, event)]
 
 
 def _on_ping(state, event: linkmessages.Ping) -> list:
--- a/tests/test_linkcodec.py
+++ b/tests/test_linkcodec.py
@@ -62,8 +62,11 @@
     *(linkmessages.JobEnded(KEY, o, "why") for o in model.Outcome),
 ]
 
+# Messages that the previous build neither sends nor expects.
+NEW_MESSAGES = [linkmessages.Withdrawn(SHARD, KEY, 65535)]
 
-@pytest.mark.parametrize("message", MESSAGES)
+
+@pytest.mark.parametrize("message", MESSAGES + NEW_MESSAGES)
 def test_decoding_an_encoded_message_returns_it(message):
   data = linkcodec.encode(SHARD, message)
   assert linkcodec.decode(data, PROCESS) == (SHARD, message)
--- a/tests/test_withdrawals.py
+++ b/tests/test_withdrawals.py
@@ -6,7 +6,9 @@
 
 import pytest
 
+from fescueturn.scheduler import linkmessages
 from fescueturn.scheduler import model
+from fescueturn.scheduler import reducer
 from tests import fleets
 
 # How long after a broken connection a caller sends its job again.
@@ -51,6 +53,68 @@
   assert emulation.broken == []
 
 
+def test_job_sent_again_to_its_host_survives_its_earlier_withdrawal():
+  emulation = fleets.fleet()
+  owner = fleets.owner_of(emulation, "a")
+  first = fleets.other_host(emulation, owner)
+  job = fleets.job("j", 2, 900)
+  request = emulation.submit(first.name, job, [0.9] * 2, 5.0)
+  emulation.clock.run_until(1.2)
+  first.partitioned_from.add(owner.name)
+  emulation.disconnect_caller(first.name, request)
+  first.partitioned_from.clear()
+  again = emulation.submit(first.name, job, [0.9] * 2, 5.0)
+  emulation.clock.run_until(4.0)
+  assert emulation.answers[again].answer.outcome is model.Outcome.DONE
+  assert first.state.coordinator.withdrawals == {}
+  assert emulation.broken == []
+
+
+def test_withdrawal_is_repeated_until_it_is_confirmed_and_not_longer():
+  emulation = fleets.fleet()
+  owner = fleets.owner_of(emulation, "a")
+  first = fleets.other_host(emulation, owner)
+  _, request = submit_long_job(emulation, first.name)
+  emulation.clock.run_until(1.2)
+  first.partitioned_from.add(owner.name)
+  emulation.disconnect_caller(first.name, request)
+  emulation.clock.run_until(1.6)
+  assert len(first.state.coordinator.withdrawals) == 1
+  first.partitioned_from.clear()
+  emulation.clock.run_until(1.8)
+  assert first.state.coordinator.withdrawals == {}
+
+
+def test_withdrawal_without_a_confirmation_ends_with_the_job():
+  """A holder of an earlier version confirms none."""
+  emulation = fleets.fleet()
+  owner = fleets.owner_of(emulation, "a")
+  first = fleets.other_host(emulation, owner)
+  _, request = submit_long_job(emulation, first.name, deadline_s=1.0)
+  emulation.clock.run_until(1.2)
+  first.partitioned_from.add(owner.name)
+  emulation.disconnect_caller(first.name, request)
+  emulation.clock.run_until(3.1)
+  assert len(first.state.coordinator.withdrawals) == 1
+  emulation.clock.run_until(3.4)
+  assert first.state.coordinator.withdrawals == {}
+
+
+def test_only_numbered_withdrawals_are_confirmed():
+  """A coordinator of an earlier version can't read a confirmation."""
+  emulation = fleets.fleet()
+  owner = fleets.owner_of(emulation, "a")
+  first = fleets.other_host(emulation, owner)
+  key = linkmessages.JobKey(first.process, "j")
+  for host in (owner, first):
+    for number, confirmed in ((0, False), (7, True)):
+      message = linkmessages.Withdrawn(model.Shard("a"), key, number)
+      sent = reducer.reduce(host.state, message, emulation.clock.now)
+      assert any(getattr(e, "message", None) == message for e in sent) == (
+          confirmed
+      )
+
+
 def test_job_given_up_while_its_holder_is_frozen_does_not_run_on_when_it_wakes():
   emulation = fleets.fleet()
   owner = fleets.owner_of(emulation, "a")
