--- /dev/null
+++ b/tests/test_link.py
@@ -0,0 +1,156 @@
+"""Links between hosts over real connections that are lost or replaced."""
+
+import contextlib
+
+import curio
+import pytest
+
+from fescueturn.lab import ports
+from fescueturn.scheduler import link
+from fescueturn.scheduler import linkcodec
+from fescueturn.scheduler import linkmessages
+from fescueturn.scheduler import model
+
+ME = linkmessages.HostProcess("host-1", "boot-1")
+SHARD = model.Shard("north")
+PING = linkmessages.Ping(SHARD, ME)
+WITHDRAWN = linkmessages.Withdrawn(
+    SHARD, linkmessages.JobKey(ME, "00000000000000a1"), 3
+)
+
+
+class Peer:
+  """A link server that records messages, and answers pings if asked to."""
+
+  def __init__(self, answers: bool = True):
+    self.address = ports.free_address()
+    self.received = []
+    self.connections = 0
+    self._answers = answers
+    self._server = link.LinkServer(self.address, self._on_message)
+
+  async def _on_message(self, process, shard, message):
+    self.received.append(message)
+    if self._answers and isinstance(message, linkmessages.Ping):
+      await self._server.send(process, shard, linkmessages.Pong())
+
+  @contextlib.asynccontextmanager
+  async def serving(self):
+    await self._server.start()
+    try:
+      yield self
+    finally:
+      await self._server.close()
+
+  async def has_received(self, count: int):
+    """Waits until that many messages have arrived."""
+    while len(self.received) < count:
+      await curio.sleep(0.005)
+
+
+class Coordinator:
+  """A link with a clock that the test moves."""
+
+  def __init__(self, peer: Peer):
+    self.now = 100.0
+    self.pongs = 0
+    self.losses = 0
+    self.link = link.Link(
+        peer.address, ME, lambda: self.now, self._on_message, self._on_lost
+    )
+
+  async def _on_message(self, shard, message):
+    del shard, message
+    self.pongs += 1
+
+  async def _on_lost(self, refused: bool):
+    assert not refused
+    self.losses += 1
+
+  async def has_pongs(self, count: int):
+    """Waits until that many pongs have arrived."""
+    while self.pongs < count:
+      await curio.sleep(0.005)
+
+
+def run(test, *args):
+  async def limited():
+    await curio.timeout_after(5.0, test, *args)
+
+  curio.run(limited)
+
+
+async def connect(peer: Peer):
+  sock = await curio.open_connection(peer.address.host, peer.address.port)
+  await sock.sendall(linkcodec.encode(SHARD, linkcodec.Hello(ME)))
+  return sock
+
+
+def test_message_on_a_connection_that_was_replaced_is_ignored():
+  """An offer that arrives after its withdrawal would run for nobody."""
+
+  async def play():
+    async with Peer().serving() as peer:
+      earlier = await connect(peer)
+      await earlier.sendall(linkcodec.encode(SHARD, PING))
+      await peer.has_received(1)
+      later = await connect(peer)
+      await later.sendall(linkcodec.encode(SHARD, WITHDRAWN))
+      await peer.has_received(2)
+      await earlier.sendall(linkcodec.encode(SHARD, PING))
+      assert await earlier.recv(100)
+      with contextlib.suppress(ConnectionError):
+        assert not await earlier.recv(100), "the connection is closed"
+      assert peer.received == [PING, WITHDRAWN]
+      await later.close()
+
+  run(play)
+
+
+def test_connection_without_answers_is_reported_as_lost():
+  async def play():
+    async with Peer(answers=False).serving() as peer:
+      coordinator = Coordinator(peer)
+      await coordinator.link.send(SHARD, PING)
+      await peer.has_received(1)
+      coordinator.now += link.RECEIVE_TIMEOUT_S + 0.01
+      await coordinator.link.send(SHARD, WITHDRAWN)
+      await peer.has_received(2)
+      assert coordinator.losses == 1
+      await coordinator.link.close()
+
+  run(play)
+
+
+@pytest.mark.parametrize("pause_s", [0.1, 1.0, 30.0])
+def test_connection_with_nothing_to_answer_is_kept(pause_s):
+  """Holders of other data centres are pinged once a second."""
+
+  async def play():
+    async with Peer().serving() as peer:
+      coordinator = Coordinator(peer)
+      for number in range(1, 4):
+        await coordinator.link.send(SHARD, PING)
+        await coordinator.has_pongs(number)
+        if number == 1:
+          connection = coordinator.link._outbox
+        assert coordinator.link._outbox is connection
+        coordinator.now += pause_s
+      assert coordinator.losses == 0
+      await coordinator.link.close()
+
+  run(play)
+
+
+def test_message_that_a_full_queue_drops_is_reported_as_lost(monkeypatch):
+  async def play():
+    async with Peer().serving() as peer:
+      coordinator = Coordinator(peer)
+      await coordinator.link.send(SHARD, PING)
+      await coordinator.has_pongs(1)
+      monkeypatch.setattr(link, "MAX_QUEUED_BYTES", 8)
+      await coordinator.link.send(SHARD, WITHDRAWN)
+      assert coordinator.losses == 1
+      await coordinator.link.close()
+
+  run(play)
