Report every loss of a link to a holder

A coordinator took what it had sent for delivered in three cases: the link closed a connection without answers by itself, its send queue was full, or the queue overflowed when the connection opened. Offers then waited for an answer to the caller's deadline, and an accepted job for its end.

Each of them is now reported like a connection that breaks, and the jobs are offered again. A connection counts as dead only when nothing arrives within 0.6 s of a message, no longer 0.6 s after the last one: holders of other data centres are pinged once a second, and their links were reopened at each ping.

--- a/fescueturn/scheduler/link.py
+++ b/fescueturn/scheduler/link.py
@@ -1,8 +1,9 @@
 """Connections between coordinators and holders: Cap'n Proto over TCP.
 
 A coordinator opens one connection to each holder's host. Both ends send at any
-time and never wait for the peer to read. A connection on which no response
-arrives within `RECEIVE_TIMEOUT_S` is closed and reopened, since it may be dead.
+time and never wait for the peer to read. A connection on which nothing arrives
+within `RECEIVE_TIMEOUT_S` of a message is closed and reopened, since it may be
+dead. Each loss of a connection is reported: the messages in flight are lost.
 """
 
 import collections
@@ -159,25 +160,32 @@
     self._outbox: _Outbox | None = None
     self._opening = False
     self._waiting: list[bytes] = []
-    self._last_received_at = now()
+    # When the first message was sent that nothing was received after.
+    self._unanswered_since: float | None = None
     self._reader = None
 
   async def send(self, shard: model.Shard, message):
     """Sends a message, or queues it until the connection is open."""
     data = linkcodec.encode(shard, message)
-    if (
-        self._outbox is not None
-        and self._now() - self._last_received_at > RECEIVE_TIMEOUT_S
-    ):
-      await self._drop()
+    if self._outbox is not None and self._is_unanswered:
+      await self._lose("no answer")
     if self._outbox is not None:
-      await self._outbox.put(data)
+      if self._unanswered_since is None:
+        self._unanswered_since = self._now()
+      if not await self._outbox.put(data):
+        await self._lose("queue full")
       return
     self._waiting.append(data)
     if not self._opening:
       self._opening = True
       await curio.spawn(self._open, daemon=True)
 
+  @property
+  def _is_unanswered(self) -> bool:
+    """True if nothing has been received for too long after a message."""
+    since = self._unanswered_since
+    return since is not None and self._now() - since > RECEIVE_TIMEOUT_S
+
   async def _open(self):
     try:
       sock = await curio.timeout_after(
@@ -196,20 +204,21 @@
     outbox = _Outbox(sock)
     await outbox.start()
     await outbox.put(linkcodec.encode(_HELLO_SHARD, linkcodec.Hello(self._me)))
-    self._last_received_at = self._now()
+    self._unanswered_since = self._now()
     self._outbox = outbox
     self._opening = False
     waiting, self._waiting = self._waiting, []
-    for data in waiting:
-      await outbox.put(data)
+    all_queued = all([await outbox.put(data) for data in waiting])
     self._reader = await curio.spawn(self._read, sock, outbox, daemon=True)
+    if not all_queued and self._outbox is outbox:
+      await self._lose("queue full")
 
   async def _read(self, sock, outbox: _Outbox):
     stream = sock.as_stream()
     try:
       while True:
         data = await framing.read_message(stream)
-        self._last_received_at = self._now()
+        self._unanswered_since = None
         shard, message = linkcodec.decode(data, self._me)
         await self._on_message(shard, message)
     except (OSError, linkcodec.MalformedMessageError) as exc:
@@ -219,6 +228,12 @@
       await outbox.close()
       await self._on_lost(False)
 
+  async def _lose(self, error: str):
+    """Closes the current connection and reports its loss."""
+    logger.info('event=link_closed peer={} error="{}"', self._address, error)
+    await self._drop()
+    await self._on_lost(False)
+
   async def _drop(self):
     """Closes the current connection without reporting its loss."""
     outbox, self._outbox = self._outbox, None
