Ignore what arrives on a link that its coordinator has replaced

A closed connection still sends what was queued on it, again for up to 1.5 s if packets are lost.

The holder now drops what comes on a connection that a later one of the same process has replaced. Connections are numbered in the hello, in the schema's field that offers use already, so that a hello that comes late replaces no later one; a coordinator of the build before sends 0, and its last hello counts. The margin for late offers is 2 s now, longer than TCP sends unacknowledged data.

--- a/fescueturn/scheduler/jobdispatch.py
+++ b/fescueturn/scheduler/jobdispatch.py
@@ -20,9 +20,9 @@
 # evacuations one by one, after minutes.
 EVACUATED_RETRY_AFTER_S = 5
 # A holder ends a job at its caller's deadline, counted from the arrival of the
-# offer. No offer arrives later than this: a link without answers is closed after
-# 0.6 s.
-MAX_OFFER_DELAY_S = 1.0
+# offer. No offer arrives later than this: a connection fails when data stays
+# unacknowledged for 1.5 s.
+MAX_OFFER_DELAY_S = 2.0
 # The largest number of a withdrawal that a message can hold.
 _MAX_WITHDRAWAL = 2**16 - 1
 _EVACUATED = "evacuated"
--- a/fescueturn/scheduler/link.py
+++ b/fescueturn/scheduler/link.py
@@ -30,13 +30,21 @@
 # that falls further behind reads too slowly to be of use.
 MAX_QUEUED_BYTES = 4 * 1024 * 1024
 
+# Connections are numbered modulo this, the range of the message's field.
+_MAX_CONNECTIONS = 2**16
+
 _HELLO_SHARD = model.Shard("")
 
 
 class _Outbox:
-  """Send queue of one connection; messages are sent in order."""
+  """Send queue of one connection; messages are sent in order.
+
+  Attributes:
+    number: the connection's number among those of its coordinator.
+  """
 
   def __init__(self, sock):
+    self.number = 0
     self._sock = sock
     self._waiting: collections.deque[bytes] = collections.deque()
     self._size = 0
@@ -82,7 +90,11 @@
 
 
 class LinkServer:
-  """Accepts coordinators' connections between `start` and `close`."""
+  """Accepts coordinators' connections between `start` and `close`.
+
+  A coordinator's connection replaces its earlier one. What still arrives on that
+  is dropped, since the coordinator may have taken it back by a later message.
+  """
 
   def __init__(self, address: settings.Address, on_message: OnMessage):
     self._on_message = on_message
@@ -115,11 +127,16 @@
       _, hello = linkcodec.decode(await framing.read_message(stream), None)
       if not isinstance(hello, linkcodec.Hello):
         raise ConnectionError("first message on the link is not a hello")
-      process = hello.process
+      process, outbox.number = hello.process, hello.number
+      current = self._outboxes.get(process)
+      if current is not None and 0 < outbox.number < current.number:
+        raise ConnectionError("older than the current connection")
       await outbox.start()
       self._outboxes[process] = outbox
       while True:
         data = await framing.read_message(stream)
+        if self._outboxes.get(process) is not outbox:
+          raise ConnectionError("replaced by a later connection")
         shard, message = linkcodec.decode(data, process)
         await self._on_message(process, shard, message)
     except (OSError, linkcodec.MalformedMessageError) as exc:
@@ -163,6 +180,7 @@
     # When the first message was sent that nothing was received after.
     self._unanswered_since: float | None = None
     self._reader = None
+    self._connections = 0
 
   async def send(self, shard: model.Shard, message):
     """Sends a message, or queues it until the connection is open."""
@@ -203,7 +221,9 @@
     listener.enable_dead_peer_detection(sock)
     outbox = _Outbox(sock)
     await outbox.start()
-    await outbox.put(linkcodec.encode(_HELLO_SHARD, linkcodec.Hello(self._me)))
+    self._connections += 1
+    hello = linkcodec.Hello(self._me, self._connections % _MAX_CONNECTIONS)
+    await outbox.put(linkcodec.encode(_HELLO_SHARD, hello))
     self._unanswered_since = self._now()
     self._outbox = outbox
     self._opening = False
--- a/fescueturn/scheduler/linkcodec.py
+++ b/fescueturn/scheduler/linkcodec.py
@@ -42,9 +42,16 @@
 
 @dataclasses.dataclass(frozen=True)
 class Hello:
-  """First message on a connection; identifies the process that opened it."""
+  """First message on a connection; identifies the process that opened it.
+
+  Attributes:
+    process: the process.
+    number: counts its connections to the same peer; 0 from a process of an
+      earlier version.
+  """
 
   process: linkmessages.HostProcess
+  number: int = 0
 
 
 def encode(shard: model.Shard, message) -> bytes:
@@ -55,6 +62,7 @@
 
 
 def _encode_hello(out, message: Hello):
+  out.number = message.number
   group = out.init("hello")
   group.host = message.process.host
   group.boot = message.process.boot
@@ -211,7 +219,8 @@
 
 def _decode_hello(message, shard, coordinator) -> Hello:
   del shard, coordinator
-  return Hello(linkmessages.HostProcess(message.hello.host, message.hello.boot))
+  process = linkmessages.HostProcess(message.hello.host, message.hello.boot)
+  return Hello(process, message.number)
 
 
 def _decode_offered(message, shard, coordinator) -> linkmessages.Offered:
