--- a/tests/test_withdrawals.py
+++ b/tests/test_withdrawals.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from fescueturn.scheduler import events
 from fescueturn.scheduler import linkmessages
 from fescueturn.scheduler import model
 from fescueturn.scheduler import reducer
@@ -135,3 +136,31 @@
   emulation.clock.run_until(given_up_at + RETURN_S + 1.0)
   assert active_runs(emulation, "b") == 2
   assert emulation.broken == []
+
+
+def test_holder_that_wakes_reads_withdrawals_before_it_starts_tasks():
+  """A run's lease has expired meanwhile, so its task could start elsewhere."""
+  emulation = fleets.fleet()
+  owner = fleets.owner_of(emulation, "a")
+  first = fleets.other_host(emulation, owner)
+  job, request = submit_long_job(emulation, first.name)
+  emulation.clock.run_until(1.2)
+  (shard,) = owner.state.owners.values()
+  victim = next(e for e in emulation.endpoints.values() if e.running)
+  victim.unreachable = True
+  while shard.endpoints[victim.info.id].silent_since is None:
+    emulation.clock.run_until(emulation.clock.now + 0.01)
+  # Nobody can claim the shard meanwhile.
+  emulation.store_up = False
+  owner.frozen = True
+  emulation.disconnect_caller(first.name, request)
+  emulation.clock.run_until(emulation.clock.now + RETURN_S)
+  emulation.submit("b0", job, [6.0] * 2, 7.0)
+  emulation.clock.run_until(emulation.clock.now + 0.1)
+  assert active_runs(emulation, "b") == 2
+  # A tick may come before the messages that arrived meanwhile.
+  owner.frozen = False
+  owner.apply(events.Tick())
+  owner.thaw()
+  emulation.clock.run_until(emulation.clock.now + 1.0)
+  assert emulation.broken == []
