--- a/fescueturn/scheduler/coordinator.py
+++ b/fescueturn/scheduler/coordinator.py
@@ -95,6 +95,9 @@
   if isinstance(message, keptevents.KeptJobReply):
     jobqueries.handle_state_report(state, message)
     return
+  if isinstance(message, linkmessages.Withdrawn):
+    state.withdrawals.pop(message.number, None)
+    return
   record = state.jobs.get(message.key.job_id)
   if record is None or record.key != message.key:
     return
@@ -253,10 +256,7 @@
 def abort_all(state: coordinatorstate.Coordinator):
   """Withdraws every job and answers its caller, as the process is stopping."""
   for record in list(state.jobs.values()):
-    jobdispatch.withdraw(state, record)
-    jobdispatch.answer(
-        state, record, jobdispatch.unserved_outcome(record), "stopping"
-    )
+    jobdispatch.give_up(state, record, "stopping")
   jobqueries.abort_all(state)
 
 
@@ -343,15 +343,13 @@
 
 def tick(state: coordinatorstate.Coordinator):
   """Pings holders and checks the timeouts of holders, queries and jobs."""
+  jobdispatch.forget_withdrawals(state, lambda w: w.until < state.now)
   _ping(state)
   jobqueries.tick(state)
   _update_unserved_since(state)
   for record in list(state.jobs.values()):
     if state.now > record.deadline - ANSWER_MARGIN_S:
-      jobdispatch.withdraw(state, record)
-      jobdispatch.answer(
-          state, record, jobdispatch.unserved_outcome(record), "deadline"
-      )
+      jobdispatch.give_up(state, record, "deadline")
     elif record.phase is coordinatorstate.Phase.HELD:
       if state.now - record.arrived > HELD_TIMEOUT_S:
         jobdispatch.answer(
@@ -359,9 +357,8 @@
         )
     elif record.phase is coordinatorstate.Phase.ORPHANED:
       if state.now - record.orphaned_at > ORPHAN_TIMEOUT_S:
-        jobdispatch.answer(
-            state, record, jobdispatch.unserved_outcome(record), "holder_lost"
-        )
+        # The holder may be alive, and hear this host's pings again.
+        jobdispatch.give_up(state, record, "holder_lost")
     elif not jobdispatch.reachable(state, record.shard):
       _holder_lost(state, record.shard, "silent")
 
@@ -382,6 +379,7 @@
   if remote_due:
     state.remote_pinged_at = state.now
   shards_with_jobs = {job.shard for job in state.jobs.values()}
+  shards_with_jobs |= {w.message.shard for w in state.withdrawals.values()}
   suspects = _suspects(state)
   for shard, holder in state.holders.items():
     is_local = shard.data_centre == state.data_centre
@@ -395,6 +393,7 @@
         or has_reports
     ):
       holder.pinged_at = state.now
+      jobdispatch.repeat_withdrawals(state, shard)
       # Only a host of the same data centre may be the shard's next holder.
       roster = holder.roster_version if is_local else None
       can_hold = is_local and state.can_hold
