--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -262,3 +262,22 @@
   assert not record.runs
   (job,) = owner.jobs.values()
   assert len(job.waiting) == 1
+
+
+def test_adopted_run_is_not_restarted_while_its_starters_lease_may_hold():
+  """The earlier holder may have renewed it just before it was replaced."""
+  owner = new_owner()
+  leases.handle_endpoint_list(owner, (ENDPOINT,))
+  record = owner.endpoints[ENDPOINT.id]
+  found = model.RunId(model.Task("j", 0, 0), 1)
+  answer(owner, record, 0.0, running=(model.ActiveRun(found, 10),))
+  answer(owner, record, 0.01, model.CallResult.NOT_SENT)
+  assert record.silent_since is not None
+  offer = linkmessages.Offered(SHARD, JOB_KEY, JOB, 0.0, 5.0, resumed=True)
+  offers.handle_offer(owner, offer)
+  (job,) = owner.jobs.values()
+  for now, restarted in ((0.02, False), (0.99, False), (1.1, True)):
+    owner.now = now
+    owner.last_contact[PROCESS] = now
+    owner_lib.tick(owner)
+    assert bool(job.waiting) == restarted
