A new holder takes into account the leases that earlier holders extended

The record of an endpoint knew only the lease ends that its own holder had asked for. A run found there counted as expired as soon as the endpoint fell silent, while its starter's lease held for up to a second.

test_adopted_run_is_not_restarted_while_its_starters_lease_may_hold: failed at 0.02 s before, passes now.

--- a/fescueturn/scheduler/endpointstate.py
+++ b/fescueturn/scheduler/endpointstate.py
@@ -9,10 +9,12 @@
 
 from fescueturn.scheduler import model
 
-# The platform allows leases of up to 1,000 ms. A run may outlive its
-# coordinator by the time in which the holder detects the failure (400 ms) and
-# one lease, and must have ended when the caller retries after 1,300 ms. Leases
-# are renewed every 300 ms, so that one renewal may be lost.
+# The longest lease that the platform allows.
+MAX_LEASE_MS = 1000
+# The length of a lease. A run may outlive its coordinator by the time in which
+# the holder detects the failure (400 ms) and one lease, and must have ended when
+# the caller retries after 1,300 ms. Leases are renewed every 300 ms, so that one
+# renewal may be lost.
 LEASE_MS = 800
 # A lease counts as expired this long after its end on the estimated clock of
 # the endpoint, which never runs ahead of the real one. The margin covers the 2%
@@ -165,7 +167,8 @@
     call_pending: True while that call has no answer.
     call_sent_at: when it was sent (s).
     call_is_long_poll: True if it may wait for a run to end.
-    lease_end_ms: the latest lease end requested, on the endpoint's clock.
+    lease_end_ms: the latest end that its lease may have, on the endpoint's
+      clock.
     next_call_at: when a failed lease call may be retried (s).
     excluded_until: until when it gets no new tasks (s).
     ejections: how often it was ejected without a successful run in between.
@@ -293,12 +296,21 @@
     return self._clock_ms + int((now - self._clock_at) * 1000)
 
   def leases_expired(self, now: float) -> bool:
-    """Returns whether all leases requested there have surely expired."""
+    """Returns whether the endpoint's lease has surely expired."""
     clock = self.clock_ms(now)
     return (
         clock is not None and clock > self.lease_end_ms + LEASE_EXPIRY_MARGIN_MS
     )
 
+  def cover_earlier_leases(self, clock_ms: int):
+    """Takes into account that earlier holders may have extended the lease.
+
+    Args:
+      clock_ms: the endpoint's clock when it answered this holder's first call;
+        it has refused the calls of earlier holders since.
+    """
+    self.lease_end_ms = max(self.lease_end_ms, clock_ms + MAX_LEASE_MS)
+
   def extend_lease(self, now: float) -> int | None:
     """Extends the lease by its full length from now.
 
--- a/fescueturn/scheduler/leases.py
+++ b/fescueturn/scheduler/leases.py
@@ -153,6 +153,8 @@
 
 def _handle_run_lists(owner, record, event: events.LeaseAnswered):
   first_report = not record.runs_known
+  if first_report and event.clock_ms is not None:
+    record.cover_earlier_leases(event.clock_ms)
   record.runs_known = True
   crashes.discard_losses(owner, record.info.id)
   for ended in event.ended:
