--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -1,5 +1,7 @@
 """Tests lost and failed calls to endpoints, and calls to dead incarnations."""
 
+import dataclasses
+
 import pytest
 
 from fescueturn import settings
@@ -281,3 +283,90 @@
     owner.last_contact[PROCESS] = now
     owner_lib.tick(owner)
     assert bool(job.waiting) == restarted
+
+
+OTHER_ENDPOINT = dataclasses.replace(
+    ENDPOINT, id="i-2", address=settings.Address("10.0.0.2", 80)
+)
+
+
+def lose_first_run(owner, listed):
+  """Lets the lease of a job's first run expire; returns its record and run."""
+  record = known_endpoint(owner)
+  run = start_job(owner, record)
+  leases.handle_endpoint_list(owner, listed)
+  answer(owner, record, 0.01, model.CallResult.NOT_SENT)
+  owner.now = owner.last_contact[PROCESS] = 1.1
+  owner_lib.tick(owner)
+  assert run.abandoned
+  return record, run
+
+
+def job_outcomes(effects) -> list[model.Outcome]:
+  messages = [
+      e.message for e in effects if isinstance(e, events.SendToCoordinator)
+  ]
+  return [m.outcome for m in messages if isinstance(m, linkmessages.JobEnded)]
+
+
+def test_success_of_a_run_taken_as_lost_ends_its_waiting_task():
+  owner = new_owner()
+  record, run = lose_first_run(owner, (ENDPOINT,))
+  answer(
+      owner,
+      record,
+      1.2,
+      ended=(model.EndedRun(1, run.id, model.RunOutcome.DONE),),
+  )
+  effects = owner.take_effects()
+  assert job_outcomes(effects) == [model.Outcome.DONE]
+  assert not any(isinstance(e, events.StartRun) for e in effects)
+
+
+def test_success_of_a_run_taken_as_lost_stops_the_next_run_of_its_task():
+  owner = new_owner()
+  record, run = lose_first_run(owner, (ENDPOINT, OTHER_ENDPOINT))
+  other = owner.endpoints[OTHER_ENDPOINT.id]
+  leases.handle_lease_answer(
+      owner,
+      events.LeaseAnswered(
+          OTHER_ENDPOINT.id, other.call_number, model.CallResult.OK, 9000
+      ),
+  )
+  (next_run,) = other.runs.values()
+  owner.take_effects()
+  answer(
+      owner,
+      record,
+      1.2,
+      ended=(model.EndedRun(1, run.id, model.RunOutcome.DONE),),
+  )
+  effects = owner.take_effects()
+  assert job_outcomes(effects) == [model.Outcome.DONE]
+  assert [e.run for e in effects if isinstance(e, events.StopRun)] == [
+      next_run.id
+  ]
+
+
+def test_success_of_an_earlier_holders_run_stops_the_next_run_of_its_task():
+  owner = ownerstate.Owner(SHARD, 7, 0.0)
+  known_endpoint(owner)
+  leases.handle_endpoint_list(owner, (ENDPOINT, OTHER_ENDPOINT))
+  offer = linkmessages.Offered(SHARD, JOB_KEY, JOB, 0.0, 5.0, resumed=True)
+  offers.handle_offer(owner, offer)
+  owner.now = owner.last_contact[PROCESS] = 1.6
+  owner_lib.tick(owner)
+  (next_run,) = owner.endpoints[ENDPOINT.id].runs.values()
+  owner.take_effects()
+  ended = model.EndedRun(1, next_run.id, model.RunOutcome.DONE)
+  leases.handle_lease_answer(
+      owner,
+      events.LeaseAnswered(
+          OTHER_ENDPOINT.id, 1, model.CallResult.OK, 9000, ended=(ended,)
+      ),
+  )
+  effects = owner.take_effects()
+  assert job_outcomes(effects) == [model.Outcome.DONE]
+  assert [e.run for e in effects if isinstance(e, events.StopRun)] == [
+      next_run.id
+  ]
