Any successful run of a task completes it

The end of a run that had been taken as lost, or that an earlier holder had started, was acknowledged and dropped while its task had another run or waited for one. The task then ran again after its success, and a kept task started again after that had been acknowledged.

The three new tests of test_leases failed before and pass now.

--- a/fescueturn/scheduler/offers.py
+++ b/fescueturn/scheduler/offers.py
@@ -163,7 +163,7 @@
   for task in job.tasks:
     early = owner.early_results.pop(task, None)
     if early is not None:
-      outcomes.apply_early_result(job, task, early)
+      outcomes.apply_early_result(owner, job, task, early)
   outcomes.end_job_if_finished(owner, job)
 
 
--- a/fescueturn/scheduler/outcomes.py
+++ b/fescueturn/scheduler/outcomes.py
@@ -49,6 +49,9 @@
   task = job.tasks.get(run.id.task) if job else None
   if task is None:
     return
+  if task.run != run.id and how is model.RunOutcome.DONE:
+    _complete_task(owner, job, task)
+    end_job_if_finished(owner, job)
   if task.previous_run == run.id:
     task.previous_run = None
     hand_back_if_idle(owner, job)
@@ -93,18 +96,38 @@
   hand_back_if_idle(owner, job)
 
 
+def _complete_task(
+    owner, job: ownerstate.JobRecord, task: ownerstate.TaskRecord
+):
+  """Ends a task by the success of a run that isn't its current one, if any.
+
+  That run was started by an earlier holder or had been taken as lost. The
+  current one is stopped, and the job stays active until it has ended.
+  """
+  if task.state is ownerstate.TaskState.DONE:
+    return
+  if task.run is not None:
+    runcontrol.stop_task(owner, task)
+    task.previous_run = task.run
+  job.task_done(task)
+
+
 def apply_early_result(
-    job: ownerstate.JobRecord, name: model.Task, early: ownerstate.EarlyResult
+    owner,
+    job: ownerstate.JobRecord,
+    name: model.Task,
+    early: ownerstate.EarlyResult,
 ):
   """Applies the ends of a task's runs that an earlier holder started."""
   task = job.tasks.get(name)
-  if task is None or task.state is not ownerstate.TaskState.WAITING:
+  if task is None:
     return
-  task.attempt = max(task.attempt, early.attempt)
-  if job.job.kept:
-    task.failed |= early.failed
   if early.how is model.RunOutcome.DONE:
-    job.task_done(task)
+    _complete_task(owner, job, task)
+  elif task.state is ownerstate.TaskState.WAITING:
+    task.attempt = max(task.attempt, early.attempt)
+    if job.job.kept:
+      task.failed |= early.failed
 
 
 def handle_listed_end(owner, record, ended: model.EndedRun):
@@ -155,7 +178,7 @@
   if job is None:
     owner.early_results[task] = early
     return
-  apply_early_result(job, task, early)
+  apply_early_result(owner, job, task, early)
   end_job_if_finished(owner, job)
 
 
