--- a/fescueturn/emulator/endpoint.py
+++ b/fescueturn/emulator/endpoint.py
@@ -353,4 +353,5 @@
         self.clock_ms,
         running,
         tuple(self._ended),
+        call.fence,
     )
--- a/fescueturn/emulator/endpointcalls.py
+++ b/fescueturn/emulator/endpointcalls.py
@@ -63,7 +63,7 @@
     def end(result, clock_ms=None):
       if not call.over:
         call.over = True
-        host.apply(answer_type(name, run, result, clock_ms))
+        host.apply(answer_type(name, run, result, clock_ms, effect.fence))
 
     def time_out():
       if not call.over:
@@ -105,7 +105,11 @@
         host.apply(answer)
 
     def fail(result: model.CallResult):
-      end(events.LeaseAnswered(name, effect.number, result, None))
+      end(
+          events.LeaseAnswered(
+              name, effect.number, result, None, fence=effect.fence
+          )
+      )
 
     def time_out():
       if not call.over:
--- a/fescueturn/platform/endpoints.py
+++ b/fescueturn/platform/endpoints.py
@@ -375,7 +375,7 @@
         order.endpoint, "/-/run-start", body
     )
     return events.StartAnswered(
-        order.endpoint.id, order.run, reply.result, reply.clock_ms
+        order.endpoint.id, order.run, reply.result, reply.clock_ms, order.fence
     )
 
   async def stop(self, order: events.StopRun) -> events.StopAnswered:
@@ -389,7 +389,7 @@
         order.endpoint, "/-/run-stop", body
     )
     return events.StopAnswered(
-        order.endpoint.id, order.run, reply.result, reply.clock_ms
+        order.endpoint.id, order.run, reply.result, reply.clock_ms, order.fence
     )
 
   async def renew(self, order: events.RenewLease) -> events.LeaseAnswered:
@@ -420,6 +420,7 @@
         reply.clock_ms,
         running,
         ended,
+        order.fence,
     )
 
   async def close_unlisted(self, listed: tuple[model.Endpoint, ...]):
--- a/fescueturn/scheduler/events.py
+++ b/fescueturn/scheduler/events.py
@@ -109,22 +109,32 @@
 
 @dataclasses.dataclass(frozen=True)
 class StartAnswered:
-  """A `StartRun` call completed; `clock_ms` is None without a response."""
+  """A `StartRun` call completed.
+
+  Attributes:
+    endpoint: the endpoint's id.
+    run: the task and attempt.
+    result: the call's result.
+    clock_ms: the endpoint's clock; None without a response.
+    fence: the fencing token of the `StartRun`.
+  """
 
   endpoint: str
   run: model.RunId
   result: model.CallResult
   clock_ms: int | None
+  fence: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
 class StopAnswered:
-  """A `StopRun` call completed; `clock_ms` is None without a response."""
+  """A `StopRun` call completed; the attributes are those of `StartAnswered`."""
 
   endpoint: str
   run: model.RunId
   result: model.CallResult
   clock_ms: int | None
+  fence: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -138,6 +148,7 @@
     clock_ms: the endpoint's clock; None without a response.
     running: the endpoint's current runs.
     ended: runs that ended and whose end has not been acknowledged.
+    fence: the fencing token of the `RenewLease`.
   """
 
   endpoint: str
@@ -146,6 +157,7 @@
   clock_ms: int | None
   running: tuple[model.ActiveRun, ...] = ()
   ended: tuple[model.EndedRun, ...] = ()
+  fence: int = 0
 
 
 # Events for the host as a whole.
--- a/tests/test_new_holder.py
+++ b/tests/test_new_holder.py
@@ -2,9 +2,11 @@
 
 import pytest
 
+from fescueturn.scheduler import endpointstate
 from fescueturn.scheduler import events
 from fescueturn.scheduler import model
 from tests import fleets
+from tests import test_kept_jobs
 
 
 def replace_holder(emulation):
@@ -43,3 +45,45 @@
   assert answered.outcome is model.Outcome.NOT_RUN
   assert answered.retry_after_s > 0
   assert not any(e.starts for e in emulation.endpoints.values())
+
+
+def ordered_run(owner, job_id: str):
+  """Returns a job's run that waits for the answer to its start request."""
+  runs = [
+      (name, run)
+      for name, record in owner.endpoints.items()
+      for run in record.runs.values()
+      if run.id.task.job_id == job_id
+      and run.state is endpointstate.RunState.ORDERED
+  ]
+  return runs[0] if runs else None
+
+
+def test_answer_to_the_same_start_under_an_earlier_claim_frees_no_task():
+  emulation = fleets.fleet()
+  emulation.clock.run_until(4.0)
+  holder = fleets.owner_of(emulation, "a")
+  (earlier,) = holder.state.owners.values()
+  test_kept_jobs.submit(emulation, "a0", test_kept_jobs.job("k", 1, 5000))
+  emulation.clock.run_until(4.1)
+  for endpoint in emulation.endpoints.values():
+    endpoint.order_delay_s = 0.6
+  coordinator = fleets.other_host(emulation, holder)
+  emulation.submit(coordinator.name, fleets.job("j", 1, 900), [0.9], 3.5)
+  emulation.clock.run_until(4.11)
+  name, first = ordered_run(earlier, "j")
+  emulation.delete_claim(model.Shard("a"))
+  while holder.state.owners.get(model.Shard("a")) in (None, earlier) or (
+      not ordered_run(holder.state.owners[model.Shard("a")], "j")
+  ):
+    emulation.clock.run_until(emulation.clock.now + 0.0001)
+    assert emulation.clock.now < 7
+  (owner,) = holder.state.owners.values()
+  same_name, second = ordered_run(owner, "j")
+  assert (same_name, second.id) == (name, first.id)
+  not_sent = model.CallResult.NOT_SENT
+  holder.apply(
+      events.StartAnswered(name, first.id, not_sent, None, earlier.fence)
+  )
+  emulation.clock.run_until(8)
+  assert emulation.broken == []
