An owner ignores answers to the requests of earlier owners

A host that claims its shard anew gets the answers to the requests that it made under its earlier claim. They may name the same run, as attempts are counted anew, or the same number of a lease call.

test_answer_to_the_same_start_under_an_earlier_claim_frees_no_task: two runs at once before, passes now. With test_new_holder, test_platform_endpoints, test_scheduler_host, test_roster, test_scheduler_fleet, test_random_faults, test_platform_kept and test_layout: 358 passed.

--- a/fescueturn/scheduler/ownerstate.py
+++ b/fescueturn/scheduler/ownerstate.py
@@ -218,6 +218,9 @@
   ):
     self.shard = shard
     self.fence = fence
+    # The fencing token of its first claim; it keeps its state if it claims the
+    # shard again.
+    self.first_fence = fence
     self.now = now
     self._evacuations = evacuations or evacuation.Evacuations(loaded=True)
     self.roster = roster.Roster()
--- a/fescueturn/scheduler/reducer.py
+++ b/fescueturn/scheduler/reducer.py
@@ -179,7 +179,9 @@
 def _for_endpoint(function):
   def handle(state, event):
     for owner in state.owners.values():
-      if event.endpoint in owner.endpoints:
+      # An earlier owner's requests may name the same run or call number.
+      own = event.fence >= owner.first_fence
+      if own and event.endpoint in owner.endpoints:
         function(owner, event)
 
   return handle
