--- a/fescueturn/emulator/endpoint.py
+++ b/fescueturn/emulator/endpoint.py
@@ -77,6 +77,7 @@
       them again, so that calls are late and connections may not be opened.
     order_delay_s: delay (s) after which start and stop orders are executed;
       they get no answer. 0 executes them at once.
+    clock_rate: how fast its own clock runs, in seconds per second.
     superseded: True if a new incarnation of the endpoint has its address.
     on_crash: called after a task has crashed the endpoint.
     starts: the runs that were started, in order.
@@ -116,6 +117,7 @@
     self.loss_rate = 0.0
     self.packet_loss_rate = 0.0
     self.order_delay_s = 0.0
+    self.clock_rate = 1.0
     self.superseded = False
     self.on_crash: Callable[[EmulatedEndpoint], None] = lambda endpoint: None
     self.starts: list[model.RunId] = []
@@ -142,7 +144,7 @@
   @property
   def clock_ms(self) -> int:
     """The endpoint's own monotonic clock (ms)."""
-    return int(self._clock.now * 1000) + self._offset_ms
+    return int(self._clock.now * 1000 * self.clock_rate) + self._offset_ms
 
   @property
   def running(self) -> list[model.RunId]:
@@ -252,7 +254,7 @@
   def _extend_lease(self, deadline_ms: int):
     latest = self.clock_ms + MAX_LEASE_MS
     self._lease_end_ms = max(self._lease_end_ms, min(deadline_ms, latest))
-    end_s = (self._lease_end_ms - self._offset_ms) / 1000
+    end_s = (self._lease_end_ms - self._offset_ms) / 1000 / self.clock_rate
     # The lease is still valid in its last millisecond, so it is checked 1 ms
     # later; 0.5 ms are added because `clock_ms` is rounded down.
     self._clock.at(end_s + 0.0015, self._expire_lease)
--- a/tests/test_scheduler_fleet.py
+++ b/tests/test_scheduler_fleet.py
@@ -404,3 +404,40 @@
   assert reply.outcome is model.Outcome.NOT_RUN
   assert reply.retry_after_s > 0
   assert not any(e.starts for e in emulation.endpoints.values())
+
+
+def slow_clocks(emulation):
+  """Makes the clocks of all endpoints run as slowly as the platform allows."""
+  for endpoint in emulation.endpoints.values():
+    endpoint.clock_rate = 0.98
+
+
+@pytest.mark.parametrize("idle_s", [5.0, 60.0])
+def test_late_start_on_an_idle_endpoint_with_a_slow_clock_is_refused(idle_s):
+  emulation = fleets.fleet()
+  slow_clocks(emulation)
+  emulation.clock.run_until(idle_s)
+  for endpoint in emulation.endpoints.values():
+    endpoint.order_delay_s = 0.86
+  holder = fleets.owner_of(emulation, "a")
+  emulation.submit(holder.name, fleets.job("j", 1, 1500), [1.5], 3.5)
+  emulation.clock.run_until(idle_s + 0.001)
+  (owner,) = holder.state.owners.values()
+  (name,) = [n for n, record in owner.endpoints.items() if record.runs]
+  holder.partitioned_from.add(name)
+  for endpoint in emulation.endpoints.values():
+    endpoint.order_delay_s = 0.0
+  emulation.clock.run_until(idle_s + 3.0)
+  assert emulation.broken == []
+  started = [run for e in emulation.endpoints.values() for run in e.starts]
+  assert len(started) == 1
+
+
+def test_idle_endpoint_starts_a_task_at_the_first_request():
+  emulation = fleets.fleet()
+  emulation.clock.run_until(120.0)
+  holder = fleets.owner_of(emulation, "a")
+  emulation.submit(holder.name, fleets.job("j", 1, 100), [0.1])
+  emulation.clock.run_until(121.0)
+  started = [run for e in emulation.endpoints.values() for run in e.starts]
+  assert [run.attempt for run in started] == [1]
