The clock of an endpoint is estimated from below at the slowest allowed rate

The estimate took the clock to run as fast as this host's. After a minute without a call a clock that is 2% slow was 1.2 s behind it: deadlines were that much too late, and leases counted as expired while late starts were still accepted. An endpoint is now called at least every 10 s, so that its clock is never older.

test_late_start_on_an_idle_endpoint_with_a_slow_clock_is_refused[60.0]: two runs at once before, passes now; [5.0]: two starts one after the other before, one now.

--- a/fescueturn/scheduler/endpointstate.py
+++ b/fescueturn/scheduler/endpointstate.py
@@ -17,10 +17,13 @@
 # renewal may be lost.
 LEASE_MS = 800
 # A lease counts as expired this long after its end on the estimated clock of
-# the endpoint, which never runs ahead of the real one. The margin covers the 2%
-# of the longest lease that a slow clock may add, and ten times a call's usual
-# 2 ms.
+# the endpoint, which never runs ahead of the real one.
 LEASE_EXPIRY_MARGIN_MS = 40
+# The lowest rate of an endpoint's clock: it may be 2% slow.
+MIN_CLOCK_RATE = 0.98
+# The longest time without a call to an endpoint. The estimate of its clock is
+# then 200 ms behind, and a lease that is requested by it 600 ms long.
+IDLE_CALL_PERIOD_S = 10.0
 # A run is stuck once it has made no progress for this many times its estimate.
 # Estimates are off by 40% at most, and a run on a slow endpoint still makes
 # progress.
@@ -293,7 +296,12 @@
     """Returns the endpoint's clock, estimated from below; None if unknown."""
     if self._clock_ms is None:
       return None
-    return self._clock_ms + int((now - self._clock_at) * 1000)
+    elapsed_ms = (now - self._clock_at) * 1000
+    return self._clock_ms + int(elapsed_ms * MIN_CLOCK_RATE)
+
+  def is_idle(self, now: float) -> bool:
+    """Returns whether it is to be called because its last answer is old."""
+    return now - self.last_answer_at > IDLE_CALL_PERIOD_S
 
   def leases_expired(self, now: float) -> bool:
     """Returns whether the endpoint's lease has surely expired."""
--- a/fescueturn/scheduler/owner.py
+++ b/fescueturn/scheduler/owner.py
@@ -125,7 +125,11 @@
     return
   silent = record.silent_since is not None
   wants_call = (
-      record.runs or silent or not record.runs_known or record.has_unsent_ack
+      record.runs
+      or silent
+      or not record.runs_known
+      or record.has_unsent_ack
+      or record.is_idle(owner.now)
   )
   if (
       wants_call
