--- a/tests/test_new_holder.py
+++ b/tests/test_new_holder.py
@@ -87,3 +87,22 @@
   )
   emulation.clock.run_until(8)
   assert emulation.broken == []
+
+
+def test_frozen_holder_that_resumes_starts_nothing_on_an_unlisted_endpoint():
+  """The next holder doesn't know the endpoint, and so can't fence it off."""
+  emulation = fleets.fleet()
+  emulation.add_endpoint("z", "a", cpu=200000)
+  emulation.clock.run_until(6.0)
+  holder = fleets.owner_of(emulation, "a")
+  coordinator = fleets.other_host(emulation, holder)
+  emulation.unlisted.add("z")
+  holder.frozen = True
+  holder.partitioned_from.add("store")
+  emulation.submit(coordinator.name, fleets.job("j", 1, 2000), [2.0], 5.0)
+  emulation.clock.run_until(9.0)
+  assert fleets.owner_of(emulation, "a") is not holder
+  assert sum(len(e.running) for e in emulation.endpoints.values()) == 1
+  holder.thaw()
+  emulation.clock.run_until(12.0)
+  assert emulation.broken == []
