A host that was paused starts nothing until it may know that it was replaced

A frozen holder read the offers that had arrived meanwhile and started their tasks at once. An endpoint that the next holder couldn't call, as its entry had expired, accepted them.

test_frozen_holder_that_resumes_starts_nothing_on_an_unlisted_endpoint: two runs at once before, passes now.

--- a/fescueturn/scheduler/ownerstate.py
+++ b/fescueturn/scheduler/ownerstate.py
@@ -252,7 +252,8 @@
     self.crashed_at: dict[settings.Address, float] = {}
     self.demand = reservations.Demand()
     self.fenced = False
-    self.ignore_silence_until = now
+    # Until when it takes into account that this process was paused (s).
+    self.pause_grace_until = now
     self.taken_at = now
     self.counters: collections.Counter[str] = collections.Counter()
     self.effects: list[events.Effect] = []
@@ -264,8 +265,9 @@
 
   @property
   def may_start(self) -> bool:
-    """True if no evacuation keeps tasks from starting here."""
-    return self._evacuations.may_start(self.shard.data_centre)
+    """True if neither an evacuation nor a pause keeps tasks from starting."""
+    evacuated = not self._evacuations.may_start(self.shard.data_centre)
+    return not evacuated and self.now >= self.pause_grace_until
 
   @property
   def recovered(self) -> bool:
--- a/fescueturn/scheduler/reducer.py
+++ b/fescueturn/scheduler/reducer.py
@@ -41,6 +41,7 @@
   state.coordinator.now = now
   for owner in state.owners.values():
     owner.now = now
+  _handle_own_pause(state, is_tick=isinstance(event, events.Tick))
   extra = _HANDLERS[type(event)](state, event) or []
   effects = state.coordinator.take_effects()
   for owner in list(state.owners.values()):
@@ -189,7 +190,6 @@
 
 def _on_tick(state, event: events.Tick) -> list:
   del event
-  _ignore_own_pause(state)
   coordinator.tick(state.coordinator)
   for owner in state.owners.values():
     owner_lib.tick(owner)
@@ -215,13 +215,19 @@
   keptjobs.request_open_list(owner)
 
 
-def _ignore_own_pause(state):
-  """Keeps a pause of this process from looking like silence of other hosts."""
-  last, state.last_tick_at = state.last_tick_at, state.now
-  if last is None or state.now - last < PAUSE_MIN_S:
+def _handle_own_pause(state, is_tick: bool):
+  """Handles a pause of this process, which shows in its first event after it.
+
+  Other hosts were not silent meanwhile, and may have taken over its shards.
+  """
+  last = state.last_tick_at
+  was_paused = last is not None and state.now - last >= PAUSE_MIN_S
+  if is_tick or was_paused:
+    state.last_tick_at = state.now
+  if not was_paused:
     return
   for owner in state.owners.values():
-    owner.ignore_silence_until = state.now + owner_lib.PAUSE_GRACE_S
+    owner_lib.handle_pause(owner)
   for holder in state.coordinator.holders.values():
     holder.last_contact_at += state.now - last
 
