--- a/tests/test_new_holder.py
+++ b/tests/test_new_holder.py
@@ -106,3 +106,34 @@
   holder.thaw()
   emulation.clock.run_until(12.0)
   assert emulation.broken == []
+
+
+def cut_off_rack(emulation, names: set[str]):
+  """Cuts hosts and endpoints off from the store and all others."""
+  others = {*emulation.hosts, *emulation.endpoints, "store"} - names
+  for host in emulation.hosts.values():
+    host.partitioned_from |= others if host.name in names else names
+
+
+@pytest.mark.parametrize("listed", [True, False])
+def test_job_of_a_coordinator_cut_off_with_its_holder_gets_no_second_run(
+    listed,
+):
+  emulation = fleets.fleet()
+  emulation.add_endpoint("z", "a", cpu=200000)
+  emulation.clock.run_until(6.0)
+  holder = fleets.owner_of(emulation, "a")
+  coordinator = fleets.other_host(emulation, holder)
+  cut_off_rack(emulation, {holder.name, coordinator.name, "z"})
+  if not listed:
+    emulation.unlisted.add("z")
+  job = fleets.job("j", 1, 4000)
+  emulation.clock.run_until(6.1)
+  emulation.submit(coordinator.name, job, [4.0], 5.0)
+  emulation.clock.run_until(9.0)
+  assert emulation.endpoints["z"].running
+  assert len([h for h in fleets.hosts_in(emulation, "a") if h.state.owners]) > 1
+  for host in emulation.hosts.values():
+    host.partitioned_from.clear()
+  emulation.clock.run_until(12.0)
+  assert emulation.broken == []
