A job that may run at endpoints unknown here waits from its offer on

A coordinator and the earlier holder that were cut off together with an endpoint went on with their jobs; when the path was back, the coordinator offered them and their tasks started at once beside their runs. The wait now counts from the offer, from which on the earlier holder hears no more of the job, unless all endpoints that may run its tasks have answered.

--- a/fescueturn/scheduler/forecast.py
+++ b/fescueturn/scheduler/forecast.py
@@ -111,7 +111,7 @@
       task.estimate_s
       for job in owner.jobs.values()
       if job.latest_start <= latest_start
-      and (owner.recovered or not job.resumed)
+      and not owner.may_have_unknown_runs(job)
       for task in job.waiting
   ]
 
--- a/fescueturn/scheduler/owner.py
+++ b/fescueturn/scheduler/owner.py
@@ -101,7 +101,7 @@
   if not owner.evacuated:
     return
   for job in list(owner.jobs.values()):
-    recovering = job.resumed and not owner.recovered
+    recovering = owner.may_have_unknown_runs(job)
     if job.waiting and not (job.returning or recovering):
       outcomes.hand_back(owner, job)
 
--- a/fescueturn/scheduler/ownerstate.py
+++ b/fescueturn/scheduler/ownerstate.py
@@ -78,6 +78,7 @@
   Attributes:
     key: the job and its coordinator.
     job: what to run.
+    accepted_at: when the owner accepted it (s).
     arrived: when it reached its coordinator, on this host's clock (s).
     deadline: when its caller stops waiting (s).
     latest_start: when its first tasks should start to meet the objective (s);
@@ -97,6 +98,7 @@
     self._offer = offer
     self.key = offer.key
     self.job = offer.job
+    self.accepted_at = now
     self.arrived = now - offer.age_s
     self.deadline = now + offer.remaining_s
     self.latest_start = latest_start
@@ -276,6 +278,23 @@
       return True
     return self.now - self.taken_at > RECOVERY_TIMEOUT_S
 
+  def may_have_unknown_runs(self, job: JobRecord) -> bool:
+    """Returns whether a job may have runs that are not known here.
+
+    An earlier holder that is cut off together with some endpoints runs the job
+    until its coordinator offers it here. It then stops the runs, or their
+    leases expire, as it no longer hears from the coordinator.
+    """
+    if not job.resumed:
+      return False
+    if self.unreported is None:
+      known = self.recovered and all(
+          record.runs_known for record in self.endpoints.values()
+      )
+    else:
+      known = not self.unreported
+    return not known and self.now - job.accepted_at <= RECOVERY_TIMEOUT_S
+
   @property
   def awaiting_endpoints(self) -> bool:
     """True until an endpoint has answered this new holder, for a short time."""
--- a/fescueturn/scheduler/runcontrol.py
+++ b/fescueturn/scheduler/runcontrol.py
@@ -30,7 +30,7 @@
   for job in waiting:
     if job.deadline - owner.now < MIN_TIME_LEFT_S:
       continue
-    if job.returning or (job.resumed and not owner.recovered):
+    if job.returning or owner.may_have_unknown_runs(job):
       continue
     for task in list(job.waiting):
       if task.previous_run is not None or crashes.blocks_start(
