Known red: a holder cut off with an endpoint keeps a kept job's run there

test_kept_job_of_a_holder_cut_off_with_an_endpoint_gets_no_second_run: the next holder starts the task 1.5 s after its claim; only the earlier holder reaches the endpoint, and nothing that it reaches tells it that it was replaced.

--- a/tests/test_new_holder.py
+++ b/tests/test_new_holder.py
@@ -137,3 +137,17 @@
     host.partitioned_from.clear()
   emulation.clock.run_until(12.0)
   assert emulation.broken == []
+
+
+def test_kept_job_of_a_holder_cut_off_with_an_endpoint_gets_no_second_run():
+  emulation = fleets.fleet()
+  emulation.add_endpoint("z", "a", cpu=200000)
+  emulation.clock.run_until(6.0)
+  holder = fleets.owner_of(emulation, "a")
+  kept_job = test_kept_jobs.job("k", 1, 9000)
+  test_kept_jobs.submit(emulation, holder.name, kept_job)
+  emulation.clock.run_until(6.1)
+  assert emulation.endpoints["z"].running
+  cut_off_rack(emulation, {holder.name, "z"})
+  emulation.clock.run_until(12.0)
+  assert emulation.broken == []
