--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -370,3 +370,25 @@
   assert [e.run for e in effects if isinstance(e, events.StopRun)] == [
       next_run.id
   ]
+
+
+def test_lease_of_a_run_whose_stop_is_refused_is_not_renewed():
+  """Guards against runs that outlive their coordinator by more than a lease."""
+  owner = new_owner()
+  record = known_endpoint(owner)
+  run = start_job(owner, record)
+  leases.handle_start_answer(
+      owner,
+      events.StartAnswered(ENDPOINT.id, run.id, model.CallResult.OK, 1001),
+  )
+  owner.now = 1.0
+  owner_lib.tick(owner)
+  assert not owner.jobs, "its coordinator is silent"
+  busy = model.CallResult.BUSY
+  leases.handle_stop_answer(
+      owner, events.StopAnswered(ENDPOINT.id, run.id, busy, 2001)
+  )
+  owner.take_effects()
+  answer(owner, record, 1.02, running=(model.ActiveRun(run.id, 40),))
+  calls = [e for e in owner.take_effects() if isinstance(e, events.RenewLease)]
+  assert [e.deadline_ms for e in calls] == [None]
