The lease of an endpoint whose runs are all to be stopped is not renewed

A run whose job had ended was kept alive by renewals as long as its stop was refused or lost, beyond the time after which its caller may send the job again.

test_lease_of_a_run_whose_stop_is_refused_is_not_renewed: failed before, passes now.

--- a/fescueturn/scheduler/endpointstate.py
+++ b/fescueturn/scheduler/endpointstate.py
@@ -121,6 +121,12 @@
     self.duplicate_logged = False
     self.abandoned = False
 
+  @property
+  def wanted(self) -> bool:
+    """True if its job is known and its stop has not been requested."""
+    states = (RunState.ORDERED, RunState.RUNNING)
+    return self.need is not None and self.state in states
+
   def expected_end(self, slowness: float) -> float:
     """Returns when the run will probably end (s)."""
     return self.started_at + self.estimate_ms * slowness / 1000
--- a/fescueturn/scheduler/leases.py
+++ b/fescueturn/scheduler/leases.py
@@ -127,11 +127,12 @@
   """Returns the new end of the endpoint's lease, or None to not renew it.
 
   The lease of a silent endpoint is left to expire, so that its tasks can be run
-  elsewhere. So is the lease of an endpoint whose runs all belong to jobs that
-  are not known here yet, since their coordinator may be dead.
+  elsewhere. So is the lease of an endpoint whose runs are all to be stopped, or
+  belong to jobs that are not known here yet, since their coordinator may be
+  dead.
   """
-  has_known_job = any(run.need is not None for run in record.runs.values())
-  if not has_known_job or record.silent_since is not None:
+  has_wanted_run = any(run.wanted for run in record.runs.values())
+  if not has_wanted_run or record.silent_since is not None:
     return None
   return record.extend_lease(owner.now)
 
