--- a/fescueturn/emulator/hosts.py
+++ b/fescueturn/emulator/hosts.py
@@ -22,6 +22,7 @@
     state: the reducer's state.
     up: False after the host was killed.
     frozen: True while the process is suspended; events to it are deferred.
+    clock_lag_s: by how much its clock is behind, as it was suspended (s).
     partitioned_from: hosts and endpoints that it can't reach; "store" stands
       for the store.
     log: the log lines that its reducer has written.
@@ -41,6 +42,7 @@
     )
     self.up = True
     self.frozen = False
+    self.clock_lag_s = 0.0
     self.partitioned_from: set[str] = set()
     self.log: list[events.Log] = []
     self._fleet = fleet
@@ -59,7 +61,7 @@
       if not isinstance(event, events.Tick):
         self._deferred.append(event)
       return
-    now = self._fleet.clock.now
+    now = self._fleet.clock.now - self.clock_lag_s
     for effect in reducer.reduce(self.state, event, now):
       self._fleet.execute(self, effect)
 
--- a/tests/test_new_holder.py
+++ b/tests/test_new_holder.py
@@ -89,7 +89,10 @@
   assert emulation.broken == []
 
 
-def test_frozen_holder_that_resumes_starts_nothing_on_an_unlisted_endpoint():
+@pytest.mark.parametrize("clock_counts", [True, False])
+def test_frozen_holder_that_resumes_starts_nothing_on_an_unlisted_endpoint(
+    clock_counts,
+):
   """The next holder doesn't know the endpoint, and so can't fence it off."""
   emulation = fleets.fleet()
   emulation.add_endpoint("z", "a", cpu=200000)
@@ -103,6 +106,8 @@
   emulation.clock.run_until(9.0)
   assert fleets.owner_of(emulation, "a") is not holder
   assert sum(len(e.running) for e in emulation.endpoints.values()) == 1
+  if not clock_counts:
+    holder.clock_lag_s = 3.0
   holder.thaw()
   emulation.clock.run_until(12.0)
   assert emulation.broken == []
