A host finds out from its endpoints' clocks that it was suspended

The clock of a suspended host may not count that time, so that no pause showed. Its first start was refused as late, the answer brought the endpoint's clock, and the next start was accepted beside the run of the next holder.

test_frozen_holder_that_resumes_starts_nothing_on_an_unlisted_endpoint[False]: two runs at once before, passes now.

--- a/fescueturn/scheduler/endpointstate.py
+++ b/fescueturn/scheduler/endpointstate.py
@@ -305,6 +305,13 @@
     elapsed_ms = (now - self._clock_at) * 1000
     return self._clock_ms + int(elapsed_ms * MIN_CLOCK_RATE)
 
+  def clock_gain_ms(self, clock_ms: int | None, now: float) -> float:
+    """Returns by how much an answer's clock exceeds any that is possible."""
+    if clock_ms is None or self._clock_ms is None:
+      return 0.0
+    elapsed_ms = (now - self._clock_at) * 1000
+    return clock_ms - self._clock_ms - elapsed_ms * (2 - MIN_CLOCK_RATE)
+
   def is_idle(self, now: float) -> bool:
     """Returns whether it is to be called because its last answer is old."""
     return now - self.last_answer_at > IDLE_CALL_PERIOD_S
--- a/fescueturn/scheduler/leases.py
+++ b/fescueturn/scheduler/leases.py
@@ -27,6 +27,14 @@
 # an answer. With 30% of the calls lost, three in a row are lost one time in
 # forty.
 MAX_UNANSWERED_CALLS = 3
+# After a pause of this process, heartbeat timeouts are suspended and no task is
+# started for this long. Messages that arrived during the pause are read first,
+# and endpoints tell whether another host has taken the shard over.
+PAUSE_GRACE_S = 0.05
+# This host was suspended if an endpoint's clock gained this much on its own. An
+# answer is read at most half a second late, and a holder that stood still for a
+# second is not replaced, with its tasks started again, within that second.
+SUSPENDED_MIN_MS = 1000
 
 
 def handle_endpoint_list(
@@ -144,7 +152,7 @@
     return
   record.call_pending = False
   owner.call_losses.record_call(event.result is model.CallResult.NO_ANSWER)
-  record.update_clock(event.clock_ms, owner.now)
+  _update_clock(owner, record, event.clock_ms)
   if event.result is model.CallResult.OK:
     _handle_run_lists(owner, record, event)
   else:
@@ -152,6 +160,24 @@
   runcontrol.start_waiting_tasks(owner)
 
 
+def handle_pause(owner: ownerstate.Owner):
+  """Handles a pause of this process: asks all endpoints for their runs."""
+  owner.pause_grace_until = owner.now + PAUSE_GRACE_S
+  for record in owner.endpoints.values():
+    renew_lease(owner, record, now=True)
+
+
+def _update_clock(owner, record, clock_ms: int | None):
+  """Records an endpoint's clock, which may show that this host was suspended.
+
+  The host's own clock may not count the time for which it was suspended.
+  """
+  gain_ms = record.clock_gain_ms(clock_ms, owner.now)
+  record.update_clock(clock_ms, owner.now)
+  if gain_ms > SUSPENDED_MIN_MS:
+    handle_pause(owner)
+
+
 def _handle_run_lists(owner, record, event: events.LeaseAnswered):
   first_report = not record.runs_known
   if first_report and event.clock_ms is not None:
@@ -351,7 +377,7 @@
   record = owner.endpoints.get(event.endpoint)
   run = record.runs.get(event.run) if record else None
   if record is not None:
-    record.update_clock(event.clock_ms, owner.now)
+    _update_clock(owner, record, event.clock_ms)
   if run is None:
     return
   if event.result is model.CallResult.OK:
@@ -415,7 +441,7 @@
   record = owner.endpoints.get(event.endpoint)
   if record is None:
     return
-  record.update_clock(event.clock_ms, owner.now)
+  _update_clock(owner, record, event.clock_ms)
   run = record.runs.get(event.run)
   if event.result is model.CallResult.OK:
     if run is not None:
--- a/fescueturn/scheduler/owner.py
+++ b/fescueturn/scheduler/owner.py
@@ -23,10 +23,6 @@
 # sends a ping every 100 ms. `endpointstate.LEASE_MS` explains how this timeout
 # and the lease add up.
 COORDINATOR_TIMEOUT_S = 0.35
-# After a pause of this process, heartbeat timeouts are suspended and no task is
-# started for this long. Messages that arrived during the pause are read first,
-# and endpoints tell whether another host has taken the shard over.
-PAUSE_GRACE_S = 0.05
 # Retry interval of an unanswered stop, short because the task can't run again
 # until the stop is confirmed. An endpoint that answers no calls at all is
 # retried less often.
@@ -51,13 +47,6 @@
   runcontrol.start_waiting_tasks(owner)
 
 
-def handle_pause(owner: ownerstate.Owner):
-  """Handles a pause of this process: asks all endpoints for their runs."""
-  owner.pause_grace_until = owner.now + PAUSE_GRACE_S
-  for record in owner.endpoints.values():
-    leases.renew_lease(owner, record, now=True)
-
-
 def _expire_early_results(owner):
   for task, early in list(owner.early_results.items()):
     if early.until < owner.now:
--- a/fescueturn/scheduler/reducer.py
+++ b/fescueturn/scheduler/reducer.py
@@ -227,7 +227,7 @@
   if not was_paused:
     return
   for owner in state.owners.values():
-    owner_lib.handle_pause(owner)
+    leases.handle_pause(owner)
   for holder in state.coordinator.holders.values():
     holder.last_contact_at += state.now - last
 
