--- a/tests/test_new_holder.py
+++ b/tests/test_new_holder.py
@@ -120,9 +120,10 @@
     host.partitioned_from |= others if host.name in names else names
 
 
+@pytest.mark.parametrize("has_roster", [True, False])
 @pytest.mark.parametrize("listed", [True, False])
 def test_job_of_a_coordinator_cut_off_with_its_holder_gets_no_second_run(
-    listed,
+    listed, has_roster
 ):
   emulation = fleets.fleet()
   emulation.add_endpoint("z", "a", cpu=200000)
@@ -137,7 +138,14 @@
   emulation.submit(coordinator.name, job, [4.0], 5.0)
   emulation.clock.run_until(9.0)
   assert emulation.endpoints["z"].running
-  assert len([h for h in fleets.hosts_in(emulation, "a") if h.state.owners]) > 1
+  (next_owner,) = (
+      owner
+      for host in fleets.hosts_in(emulation, "a")
+      if host is not holder
+      for owner in host.state.owners.values()
+  )
+  if not has_roster:
+    next_owner.unreported = None
   for host in emulation.hosts.values():
     host.partitioned_from.clear()
   emulation.clock.run_until(12.0)
