A job's wait at a new holder counts from its coordinator's first message

Without the roster of the holder before it, a holder took all runs as known once its listed endpoints had answered.

--- a/fescueturn/scheduler/ownerstate.py
+++ b/fescueturn/scheduler/ownerstate.py
@@ -78,7 +78,6 @@
   Attributes:
     key: the job and its coordinator.
     job: what to run.
-    accepted_at: when the owner accepted it (s).
     arrived: when it reached its coordinator, on this host's clock (s).
     deadline: when its caller stops waiting (s).
     latest_start: when its first tasks should start to meet the objective (s);
@@ -98,7 +97,6 @@
     self._offer = offer
     self.key = offer.key
     self.job = offer.job
-    self.accepted_at = now
     self.arrived = now - offer.age_s
     self.deadline = now + offer.remaining_s
     self.latest_start = latest_start
@@ -240,6 +238,8 @@
     self.jobs: dict[linkmessages.JobKey, JobRecord] = {}
     self.by_id: dict[str, JobRecord] = {}
     self.last_contact: dict[linkmessages.HostProcess, float] = {}
+    # When each coordinator first sent a message to this owner (s).
+    self.first_contacts: dict[linkmessages.HostProcess, float] = {}
     # Hosts that could take the shard over, with the time of the last ping.
     self.successors: dict[linkmessages.HostProcess, float] = {}
     # Holders of other data centres that hosts there report as silent.
@@ -278,22 +278,23 @@
       return True
     return self.now - self.taken_at > RECOVERY_TIMEOUT_S
 
+  def record_contact(self, process: linkmessages.HostProcess):
+    """Records that a coordinator has sent a message."""
+    self.last_contact[process] = self.now
+    self.first_contacts.setdefault(process, self.now)
+
   def may_have_unknown_runs(self, job: JobRecord) -> bool:
     """Returns whether a job may have runs that are not known here.
 
     An earlier holder that is cut off together with some endpoints runs the job
-    until its coordinator offers it here. It then stops the runs, or their
+    until its coordinator turns to this holder. It then stops the runs, or their
     leases expire, as it no longer hears from the coordinator.
     """
-    if not job.resumed:
+    all_reported = self.unreported is not None and not self.unreported
+    if not job.resumed or all_reported:
       return False
-    if self.unreported is None:
-      known = self.recovered and all(
-          record.runs_known for record in self.endpoints.values()
-      )
-    else:
-      known = not self.unreported
-    return not known and self.now - job.accepted_at <= RECOVERY_TIMEOUT_S
+    since = self.first_contacts.get(job.key.process, self.taken_at)
+    return self.now - since <= RECOVERY_TIMEOUT_S
 
   @property
   def awaiting_endpoints(self) -> bool:
--- a/fescueturn/scheduler/reducer.py
+++ b/fescueturn/scheduler/reducer.py
@@ -132,7 +132,7 @@
   owner = state.owners.get(event.shard)
   if owner is None:
     return [_not_holding_reply(event.process, event.shard)]
-  owner.last_contact[event.process] = state.now
+  owner.record_contact(event.process)
   if event.can_hold:
     owner.successors[event.process] = state.now
   else:
