--- a/fescueturn/scheduler/endpointstate.py
+++ b/fescueturn/scheduler/endpointstate.py
@@ -9,16 +9,21 @@
 
 from fescueturn.scheduler import model
 
-# The platform allows leases of up to 1,000 ms. A run may outlive its
-# coordinator by the time in which the holder detects the failure (400 ms) and
-# one lease, and must have ended when the caller retries after 1,300 ms. Leases
-# are renewed every 300 ms, so that one renewal may be lost.
+# The longest lease that the platform allows.
+MAX_LEASE_MS = 1000
+# The length of a lease. A run may outlive its coordinator by the time in which
+# the holder detects the failure (400 ms) and one lease, and must have ended when
+# the caller retries after 1,300 ms. Leases are renewed every 300 ms, so that one
+# renewal may be lost.
 LEASE_MS = 800
 # A lease counts as expired this long after its end on the estimated clock of
-# the endpoint, which never runs ahead of the real one. The margin covers the 2%
-# of the longest lease that a slow clock may add, and ten times a call's usual
-# 2 ms.
+# the endpoint, which never runs ahead of the real one.
 LEASE_EXPIRY_MARGIN_MS = 40
+# The lowest rate of an endpoint's clock: it may be 2% slow.
+MIN_CLOCK_RATE = 0.98
+# The longest time without a call to an endpoint. The estimate of its clock is
+# then 200 ms behind, and a lease that is requested by it 600 ms long.
+IDLE_CALL_PERIOD_S = 10.0
 # A run is stuck once it has made no progress for this many times its estimate.
 # Estimates are off by 40% at most, and a run on a slow endpoint still makes
 # progress.
@@ -121,6 +126,12 @@
     """True if a copy of its start request got no answer and was sent again."""
     return self.sends > 1
 
+  @property
+  def wanted(self) -> bool:
+    """True if its job is known and its stop has not been requested."""
+    states = (RunState.ORDERED, RunState.RUNNING)
+    return self.need is not None and self.state in states
+
   def expected_end(self, slowness: float) -> float:
     """Returns when the run will probably end (s)."""
     return self.started_at + self.estimate_ms * slowness / 1000
@@ -170,7 +181,8 @@
     call_pending: True while that call has no answer.
     call_sent_at: when it was sent (s).
     call_is_long_poll: True if it may wait for a run to end.
-    lease_end_ms: the latest lease end requested, on the endpoint's clock.
+    lease_end_ms: the latest end that its lease may have, on the endpoint's
+      clock.
     next_call_at: when a failed lease call may be retried (s).
     excluded_until: until when it gets no new tasks (s).
     ejections: how often it was ejected without a successful run in between.
@@ -295,15 +307,36 @@
     """Returns the endpoint's clock, estimated from below; None if unknown."""
     if self._clock_ms is None:
       return None
-    return self._clock_ms + int((now - self._clock_at) * 1000)
+    elapsed_ms = (now - self._clock_at) * 1000
+    return self._clock_ms + int(elapsed_ms * MIN_CLOCK_RATE)
+
+  def clock_gain_ms(self, clock_ms: int | None, now: float) -> float:
+    """Returns by how much an answer's clock exceeds any that is possible."""
+    if clock_ms is None or self._clock_ms is None:
+      return 0.0
+    elapsed_ms = (now - self._clock_at) * 1000
+    return clock_ms - self._clock_ms - elapsed_ms * (2 - MIN_CLOCK_RATE)
+
+  def is_idle(self, now: float) -> bool:
+    """Returns whether it is to be called because its last answer is old."""
+    return now - self.last_answer_at > IDLE_CALL_PERIOD_S
 
   def leases_expired(self, now: float) -> bool:
-    """Returns whether all leases requested there have surely expired."""
+    """Returns whether the endpoint's lease has surely expired."""
     clock = self.clock_ms(now)
     return (
         clock is not None and clock > self.lease_end_ms + LEASE_EXPIRY_MARGIN_MS
     )
 
+  def cover_earlier_leases(self, clock_ms: int):
+    """Takes into account that earlier holders may have extended the lease.
+
+    Args:
+      clock_ms: the endpoint's clock when it answered this holder's first call;
+        it has refused the calls of earlier holders since.
+    """
+    self.lease_end_ms = max(self.lease_end_ms, clock_ms + MAX_LEASE_MS)
+
   def extend_lease(self, now: float) -> int | None:
     """Extends the lease by its full length from now.
 
--- a/fescueturn/scheduler/offers.py
+++ b/fescueturn/scheduler/offers.py
@@ -22,7 +22,7 @@
 
 def handle_offer(owner: ownerstate.Owner, offer: linkmessages.Offered):
   """Accepts or declines a job that ends when its caller stops waiting."""
-  owner.last_contact[offer.key.process] = owner.now
+  owner.record_contact(offer.key.process)
   known = owner.jobs.get(offer.key)
   if known is not None:
     known.offer_number = offer.number
@@ -163,7 +163,7 @@
   for task in job.tasks:
     early = owner.early_results.pop(task, None)
     if early is not None:
-      outcomes.apply_early_result(job, task, early)
+      outcomes.apply_early_result(owner, job, task, early)
   outcomes.end_job_if_finished(owner, job)
 
 
--- a/fescueturn/scheduler/owner.py
+++ b/fescueturn/scheduler/owner.py
@@ -23,9 +23,6 @@
 # sends a ping every 100 ms. `endpointstate.LEASE_MS` explains how this timeout
 # and the lease add up.
 COORDINATOR_TIMEOUT_S = 0.35
-# After a pause of this process, heartbeat timeouts are suspended this long so
-# that messages that arrived during the pause are read first.
-PAUSE_GRACE_S = 0.05
 # Retry interval of an unanswered stop, short because the task can't run again
 # until the stop is confirmed. An endpoint that answers no calls at all is
 # retried less often.
@@ -37,7 +34,7 @@
   """Runs all work of the owner that is due."""
   if owner.fenced:
     return
-  if owner.now >= owner.ignore_silence_until:
+  if owner.now >= owner.pause_grace_until:
     _end_jobs_of_silent_coordinators(owner)
   _end_overdue_jobs(owner)
   hand_back_jobs(owner)
@@ -93,7 +90,7 @@
   if not owner.evacuated:
     return
   for job in list(owner.jobs.values()):
-    recovering = job.resumed and not owner.recovered
+    recovering = owner.may_have_unknown_runs(job)
     if job.waiting and not (job.returning or recovering):
       outcomes.hand_back(owner, job)
 
@@ -125,7 +122,11 @@
     return
   silent = record.silent_since is not None
   wants_call = (
-      record.runs or silent or not record.runs_known or record.has_unsent_ack
+      record.runs
+      or silent
+      or not record.runs_known
+      or record.has_unsent_ack
+      or record.is_idle(owner.now)
   )
   if (
       wants_call
--- a/fescueturn/scheduler/ownerstate.py
+++ b/fescueturn/scheduler/ownerstate.py
@@ -218,6 +218,9 @@
   ):
     self.shard = shard
     self.fence = fence
+    # The fencing token of its first claim; it keeps its state if it claims the
+    # shard again.
+    self.first_fence = fence
     self.now = now
     self._evacuations = evacuations or evacuation.Evacuations(loaded=True)
     self.roster = roster.Roster()
@@ -235,6 +238,8 @@
     self.jobs: dict[linkmessages.JobKey, JobRecord] = {}
     self.by_id: dict[str, JobRecord] = {}
     self.last_contact: dict[linkmessages.HostProcess, float] = {}
+    # When each coordinator first sent a message to this owner (s).
+    self.first_contacts: dict[linkmessages.HostProcess, float] = {}
     # Hosts that could take the shard over, with the time of the last ping.
     self.successors: dict[linkmessages.HostProcess, float] = {}
     # Holders of other data centres that hosts there report as silent.
@@ -249,7 +254,8 @@
     self.crashed_at: dict[settings.Address, float] = {}
     self.demand = reservations.Demand()
     self.fenced = False
-    self.ignore_silence_until = now
+    # Until when it takes into account that this process was paused (s).
+    self.pause_grace_until = now
     self.taken_at = now
     self.counters: collections.Counter[str] = collections.Counter()
     self.effects: list[events.Effect] = []
@@ -261,8 +267,9 @@
 
   @property
   def may_start(self) -> bool:
-    """True if no evacuation keeps tasks from starting here."""
-    return self._evacuations.may_start(self.shard.data_centre)
+    """True if neither an evacuation nor a pause keeps tasks from starting."""
+    evacuated = not self._evacuations.may_start(self.shard.data_centre)
+    return not evacuated and self.now >= self.pause_grace_until
 
   @property
   def recovered(self) -> bool:
@@ -271,6 +278,24 @@
       return True
     return self.now - self.taken_at > RECOVERY_TIMEOUT_S
 
+  def record_contact(self, process: linkmessages.HostProcess):
+    """Records that a coordinator has sent a message."""
+    self.last_contact[process] = self.now
+    self.first_contacts.setdefault(process, self.now)
+
+  def may_have_unknown_runs(self, job: JobRecord) -> bool:
+    """Returns whether a job may have runs that are not known here.
+
+    An earlier holder that is cut off together with some endpoints runs the job
+    until its coordinator turns to this holder. It then stops the runs, or their
+    leases expire, as it no longer hears from the coordinator.
+    """
+    all_reported = self.unreported is not None and not self.unreported
+    if not job.resumed or all_reported:
+      return False
+    since = self.first_contacts.get(job.key.process, self.taken_at)
+    return self.now - since <= RECOVERY_TIMEOUT_S
+
   @property
   def awaiting_endpoints(self) -> bool:
     """True until an endpoint has answered this new holder, for a short time."""
