--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -1,3 +1,6 @@
+import collections
+import dataclasses
+
 from fescueturn import codes
 from fescueturn import events
 from fescueturn import reducer
@@ -177,3 +180,26 @@
   )
   assert len(sends) == 1
   assert kinds(finish(state, sends[0])) == ["SendTask"]
+
+
+def test_resubmitted_job_is_not_sent_by_the_queue_entries_of_its_first_try(
+    state,
+):
+  state.now = 100.0
+  long_job = conftest.make_job(key="long", tasks=5)
+  long_tasks = [dataclasses.replace(t, run_ms=5000) for t in long_job.tasks]
+  long_job = dataclasses.replace(
+      long_job, tasks=tuple(long_tasks), deadline_ms=60_000
+  )
+  sends = reducer.reduce(state, events.JobArrived(1, long_job))
+  waiting = conftest.make_job(key="waiting", tasks=2)
+  reducer.reduce(state, events.JobArrived(2, waiting))
+  (ended,) = reducer.reduce(state, events.Tick(101.0))
+  assert {t.ran for t in ended.outcome.answer.tasks} == {codes.Ran.NOT_RUN}
+  reducer.reduce(state, events.JobArrived(3, waiting))
+  sent = collections.Counter()
+  while sends:
+    send = sends.pop(0)
+    sent[send.downstream_key] += 1
+    sends += [e for e in finish(state, send) if isinstance(e, events.SendTask)]
+  assert len(sent) == 7 and set(sent.values()) == {1}
