Queue tasks with their job's record, so that a resubmission is sent once

Cause: the queue held (key, task id). A job that ends with nothing sent is forgotten, so that it may be submitted again, while its queue entries stay behind those of other jobs; they were then taken for the resubmission's, and each of its tasks was sent twice (no failure needed, only a full queue).

test_reducer.py::test_resubmitted_job_is_not_sent_by_the_queue_entries_of_its_first_try before: failed, waiting/t0 and waiting/t1 sent 2 times each; after: passed. test_reducer, test_placement, test_ownership, test_claims: 41 passed.

--- a/fescueturn/dispatch.py
+++ b/fescueturn/dispatch.py
@@ -32,9 +32,8 @@
   Returns:
     The effects (none if the task's job has ended); None if the task must wait.
   """
-  key, task_id = state.queue.peek(team)
-  record = state.jobs.get(key)
-  if record is None or record.phase is not state_lib.Phase.RUNNING:
+  record, task_id = state.queue.peek(team)
+  if record.phase is not state_lib.Phase.RUNNING:
     state.queue.take(team)
     return []
   team_settings = state.team_settings(team)
--- a/fescueturn/jobs.py
+++ b/fescueturn/jobs.py
@@ -182,7 +182,7 @@
   if team is None or not state.endpoints.has_service(team.service):
     return fail_job(state, record, codes.Code.TASK_NOT_RUN_NO_ENDPOINT)
   job = record.job
-  state.queue.add(job.team, job.key, (t.task_id for t in job.tasks))
+  state.queue.add(job.team, record, (t.task_id for t in job.tasks))
   dispatch.schedule_overdue_check(state, record)
   return dispatch.dispatch(state)
 
@@ -224,7 +224,7 @@
         event.task_id, codes.Code.TASK_NOT_RUN_REFUSED
     )
     return fail_job(state, record, codes.Code.TASK_NOT_RUN_JOB_FAILED)
-  state.queue.requeue(record.job.team, record.job.key, event.task_id)
+  state.queue.requeue(record.job.team, record, event.task_id)
   return []
 
 
--- a/fescueturn/placement.py
+++ b/fescueturn/placement.py
@@ -12,6 +12,7 @@
 import heapq
 import itertools
 from collections.abc import Iterable
+from typing import Any
 
 from fescueturn import events
 from fescueturn import routing
@@ -185,12 +186,15 @@
 class TaskQueue:
   """Tasks that wait for a slot: a FIFO queue for each team.
 
+  A task is queued with the record of its job, not with the job's key, so that a
+  task of a job that has ended is not taken for one of a resubmission.
+
   Attributes:
     busy: number of tasks in flight, by team.
   """
 
   def __init__(self):
-    self._teams: dict[str, collections.deque[tuple[str, str]]] = {}
+    self._teams: dict[str, collections.deque[tuple[Any, str]]] = {}
     self.busy: collections.Counter[str] = collections.Counter()
 
   def __len__(self) -> int:
@@ -201,17 +205,18 @@
     """The teams with waiting tasks, least recently served first."""
     return list(self._teams)
 
-  def add(self, team: str, key: str, task_ids: Iterable[str]):
+  def add(self, team: str, record: Any, task_ids: Iterable[str]):
     """Appends a job's tasks to the team's queue."""
     queue = self._teams.setdefault(team, collections.deque())
-    queue.extend((key, task_id) for task_id in task_ids)
+    queue.extend((record, task_id) for task_id in task_ids)
 
-  def requeue(self, team: str, key: str, task_id: str):
+  def requeue(self, team: str, record: Any, task_id: str):
     """Puts a task back at the front of the team's queue."""
-    self._teams.setdefault(team, collections.deque()).appendleft((key, task_id))
+    queue = self._teams.setdefault(team, collections.deque())
+    queue.appendleft((record, task_id))
 
-  def peek(self, team: str) -> tuple[str, str]:
-    """Returns the team's next task as (key, task id), without removing it."""
+  def peek(self, team: str) -> tuple[Any, str]:
+    """Returns the team's next task as (record, task id); it stays queued."""
     return self._teams[team][0]
 
   def take(self, team: str):
