Failing tests: claims lapse under a job that may still send tasks

A job with a deadline beyond the keep time of claims, and a host that was frozen past its job's deadline: in both a resubmission starts the tasks, and the first coordinator has them running or starts them later.

--- a/tests/fakepeers.py
+++ b/tests/fakepeers.py
@@ -44,7 +44,7 @@
     running: tasks that run at an endpoint, with their sender's state.
   """
 
-  def __init__(self, names=(), endpoints=1, finish_tasks=True):
+  def __init__(self, names=(), endpoints=1, finish_tasks=True, slots=64):
     self.now = 0.0
     self.hosts = {}
     self.store = {}
@@ -59,7 +59,7 @@
     self._finish = finish_tasks
     self.running = []
     self._endpoints = tuple(
-        conftest.endpoint(f"e{i}", slots=64) for i in range(endpoints)
+        conftest.endpoint(f"e{i}", slots) for i in range(endpoints)
     )
     for name in names:
       self.join(name)
@@ -114,10 +114,11 @@
     if name in self.hosts and self.views[name]:
       self._apply(name, self.views[name].pop(0))
 
-  def submit(self, name, key="k", tasks=2):
+  def submit(self, name, key="k", tasks=2, deadline_ms=0):
     """Submits a job to one host and returns the request id."""
     request_id = next(self._ids)
     job = conftest.make_job(key=key, tasks=tasks, idempotent=False)
+    job = dataclasses.replace(job, deadline_ms=deadline_ms)
     self._apply(name, events.JobArrived(request_id, job))
     return request_id
 
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -6,6 +6,7 @@
 
 from fescueturn import claims
 from fescueturn import codes
+from fescueturn import jobs
 from fescueturn import ownership
 from fescueturn import reducer
 from fescueturn import routing
@@ -317,6 +318,38 @@
   assert_started_once(peers)
 
 
+def test_job_longer_than_the_answer_keep_time_is_not_started_again():
+  peers = fakepeers.Peers("abcd", finish_tasks=False)
+  key = key_held_by("a", "b")
+  limits = peers.hosts["c"].limits
+  deadline_ms = int(2000 * (limits.answer_keep_s + jobs.CLAIM_KEEP_EXTRA_S))
+  peers.submit("c", key, deadline_ms=deadline_ms)
+  peers.run_rounds(2)
+  assert_started_once(peers, key)
+  peers.tick(0.9 * deadline_ms / 1000)
+  peers.submit("d", key)
+  peers.run_rounds(2)
+  assert_started_once(peers, key)
+
+
+def test_host_frozen_past_the_deadline_sends_no_waiting_task_on_resume():
+  peers = fakepeers.Peers("abcd", finish_tasks=False, slots=4)
+  key = key_held_by("a", "b")
+  peers.submit("c", key)
+  peers.run_rounds(2)
+  (running,) = peers.running  # c may fill one of the four slots.
+  peers.running.clear()
+  peers.tick(2 * peers.hosts["c"].limits.answer_keep_s, "abd")
+  peers.submit("d", key)
+  while peers.in_transit:
+    peers.deliver(0)
+  while peers.running:
+    peers.finish_task(0)
+  peers.running.append(running)
+  peers.finish_task(0)  # c resumes and reads the answer that waited for it.
+  assert peers.starts[f"{key}/t1"] == 1
+
+
 @pytest.mark.parametrize("disabled", ["view", "trust"])
 def test_disabling_a_check_lets_a_task_start_twice(monkeypatch, disabled):
   """Checks that the tests above detect a double start.
