Keep a claim until its job's deadline and the keep time of its answer

Cause: holders kept a claim for answer_keep_s + 60 s from when it was made, and nothing bounds a job's deadline. Once the claim lapsed, the job counted as ended, and a resubmission started its tasks again while they ran.

A claim now lasts to the job's deadline and answer_keep_s + 60 s more; in a message at the most the 2^32 ms that the field holds.

test_ownership.py::test_job_longer_than_the_answer_keep_time_is_not_started_again before: failed, both tasks started 2 times; after: passed.

--- a/fescueturn/jobs.py
+++ b/fescueturn/jobs.py
@@ -22,7 +22,8 @@
 # Number of holders that get a copy of a finished job's answer. A cancellation
 # is copied to all holders.
 ANSWER_COPIES = 1
-# Holders keep a claim this much longer than the coordinator keeps its answer.
+# Holders keep a claim until the job's deadline, when its last task may be sent,
+# and then this much longer than the coordinator keeps its answer.
 CLAIM_KEEP_EXTRA_S = 60.0
 # A request is refused if its key could not be claimed within the lease TTL
 # plus this time.
@@ -289,7 +290,8 @@
 
 def make_claim(state, record) -> claims.Claim:
   """Returns the coordinator's current claim of a record's key."""
-  keep_s = state.limits.answer_keep_s + CLAIM_KEEP_EXTRA_S
+  may_run_s = 0.0 if record.done else max(0.0, record.deadline - state.now)
+  keep_s = may_run_s + state.limits.answer_keep_s + CLAIM_KEEP_EXTRA_S
   return claims.Claim(
       key=record.job.key,
       fingerprint=record.job.fingerprint,
--- a/fescueturn/peercodec.py
+++ b/fescueturn/peercodec.py
@@ -19,6 +19,7 @@
 # The request id of a one-way request.
 NO_REPLY = 0
 _MS_PER_S = 1000
+_MAX_UINT32 = 2**32 - 1
 
 
 def _put_job(slot, job: messages.Job):
@@ -89,7 +90,7 @@
   slot.fingerprint = claim.fingerprint
   _put_token(slot.owner, claim.owner)
   slot.number = claim.number
-  slot.keepMs = int(claim.keep_s * _MS_PER_S)
+  slot.keepMs = min(int(claim.keep_s * _MS_PER_S), _MAX_UINT32)
   if claim.answer is not None:
     _put_answer(slot.init("answer"), claim.answer)
 
