End overdue jobs before a resumed host acts on what waited for it

Cause: deadlines were looked at in a tick only. A host that was frozen past a job's deadline, and past its claims, could read a task's answer first and then send the job's waiting tasks, which a resubmission had started elsewhere. What it reported as 'not run' at the deadline was its own view of long ago, too.

Due timers now run before every event. A coordinator that comes to a deadline answer_keep_s late answers 'unknown' (22) for tasks that it did not send.

test_ownership.py::test_host_frozen_past_the_deadline_sends_no_waiting_task_on_resume before: failed, t1 started 2 times (and, with the timers alone, a false 'not run' of t1); after: passed. Test modules ownership, peer, reducer, stored_records, claims, interleavings: 109 passed.

--- a/fescueturn/answers.py
+++ b/fescueturn/answers.py
@@ -17,14 +17,14 @@
 
 
 def incomplete(
-    record: state_lib.JobRecord, not_run: codes.Code, retry_after_s: int
+    record: state_lib.JobRecord, unsent: codes.Code, retry_after_s: int
 ) -> messages.JobAnswer:
   """Returns the answer of a job that ends before all its tasks are done.
 
   Args:
     record: the job; answered tasks keep their answers, and tasks in flight get
       TASK_UNKNOWN.
-    not_run: the code for tasks that were never sent.
+    unsent: the code for tasks that were never sent.
     retry_after_s: how long the caller should wait before a retry, in seconds.
   """
 
@@ -34,7 +34,7 @@
       return known
     if task.task_id in record.in_flight:
       return messages.TaskAnswer(task.task_id, codes.Code.TASK_UNKNOWN)
-    return messages.TaskAnswer(task.task_id, not_run)
+    return messages.TaskAnswer(task.task_id, unsent)
 
   tasks = tuple(answer(t) for t in record.job.tasks)
   return _failed(record.job, tasks, retry_after_s)
--- a/fescueturn/jobs.py
+++ b/fescueturn/jobs.py
@@ -234,15 +234,15 @@
   return finish_job(state, record, answers.completed(record))
 
 
-def fail_job(state, record, not_run: codes.Code) -> list:
+def fail_job(state, record, unsent: codes.Code) -> list:
   """Ends a running job now.
 
-  Tasks in flight get TASK_UNKNOWN, tasks never sent the code `not_run`.
+  Tasks in flight get TASK_UNKNOWN, tasks never sent the code `unsent`.
   """
   state.counters["failed"] += 1
   retry_after_s = state.limits.retry_after_s
   return finish_job(
-      state, record, answers.incomplete(record, not_run, retry_after_s)
+      state, record, answers.incomplete(record, unsent, retry_after_s)
   )
 
 
@@ -327,7 +327,15 @@
   if record.done:
     return []
   if record.phase is state_lib.Phase.RUNNING:
-    return fail_job(state, record, codes.Code.TASK_NOT_RUN_DEADLINE)
+    # A host that was paused until its claims lapsed can't know what another
+    # host has started since.
+    lapsed = state.now >= record.deadline + state.limits.answer_keep_s
+    unsent = (
+        codes.Code.TASK_UNKNOWN_OWNER_LOST
+        if lapsed
+        else codes.Code.TASK_NOT_RUN_DEADLINE
+    )
+    return fail_job(state, record, unsent)
   return refuse_all(state, record, unclaimed_error(record))
 
 
--- a/fescueturn/reducer.py
+++ b/fescueturn/reducer.py
@@ -52,12 +52,22 @@
   """
   if now is not None:
     state.now = now
-  effects = _HANDLERS[type(event)](state, event)
+  # A host that was paused must end the jobs whose deadline has passed before it
+  # acts on what it received meanwhile: their claims may have lapsed.
+  effects = _run_due_timers(state)
+  effects = effects + _HANDLERS[type(event)](state, event)
   if state.draining and jobs.is_idle(state):
     effects = effects + [events.Drained()]
   return effects
 
 
+def _run_due_timers(state) -> list:
+  effects = []
+  while (callback := state.pop_due_timer()) is not None:
+    effects += callback(state)
+  return effects
+
+
 def _on_job(state, event: events.JobArrived) -> list:
   waiter = state_lib.Waiter(event.request_id, event.job, event.hops)
   return jobs.handle_request(state, waiter)
@@ -109,9 +119,7 @@
 
 def _on_tick(state, event: events.Tick) -> list:
   state.now = event.now
-  effects = []
-  while (callback := state.pop_due_timer()) is not None:
-    effects += callback(state)
+  effects = _run_due_timers(state)
   ownership.remove_expired(state)
   return effects + ownership.start_probe(state) + dispatch.dispatch(state)
 
