Failing tests: 'not run' is said though a forwarded copy may run the job

A draining host refuses with 'this request started nothing' (E207) after the host it forwarded the job to ran it and the answer was lost; and a host answers 'not run' while an earlier forward, which it stopped waiting for, starts the job later.

--- a/tests/fakepeers.py
+++ b/tests/fakepeers.py
@@ -22,11 +22,15 @@
 
 @dataclasses.dataclass(frozen=True)
 class Envelope:
-  """A message in transit; `reply` is set once it is on the way back."""
+  """A message in transit; `reply` is set once it is on the way back.
+
+  Its sender waits for no reply any more if `timed_out` is True.
+  """
 
   source: str
   effect: events.SendPeerRequest | events.SendPeerNotice
   reply: claims.Reply | None = None
+  timed_out: bool = False
 
 
 class Peers:
@@ -78,6 +82,18 @@
     self._apply(name, events.TeamChanged("altamaha", 5, conftest.SPELLER))
     self._apply(name, events.EndpointsChanged(self._endpoints))
 
+  def set_slots(self, slots):
+    """Sets the endpoints' slots, and shows them to all hosts."""
+    self._endpoints = tuple(
+        dataclasses.replace(e, slots=slots) for e in self._endpoints
+    )
+    for name in self.hosts:
+      self._apply(name, events.EndpointsChanged(self._endpoints))
+
+  def drain(self, name):
+    """Starts a graceful stop of one host."""
+    self._apply(name, events.DrainStarted())
+
   def put_member(self, name, lease=None, lease_s=FOREVER_S, leaving=False):
     """Writes the member key of a running process, under a new lease."""
     state = self.hosts[name]
@@ -157,14 +173,14 @@
       self._report_lost(envelope)
     elif envelope.reply is not None:
       self._return_reply(
-          envelope.source,
+          envelope,
           events.PeerReplyReceived(envelope.effect, envelope.reply),
       )
     elif self._runs(envelope.effect.member):
       self._receive(envelope)
     elif isinstance(envelope.effect, events.SendPeerRequest):
       event = events.PeerReplyReceived(envelope.effect, None, dead=True)
-      self._return_reply(envelope.source, event)
+      self._return_reply(envelope, event)
 
   def finish_task(self, index, code=codes.Code.TASK_DONE):
     """Finishes one running task; reports it if its sender still runs."""
@@ -179,6 +195,13 @@
     """Drops one message or reply; the sender of a request gets no reply."""
     self._report_lost(self.in_transit.pop(index))
 
+  def time_out(self, index):
+    """Ends a sender's wait for its reply; the message arrives later."""
+    envelope = self.in_transit[index]
+    late = dataclasses.replace(envelope, timed_out=True)
+    self.in_transit[index] = late
+    self._report_lost(envelope)
+
   def _runs(self, member):
     state = self.hosts.get(member.name)
     return state is not None and state.me == member.token
@@ -195,12 +218,12 @@
   def _report_lost(self, envelope):
     if isinstance(envelope.effect, events.SendPeerRequest):
       self._return_reply(
-          envelope.source, events.PeerReplyReceived(envelope.effect, None)
+          envelope, events.PeerReplyReceived(envelope.effect, None)
       )
 
-  def _return_reply(self, name, event):
-    if name in self.hosts:
-      self._apply(name, event)
+  def _return_reply(self, envelope, event):
+    if envelope.source in self.hosts and not envelope.timed_out:
+      self._apply(envelope.source, event)
 
   def _apply(self, name, event):
     state = self.hosts[name]
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -350,6 +350,63 @@
   assert peers.starts[f"{key}/t1"] == 1
 
 
+def index_of(peers, kind):
+  """Returns the index of the message of this kind in transit."""
+  (index,) = [
+      i
+      for i, envelope in enumerate(peers.in_transit)
+      if isinstance(envelope.effect.message, kind)
+  ]
+  return index
+
+
+def deliver_all_but(peers, kind):
+  """Delivers every message in transit except those of one kind."""
+  while others := [
+      i
+      for i, envelope in enumerate(peers.in_transit)
+      if not isinstance(envelope.effect.message, kind)
+  ]:
+    peers.deliver(others[0])
+
+
+def ran_values(peers, request):
+  """Returns what a request's outcome says of its tasks."""
+  answer = peers.answer(request)
+  return {t.ran for t in answer.tasks} if answer else {codes.Ran.NOT_RUN}
+
+
+def test_refusal_does_not_deny_what_a_lost_forward_started():
+  peers = fakepeers.Peers("ab", finish_tasks=False)
+  peers.drain("a")
+  request = peers.submit("a")
+  peers.deliver(index_of(peers, claims.ForwardJob))
+  peers.run_rounds(2)
+  assert_started_once(peers)
+  peers.cancel("b")  # Ends the job at b; its answer is lost on the way to a.
+  peers.drop(index_of(peers, claims.ForwardJob))
+  assert ran_values(peers, request) == {codes.Ran.UNKNOWN}
+
+
+def test_not_run_is_not_answered_while_a_lost_forward_may_start_the_job():
+  peers = fakepeers.Peers("abcd", finish_tasks=False, slots=0)
+  key = key_held_by("a", "b")
+  peers.submit("c", key)
+  peers.run_rounds(2)
+  request = peers.submit("d", key)
+  deliver_all_but(peers, claims.ForwardJob)
+  peers.time_out(index_of(peers, claims.ForwardJob))
+  for _ in range(2):  # The job's deadline passes at c, and then at d.
+    peers.tick(1.0)
+    deliver_all_but(peers, claims.ForwardJob)
+  peers.tick(1.0)
+  assert request in peers.outcomes
+  peers.set_slots(64)
+  peers.run_rounds(2)
+  assert_started_once(peers, key)
+  assert ran_values(peers, request) == {codes.Ran.UNKNOWN}
+
+
 @pytest.mark.parametrize("disabled", ["view", "trust"])
 def test_disabling_a_check_lets_a_task_start_twice(monkeypatch, disabled):
   """Checks that the tests above detect a double start.
