Answer 'unknown' where a forwarded copy of the job got no reply

Cause: a request whose forward got no reply was handled again as a new one, and the result of that second copy was given as the fate of both: a refusal ('started nothing') or 'not run', while the first copy had run the job or ran it later. A draining host met it with every forwarded job whose answer came after the deadline.

A waiter now remembers that a forward of it was lost. An outcome that leaves the key free (a refusal, or a failed job that sent nothing) becomes 'unknown' (22) for it; an answer that keeps the key, and any cancellation, stays.

--- a/fescueturn/answers.py
+++ b/fescueturn/answers.py
@@ -1,5 +1,6 @@
 """Builds job answers: complete, ended early, cancelled, or coordinator lost."""
 
+from fescueturn import claims
 from fescueturn import codes
 from fescueturn import messages
 from fescueturn import state as state_lib
@@ -50,6 +51,18 @@
   return _failed(job, tasks, retry_after_s)
 
 
+def leaves_key_free(outcome: claims.Outcome) -> bool:
+  """Returns True if a job may be run after this outcome, under the same key.
+
+  That is so after a refusal, and after a failed job that sent no task.
+  """
+  if outcome.answer is None:
+    return True
+  return outcome.answer.code == codes.Code.JOB_FAILED and all(
+      t.ran == codes.Ran.NOT_RUN for t in outcome.answer.tasks
+  )
+
+
 def cancelled(job: messages.Job) -> messages.JobAnswer:
   """Returns the answer of a job cancelled before any task was sent."""
   code = codes.Code.TASK_NOT_RUN_CANCELLED
--- a/fescueturn/claiming.py
+++ b/fescueturn/claiming.py
@@ -8,6 +8,8 @@
 replicated answer, or an answer that says the outcome is unknown.
 """
 
+import dataclasses
+
 from fescueturn import answers
 from fescueturn import claims
 from fescueturn import codes
@@ -179,7 +181,7 @@
   if isinstance(waiter.request, messages.Cancel):
     return [jobs.refuse(state, waiter, _owner_lost_error(waiter.key))]
   answer = _owner_lost_answer(state, waiter.request)
-  return [events.SendOutcome(waiter.request_id, claims.Outcome(answer=answer))]
+  return [jobs.complete_request(state, waiter, claims.Outcome(answer=answer))]
 
 
 def handle_forward_reply(
@@ -195,11 +197,11 @@
   del state.forwarded_requests[event.peer_request.request_id]
   waiter = forwarded.waiter
   if event.reply is not None:
-    return [events.SendOutcome(waiter.request_id, event.reply)]
+    return [jobs.complete_request(state, waiter, event.reply)]
   if event.dead:
     state.dead.add(event.peer_request.member.token)
   state.counters["forward_lost"] += 1
-  retried = state_lib.Waiter(waiter.request_id, waiter.request, waiter.hops + 1)
+  retried = dataclasses.replace(waiter, hops=waiter.hops + 1, forward_lost=True)
   return jobs.handle_request(state, retried)
 
 
@@ -214,5 +216,6 @@
   for request_id, forwarded in list(state.forwarded_requests.items()):
     if not view.runs(forwarded.member.token):
       del state.forwarded_requests[request_id]
-      effects += jobs.handle_request(state, forwarded.waiter)
+      retried = dataclasses.replace(forwarded.waiter, forward_lost=True)
+      effects += jobs.handle_request(state, retried)
   return effects
--- a/fescueturn/jobs.py
+++ b/fescueturn/jobs.py
@@ -87,6 +87,26 @@
   outcome = claims.Outcome(
       error=error, retry_after_s=state.limits.retry_after_s
   )
+  return complete_request(state, waiter, outcome)
+
+
+def complete_request(
+    state, waiter: state_lib.Waiter, outcome: claims.Outcome
+) -> events.SendOutcome:
+  """Returns the effect that completes one request with its outcome.
+
+  An outcome that leaves a job's key free says that nothing of the job ran. It
+  is replaced by "unknown" if a forwarded copy of the job got no reply, because
+  that copy may have run the job, or may still do so.
+  """
+  job = waiter.request
+  if (
+      waiter.forward_lost
+      and isinstance(job, messages.Job)
+      and answers.leaves_key_free(outcome)
+  ):
+    answer = answers.owner_lost(job, state.limits.retry_after_s)
+    outcome = claims.Outcome(answer=answer)
   return events.SendOutcome(waiter.request_id, outcome)
 
 
@@ -142,7 +162,7 @@
     )
     return [refuse(state, waiter, error)]
   if record.done:
-    return [_reply(record, waiter)]
+    return [_reply(state, record, waiter)]
   record.waiters.append(waiter)
   return []
 
@@ -153,7 +173,7 @@
   Tasks in flight are answered with TASK_UNKNOWN.
   """
   if record.done:
-    return [_reply(record, waiter)]
+    return [_reply(state, record, waiter)]
   record.waiters.append(waiter)
   state.counters["cancelled"] += 1
   if record.phase is state_lib.Phase.RUNNING:
@@ -164,12 +184,12 @@
   return state.admit(state, record)
 
 
-def _reply(record, waiter: state_lib.Waiter) -> events.SendOutcome:
+def _reply(state, record, waiter: state_lib.Waiter) -> events.SendOutcome:
   answer = record.final_answer
   request = waiter.request
   if not answer.tasks and isinstance(request, messages.Job):
     answer = answers.cancelled(request)
-  return events.SendOutcome(waiter.request_id, claims.Outcome(answer=answer))
+  return complete_request(state, waiter, claims.Outcome(answer=answer))
 
 
 def start_tasks(
@@ -251,10 +271,9 @@
   claimed = record.phase is state_lib.Phase.RUNNING
   record.final_answer = answer
   record.phase = state_lib.Phase.DONE
-  effects = [_reply(record, w) for w in record.waiters]
+  effects = [_reply(state, record, w) for w in record.waiters]
   record.waiters.clear()
-  nothing_ran = all(t.ran == codes.Ran.NOT_RUN for t in answer.tasks)
-  if claimed and nothing_ran and not record.cancelled:
+  if claimed and answers.leaves_key_free(claims.Outcome(answer=answer)):
     # No task started, so a retry of the job may run from the beginning.
     return effects + discard_record(state, record)
   if claimed:
--- a/fescueturn/state.py
+++ b/fescueturn/state.py
@@ -31,11 +31,14 @@
     request_id: the I/O shell's id of the request.
     request: the submitted job, or the cancellation.
     hops: how many times entry hosts have forwarded the request.
+    forward_lost: True once this host forwarded the request and got no reply;
+      that copy may have been acted on, or may be later.
   """
 
   request_id: int
   request: messages.Job | messages.Cancel
   hops: int = 0
+  forward_lost: bool = False
 
   @property
   def key(self) -> str:
