Failing tests: a late reply of one round counts for the next round

A promise given in an earlier round of probes is taken as one that lasts as long as the later round says; a sync that was answered before a gap in the views completes the one that the gap made necessary.

--- a/tests/fakepeers.py
+++ b/tests/fakepeers.py
@@ -130,6 +130,12 @@
     if name in self.hosts and self.views[name]:
       self._apply(name, self.views[name].pop(0))
 
+  def miss_views(self, name):
+    """Makes a host read the current view afresh, after a gap."""
+    self.views[name].clear()
+    view = tuple(self.store.values())
+    self._apply(name, events.MembersChanged(view, gap=True))
+
   def submit(self, name, key="k", tasks=2, deadline_ms=0):
     """Submits a job to one host and returns the request id."""
     request_id = next(self._ids)
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -407,6 +407,42 @@
   assert ran_values(peers, request) == {codes.Ran.UNKNOWN}
 
 
+def test_promise_given_in_an_earlier_round_does_not_extend_to_a_later_one():
+  peers = fakepeers.Peers("abc")
+  for name in "abc":
+    peers.put_member(name, lease_s=fakepeers.TTL_S)
+  peers.run_rounds(2)
+  peers.tick(fakepeers.TTL_S)
+  peers.in_transit = [e for e in peers.in_transit if e.source == "a"]
+  peers.deliver(0)
+  peers.deliver(0)  # b and c promise; their replies are late.
+  replies, peers.in_transit = peers.in_transit, []
+  peers.tick(views.PROMISE_S - 0.1)
+  peers.in_transit = replies
+  peers.deliver(0)
+  peers.deliver(0)
+  peers.tick(0.2)
+  assert not any(peers.hosts[n].membership.promises for n in "bc")
+  assert not peers.hosts["a"].membership.may_accept_claims(peers.now)
+
+
+def test_reply_to_an_earlier_sync_does_not_complete_the_sync_after_a_gap():
+  peers = fakepeers.Peers("ab")
+  peers.join("c")
+  for name in "abc":
+    while peers.views[name]:
+      peers.deliver_view(name)
+  peers.in_transit = [e for e in peers.in_transit if e.source == "c"]
+  peers.deliver(0)
+  peers.deliver(0)
+  early_replies, peers.in_transit = peers.in_transit, []
+  peers.miss_views("c")
+  peers.in_transit = early_replies
+  peers.deliver(0)
+  peers.deliver(0)
+  assert not peers.hosts["c"].membership.trusted
+
+
 @pytest.mark.parametrize("disabled", ["view", "trust"])
 def test_disabling_a_check_lets_a_task_start_twice(monkeypatch, disabled):
   """Checks that the tests above detect a double start.
