Count a peer's reply only for the round that asked for it

Cause: replies to claims, syncs and probes were matched by the digest of the view.

Each round has a number, which its requests carry inside the process; the messages are unchanged.

test_ownership.py::test_promise_given_in_an_earlier_round_does_not_extend_to_a_later_one and ::test_reply_to_an_earlier_sync_does_not_complete_the_sync_after_a_gap before: failed; after: passed. Test modules ownership, peer, reducer, stored_records, claims, interleavings, layout: 116 passed.

--- a/fescueturn/claiming.py
+++ b/fescueturn/claiming.py
@@ -40,7 +40,8 @@
   names = membership.view.holders(record.job.key)
   if not names:
     return _retry_later(state, record)
-  record.round = state_lib.ClaimRound(membership.view, names)
+  number = state.next_number()
+  record.round = state_lib.ClaimRound(number, membership.view, names)
   claim = jobs.make_claim(state, record)
   request = claims.ClaimRequest(membership.view.digest, claim)
   effects = []
@@ -49,7 +50,11 @@
       record.round.replies[name] = ownership.answer_claim(state, request)
     else:
       member = membership.view.member(name)
-      effects.append(events.SendPeerRequest(member, request, CLAIM_TIMEOUT_S))
+      effects.append(
+          events.SendPeerRequest(
+              member, request, CLAIM_TIMEOUT_S, round_number=number
+          )
+      )
   if record.round.complete:
     effects += _decide(state, record)
   return effects
@@ -80,7 +85,7 @@
   if record is None or record.phase is not state_lib.Phase.CLAIMING:
     return []
   round_ = record.round
-  if round_ is None or round_.view.digest != request.view:
+  if round_ is None or round_.number != event.peer_request.round_number:
     return []
   if record.number != request.claim.number:
     return []
--- a/fescueturn/events.py
+++ b/fescueturn/events.py
@@ -230,12 +230,15 @@
     message: the message to send.
     timeout_s: how long to wait for the reply, in seconds.
     request_id: id of the caller's request that is forwarded; 0 otherwise.
+    round_number: number of the claim, sync or probe round that the message
+      belongs to; its reply counts for no other round.
   """
 
   member: Member
   message: claims.Request
   timeout_s: float
   request_id: int = 0
+  round_number: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/fescueturn/ownership.py
+++ b/fescueturn/ownership.py
@@ -146,7 +146,8 @@
   if not wanted:
     return []
   sync_hosts = {m.name: m for m in membership.others()} | membership.departed
-  membership.sync = views.SyncRound(wanted, sync_hosts)
+  number = state.next_number()
+  membership.sync = views.SyncRound(number, wanted, sync_hosts)
   state.counters["syncs"] += 1
   if not sync_hosts:
     return _complete_sync(state)
@@ -164,7 +165,9 @@
       departed_lease=member.lease if departed else 0,
       partitions=tuple(sorted(membership.sync.wanted)),
   )
-  return events.SendPeerRequest(member, request, SYNC_TIMEOUT_S)
+  return events.SendPeerRequest(
+      member, request, SYNC_TIMEOUT_S, round_number=membership.sync.number
+  )
 
 
 def handle_sync_reply(
@@ -176,7 +179,7 @@
     state.claims.merge(claim, state.now)
   name = event.peer_request.member.name
   sync = membership.sync
-  if sync is None or event.peer_request.message.view != membership.view.digest:
+  if sync is None or sync.number != event.peer_request.round_number:
     return []
   if event.dead or (event.reply is not None and event.reply.ready):
     membership.departed.pop(name, None)
@@ -220,13 +223,17 @@
     return []
   membership.next_probe = state.now + views.PROBE_INTERVAL_S
   others = membership.others()
+  number = state.next_number()
   membership.probe = views.ProbeRound(
-      membership.view.digest, state.now, {m.name for m in others}
+      number, membership.view.digest, state.now, {m.name for m in others}
   )
   state.counters["probes"] += 1
   _complete_probe(state)
   request = claims.ProbeRequest(membership.view.digest, state.me)
-  return [events.SendPeerRequest(m, request, PROBE_TIMEOUT_S) for m in others]
+  return [
+      events.SendPeerRequest(m, request, PROBE_TIMEOUT_S, round_number=number)
+      for m in others
+  ]
 
 
 def handle_probe_reply(
@@ -235,7 +242,7 @@
   """Records a promise, or that a member's process has certainly ended."""
   membership = state.membership
   round_ = membership.probe
-  if round_ is None or event.peer_request.message.view != round_.view:
+  if round_ is None or round_.number != event.peer_request.round_number:
     return []
   if event.dead or (event.reply is not None and event.reply.agrees):
     round_.awaiting.discard(event.peer_request.member.name)
--- a/fescueturn/state.py
+++ b/fescueturn/state.py
@@ -66,13 +66,15 @@
   """One attempt at claiming a key.
 
   Attributes:
+    number: the round's number.
     view: the membership view in which the claim was made.
     holders: names of the holders to which the claim was sent.
     replies: replies by holder name; None for a request without a reply.
     dead: holders whose process has certainly ended.
   """
 
-  def __init__(self, view: views.View, holders: tuple[str, ...]):
+  def __init__(self, number: int, view: views.View, holders: tuple[str, ...]):
+    self.number = number
     self.view = view
     self.holders = holders
     self.replies: dict[str, claims.ClaimReply | None] = {}
--- a/fescueturn/views.py
+++ b/fescueturn/views.py
@@ -74,11 +74,18 @@
   """A sync in progress.
 
   Attributes:
+    number: the round's number.
     wanted: the partitions whose claims are requested.
     awaiting: the hosts that have not sent their claims yet, by name.
   """
 
-  def __init__(self, wanted: frozenset[int], hosts: dict[str, events.Member]):
+  def __init__(
+      self,
+      number: int,
+      wanted: frozenset[int],
+      hosts: dict[str, events.Member],
+  ):
+    self.number = number
     self.wanted = wanted
     self.awaiting = dict(hosts)
 
@@ -87,12 +94,16 @@
   """A round of promise requests in progress.
 
   Attributes:
+    number: the round's number.
     view: digest of the view in which the requests were sent.
     sent_at: when they were sent.
     awaiting: names of the members that have not promised yet.
   """
 
-  def __init__(self, view: int, sent_at: float, awaiting: set[str]):
+  def __init__(
+      self, number: int, view: int, sent_at: float, awaiting: set[str]
+  ):
+    self.number = number
     self.view = view
     self.sent_at = sent_at
     self.awaiting = awaiting
