--- a/tests/test_peer.py
+++ b/tests/test_peer.py
@@ -1,5 +1,8 @@
+import contextlib
 import io
+import socket
 
+import capnp
 import curio
 import pytest
 
@@ -10,6 +13,7 @@
 from fescueturn import messages
 from fescueturn import peer
 from fescueturn import peercodec
+from fescueturn import settings
 from fescueturn.lab import ports
 from tests import conftest
 
@@ -118,3 +122,41 @@
     await server.close()
 
   curio.run(scenario)
+
+
+def test_message_cut_off_by_a_timeout_is_not_completed_by_the_next_one():
+  listening = socket.create_server(("127.0.0.1", 0))
+  host, port = listening.getsockname()
+  jobs = [
+      conftest.make_job(
+          key=key, tasks=160, payload=key * messages.MAX_PAYLOAD_CHARS
+      )
+      for key in "ab"
+  ]
+  received = []
+
+  async def read_requests(sock):
+    stream = sock.as_stream()
+    async with sock:
+      with contextlib.suppress(ConnectionError, capnp.KjException):
+        while True:
+          data = await framing.read_message(stream)
+          received.append(peercodec.decode_request(data)[1])
+
+  async def serve():
+    server = curio.io.Socket(listening)
+    while True:
+      sock, _ = await server.accept()
+      await curio.spawn(read_requests, sock, daemon=True)
+
+  async def scenario():
+    client = peer.PeerClient(settings.Address(host, port))
+    with pytest.raises(peer.PeerLostError):
+      await client.send_request(claims.ForwardJob(jobs[0], 1), timeout_s=0.3)
+    await curio.spawn(serve, daemon=True)  # The frozen peer resumes.
+    with pytest.raises(peer.PeerLostError):
+      await client.send_request(claims.ForwardJob(jobs[1], 1), timeout_s=2)
+    await client.close()
+
+  curio.run(scenario)
+  assert [r.job == jobs[1] for r in received] == [True]
