Close a peer connection on which a message was cut off

Cause: when a request's time ran out while it was being sent (a frozen peer, a full socket buffer), part of it was sent, and the next message followed on the same connection. The peer took it for the rest of the first one: both were lost, and a mix of the two could have been decoded.

test_peer.py::test_message_cut_off_by_a_timeout_is_not_completed_by_the_next_one before: failed (the whole second message lost; its bytes decoded as part of the first, KjException); after: passed (3 runs). test_peer.py: 17 passed.

--- a/fescueturn/peer.py
+++ b/fescueturn/peer.py
@@ -175,6 +175,11 @@
       except OSError as exc:
         self._sock = None
         raise PeerLostError(f"peer {self._address}: {exc!r}") from exc
+      except curio.CancelledError:
+        # Part of the message may be sent, and the peer would take the next
+        # message for the rest. It drops that part when the stream ends.
+        await self.close()
+        raise
 
   async def _read_loop(self, sock):
     stream = sock.as_stream()
