Keep a coordinator's newest claim when a late copy of an old one arrives

Cause: a holder stored whatever copy of a claim came last. A copy that came late (on an older connection, or from a sync) replaced a newer claim of the same coordinator, whose job was running; the late release of the old claim then removed it, and the key was free. It also replaced a claim with its answer by one without.

test_claims.py::test_late_copy_of_a_released_claim_does_not_end_the_claim_made_after_it and ::test_late_copy_of_a_claim_does_not_remove_its_answer before: failed; after: passed. Test modules ownership, peer, reducer, stored_records, claims, interleavings, layout: 119 passed.

--- a/fescueturn/claims.py
+++ b/fescueturn/claims.py
@@ -184,6 +184,11 @@
 ONE_WAY = (Release, AnswerCopy)
 
 
+def _version(claim: Claim) -> tuple[int, bool]:
+  """Returns what orders a coordinator's claims of one key, oldest first."""
+  return claim.number, claim.answer is not None
+
+
 class ClaimTable:
   """Claims by key and coordinator, with expiry.
 
@@ -207,7 +212,14 @@
     return tuple(c for token, c in claims.items() if token != owner)
 
   def put(self, claim: Claim, now: float):
-    """Stores `claim`; it expires `claim.keep_s` seconds after `now`."""
+    """Stores `claim`; it expires `claim.keep_s` seconds after `now`.
+
+    A late copy of a claim doesn't replace a later claim of the same coordinator
+    or the claim's answer.
+    """
+    held = self._claims.get(claim.key, {}).get(claim.owner)
+    if held is not None and _version(held) > _version(claim):
+      return
     until = now + claim.keep_s
     self._claims.setdefault(claim.key, {})[claim.owner] = claim
     self._expiry[claim.key, claim.owner] = until
