--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -443,6 +443,22 @@
   assert not peers.hosts["c"].membership.trusted
 
 
+def test_job_cancelled_before_its_tasks_were_sent_is_not_run_by_a_late_copy():
+  peers = fakepeers.Peers("abcd", slots=0)
+  key = key_held_by("a", "b")
+  job = peers.submit("c", key)
+  peers.run_rounds(2)
+  cancel = peers.cancel("d", key)
+  peers.run_rounds(2)
+  assert ran_values(peers, job) == {codes.Ran.NOT_RUN}
+  assert peers.answer(cancel) == peers.answer(job)
+  peers.set_slots(64)
+  late = peers.submit("d", key)
+  peers.run_rounds(2)
+  assert not peers.starts
+  assert peers.answer(late).code == codes.Code.JOB_CANCELLED
+
+
 @pytest.mark.parametrize("disabled", ["view", "trust"])
 def test_disabling_a_check_lets_a_task_start_twice(monkeypatch, disabled):
   """Checks that the tests above detect a double start.
