Keep the key of a job that is cancelled before its tasks were sent

Cause: a cancellation of a job whose tasks all waited for a slot was answered JOB_FAILED with 'not run', and the key was released. A copy of the submission that came later ran the job, though ERRORS.md says that a job cancelled before any task was sent never runs.

Such a job is now answered JOB_CANCELLED (103), as one that is cancelled while its key is claimed, and the answer is kept.

test_ownership.py::test_job_cancelled_before_its_tasks_were_sent_is_not_run_by_a_late_copy before: failed, both tasks started; after: passed. Test modules ownership, peer, reducer, stored_records, claims, interleavings, layout: 120 passed.

--- a/fescueturn/jobs.py
+++ b/fescueturn/jobs.py
@@ -170,16 +170,21 @@
 def _cancel(state, record, waiter: state_lib.Waiter) -> list:
   """Cancels a job; its unsent tasks never run.
 
-  Tasks in flight are answered with TASK_UNKNOWN.
+  Tasks in flight are answered with TASK_UNKNOWN. A job that has no task in
+  flight or ended is answered with JOB_CANCELLED and keeps its key, so that a
+  late copy of its submission doesn't run it.
   """
   if record.done:
     return [_reply(state, record, waiter)]
   record.waiters.append(waiter)
   state.counters["cancelled"] += 1
-  if record.phase is state_lib.Phase.RUNNING:
+  running = record.phase is state_lib.Phase.RUNNING
+  if running and (record.in_flight or record.answers):
     return fail_job(state, record, codes.Code.TASK_NOT_RUN_CANCELLED)
-  # The holders must store the cancellation before it is acknowledged.
   record.cancelled = True
+  if running:
+    return finish_job(state, record, answers.cancelled(record.job))
+  # The holders must store the cancellation before it is acknowledged.
   record.number = state.next_number()
   return state.admit(state, record)
 
