Don't take a retry's conflict for 'not written'

Cause: after a lost reply, a conflict with another text was reported as one (E300, nothing written), though the first attempt may have been in force before another operator replaced it. It is now E301: it may have taken effect.

test_teamconfig.py::test_conflict_of_a_retry_does_not_deny_a_write_that_was_replaced_since before: failed (ConflictError); after: passed. test_teamconfig, test_layout: 5 passed.

--- a/fescueturn/teamconfig.py
+++ b/fescueturn/teamconfig.py
@@ -59,8 +59,10 @@
 
   Raises:
     errors.SettingsError: the text is invalid; nothing is written.
-    errors.KvConflictError: the key is at another revision (code 300).
-    errors.KvError: all attempts failed; the write may have taken effect.
+    errors.KvConflictError: the key is at another revision, and nothing was
+      written (code 300).
+    errors.KvError: the write may have taken effect: all attempts failed, or one
+      got no reply and a later one found another text (code 301).
   """
   check(text, team)
   key = membership.team_key(team)
@@ -70,11 +72,15 @@
     try:
       return await kv.transact(wanted)
     except kvtypes.ConflictError as exc:
-      applied = exc.items.get(key)
-      if last_error and applied and applied.value == text.encode():
+      if last_error is None:
+        raise
+      stored = exc.items.get(key)
+      if stored and stored.value == text.encode():
         # An earlier attempt took effect, but its reply was lost.
-        return applied.revision
-      raise
+        return stored.revision
+      # An earlier attempt may have taken effect, and been replaced since.
+      last_error = exc
+      break
     except errors.KvError as exc:
       last_error = exc
   raise errors.KvError(f"{key}: {last_error}", codes.Code.KV_UNAVAILABLE)
