Play late copies of messages and jobs that wait for slots at random

Cause: the random interleavings dropped messages but never delivered one after its sender had stopped waiting, and always had a free slot: no seed could meet a late copy, or a queue entry of a job that had ended.

LateCopiesRun adds both, deadlines, several keys and views read after a gap.

--- a/tests/test_interleavings.py
+++ b/tests/test_interleavings.py
@@ -5,6 +5,10 @@
 others have synced. All other events happen in random order: views and messages
 are delayed or dropped, several hosts join, one key is submitted and cancelled
 several times, and tasks end at any time as done, failed or with a lost reply.
+
+`LateCopiesRun` adds messages that arrive after their sender stopped waiting for
+a reply, jobs that wait for slots past their deadlines, several keys, and views
+that are read afresh after a gap.
 """
 
 import random
@@ -12,6 +16,7 @@
 import pytest
 
 from fescueturn import codes
+from fescueturn import events
 from fescueturn import views
 from tests import fakepeers
 
@@ -145,6 +150,72 @@
     assert max(self.peers.starts.values(), default=0) <= 1
 
 
+class LateCopiesRun(Run):
+  """A random run with late copies of messages, and queues for few slots."""
+
+  SLOTS = (0, 1, 2, 64)
+  DEADLINES_MS = (0, 0, 500, 3000, 60_000)
+
+  def __init__(self, seed):
+    super().__init__(seed)
+    self.keys = ("k", "k2", "k3")[: self.rng.randint(1, 3)]
+    self.set_slots()
+
+  def submit(self):
+    name = self.rng.choice(self.active_hosts())
+    deadline_ms = self.rng.choice(self.DEADLINES_MS)
+    key = self.rng.choice(self.keys)
+    request = self.peers.submit(name, key, deadline_ms=deadline_ms)
+    self.requests.append((request, self.peers.hosts[name]))
+
+  def cancel(self):
+    name = self.rng.choice(self.active_hosts())
+    request = self.peers.cancel(name, self.rng.choice(self.keys))
+    self.requests.append((request, self.peers.hosts[name]))
+
+  def time_out(self):
+    awaited = [
+        i
+        for i, envelope in enumerate(self.peers.in_transit)
+        if isinstance(envelope.effect, events.SendPeerRequest)
+        and not envelope.timed_out
+    ]
+    if awaited:
+      self.peers.time_out(self.rng.choice(awaited))
+
+  def set_slots(self):
+    self.peers.set_slots(self.rng.choice(self.SLOTS))
+
+  def miss_views(self):
+    self.peers.miss_views(self.rng.choice(self.active_hosts()))
+
+  def pass_time(self):
+    self.peers.tick(self.rng.choice((1.0, 3.0)), self.active_hosts())
+
+  def run_steps(self):
+    steps = (
+        [self.submit] * 4
+        + [self.cancel]
+        + [self.deliver] * 20
+        + [self.deliver_view] * 8
+        + [self.tick] * 6
+        + [self.finish] * 4
+        + [self.join, self.fail, self.recover, self.drop]
+        + [self.time_out] * 3
+        + [self.set_slots] * 2
+        + [self.miss_views, self.pass_time]
+    )
+    for _ in range(2 * STEPS):
+      self.rng.choice(steps)()
+      self.check()
+    self.recover()
+    self.peers.set_slots(max(self.SLOTS))
+    self.peers.run_rounds()
+    self.peers.tick(max(self.DEADLINES_MS) / 1000)
+    self.peers.run_rounds()
+    self.check()
+
+
 def is_valid(outcome):
   """Returns True for a refusal, a failed answer, or a complete one.
 
@@ -156,10 +227,9 @@
   return not outcome.answer.complete or (len(done) == 2 and all(done))
 
 
-@pytest.mark.parametrize("first", range(0, 5 * SEEDS_PER_TEST, SEEDS_PER_TEST))
-def test_no_task_starts_twice_and_every_request_ends(first):
+def play(run_class, first):
   for seed in range(first, first + SEEDS_PER_TEST):
-    run = Run(seed)
+    run = run_class(seed)
     try:
       run.run_steps()
       assert all(is_valid(outcome) for outcome in run.outcomes())
@@ -167,6 +237,16 @@
       raise AssertionError(f"seed {seed}") from exc
 
 
+@pytest.mark.parametrize("first", range(0, 5 * SEEDS_PER_TEST, SEEDS_PER_TEST))
+def test_no_task_starts_twice_and_every_request_ends(first):
+  play(Run, first)
+
+
+@pytest.mark.parametrize("first", range(0, 4 * SEEDS_PER_TEST, SEEDS_PER_TEST))
+def test_late_copies_and_waiting_jobs_start_no_task_twice(first):
+  play(LateCopiesRun, first)
+
+
 def test_trusting_unsynced_holders_lets_a_task_start_twice(monkeypatch):
   """Checks that the test above detects a double start.
 
