--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -4,11 +4,14 @@
 
 import curio
 
+from fescueturn import entry
 from fescueturn import errors
 from fescueturn import events
 from fescueturn import kvtypes
 from fescueturn import membership
 from fescueturn import settings
+from fescueturn import timer
+from fescueturn.lab import ports
 from fescueturn.platform import store
 from fescueturn.standins import kvstore
 
@@ -60,6 +63,9 @@
       await curio.sleep(0.005)
     return kvtypes.Changes(self.store.revision, tuple(changes))
 
+  async def close(self):
+    pass
+
 
 class _AppliedEvents(list):
 
@@ -137,6 +143,34 @@
   assert applied[1].revision > applied[0].revision
 
 
+def test_member_key_that_a_late_write_replaced_is_written_again():
+  kv = _FakeKv()
+  host = entry.EntryHost(
+      settings.ProcessSettings(ME.name, "dc"),
+      settings.EntrySettings(
+          listen=ports.free_address(),
+          peer_listen=ports.free_address(),
+          platform=ports.free_address(),
+          lease_ttl_s=0.3,
+      ),
+      timer.TimerService(0.05),
+      kv,
+  )
+
+  def is_member():
+    return host.state.membership.is_member
+
+  async def scenario():
+    await host.start()
+    await until(is_member)
+    kv.store.put("/members/dc/entry-1", membership.member_value(ME))
+    await until(lambda: not is_member())
+    await until(is_member)
+    await host.close()
+
+  curio.run(scenario)
+
+
 def test_settings_take_effect_within_five_seconds_if_a_watch_goes_unanswered():
   waits_ms = []
 
