Write the member key again when the store shows another

Cause: a write that got no reply may be carried out seconds later. One of an earlier process of the same name, or an earlier one of this process, then replaced the member key, which counted as written: the host stayed out of every view and refused all requests (E208) until it was restarted.

The lease keeper now compares each view with what it wrote.

--- a/fescueturn/entry.py
+++ b/fescueturn/entry.py
@@ -114,7 +114,13 @@
     await self._peers_server.start()
     loops = [
         (self._lease.run, self._apply, self._backoff()),
-        (membership.members_loop, self._kv, dc, self._apply, self._backoff()),
+        (
+            membership.members_loop,
+            self._kv,
+            dc,
+            self._apply_members,
+            self._backoff(),
+        ),
         (
             membership.teams_loop,
             self._kv,
@@ -201,6 +207,10 @@
   async def _tick(self, now: float):
     await self._apply(events.Tick(now))
 
+  async def _apply_members(self, event: events.MembersChanged):
+    self._lease.check_written(event.members)
+    await self._apply(event)
+
   async def _apply(self, event: events.Event):
     """Passes one event to the reducer and executes the effects it returns."""
     for effect in reducer.reduce(self._state, event, self._timer.now()):
--- a/fescueturn/membership.py
+++ b/fescueturn/membership.py
@@ -184,7 +184,7 @@
 
     The write is idempotent; `run` repeats it after a lost reply.
     """
-    member = dataclasses.replace(self._member, lease=self._lease)
+    member = self._current_member()
     puts = {self._key: member_value(member)}
     try:
       await self._kv.transact(kvtypes.Transaction({}, puts, (), self._lease))
@@ -199,6 +199,18 @@
         member.leaving,
     )
 
+  def _current_member(self) -> events.Member:
+    return dataclasses.replace(self._member, lease=self._lease)
+
+  def check_written(self, members: tuple[events.Member, ...]):
+    """Has the member key written again if the store's `members` lack it.
+
+    A write that got no reply, of this process or of an earlier one of the same
+    name, may be carried out late and replace the key.
+    """
+    if self._current_member() not in members:
+      self._written = False
+
   async def leave(self):
     """Marks this entry host as leaving; peers then place claims elsewhere."""
     self._member = dataclasses.replace(self._member, leaving=True)
