End a task as unknown when its reply is JSON but no object

Cause: such a reply raised TypeError, which nothing caught. The task never ended: its slot stayed taken, its job's record too, and the host didn't finish draining.

test_endpointclient.py::test_unreadable_reply_ends_the_task_as_unknown (7 replies) before: 3 failed, 4 passed; after: 7 passed, with test_httpio 11 passed.

--- a/fescueturn/endpointclient.py
+++ b/fescueturn/endpointclient.py
@@ -85,7 +85,7 @@
       return codes.Code(reply["code"]), reply.get("result", "")
     except httpio.NotSentError:
       return codes.Code.TASK_NOT_RUN, ""
-    except (httpio.LostReplyError, ValueError, KeyError) as exc:
+    except (httpio.LostReplyError, ValueError, KeyError, TypeError) as exc:
       logger.warning(
           "event=task_reply_lost key={} endpoint={} error={!r}",
           effect.downstream_key,
