--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -8,6 +8,7 @@
 from fescueturn import codes
 from fescueturn import jobs
 from fescueturn import ownership
+from fescueturn import placement
 from fescueturn import reducer
 from fescueturn import routing
 from fescueturn import views
@@ -459,6 +460,27 @@
   assert peers.answer(late).code == codes.Code.JOB_CANCELLED
 
 
+def test_cancel_is_not_acknowledged_while_a_silent_coordinator_may_go_on():
+  peers = fakepeers.Peers("abcd", finish_tasks=False, slots=4)
+  key = key_held_by("a", "b")
+  peers.submit("c", key, deadline_ms=60_000)
+  peers.run_rounds(2)
+  peers.broken_links = {frozenset(pair) for pair in ("ca", "cb", "cd")}
+  peers.expire_member("c")
+  peers.views["c"].clear()
+  peers.tick(fakepeers.TTL_S, "abd")
+  peers.run_rounds(2)
+  resubmission = peers.submit("d", key)
+  peers.run_rounds(2)
+  assert ran_values(peers, resubmission) == {codes.Ran.UNKNOWN}
+  cancel = peers.cancel("d", key)
+  peers.run_rounds(2)
+  peers.finish_task(0)
+  peers.tick(placement.UNREACHABLE_PAUSE_S)  # c sends the job's other task.
+  assert_started_once(peers, key)
+  assert peers.outcomes[cancel].error.code == codes.Code.OWNER_LOST
+
+
 @pytest.mark.parametrize("disabled", ["view", "trust"])
 def test_disabling_a_check_lets_a_task_start_twice(monkeypatch, disabled):
   """Checks that the tests above detect a double start.
