Keep no record of the answer that a coordinator is lost

Cause: a host that answered a resubmission 'unknown' (22), because the job's coordinator was silent, kept that as the job's final answer. A cancellation there was then acknowledged (200: no task starts any more) while the coordinator went on, and resubmissions got 'unknown' after it had the real answer.

The requests that wait get the answer, and the record is forgotten: a cancellation is refused (209), and a resubmission asks again.

test_ownership.py::test_cancel_is_not_acknowledged_while_a_silent_coordinator_may_go_on before: failed (acknowledged, then t1 started); after: passed. Test modules ownership, peer, reducer, stored_records, claims, interleavings, layout: 125 passed.

--- a/fescueturn/claiming.py
+++ b/fescueturn/claiming.py
@@ -162,8 +162,19 @@
     return effects
   if record.cancelled:
     return jobs.refuse_all(state, record, _owner_lost_error(record.job.key))
-  answer = _owner_lost_answer(state, record.job)
-  return jobs.finish_job(state, record, answer)
+  return _answer_owner_lost(state, record)
+
+
+def _answer_owner_lost(state, record) -> list:
+  """Answers that the outcome is unknown; keeps no record of this answer.
+
+  The coordinator may only be silent: it may go on with the job, and then knows
+  the answer.
+  """
+  outcome = claims.Outcome(answer=_owner_lost_answer(state, record.job))
+  effects = [jobs.complete_request(state, w, outcome) for w in record.waiters]
+  record.waiters.clear()
+  return effects + jobs.discard_record(state, record)
 
 
 def _owner_lost_answer(state, job: messages.Job) -> messages.JobAnswer:
