--- a/fescueturn/claiming.py
+++ b/fescueturn/claiming.py
@@ -8,6 +8,8 @@
 replicated answer, or an answer that says the outcome is unknown.
 """
 
+import dataclasses
+
 from fescueturn import answers
 from fescueturn import claims
 from fescueturn import codes
@@ -38,7 +40,8 @@
   names = membership.view.holders(record.job.key)
   if not names:
     return _retry_later(state, record)
-  record.round = state_lib.ClaimRound(membership.view, names)
+  number = state.next_number()
+  record.round = state_lib.ClaimRound(number, membership.view, names)
   claim = jobs.make_claim(state, record)
   request = claims.ClaimRequest(membership.view.digest, claim)
   effects = []
@@ -47,7 +50,11 @@
       record.round.replies[name] = ownership.answer_claim(state, request)
     else:
       member = membership.view.member(name)
-      effects.append(events.SendPeerRequest(member, request, CLAIM_TIMEOUT_S))
+      effects.append(
+          events.SendPeerRequest(
+              member, request, CLAIM_TIMEOUT_S, round_number=number
+          )
+      )
   if record.round.complete:
     effects += _decide(state, record)
   return effects
@@ -78,7 +85,7 @@
   if record is None or record.phase is not state_lib.Phase.CLAIMING:
     return []
   round_ = record.round
-  if round_ is None or round_.view.digest != request.view:
+  if round_ is None or round_.number != event.peer_request.round_number:
     return []
   if record.number != request.claim.number:
     return []
@@ -155,8 +162,19 @@
     return effects
   if record.cancelled:
     return jobs.refuse_all(state, record, _owner_lost_error(record.job.key))
-  answer = _owner_lost_answer(state, record.job)
-  return jobs.finish_job(state, record, answer)
+  return _answer_owner_lost(state, record)
+
+
+def _answer_owner_lost(state, record) -> list:
+  """Answers that the outcome is unknown; keeps no record of this answer.
+
+  The coordinator may only be silent: it may go on with the job, and then knows
+  the answer.
+  """
+  outcome = claims.Outcome(answer=_owner_lost_answer(state, record.job))
+  effects = [jobs.complete_request(state, w, outcome) for w in record.waiters]
+  record.waiters.clear()
+  return effects + jobs.discard_record(state, record)
 
 
 def _owner_lost_answer(state, job: messages.Job) -> messages.JobAnswer:
@@ -179,7 +197,7 @@
   if isinstance(waiter.request, messages.Cancel):
     return [jobs.refuse(state, waiter, _owner_lost_error(waiter.key))]
   answer = _owner_lost_answer(state, waiter.request)
-  return [events.SendOutcome(waiter.request_id, claims.Outcome(answer=answer))]
+  return [jobs.complete_request(state, waiter, claims.Outcome(answer=answer))]
 
 
 def handle_forward_reply(
@@ -195,11 +213,11 @@
   del state.forwarded_requests[event.peer_request.request_id]
   waiter = forwarded.waiter
   if event.reply is not None:
-    return [events.SendOutcome(waiter.request_id, event.reply)]
+    return [jobs.complete_request(state, waiter, event.reply)]
   if event.dead:
     state.dead.add(event.peer_request.member.token)
   state.counters["forward_lost"] += 1
-  retried = state_lib.Waiter(waiter.request_id, waiter.request, waiter.hops + 1)
+  retried = dataclasses.replace(waiter, hops=waiter.hops + 1, forward_lost=True)
   return jobs.handle_request(state, retried)
 
 
@@ -214,5 +232,6 @@
   for request_id, forwarded in list(state.forwarded_requests.items()):
     if not view.runs(forwarded.member.token):
       del state.forwarded_requests[request_id]
-      effects += jobs.handle_request(state, forwarded.waiter)
+      retried = dataclasses.replace(forwarded.waiter, forward_lost=True)
+      effects += jobs.handle_request(state, retried)
   return effects
--- a/fescueturn/jobs.py
+++ b/fescueturn/jobs.py
@@ -22,7 +22,8 @@
 # Number of holders that get a copy of a finished job's answer. A cancellation
 # is copied to all holders.
 ANSWER_COPIES = 1
-# Holders keep a claim this much longer than the coordinator keeps its answer.
+# Holders keep a claim until the job's deadline, when its last task may be sent,
+# and then this much longer than the coordinator keeps its answer.
 CLAIM_KEEP_EXTRA_S = 60.0
 # A request is refused if its key could not be claimed within the lease TTL
 # plus this time.
@@ -86,6 +87,26 @@
   outcome = claims.Outcome(
       error=error, retry_after_s=state.limits.retry_after_s
   )
+  return complete_request(state, waiter, outcome)
+
+
+def complete_request(
+    state, waiter: state_lib.Waiter, outcome: claims.Outcome
+) -> events.SendOutcome:
+  """Returns the effect that completes one request with its outcome.
+
+  An outcome that leaves a job's key free says that nothing of the job ran. It
+  is replaced by "unknown" if a forwarded copy of the job got no reply, because
+  that copy may have run the job, or may still do so.
+  """
+  job = waiter.request
+  if (
+      waiter.forward_lost
+      and isinstance(job, messages.Job)
+      and answers.leaves_key_free(outcome)
+  ):
+    answer = answers.owner_lost(job, state.limits.retry_after_s)
+    outcome = claims.Outcome(answer=answer)
   return events.SendOutcome(waiter.request_id, outcome)
 
 
@@ -141,7 +162,7 @@
     )
     return [refuse(state, waiter, error)]
   if record.done:
-    return [_reply(record, waiter)]
+    return [_reply(state, record, waiter)]
   record.waiters.append(waiter)
   return []
 
@@ -149,26 +170,31 @@
 def _cancel(state, record, waiter: state_lib.Waiter) -> list:
   """Cancels a job; its unsent tasks never run.
 
-  Tasks in flight are answered with TASK_UNKNOWN.
+  Tasks in flight are answered with TASK_UNKNOWN. A job that has no task in
+  flight or ended is answered with JOB_CANCELLED and keeps its key, so that a
+  late copy of its submission doesn't run it.
   """
   if record.done:
-    return [_reply(record, waiter)]
+    return [_reply(state, record, waiter)]
   record.waiters.append(waiter)
   state.counters["cancelled"] += 1
-  if record.phase is state_lib.Phase.RUNNING:
+  running = record.phase is state_lib.Phase.RUNNING
+  if running and (record.in_flight or record.answers):
     return fail_job(state, record, codes.Code.TASK_NOT_RUN_CANCELLED)
-  # The holders must store the cancellation before it is acknowledged.
   record.cancelled = True
+  if running:
+    return finish_job(state, record, answers.cancelled(record.job))
+  # The holders must store the cancellation before it is acknowledged.
   record.number = state.next_number()
   return state.admit(state, record)
 
 
-def _reply(record, waiter: state_lib.Waiter) -> events.SendOutcome:
+def _reply(state, record, waiter: state_lib.Waiter) -> events.SendOutcome:
   answer = record.final_answer
   request = waiter.request
   if not answer.tasks and isinstance(request, messages.Job):
     answer = answers.cancelled(request)
-  return events.SendOutcome(waiter.request_id, claims.Outcome(answer=answer))
+  return complete_request(state, waiter, claims.Outcome(answer=answer))
 
 
 def start_tasks(
@@ -182,7 +208,7 @@
   if team is None or not state.endpoints.has_service(team.service):
     return fail_job(state, record, codes.Code.TASK_NOT_RUN_NO_ENDPOINT)
   job = record.job
-  state.queue.add(job.team, job.key, (t.task_id for t in job.tasks))
+  state.queue.add(job.team, record, (t.task_id for t in job.tasks))
   dispatch.schedule_overdue_check(state, record)
   return dispatch.dispatch(state)
 
@@ -224,7 +250,7 @@
         event.task_id, codes.Code.TASK_NOT_RUN_REFUSED
     )
     return fail_job(state, record, codes.Code.TASK_NOT_RUN_JOB_FAILED)
-  state.queue.requeue(record.job.team, record.job.key, event.task_id)
+  state.queue.requeue(record.job.team, record, event.task_id)
   return []
 
 
@@ -233,15 +259,15 @@
   return finish_job(state, record, answers.completed(record))
 
 
-def fail_job(state, record, not_run: codes.Code) -> list:
+def fail_job(state, record, unsent: codes.Code) -> list:
   """Ends a running job now.
 
-  Tasks in flight get TASK_UNKNOWN, tasks never sent the code `not_run`.
+  Tasks in flight get TASK_UNKNOWN, tasks never sent the code `unsent`.
   """
   state.counters["failed"] += 1
   retry_after_s = state.limits.retry_after_s
   return finish_job(
-      state, record, answers.incomplete(record, not_run, retry_after_s)
+      state, record, answers.incomplete(record, unsent, retry_after_s)
   )
 
 
@@ -250,10 +276,9 @@
   claimed = record.phase is state_lib.Phase.RUNNING
   record.final_answer = answer
   record.phase = state_lib.Phase.DONE
-  effects = [_reply(record, w) for w in record.waiters]
+  effects = [_reply(state, record, w) for w in record.waiters]
   record.waiters.clear()
-  nothing_ran = all(t.ran == codes.Ran.NOT_RUN for t in answer.tasks)
-  if claimed and nothing_ran and not record.cancelled:
+  if claimed and answers.leaves_key_free(claims.Outcome(answer=answer)):
     # No task started, so a retry of the job may run from the beginning.
     return effects + discard_record(state, record)
   if claimed:
@@ -289,7 +314,8 @@
 
 def make_claim(state, record) -> claims.Claim:
   """Returns the coordinator's current claim of a record's key."""
-  keep_s = state.limits.answer_keep_s + CLAIM_KEEP_EXTRA_S
+  may_run_s = 0.0 if record.done else max(0.0, record.deadline - state.now)
+  keep_s = may_run_s + state.limits.answer_keep_s + CLAIM_KEEP_EXTRA_S
   return claims.Claim(
       key=record.job.key,
       fingerprint=record.job.fingerprint,
@@ -325,7 +351,15 @@
   if record.done:
     return []
   if record.phase is state_lib.Phase.RUNNING:
-    return fail_job(state, record, codes.Code.TASK_NOT_RUN_DEADLINE)
+    # A host that was paused until its claims lapsed can't know what another
+    # host has started since.
+    lapsed = state.now >= record.deadline + state.limits.answer_keep_s
+    unsent = (
+        codes.Code.TASK_UNKNOWN_OWNER_LOST
+        if lapsed
+        else codes.Code.TASK_NOT_RUN_DEADLINE
+    )
+    return fail_job(state, record, unsent)
   return refuse_all(state, record, unclaimed_error(record))
 
 
--- a/fescueturn/state.py
+++ b/fescueturn/state.py
@@ -31,11 +31,14 @@
     request_id: the I/O shell's id of the request.
     request: the submitted job, or the cancellation.
     hops: how many times entry hosts have forwarded the request.
+    forward_lost: True once this host forwarded the request and got no reply;
+      that copy may have been acted on, or may be later.
   """
 
   request_id: int
   request: messages.Job | messages.Cancel
   hops: int = 0
+  forward_lost: bool = False
 
   @property
   def key(self) -> str:
@@ -63,13 +66,15 @@
   """One attempt at claiming a key.
 
   Attributes:
+    number: the round's number.
     view: the membership view in which the claim was made.
     holders: names of the holders to which the claim was sent.
     replies: replies by holder name; None for a request without a reply.
     dead: holders whose process has certainly ended.
   """
 
-  def __init__(self, view: views.View, holders: tuple[str, ...]):
+  def __init__(self, number: int, view: views.View, holders: tuple[str, ...]):
+    self.number = number
     self.view = view
     self.holders = holders
     self.replies: dict[str, claims.ClaimReply | None] = {}
--- a/tests/fakepeers.py
+++ b/tests/fakepeers.py
@@ -22,11 +22,15 @@
 
 @dataclasses.dataclass(frozen=True)
 class Envelope:
-  """A message in transit; `reply` is set once it is on the way back."""
+  """A message in transit; `reply` is set once it is on the way back.
+
+  Its sender waits for no reply any more if `timed_out` is True.
+  """
 
   source: str
   effect: events.SendPeerRequest | events.SendPeerNotice
   reply: claims.Reply | None = None
+  timed_out: bool = False
 
 
 class Peers:
@@ -44,7 +48,7 @@
     running: tasks that run at an endpoint, with their sender's state.
   """
 
-  def __init__(self, names=(), endpoints=1, finish_tasks=True):
+  def __init__(self, names=(), endpoints=1, finish_tasks=True, slots=64):
     self.now = 0.0
     self.hosts = {}
     self.store = {}
@@ -59,7 +63,7 @@
     self._finish = finish_tasks
     self.running = []
     self._endpoints = tuple(
-        conftest.endpoint(f"e{i}", slots=64) for i in range(endpoints)
+        conftest.endpoint(f"e{i}", slots) for i in range(endpoints)
     )
     for name in names:
       self.join(name)
@@ -78,6 +82,18 @@
     self._apply(name, events.TeamChanged("altamaha", 5, conftest.SPELLER))
     self._apply(name, events.EndpointsChanged(self._endpoints))
 
+  def set_slots(self, slots):
+    """Sets the endpoints' slots, and shows them to all hosts."""
+    self._endpoints = tuple(
+        dataclasses.replace(e, slots=slots) for e in self._endpoints
+    )
+    for name in self.hosts:
+      self._apply(name, events.EndpointsChanged(self._endpoints))
+
+  def drain(self, name):
+    """Starts a graceful stop of one host."""
+    self._apply(name, events.DrainStarted())
+
   def put_member(self, name, lease=None, lease_s=FOREVER_S, leaving=False):
     """Writes the member key of a running process, under a new lease."""
     state = self.hosts[name]
@@ -114,10 +130,17 @@
     if name in self.hosts and self.views[name]:
       self._apply(name, self.views[name].pop(0))
 
-  def submit(self, name, key="k", tasks=2):
+  def miss_views(self, name):
+    """Makes a host read the current view afresh, after a gap."""
+    self.views[name].clear()
+    view = tuple(self.store.values())
+    self._apply(name, events.MembersChanged(view, gap=True))
+
+  def submit(self, name, key="k", tasks=2, deadline_ms=0):
     """Submits a job to one host and returns the request id."""
     request_id = next(self._ids)
     job = conftest.make_job(key=key, tasks=tasks, idempotent=False)
+    job = dataclasses.replace(job, deadline_ms=deadline_ms)
     self._apply(name, events.JobArrived(request_id, job))
     return request_id
 
@@ -156,14 +179,14 @@
       self._report_lost(envelope)
     elif envelope.reply is not None:
       self._return_reply(
-          envelope.source,
+          envelope,
           events.PeerReplyReceived(envelope.effect, envelope.reply),
       )
     elif self._runs(envelope.effect.member):
       self._receive(envelope)
     elif isinstance(envelope.effect, events.SendPeerRequest):
       event = events.PeerReplyReceived(envelope.effect, None, dead=True)
-      self._return_reply(envelope.source, event)
+      self._return_reply(envelope, event)
 
   def finish_task(self, index, code=codes.Code.TASK_DONE):
     """Finishes one running task; reports it if its sender still runs."""
@@ -178,6 +201,13 @@
     """Drops one message or reply; the sender of a request gets no reply."""
     self._report_lost(self.in_transit.pop(index))
 
+  def time_out(self, index):
+    """Ends a sender's wait for its reply; the message arrives later."""
+    envelope = self.in_transit[index]
+    late = dataclasses.replace(envelope, timed_out=True)
+    self.in_transit[index] = late
+    self._report_lost(envelope)
+
   def _runs(self, member):
     state = self.hosts.get(member.name)
     return state is not None and state.me == member.token
@@ -194,12 +224,12 @@
   def _report_lost(self, envelope):
     if isinstance(envelope.effect, events.SendPeerRequest):
       self._return_reply(
-          envelope.source, events.PeerReplyReceived(envelope.effect, None)
+          envelope, events.PeerReplyReceived(envelope.effect, None)
       )
 
-  def _return_reply(self, name, event):
-    if name in self.hosts:
-      self._apply(name, event)
+  def _return_reply(self, envelope, event):
+    if envelope.source in self.hosts and not envelope.timed_out:
+      self._apply(envelope.source, event)
 
   def _apply(self, name, event):
     state = self.hosts[name]
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -6,7 +6,9 @@
 
 from fescueturn import claims
 from fescueturn import codes
+from fescueturn import jobs
 from fescueturn import ownership
+from fescueturn import placement
 from fescueturn import reducer
 from fescueturn import routing
 from fescueturn import views
@@ -317,6 +319,168 @@
   assert_started_once(peers)
 
 
+def test_job_longer_than_the_answer_keep_time_is_not_started_again():
+  peers = fakepeers.Peers("abcd", finish_tasks=False)
+  key = key_held_by("a", "b")
+  limits = peers.hosts["c"].limits
+  deadline_ms = int(2000 * (limits.answer_keep_s + jobs.CLAIM_KEEP_EXTRA_S))
+  peers.submit("c", key, deadline_ms=deadline_ms)
+  peers.run_rounds(2)
+  assert_started_once(peers, key)
+  peers.tick(0.9 * deadline_ms / 1000)
+  peers.submit("d", key)
+  peers.run_rounds(2)
+  assert_started_once(peers, key)
+
+
+def test_host_frozen_past_the_deadline_sends_no_waiting_task_on_resume():
+  peers = fakepeers.Peers("abcd", finish_tasks=False, slots=4)
+  key = key_held_by("a", "b")
+  peers.submit("c", key)
+  peers.run_rounds(2)
+  (running,) = peers.running  # c may fill one of the four slots.
+  peers.running.clear()
+  peers.tick(2 * peers.hosts["c"].limits.answer_keep_s, "abd")
+  peers.submit("d", key)
+  while peers.in_transit:
+    peers.deliver(0)
+  while peers.running:
+    peers.finish_task(0)
+  peers.running.append(running)
+  peers.finish_task(0)  # c resumes and reads the answer that waited for it.
+  assert peers.starts[f"{key}/t1"] == 1
+
+
+def index_of(peers, kind):
+  """Returns the index of the message of this kind in transit."""
+  (index,) = [
+      i
+      for i, envelope in enumerate(peers.in_transit)
+      if isinstance(envelope.effect.message, kind)
+  ]
+  return index
+
+
+def deliver_all_but(peers, kind):
+  """Delivers every message in transit except those of one kind."""
+  while others := [
+      i
+      for i, envelope in enumerate(peers.in_transit)
+      if not isinstance(envelope.effect.message, kind)
+  ]:
+    peers.deliver(others[0])
+
+
+def ran_values(peers, request):
+  """Returns what a request's outcome says of its tasks."""
+  answer = peers.answer(request)
+  return {t.ran for t in answer.tasks} if answer else {codes.Ran.NOT_RUN}
+
+
+def test_refusal_does_not_deny_what_a_lost_forward_started():
+  peers = fakepeers.Peers("ab", finish_tasks=False)
+  peers.drain("a")
+  request = peers.submit("a")
+  peers.deliver(index_of(peers, claims.ForwardJob))
+  peers.run_rounds(2)
+  assert_started_once(peers)
+  peers.cancel("b")  # Ends the job at b; its answer is lost on the way to a.
+  peers.drop(index_of(peers, claims.ForwardJob))
+  assert ran_values(peers, request) == {codes.Ran.UNKNOWN}
+
+
+def test_not_run_is_not_answered_while_a_lost_forward_may_start_the_job():
+  peers = fakepeers.Peers("abcd", finish_tasks=False, slots=0)
+  key = key_held_by("a", "b")
+  peers.submit("c", key)
+  peers.run_rounds(2)
+  request = peers.submit("d", key)
+  deliver_all_but(peers, claims.ForwardJob)
+  peers.time_out(index_of(peers, claims.ForwardJob))
+  for _ in range(2):  # The job's deadline passes at c, and then at d.
+    peers.tick(1.0)
+    deliver_all_but(peers, claims.ForwardJob)
+  peers.tick(1.0)
+  assert request in peers.outcomes
+  peers.set_slots(64)
+  peers.run_rounds(2)
+  assert_started_once(peers, key)
+  assert ran_values(peers, request) == {codes.Ran.UNKNOWN}
+
+
+def test_promise_given_in_an_earlier_round_does_not_extend_to_a_later_one():
+  peers = fakepeers.Peers("abc")
+  for name in "abc":
+    peers.put_member(name, lease_s=fakepeers.TTL_S)
+  peers.run_rounds(2)
+  peers.tick(fakepeers.TTL_S)
+  peers.in_transit = [e for e in peers.in_transit if e.source == "a"]
+  peers.deliver(0)
+  peers.deliver(0)  # b and c promise; their replies are late.
+  replies, peers.in_transit = peers.in_transit, []
+  peers.tick(views.PROMISE_S - 0.1)
+  peers.in_transit = replies
+  peers.deliver(0)
+  peers.deliver(0)
+  peers.tick(0.2)
+  assert not any(peers.hosts[n].membership.promises for n in "bc")
+  assert not peers.hosts["a"].membership.may_accept_claims(peers.now)
+
+
+def test_reply_to_an_earlier_sync_does_not_complete_the_sync_after_a_gap():
+  peers = fakepeers.Peers("ab")
+  peers.join("c")
+  for name in "abc":
+    while peers.views[name]:
+      peers.deliver_view(name)
+  peers.in_transit = [e for e in peers.in_transit if e.source == "c"]
+  peers.deliver(0)
+  peers.deliver(0)
+  early_replies, peers.in_transit = peers.in_transit, []
+  peers.miss_views("c")
+  peers.in_transit = early_replies
+  peers.deliver(0)
+  peers.deliver(0)
+  assert not peers.hosts["c"].membership.trusted
+
+
+def test_job_cancelled_before_its_tasks_were_sent_is_not_run_by_a_late_copy():
+  peers = fakepeers.Peers("abcd", slots=0)
+  key = key_held_by("a", "b")
+  job = peers.submit("c", key)
+  peers.run_rounds(2)
+  cancel = peers.cancel("d", key)
+  peers.run_rounds(2)
+  assert ran_values(peers, job) == {codes.Ran.NOT_RUN}
+  assert peers.answer(cancel) == peers.answer(job)
+  peers.set_slots(64)
+  late = peers.submit("d", key)
+  peers.run_rounds(2)
+  assert not peers.starts
+  assert peers.answer(late).code == codes.Code.JOB_CANCELLED
+
+
+def test_cancel_is_not_acknowledged_while_a_silent_coordinator_may_go_on():
+  peers = fakepeers.Peers("abcd", finish_tasks=False, slots=4)
+  key = key_held_by("a", "b")
+  peers.submit("c", key, deadline_ms=60_000)
+  peers.run_rounds(2)
+  peers.broken_links = {frozenset(pair) for pair in ("ca", "cb", "cd")}
+  peers.expire_member("c")
+  peers.views["c"].clear()
+  peers.tick(fakepeers.TTL_S, "abd")
+  peers.run_rounds(2)
+  resubmission = peers.submit("d", key)
+  peers.run_rounds(2)
+  assert ran_values(peers, resubmission) == {codes.Ran.UNKNOWN}
+  cancel = peers.cancel("d", key)
+  peers.run_rounds(2)
+  peers.finish_task(0)
+  peers.tick(placement.UNREACHABLE_PAUSE_S)  # c sends the job's other task.
+  assert_started_once(peers, key)
+  assert peers.outcomes[cancel].error.code == codes.Code.OWNER_LOST
+
+
 @pytest.mark.parametrize("disabled", ["view", "trust"])
 def test_disabling_a_check_lets_a_task_start_twice(monkeypatch, disabled):
   """Checks that the tests above detect a double start.
