--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -262,3 +262,80 @@
   assert not record.runs
   (job,) = owner.jobs.values()
   assert len(job.waiting) == 1
+
+
+def stop_requests(effects) -> list[model.RunId]:
+  return [e.run for e in effects if isinstance(e, events.StopRun)]
+
+
+def test_failed_retry_stops_the_run_that_may_have_begun():
+  owner = new_owner()
+  record = known_endpoint(owner)
+  run = start_job(owner, record)
+  lose_start_request(owner, run, 0.025)
+  start_answered(owner, run, model.CallResult.BUSY)
+  assert stop_requests(owner.take_effects()) == [run.id]
+
+
+@pytest.mark.parametrize("result", NOT_CARRIED_OUT)
+def test_failed_retry_does_not_stop_a_run_that_is_listed_as_running(result):
+  owner = new_owner()
+  record = known_endpoint(owner)
+  run = start_job(owner, record)
+  lose_start_request(owner, run, 0.025)
+  answer(owner, record, 0.03, running=(model.ActiveRun(run.id, 1),))
+  owner.take_effects()
+  start_answered(owner, run, result)
+  assert run.state is endpointstate.RunState.RUNNING
+  assert not stop_requests(owner.take_effects())
+
+
+def lose_all_start_requests(owner, run):
+  for number in range(runcontrol.MAX_SENDS):
+    lose_start_request(owner, run, 0.025 * (number + 1))
+
+
+def stop_answered(owner, run, result: model.CallResult):
+  leases.handle_stop_answer(
+      owner, events.StopAnswered(ENDPOINT.id, run.id, result, None)
+  )
+
+
+def test_list_requested_before_a_stop_was_confirmed_does_not_end_the_run():
+  """The run may have begun between that list and the stop."""
+  owner = new_owner()
+  record = known_endpoint(owner)
+  run = start_job(owner, record)
+  lose_all_start_requests(owner, run)
+  assert record.call_pending
+  stop_answered(owner, run, model.CallResult.OK)
+  answer(owner, record, 0.08)
+  assert run.id in record.runs
+  answer(owner, record, 0.081)
+  assert run.id not in record.runs
+
+
+def test_lost_stop_request_does_not_end_a_run_that_is_not_listed():
+  owner = new_owner()
+  record = known_endpoint(owner)
+  run = start_job(owner, record)
+  lose_all_start_requests(owner, run)
+  stop_answered(owner, run, model.CallResult.NO_ANSWER)
+  for now in (0.11, 0.12, 0.13):
+    answer(owner, record, now)
+    assert run.id in record.runs
+
+
+def test_run_done_before_its_lease_expired_is_not_repeated():
+  owner = new_owner()
+  record = known_endpoint(owner)
+  run = start_job(owner, record)
+  start_answered(owner, run, model.CallResult.OK)
+  answer(owner, record, 0.3, model.CallResult.NOT_SENT)
+  while not run.abandoned:
+    owner.now += 0.02
+    owner.last_contact[PROCESS] = owner.now
+    owner_lib.tick(owner)
+  done = model.EndedRun(1, run.id, model.RunOutcome.DONE)
+  answer(owner, record, owner.now + 0.02, ended=(done,))
+  assert not owner.jobs, "its job is done"
--- a/tests/test_lossy_paths.py
+++ b/tests/test_lossy_paths.py
@@ -27,6 +27,13 @@
   emulation.clock.at(end, lambda: set_rate(0.0))
 
 
+def failed_retries(emulation) -> int:
+  """Returns how many start requests were lost and then could not be resent."""
+  lines = [e for host in emulation.hosts.values() for e in host.log]
+  failed = [dict(e.fields) for e in lines if e.event == "start_failed"]
+  return sum(f["result"] == "not_sent" and f["sends"] > 1 for f in failed)
+
+
 @pytest.mark.parametrize("seed", range(6))
 def test_lossy_paths_run_no_task_twice_and_overfill_no_endpoint(seed):
   emulation = fleets.fleet(seed=seed)
@@ -39,3 +46,4 @@
   assert emulation.broken == []
   outcomes = fleets.count_outcomes(emulation, requests)
   assert outcomes[model.Outcome.DONE] > 0.6 * len(requests)
+  assert failed_retries(emulation) > 0
