Plainer names for what became of a start request

Because the reviewer stumbled: has_unanswered_start is false for a single lost request (was_resent), stop_unsure_run also stops runs that are listed (stop_possible_run), and an OLD_ATTEMPT after a resend may also come from a stop. No behaviour changes.

--- a/fescueturn/scheduler/endpointstate.py
+++ b/fescueturn/scheduler/endpointstate.py
@@ -122,8 +122,8 @@
     self.abandoned = False
 
   @property
-  def has_unanswered_start(self) -> bool:
-    """True if a copy of its start request got no answer and was sent again."""
+  def was_resent(self) -> bool:
+    """True if its start request was sent again, as the first got no answer."""
     return self.sends > 1
 
   @property
--- a/fescueturn/scheduler/leases.py
+++ b/fescueturn/scheduler/leases.py
@@ -416,14 +416,14 @@
   if result is model.CallResult.GONE:
     _remove_old_incarnation(owner, record)
     return
-  if result is model.CallResult.OLD_ATTEMPT and run.has_unanswered_start:
-    # An earlier copy of the request was carried out, and the run has ended.
+  if result is model.CallResult.OLD_ATTEMPT and run.was_resent:
+    # An earlier request was carried out and the run has ended, or was stopped.
     _confirm_start(owner, record, run)
     return
   if result is model.CallResult.NO_ANSWER:
     _handle_lost_request(owner, record, run.sent_at)
     if not runcontrol.resend_start(owner, record, run):
-      runcontrol.stop_unsure_run(owner, record, run)
+      runcontrol.stop_possible_run(owner, record, run)
     return
   if result is model.CallResult.NOT_SENT:
     _mark_silent(owner, record)
@@ -431,9 +431,9 @@
     record.back_off(owner.now)
   if run.state is not endpointstate.RunState.ORDERED:
     return
-  if run.has_unanswered_start:
-    # The result tells the fate of the last copy only.
-    runcontrol.stop_unsure_run(owner, record, run)
+  if run.was_resent:
+    # An earlier request may still be carried out.
+    runcontrol.stop_possible_run(owner, record, run)
   else:
     outcomes.finish_run(owner, record, run, model.RunOutcome.LOST, result.value)
 
--- a/fescueturn/scheduler/runcontrol.py
+++ b/fescueturn/scheduler/runcontrol.py
@@ -181,7 +181,7 @@
   owner.emit(events.StopRun(record.info, run.id, owner.fence))
 
 
-def stop_unsure_run(owner, record, run: endpointstate.Run):
+def stop_possible_run(owner, record, run: endpointstate.Run):
   """Stops a run that may have begun, or may begin when a request arrives late."""
   if run.state is endpointstate.RunState.ORDERED:
     run.state = endpointstate.RunState.UNSURE
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -255,7 +255,7 @@
 
 
 @pytest.mark.parametrize("result", NOT_CARRIED_OUT)
-def test_only_start_request_that_was_not_carried_out_frees_its_task(result):
+def test_single_start_request_that_was_not_carried_out_frees_its_task(result):
   owner = new_owner()
   record = known_endpoint(owner)
   run = start_job(owner, record)
