A listed run goes on when the answer to its start request is lost

Cause: a start request without an answer that couldn't be sent again was stopped, also when a lease call had listed its run meanwhile: a sound run was thrown away and its task began again. A run that the endpoint lists as active needs no further proof.

test_listed_run_goes_on_when_the_answer_to_its_start_is_lost failed before and passes now.

--- a/fescueturn/scheduler/leases.py
+++ b/fescueturn/scheduler/leases.py
@@ -422,7 +422,8 @@
     return
   if result is model.CallResult.NO_ANSWER:
     _handle_lost_request(owner, record, run.sent_at)
-    if not runcontrol.resend_start(owner, record, run):
+    is_listed = run.state is endpointstate.RunState.RUNNING
+    if not (is_listed or runcontrol.resend_start(owner, record, run)):
       runcontrol.stop_possible_run(owner, record, run)
     return
   if result is model.CallResult.NOT_SENT:
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -469,3 +469,14 @@
   done = model.EndedRun(1, run.id, model.RunOutcome.DONE)
   answer(owner, record, owner.now + 0.02, ended=(done,))
   assert not owner.jobs, "its job is done"
+
+
+def test_listed_run_goes_on_when_the_answer_to_its_start_is_lost():
+  owner = new_owner()
+  record = known_endpoint(owner)
+  run = start_job(owner, record)
+  leases.renew_lease(owner, record)
+  answer(owner, record, 0.02, running=(model.ActiveRun(run.id, 10),))
+  effects = lose_start_request(owner, run, 0.025)
+  assert run.state is endpointstate.RunState.RUNNING
+  assert not stop_requests(effects)
