A lease answer without a clock is no answer, not a list without runs

Cause: an answer with status 200 and an empty body, or without the endpoint's clock, was decoded as one that lists no runs, which ends every run of the endpoint as not listed and lets their tasks start elsewhere. Every answer with a body carries the clock, so one without it lists nothing.

--- a/fescueturn/platform/endpoints.py
+++ b/fescueturn/platform/endpoints.py
@@ -285,6 +285,22 @@
     return self.body.clock_ms
 
 
+def _decode_run_lists(
+    reply: _Reply,
+) -> tuple[tuple[model.ActiveRun, ...], tuple[model.EndedRun, ...]]:
+  """Returns the active and the ended runs that a lease call's answer lists.
+
+  Raises:
+    ValueError: the answer has no clock, and so no lists either; or a run's name
+      is malformed.
+  """
+  if reply.result is model.CallResult.OK and reply.clock_ms is None:
+    raise ValueError("the answer to a lease call has no clock")
+  running = tuple(_decode_active_run(row) for row in reply.body.running)
+  ended = tuple(_decode_ended_run(row) for row in reply.body.finished)
+  return running, ended
+
+
 class EndpointCalls:
   """Client for calls to endpoints over kept-alive connections."""
 
@@ -405,14 +421,13 @@
       reply = await self._call_with_adaptive_timeout(
           order.endpoint, "/-/hold", body
       )
-    result = reply.result
+    result, running, ended = reply.result, (), ()
     try:
-      running = tuple(_decode_active_run(row) for row in reply.body.running)
-      ended = tuple(_decode_ended_run(row) for row in reply.body.finished)
+      running, ended = _decode_run_lists(reply)
     except ValueError as exc:
       name = order.endpoint.id
       logger.error('event=reply_malformed endpoint={} error="{}"', name, exc)
-      result, running, ended = model.CallResult.NO_ANSWER, (), ()
+      result = model.CallResult.NO_ANSWER
     return events.LeaseAnswered(
         order.endpoint.id,
         order.number,
--- a/tests/test_platform_endpoints.py
+++ b/tests/test_platform_endpoints.py
@@ -1,12 +1,16 @@
 import dataclasses
 import json
 
+import curio
 import pytest
 from loguru import logger
 
 from fescueturn import errors
+from fescueturn import httpio
 from fescueturn import kvtypes
+from fescueturn.lab import ports
 from fescueturn.platform import endpoints
+from fescueturn.scheduler import events
 from fescueturn.scheduler import model
 
 
@@ -181,3 +185,27 @@
 def test_run_name_is_parsed_and_formatted(name, task):
   assert endpoints.parse_task_name(name) == task
   assert endpoints.format_task_name(task) == name
+
+
+@pytest.mark.parametrize(
+    "body", [b"", b"{}", b'{"running": [], "finished": []}']
+)
+def test_lease_answer_without_a_clock_does_not_show_that_runs_ended(body):
+  address = ports.free_address()
+
+  async def handle(request):
+    del request
+    return httpio.Response(200, body)
+
+  async def play():
+    server = httpio.Server(address, handle)
+    await server.start()
+    calls = endpoints.EndpointCalls(lambda: 0.0)
+    listed = item("i-1", address=str(address))
+    call = events.RenewLease(endpoints.decode_entry(listed), 1, 0, None, 0, 7)
+    answer = await calls.renew(call)
+    await calls.close()
+    await server.close()
+    return answer
+
+  assert curio.run(play).result is model.CallResult.NO_ANSWER
