--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -481,6 +481,21 @@
   assert peers.outcomes[cancel].error.code == codes.Code.OWNER_LOST
 
 
+def test_host_that_woke_after_its_claims_lapsed_answers_for_no_other_host():
+  peers = fakepeers.Peers("abcd", finish_tasks=False)
+  key = key_held_by("a", "b")
+  peers.submit("c", key)
+  peers.run_rounds(2)
+  peers.tick(2 * peers.hosts["c"].limits.answer_keep_s, "abd")
+  at_d = peers.submit("d", key, deadline_ms=60_000)
+  deliver_all_but(peers, ())
+  peers.tick(names="c")
+  deliver_all_but(peers, ())
+  cancel = peers.cancel("b", key)
+  deliver_all_but(peers, ())
+  assert peers.outcomes[cancel] == peers.outcomes.get(at_d)
+
+
 @pytest.mark.parametrize("disabled", ["view", "trust"])
 def test_disabling_a_check_lets_a_task_start_twice(monkeypatch, disabled):
   """Checks that the tests above detect a double start.
