Let a host that woke after its claims lapsed answer for itself only

Cause: such a host copied its 'unknown' to the key's holders, like the answer of a job whose claim it holds. Cancellations and resubmissions elsewhere then got this answer in place of the host's that runs the job now.

finish_job copies an answer only while the claim surely holds.

--- a/fescueturn/jobs.py
+++ b/fescueturn/jobs.py
@@ -271,9 +271,21 @@
   )
 
 
+def _holds_claim(state, record) -> bool:
+  """Returns True if a job's key is certain to be claimed by this host.
+
+  A host that was paused until its claims lapsed can't know which other host has
+  claimed the key since, nor what that one has started. Half of the extra time
+  that holders keep a claim allows for clocks that differ.
+  """
+  keep_s = state.limits.answer_keep_s + CLAIM_KEEP_EXTRA_S / 2
+  running = record.phase is state_lib.Phase.RUNNING
+  return running and state.now < record.deadline + keep_s
+
+
 def finish_job(state, record, answer: messages.JobAnswer) -> list:
   """Sends the final answer to every waiter, stores it and replicates it."""
-  claimed = record.phase is state_lib.Phase.RUNNING
+  claimed = _holds_claim(state, record)
   record.final_answer = answer
   record.phase = state_lib.Phase.DONE
   effects = [_reply(state, record, w) for w in record.waiters]
@@ -351,13 +363,10 @@
   if record.done:
     return []
   if record.phase is state_lib.Phase.RUNNING:
-    # A host that was paused until its claims lapsed can't know what another
-    # host has started since.
-    lapsed = state.now >= record.deadline + state.limits.answer_keep_s
     unsent = (
-        codes.Code.TASK_UNKNOWN_OWNER_LOST
-        if lapsed
-        else codes.Code.TASK_NOT_RUN_DEADLINE
+        codes.Code.TASK_NOT_RUN_DEADLINE
+        if _holds_claim(state, record)
+        else codes.Code.TASK_UNKNOWN_OWNER_LOST
     )
     return fail_job(state, record, unsent)
   return refuse_all(state, record, unclaimed_error(record))
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -126,6 +126,15 @@
   }
 
 
+def test_deadline_answers_not_run_also_if_answers_are_not_kept(state):
+  state.limits = dataclasses.replace(state.limits, answer_keep_s=0.0)
+  state.now = 100.0
+  reducer.reduce(state, events.JobArrived(1, conftest.make_job(tasks=5)))
+  (reply,) = reducer.reduce(state, events.Tick(101.1))
+  codes_seen = {t.code for t in reply.outcome.answer.tasks}
+  assert codes.Code.TASK_NOT_RUN_DEADLINE in codes_seen
+
+
 def test_no_endpoint_answers_not_run_and_stores_no_record(state):
   reducer.reduce(state, events.EndpointsChanged(()))
   replies = reducer.reduce(state, events.JobArrived(1, conftest.make_job()))
