--- /dev/null
+++ b/tests/soak/__main__.py
@@ -0,0 +1,114 @@
+"""Command line of the soak: ``python3 -m tests.soak --help``."""
+
+import pathlib
+import random
+import shutil
+import subprocess
+import sys
+import tempfile
+import time
+
+import click
+import curio
+
+from tests import deployments
+from tests.soak import checks
+from tests.soak import run as run_lib
+
+REGRESSIONS = pathlib.Path(__file__).with_name("regressions.txt")
+
+
+@click.command()
+@click.option("--seed", type=int, help="First seed; a fresh one by default.")
+@click.option("--seconds", default=20.0, help="How long faults begin.")
+@click.option("--seeds", default=1, help="Number of consecutive seeds.")
+@click.option("--at-once", default=1, help="Number of soaks at a time.")
+@click.option("--lossy", is_flag=True, help="Only paths that lose packets.")
+@click.option("--regressions", is_flag=True, help="Run the kept seeds.")
+@click.option(
+    "--keep",
+    default="soak-findings",
+    type=click.Path(path_type=pathlib.Path),
+    help="Where the folders of failed seeds go.",
+)
+@click.option("--quiet", is_flag=True, help="Print the verdict only.")
+def main(seed, seconds, seeds, at_once, lossy, regressions, keep, quiet):
+  """Soaks the real programs and prints which promises held."""
+  if regressions:
+    plans = read_regressions()
+  else:
+    seed = random.SystemRandom().randrange(1_000_000) if seed is None else seed
+    plans = [
+        run_lib.Plan(number, seconds, lossy)
+        for number in range(seed, seed + seeds)
+    ]
+  if len(plans) == 1:
+    sys.exit(_run_here(plans[0], keep, quiet))
+  sys.exit(_run_all(plans, keep, at_once))
+
+
+def read_regressions() -> list[run_lib.Plan]:
+  """Returns the plans of the seeds that ever failed."""
+  plans = []
+  for line in REGRESSIONS.read_text().splitlines():
+    if line and not line.startswith("#"):
+      seed, seconds, mode, *_ = line.split()
+      plans.append(run_lib.Plan(int(seed), float(seconds), mode == "lossy"))
+  return plans
+
+
+def _run_here(plan: run_lib.Plan, keep: pathlib.Path, quiet: bool) -> int:
+  def echo(line):
+    if not quiet:
+      click.echo(line)
+
+  directory = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{plan.seed}-"))
+  failed = True
+  try:
+    verdict = curio.run(run_lib.run, plan, directory, echo)
+    click.echo(format_verdict(plan, verdict))
+    failed = bool(verdict.violations)
+  finally:
+    if failed:
+      keep.mkdir(parents=True, exist_ok=True)
+      kept = keep / str(plan.seed)
+      shutil.rmtree(kept, ignore_errors=True)
+      shutil.move(directory, kept)
+      click.echo(f"kept {kept}")
+    else:
+      shutil.rmtree(directory)
+  return int(failed)
+
+
+def format_verdict(plan: run_lib.Plan, verdict: checks.Verdict) -> str:
+  """Returns the verdict as text."""
+  lines = [f"seed {plan.seed}: {'FAILED' if verdict.violations else 'passed'}"]
+  for promise, count in verdict.tested.items():
+    risk = f"put to the test {count} times" if count else "never at risk"
+    lines.append(f"  {promise}: {risk}")
+  lines += [f"  BROKEN {violation}" for violation in verdict.violations]
+  return "\n".join(lines)
+
+
+def _run_all(plans, keep: pathlib.Path, at_once: int) -> int:
+  """Runs each plan as a process of its own, a few at a time."""
+  waiting, running, failed = list(plans), [], []
+  while waiting or running:
+    while waiting and len(running) < at_once:
+      plan = waiting.pop(0)
+      command = [sys.executable, "-m", "tests.soak", "--quiet"]
+      command += ["--seed", str(plan.seed), "--seconds", str(plan.seconds)]
+      command += ["--keep", str(keep)] + ["--lossy"] * plan.lossy_only
+      running.append((plan, subprocess.Popen(command, cwd=deployments.ROOT)))
+    time.sleep(0.1)
+    for plan, process in list(running):
+      if process.poll() is not None:
+        running.remove((plan, process))
+        if process.returncode:
+          failed.append(plan.seed)
+  click.echo(f"{len(plans)} seeds, {len(failed)} failed: {sorted(failed)}")
+  return int(bool(failed))
+
+
+if __name__ == "__main__":
+  main()
--- /dev/null
+++ b/tests/soak/proxy.py
@@ -0,0 +1,237 @@
+"""A loopback TCP proxy for one path between two processes, with faults.
+
+It delivers what its client sent before it closed the connection, as TCP does,
+even if the path stalls meanwhile and the client has given up.
+"""
+
+import contextlib
+import dataclasses
+import random
+import socket
+
+import curio
+import curio.network
+
+from fescueturn import listener
+from fescueturn import settings
+
+READ_SIZE = 65536
+BACKLOG = 128
+# TCP sends a lost packet again after this, and doubles the time each time.
+RETRANSMIT_S = 0.2
+# A path whose connections may hang chooses anew whether they do this often.
+HANG_SLOT_S = 0.25
+HOLD_POLL_S = 0.01
+# Bytes that can't be delivered for this long end their connection, as the
+# TCP user timeout of the programs does.
+MAX_HOLD_S = listener.USER_TIMEOUT_MS / 1000
+
+
+@dataclasses.dataclass(frozen=True)
+class Fault:
+  """What is wrong with a path.
+
+  Attributes:
+    stall_share: share of the packets that are lost and sent again.
+    hang_share: share of the time in which new connections aren't opened.
+    refuse: True if new connections are refused; open ones go on.
+    delay_up_s: delay (s) of each packet towards the server.
+    delay_down_s: delay (s) of each packet towards the client.
+    hold_up: True if nothing arrives at the server.
+    hold_down: True if nothing arrives at the client.
+  """
+
+  stall_share: float = 0.0
+  hang_share: float = 0.0
+  refuse: bool = False
+  delay_up_s: float = 0.0
+  delay_down_s: float = 0.0
+  hold_up: bool = False
+  hold_down: bool = False
+
+
+def merge(faults) -> Fault:
+  """Returns the fault that has the worst of each attribute."""
+  names = [field.name for field in dataclasses.fields(Fault)]
+  every = [Fault(), *faults]
+  return Fault(**{n: max(getattr(f, n) for f in every) for n in names})
+
+
+class Path:
+  """A proxy from its own address to a server's; `start` and `close` it.
+
+  Attributes:
+    name: the names of the client and the server.
+    address: where it listens.
+  """
+
+  def __init__(
+      self,
+      name: tuple[str, str],
+      address: settings.Address,
+      target: settings.Address,
+      rng: random.Random,
+  ):
+    self.name = name
+    self.address = address
+    self._target = target
+    self._rng = rng
+    self._faults: dict[object, Fault] = {}
+    self._fault = Fault()
+    self._changing = curio.Lock()
+    self._sock = None
+    self._accept_task = None
+    self._hang_task = None
+    self._fillers: list[socket.socket] = []
+    self._connections: set[curio.Task] = set()
+
+  async def start(self):
+    """Starts to accept connections."""
+    await self._listen()
+    self._hang_task = await curio.spawn(self._hang_loop, daemon=True)
+
+  async def close(self):
+    """Closes all connections."""
+    if self._hang_task is not None:
+      await self._hang_task.cancel()
+    await self._stop_listening()
+    await self.reset()
+
+  async def set_fault(self, key, fault: Fault | None):
+    """Adds a fault under a key, or removes it if it is None."""
+    if fault is None:
+      self._faults.pop(key, None)
+    else:
+      self._faults[key] = fault
+    self._fault = merge(self._faults.values())
+    await self._set_listening()
+
+  async def reset(self):
+    """Resets all open connections."""
+    for task in list(self._connections):
+      await task.cancel(blocking=False)
+
+  async def _set_listening(self):
+    async with self._changing:
+      await self._apply_fault()
+
+  async def _apply_fault(self):
+    if self._fault.refuse:
+      await self._stop_listening()
+      return
+    if self._sock is None:
+      await self._listen()
+    hang = self._rng.random() < self._fault.hang_share
+    if hang and not self._fillers:
+      await self._accept_task.cancel()
+      self._fill_backlog()
+    elif not hang and self._fillers:
+      self._close_fillers()
+      self._sock.listen(BACKLOG)
+      self._accept_task = await curio.spawn(self._accept_loop, daemon=True)
+
+  def _fill_backlog(self):
+    # Linux drops the first packet of a connection if the queue is full.
+    self._sock.listen(0)
+    for _ in range(2):
+      filler = socket.socket()
+      filler.setblocking(False)
+      with contextlib.suppress(OSError):
+        filler.connect((self.address.host, self.address.port))
+      self._fillers.append(filler)
+
+  def _close_fillers(self):
+    for filler in self._fillers:
+      filler.close()
+    self._fillers = []
+
+  async def _listen(self):
+    self._sock = curio.network.tcp_server_socket(
+        self.address.host,
+        self.address.port,
+        backlog=BACKLOG,
+        reuse_address=True,
+    )
+    self._accept_task = await curio.spawn(self._accept_loop, daemon=True)
+
+  async def _stop_listening(self):
+    self._close_fillers()
+    if self._sock is not None:
+      await self._accept_task.cancel()
+      await self._sock.close()
+      self._sock = None
+
+  async def _hang_loop(self):
+    while True:
+      await curio.sleep(HANG_SLOT_S)
+      if self._fault.hang_share or self._fillers:
+        await self._set_listening()
+
+  async def _accept_loop(self):
+    while True:
+      client, _ = await self._sock.accept()
+      task = await curio.spawn(self._serve, client, daemon=True)
+      self._connections.add(task)
+
+  async def _serve(self, client):
+    relays, socks = [], [client]
+    task = await curio.current_task()
+    try:
+      server = await curio.open_connection(self._target.host, self._target.port)
+      socks.append(server)
+      for sock in socks:
+        listener.no_delay(sock)
+      relays = [
+          await curio.spawn(self._relay, client, server, True, task),
+          await curio.spawn(self._relay, server, client, False, task),
+      ]
+      for relay in relays:
+        await relay.join()
+    except (OSError, curio.CancelledError):
+      for sock in socks:
+        _reset_on_close(sock)
+    finally:
+      self._connections.discard(task)
+      for relay in relays:
+        await relay.cancel()
+      for sock in socks:
+        await sock.close()
+
+  async def _relay(self, source, target, up: bool, connection):
+    with contextlib.suppress(OSError):
+      while True:
+        data = b""
+        with contextlib.suppress(ConnectionError):
+          data = await source.recv(READ_SIZE)
+        await curio.sleep(self._delay_s(up))
+        if not await self._wait_while_held(up):
+          await connection.cancel(blocking=False)
+          return
+        if not data:
+          await target.shutdown(socket.SHUT_WR)
+          return
+        await target.sendall(data)
+
+  def _delay_s(self, up: bool) -> float:
+    fault = self._fault
+    delay_s = fault.delay_up_s if up else fault.delay_down_s
+    pause_s = RETRANSMIT_S
+    while fault.stall_share and self._rng.random() < fault.stall_share:
+      delay_s += pause_s
+      pause_s *= 2
+    return delay_s
+
+  async def _wait_while_held(self, up: bool) -> bool:
+    """Waits until bytes may pass; returns False if that takes too long."""
+    waited_s = 0.0
+    while self._fault.hold_up if up else self._fault.hold_down:
+      if waited_s > MAX_HOLD_S:
+        return False
+      await curio.sleep(HOLD_POLL_S)
+      waited_s += HOLD_POLL_S
+    return True
+
+
+def _reset_on_close(sock):
+  with contextlib.suppress(OSError):
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
