--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -37,6 +37,7 @@
     state: the latest state that the caller was told.
     accepted: True if it is kept and was accepted.
     abandoned: True if its caller closed the connection.
+    tried: True once its caller sends it no more.
   """
 
   id: str
@@ -47,11 +48,12 @@
   state: str | None = None
   accepted: bool = False
   abandoned: bool = False
+  tried: bool = False
 
   @property
   def refused(self) -> bool:
     """True if every try was refused."""
-    return bool(self.statuses) and set(self.statuses) <= set(REFUSED)
+    return self.tried and set(self.statuses) <= set(REFUSED)
 
   @property
   def open(self) -> bool:
@@ -121,6 +123,7 @@
       else:
         await curio.sleep(RESEND_S)
       self._host = rng.choice([h for h in self._hosts if h is not self._host])
+    job.tried = True
     if job.accepted:
       await curio.spawn(self._follow, job, rng.random() < 0.1, daemon=True)
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -176,12 +176,16 @@
     """Makes each fault at its time; they overlap."""
     began = time.monotonic()
     tasks = []
-    for fault in faults:
-      await curio.sleep(max(0.0, began + fault.at - time.monotonic()))
-      on_fault(fault)
-      tasks.append(await curio.spawn(self._apply, fault))
-    for task in tasks:
-      await task.join()
+    try:
+      for fault in faults:
+        await curio.sleep(max(0.0, began + fault.at - time.monotonic()))
+        on_fault(fault)
+        tasks.append(await curio.spawn(self._apply, fault))
+      for task in tasks:
+        await task.join()
+    finally:
+      for task in tasks:
+        await task.cancel()
 
   async def _apply(self, fault: Fault):
     begins = time.monotonic()
