--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -178,7 +178,7 @@
     """Returns the response, 0 if it is missing, or -1 without a connection."""
     pool = self._pools.get(host.name)
     if pool is None:
-      address = settings.Address("127.0.0.1", host.files.callers_port)
+      address = settings.Address(host.ip, host.files.callers_port)
       pool = self._pools[host.name] = httpio.Pool(address, connect_s=1.0)
     try:
       return await pool.request(
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -18,8 +18,6 @@
 TOLERANCE_S = 0.05
 # The times around a report within which hosts must be able to read it.
 BEFORE_READ_S = 1.5
-# A process that gets SIGTERM sooner may not handle it yet.
-START_S = 3.0
 LOG_FAULTS = ("event=run_duplicate", "event=reducer_failed", "Traceback")
 _VERSION = re.compile(
     rb"^fescueturn_config_version(?:\{.*\})? ([0-9.e+]+)", re.M
@@ -180,7 +178,7 @@
     code = life.process.poll()
     early = (
         life.terminated_at is not None
-        and life.terminated_at < life.started_at + START_S
+        and life.terminated_at < life.started_at + cluster_lib.START_S
         and code == -signal.SIGTERM
     )
     if code and not life.disturbed and not early:
--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import json
+import os
 import pathlib
 import random
 import signal
@@ -21,12 +22,20 @@
 HOSTS_PER_DATA_CENTRE = 2
 # Time from SIGTERM to SIGKILL, as the hosts' settings files have it.
 GRACE_S = 6.0
+# A process that gets a signal sooner may not handle it yet.
+START_S = 3.0
 START_LIMIT_S = 20.0
 STORE = "store"
 MAX_CLOCK_MS = 10_000_000
 _LOST = (httpio.NotSentError, httpio.LostReplyError)
 
 
+def own_loopback() -> str:
+  """Returns a loopback address that no other process uses."""
+  pid = os.getpid()
+  return f"127.{64 + (pid >> 16)}.{pid >> 8 & 255}.{pid & 255}"
+
+
 def slot_name(number: int) -> str:
   return f"slot-{number}"
 
@@ -59,12 +68,14 @@
 
   Attributes:
     files: its settings file, log and ports.
+    ip: the address that it listens on.
     lives: its processes, in order.
     paused: the number of pauses that go on.
   """
 
-  def __init__(self, files: deployments.Host):
+  def __init__(self, files: deployments.Host, ip: str):
     self.files = files
+    self.ip = ip
     self.name = files.name
     self.lives: list[Life] = []
     self.paused = 0
@@ -115,12 +126,12 @@
 
   def reload(self):
     """Asks the process to read its settings file."""
-    if self.running:
+    if self.running and time.monotonic() > self.life.started_at + START_S:
       self.life.process.send_signal(signal.SIGHUP)
 
   async def get(self, port: int, path: str) -> httpio.Response | None:
     """Returns the answer to a GET request, or None."""
-    address = settings.Address("127.0.0.1", port)
+    address = settings.Address(self.ip, port)
     pool = self._pools.setdefault(port, httpio.Pool(address, connect_s=1.0))
     try:
       return await pool.request("GET", path, timeout_s=1.0)
@@ -132,12 +143,12 @@
     return response is not None and response.status == 200
 
 
-def config(version: int) -> dict:
+def config(version: int, ip: str) -> dict:
   """Returns a configuration; each odd version has one more queue."""
   prefixes = [deployments.PREFIX] + ["/more/"] * (version % 2)
   raw = deployments.config(version, prefixes)
   # The callers' connections name the address in the Host header.
-  routes = [{**route, "host": ports.LOOPBACK} for route in raw["routes"]]
+  routes = [{**route, "host": ip} for route in raw["routes"]]
   return {**raw, "routes": routes}
 
 
@@ -155,13 +166,19 @@
     self._directory = directory
     self._seed = seed
     self._rng = random.Random(f"{seed}/cluster")
-    self._control = httpio.Pool(ports.free_address())
-    self._control_port = self._control._address.port
+    self._ip = own_loopback()
+    self._control_address = self._free_address()
+    self._control = httpio.Pool(self._control_address)
     self._platform = None
+    self._version = 0
+
+  def _free_address(self) -> settings.Address:
+    (port,) = ports.free_ports(1)
+    return settings.Address(self._ip, port)
 
   async def start(self):
     """Starts the platform, the proxies and the hosts; waits for them."""
-    endpoint_addresses = [ports.free_address() for _ in range(SLOTS)]
+    endpoint_addresses = [self._free_address() for _ in range(SLOTS)]
     views = []
     names = [
         (f"{data_centre}-{i}", data_centre)
@@ -169,27 +186,29 @@
         for i in range(HOSTS_PER_DATA_CENTRE)
     ]
     for name, data_centre in names:
-      store, store_proxy = ports.free_address(), ports.free_address()
-      views.append({"port": store.port, "addresses": {}})
+      store, store_proxy = self._free_address(), self._free_address()
+      views.append({"listen": str(store), "addresses": {}})
       self._add_path(name, STORE, store_proxy, store)
       files = deployments.Host(
           self._directory, name, data_centre, store_proxy.port
       )
-      self.hosts.append(Host(files))
+      text = files.settings_file.read_text()
+      files.settings_file.write_text(text.replace(ports.LOOPBACK, self._ip))
+      self.hosts.append(Host(files, self._ip))
     for view, host in zip(views, self.hosts, strict=True):
       targets = [(slot_name(i), a) for i, a in enumerate(endpoint_addresses)]
       for other in self.hosts:
         if other is not host:
-          peer = settings.Address("127.0.0.1", other.files.metrics_port - 1)
+          peer = settings.Address(self._ip, other.files.metrics_port - 1)
           targets.append((other.name, peer))
       for name, target in targets:
-        address = ports.free_address()
+        address = self._free_address()
         self._add_path(host.name, name, address, target)
         view["addresses"][str(target)] = str(address)
     for path in self.paths.values():
       await path.start()
     await self._start_platform(views, endpoint_addresses)
-    await self.platform("put", key="op/config", value=config(1))
+    await self.configure(newer=True)
     for host in self.hosts:
       host.start()
     await self.wait_ready()
@@ -203,7 +222,7 @@
     centres = deployments.DATA_CENTRES
     raw = {
         "seed": self._seed,
-        "control": self._control_port,
+        "control": str(self._control_address),
         "views": views,
         "endpoints": [
             {
@@ -241,6 +260,14 @@
     )
     return response.json()
 
+  async def configure(self, newer: bool):
+    """Writes the next version of the configuration, or an older one."""
+    if newer:
+      self._version += 1
+    version = self._version if newer else max(1, self._version - 1)
+    value = config(version, self._ip)
+    await self.platform("put", key="op/config", value=value)
+
   async def wait_ready(self):
     """Waits until every host is ready."""
     for host in self.hosts:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -169,7 +169,6 @@
     self.drains: list[Drain] = []
     self.applied: list[tuple[Fault, float, float]] = []
     self._cluster = cluster
-    self._version = 1
     self._busy_slots: set[int] = set()
 
   async def run(self, faults: list[Fault], on_fault=lambda fault: None):
@@ -235,14 +234,15 @@
         await curio.sleep(fault.amount)
       for host in hosts:
         getattr(host, step)()
+    lives = [host.life for host in hosts]
     if fault.kind.startswith("pause"):
       await curio.sleep(fault.for_s)
       for host in hosts:
         host.resume()
     if fault.kind == "pause":
       return
-    for host in hosts:
-      while host.running:
+    for life in lives:
+      while life.process.poll() is None:
         await curio.sleep(0.02)
     await curio.sleep(fault.for_s / 2)
     for host in hosts:
@@ -295,18 +295,13 @@
 
   async def _configure(self, fault: Fault):
     del fault
-    self._version += 1
-    await self._put_config(self._version)
+    await self._cluster.configure(newer=True)
 
   async def _configure_old(self, fault: Fault):
     """Writes an older configuration, and soon a newer one again."""
-    await self._put_config(max(1, self._version - 1))
+    await self._cluster.configure(newer=False)
     await curio.sleep(fault.for_s)
-    await self._configure(fault)
-
-  async def _put_config(self, version: int):
-    value = cluster_lib.config(version)
-    await self._cluster.platform("put", key="op/config", value=value)
+    await self._cluster.configure(newer=True)
 
   async def _stop_store(self, fault: Fault):
     await self._cluster.platform("down", down=True)
--- a/tests/soak/platform.py
+++ b/tests/soak/platform.py
@@ -221,7 +221,7 @@
   async def run(self):
     for view in self._raw["views"]:
       wire = _Wire(View(self.store, view["addresses"]), self._wires)
-      await self._serve(view["port"], wire.handle)
+      await self._serve(view["listen"], wire.handle)
     for number, raw in enumerate(self._raw["endpoints"]):
       slot = Slot(self, number, raw["address"], raw["data_centre"])
       await slot.start(raw["clock_ms"])
@@ -233,8 +233,8 @@
       if self.store.expire(time.monotonic()):
         await self._wires[0].notify_watches()
 
-  async def _serve(self, port: int, handler):
-    await httpio.Server(settings.Address("127.0.0.1", port), handler).start()
+  async def _serve(self, address: str, handler):
+    await httpio.Server(settings.parse_address(address), handler).start()
 
   async def _control(self, request: httpio.Request) -> httpio.Response:
     name = request.target.removeprefix("/soak/")
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -16,6 +16,8 @@
 REPORT_PERIOD_S = 1.0
 # Accepted kept jobs must have ended this long after the last fault.
 SETTLE_S = 25.0
+# A soak that takes this much longer than its faults hangs.
+LIMIT_S = 90.0
 # After a broken promise the processes go on for this long, for their logs.
 AFTERMATH_S = 0.5
 
@@ -51,7 +53,15 @@
   cluster = cluster_lib.Cluster(directory, plan.seed)
   try:
     await cluster.start()
-    verdict = await _run_started(plan, cluster, schedule, directory, echo)
+    verdict = await curio.timeout_after(
+        plan.seconds + LIMIT_S,
+        _run_started,
+        plan,
+        cluster,
+        schedule,
+        directory,
+        echo,
+    )
   finally:
     await cluster.close()
   _write(directory / "verdict.json", dataclasses.asdict(verdict))
