--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -72,7 +72,7 @@
 
 
 def judge(
-    report: dict,
+    history: dict,
     record: callers.Record,
     injector: faults.Injector,
     hosts: list[cluster_lib.Host],
@@ -81,19 +81,19 @@
   """Checks every promise on the records of a soak.
 
   Args:
-    report: what the endpoints saw.
+    history: what the endpoints saw.
     record: what the callers saw.
     injector: the faults made.
     hosts: the hosts.
     cut_short: True if jobs were not awaited, since a promise was broken.
   """
-  starts = report["starts"]
-  violations = [*report["violations"], *record.violations]
+  starts = history["starts"]
+  violations = [*history["violations"], *record.violations]
   tested = {
       ONE_RUN: sum(attempt > 1 for _, _, attempt, _, _ in starts),
       NOT_AFTER_DONE: sum(
           name[:16] in record.jobs and record.jobs[name[:16]].kept
-          for name in report["acknowledged"]
+          for name in history["acknowledged"]
       ),
       CAPACITY: sum(full for *_, full in starts),
       REFUSED: 0,
--- a/tests/soak/platform.py
+++ b/tests/soak/platform.py
@@ -266,14 +266,16 @@
   def _on_late(self, slot: int, share: float):
     self._slots[slot].late_share = share
 
-  def _on_report(self, after: int = 0) -> dict:
+  def _on_report(self) -> dict:
+    return {"violations": self.violations, "starts": len(self.starts)}
+
+  def _on_history(self) -> dict:
     done = [
         platform_endpoints.format_task_name(t) for t in self.acknowledged_done
     ]
     return {
         "violations": self.violations,
-        "starts": [dataclasses.astuple(s) for s in self.starts[after:]],
-        "running": sum(len(s.endpoint.running) for s in self._slots),
+        "starts": [dataclasses.astuple(start) for start in self.starts],
         "acknowledged": done,
     }
 
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -8,6 +8,7 @@
 import dataclasses
 import random
 import socket
+import time
 
 import curio
 import curio.network
@@ -21,7 +22,6 @@
 RETRANSMIT_S = 0.2
 # A path whose connections may hang chooses anew whether they do this often.
 HANG_SLOT_S = 0.25
-HOLD_POLL_S = 0.01
 # Bytes that can't be delivered for this long end their connection, as the
 # TCP user timeout of the programs does.
 MAX_HOLD_S = listener.USER_TIMEOUT_MS / 1000
@@ -78,6 +78,7 @@
     self._rng = rng
     self._faults: dict[object, Fault] = {}
     self._fault = Fault()
+    self._changed = curio.Event()
     self._changing = curio.Lock()
     self._sock = None
     self._accept_task = None
@@ -104,6 +105,8 @@
     else:
       self._faults[key] = fault
     self._fault = merge(self._faults.values())
+    changed, self._changed = self._changed, curio.Event()
+    await changed.set()
     await self._set_listening()
 
   async def reset(self):
@@ -203,7 +206,9 @@
         data = b""
         with contextlib.suppress(ConnectionError):
           data = await source.recv(READ_SIZE)
-        await curio.sleep(self._delay_s(up))
+        delay_s = self._delay_s(up)
+        if delay_s:
+          await curio.sleep(delay_s)
         if not await self._wait_while_held(up):
           await connection.cancel(blocking=False)
           return
@@ -223,12 +228,12 @@
 
   async def _wait_while_held(self, up: bool) -> bool:
     """Waits until bytes may pass; returns False if that takes too long."""
-    waited_s = 0.0
+    end = time.monotonic() + MAX_HOLD_S
     while self._fault.hold_up if up else self._fault.hold_down:
-      if waited_s > MAX_HOLD_S:
+      left_s = end - time.monotonic()
+      if left_s <= 0:
         return False
-      await curio.sleep(HOLD_POLL_S)
-      waited_s += HOLD_POLL_S
+      await curio.ignore_after(left_s, self._changed.wait)
     return True
 
 
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -105,14 +105,14 @@
   ended = record.violations or report["violations"]
   if not ended:
     await _settle(cluster, record, clients)
-  report = await cluster.platform("report")
+  history = await cluster.platform("history")
   for task in [*clients, *helpers]:
     await task.cancel()
   _write(directory / "faults_made.json", begins)
-  _write(directory / "starts.json", report["starts"])
+  _write(directory / "starts.json", history["starts"])
   jobs = [dataclasses.asdict(job) for job in record.jobs.values()]
   _write(directory / "jobs.json", jobs)
-  return checks.judge(report, record, injector, cluster.hosts, bool(ended))
+  return checks.judge(history, record, injector, cluster.hosts, bool(ended))
 
 
 async def _settle(cluster, record: callers.Record, clients):
@@ -135,7 +135,7 @@
   counts = " ".join(f"{s}:{n}" for s, n in sorted(statuses.items()))
   return (
       f"{at:5.1f} s  faults {faults_made}  jobs {len(record.jobs)}"
-      f"  starts {len(report['starts'])}  answers {counts}"
+      f"  starts {report['starts']}  answers {counts}"
   )
 
 
