--- a/tests/fakeplatform.py
+++ b/tests/fakeplatform.py
@@ -25,6 +25,7 @@
 
 SERVICE = "speller"
 RACK = "r1"
+SLOTS = 8
 
 
 class RealClock:
@@ -155,6 +156,27 @@
   return endpoint_lib.TaskProfile(need, spec["run_s"], spec.get("fails", False))
 
 
+def entry(info: model.Endpoint, state: str) -> dict:
+  """Returns the entry that an endpoint writes in the store."""
+  capacity = info.capacity
+  return {
+      "service": info.service,
+      "address": str(info.address),
+      "zone": info.data_centre,
+      "version": "v1",
+      "slots": info.slots,
+      "state": state,
+      "capacity": {
+          "cpu": capacity.cpu,
+          "memMb": capacity.mem_mb,
+          "gpu": capacity.gpu,
+      },
+      "labels": ["a", RACK],
+      "coldRemainingMs": 0,
+      "sequence": 1,
+  }
+
+
 async def main(
     store_port: int, endpoint_port: int, count: int, data_centres: list
 ):
@@ -200,7 +222,7 @@
         address,
         SERVICE,
         data_centre,
-        8,
+        SLOTS,
         False,
         model.Resources(64000, 131072, 0),
     )
@@ -215,19 +237,7 @@
     emulated.append(endpoint)
     fake = FakeEndpoint(endpoint, specs)
     await httpio.Server(address, fake.handle).start()
-    entry = {
-        "service": SERVICE,
-        "address": str(address),
-        "zone": data_centre,
-        "version": "v1",
-        "slots": 8,
-        "state": "ready",
-        "capacity": {"cpu": 64000, "memMb": 131072, "gpu": 0},
-        "labels": ["a", RACK],
-        "coldRemainingMs": 0,
-        "sequence": 1,
-    }
-    store.put(f"servers/{info.id}", json.dumps(entry).encode())
+    store.put(f"servers/{info.id}", json.dumps(entry(info, "ready")).encode())
   await curio.spawn(clock.run, daemon=True)
   while True:
     await curio.sleep(0.05)
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -3,10 +3,11 @@
 import pathlib
 import random
 import shutil
+import signal
 import subprocess
 import sys
 import tempfile
-import time
+from concurrent import futures
 
 import click
 import curio
@@ -25,23 +26,22 @@
 @click.option("--at-once", default=1, help="Number of soaks at a time.")
 @click.option("--lossy", is_flag=True, help="Only paths that lose packets.")
 @click.option("--regressions", is_flag=True, help="Run the kept seeds.")
+@click.option("--quiet", is_flag=True, help="Print the verdict only.")
 @click.option(
     "--keep",
     default="soak-findings",
     type=click.Path(path_type=pathlib.Path),
     help="Where the folders of failed seeds go.",
 )
-@click.option("--quiet", is_flag=True, help="Print the verdict only.")
-def main(seed, seconds, seeds, at_once, lossy, regressions, keep, quiet):
+def main(seed, seconds, seeds, at_once, lossy, regressions, quiet, keep):
   """Soaks the real programs and prints which promises held."""
+  signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(128 + number))
+  if seed is None:
+    seed = random.SystemRandom().randrange(1_000_000)
+  numbers = range(seed, seed + seeds)
+  plans = [run_lib.Plan(number, seconds, lossy) for number in numbers]
   if regressions:
     plans = read_regressions()
-  else:
-    seed = random.SystemRandom().randrange(1_000_000) if seed is None else seed
-    plans = [
-        run_lib.Plan(number, seconds, lossy)
-        for number in range(seed, seed + seeds)
-    ]
   if len(plans) == 1:
     sys.exit(_run_here(plans[0], keep, quiet))
   sys.exit(_run_all(plans, keep, at_once))
@@ -58,11 +58,8 @@
 
 
 def _run_here(plan: run_lib.Plan, keep: pathlib.Path, quiet: bool) -> int:
-  def echo(line):
-    if not quiet:
-      click.echo(line)
-
   directory = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{plan.seed}-"))
+  echo = (lambda line: None) if quiet else click.echo
   failed = True
   try:
     verdict = curio.run(run_lib.run, plan, directory, echo)
@@ -71,7 +68,7 @@
   finally:
     if failed:
       keep.mkdir(parents=True, exist_ok=True)
-      kept = keep / str(plan.seed)
+      kept = keep / f"{plan.seed}{'-lossy' * plan.lossy_only}"
       shutil.rmtree(kept, ignore_errors=True)
       shutil.move(directory, kept)
       click.echo(f"kept {kept}")
@@ -92,21 +89,17 @@
 
 def _run_all(plans, keep: pathlib.Path, at_once: int) -> int:
   """Runs each plan as a process of its own, a few at a time."""
-  waiting, running, failed = list(plans), [], []
-  while waiting or running:
-    while waiting and len(running) < at_once:
-      plan = waiting.pop(0)
-      command = [sys.executable, "-m", "tests.soak", "--quiet"]
-      command += ["--seed", str(plan.seed), "--seconds", str(plan.seconds)]
-      command += ["--keep", str(keep)] + ["--lossy"] * plan.lossy_only
-      running.append((plan, subprocess.Popen(command, cwd=deployments.ROOT)))
-    time.sleep(0.1)
-    for plan, process in list(running):
-      if process.poll() is not None:
-        running.remove((plan, process))
-        if process.returncode:
-          failed.append(plan.seed)
-  click.echo(f"{len(plans)} seeds, {len(failed)} failed: {sorted(failed)}")
+
+  def run(plan):
+    command = [sys.executable, "-m", "tests.soak", "--quiet"]
+    command += ["--seed", str(plan.seed), "--seconds", str(plan.seconds)]
+    command += ["--keep", str(keep.resolve()), *["--lossy"] * plan.lossy_only]
+    return subprocess.run(command, cwd=deployments.ROOT, check=False).returncode
+
+  with futures.ThreadPoolExecutor(at_once) as pool:
+    codes = list(pool.map(run, plans))
+  failed = [p.seed for p, code in zip(plans, codes, strict=True) if code]
+  click.echo(f"{len(plans)} seeds, {len(failed)} failed: {failed}")
   return int(bool(failed))
 
 
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -22,37 +22,33 @@
 POLL_S = 0.25
 # A request that was pending for longer must be answered by a stopping host.
 PENDING_S = 0.1
+# How long after a job's deadline its caller gives up.
+PATIENCE_S = 4.0
 REFUSED = (429, 503)
-_EXPECTED = (429, 502, 503, 504)
-_LATE_S = 4.0
+_EXPECTED = (200, 429, 502, 503, 504)
+_BROKEN, _NOT_CONNECTED = 0, -1
 
 
 @dataclasses.dataclass
 class Job:
   """A job and what its caller saw of it.
 
-  Attributes:
-    statuses: by try, the HTTP status; 0 if the connection broke and -1 if none
-      was made.
-    state: the latest state that the caller was told.
-    accepted: True if it is kept and was accepted.
-    abandoned: True if its caller closed the connection.
-    tried: True once its caller sends it no more.
+  It has one status a try, 0 for a broken connection and -1 for none. `tried`
+  tells that its caller sends it no more, `abandoned` that it hangs up soon.
   """
 
   id: str
   kept: bool
   tasks: int
   fails: bool
+  abandoned: bool
   statuses: list[int] = dataclasses.field(default_factory=list)
   state: str | None = None
   accepted: bool = False
-  abandoned: bool = False
   tried: bool = False
 
   @property
   def refused(self) -> bool:
-    """True if every try was refused."""
     return self.tried and set(self.statuses) <= set(REFUSED)
 
   @property
@@ -64,15 +60,12 @@
 class Record:
   """What all callers saw.
 
-  Attributes:
-    jobs: the jobs by id.
-    violations: broken promises.
-    in_flight_at_stop: requests that were answered by a stopping host.
+  `answered_at_stop` counts answers to requests in flight at a SIGTERM.
   """
 
   jobs: dict[str, Job] = dataclasses.field(default_factory=dict)
   violations: list[str] = dataclasses.field(default_factory=list)
-  in_flight_at_stop: int = 0
+  answered_at_stop: int = 0
 
 
 class Caller:
@@ -88,7 +81,6 @@
     self._pools: dict[str, httpio.Pool] = {}
 
   async def run(self, stopped: curio.Event):
-    """Submits jobs until the event is set."""
     while not stopped.is_set():
       await curio.sleep(self._rng.expovariate(4.0))
       if self._rng.random() < 0.05:
@@ -98,52 +90,36 @@
   async def _run_job(self):
     rng = self._rng
     self._count += 1
-    job = Job(
-        f"{self._prefix}{self._count:08x}",
-        kept=rng.random() < 0.3,
-        tasks=rng.choice((1, 1, 2, 3)),
-        fails=rng.random() < 0.04,
-    )
+    kept = rng.random() < 0.3
+    abandoned = not kept and rng.random() < 0.05
+    tasks, fails = rng.choice((1, 1, 2, 3)), rng.random() < 0.04
+    job = Job(f"{self._prefix}{self._count:08x}", kept, tasks, fails, abandoned)
     self._record.jobs[job.id] = job
-    body = self._body(job)
-    deadline_ms = rng.choice((1500, 3000, 5000))
-    patience_s = deadline_ms / 1000 + _LATE_S
-    if not job.kept and rng.random() < 0.05:
-      job.abandoned = True
+    body, deadline_ms = self._body(job), rng.choice((1500, 3000, 5000))
+    patience_s = deadline_ms / 1000 + PATIENCE_S
+    if abandoned:
       patience_s = rng.uniform(0.05, 0.5)
     for _ in range(MAX_TRIES):
       status = await self._submit(job, body, deadline_ms, patience_s)
       job.statuses.append(status)
-      if status == 200 or job.abandoned:
+      if status == 200 or abandoned:
+        break
+      if status in REFUSED and rng.random() < 0.5:
         break
-      if status in REFUSED:
-        if rng.random() < 0.5:
-          break
-        await curio.sleep(1.0)
-      else:
-        await curio.sleep(RESEND_S)
+      await curio.sleep(1.0 if status in REFUSED else RESEND_S)
       self._host = rng.choice([h for h in self._hosts if h is not self._host])
     job.tried = True
     if job.accepted:
       await curio.spawn(self._follow, job, rng.random() < 0.1, daemon=True)
 
   def _body(self, job: Job) -> bytes:
-    rng = self._rng
-    run_s = rng.choice((0.05, 0.15, 0.3, 0.6))
-    cpu = rng.choice((8000, 16000, 27000))
+    run_s = self._rng.choice((0.05, 0.15, 0.3, 0.6))
+    cpu = self._rng.choice((8000, 16000, 27000))
     spec = {"run_s": run_s, "cpu": cpu, "fails": job.fails, "kept": job.kept}
-    phase = {
-        "taskCount": job.tasks,
-        "cpu": cpu,
-        "memMb": 64,
-        "estimateMs": int(run_s * 1000),
-    }
-    body = {
-        "bestEffort": not job.kept,
-        "spec": json.dumps(spec),
-        "phases": [phase],
-    }
-    return json.dumps(body).encode()
+    phase = {"taskCount": job.tasks, "cpu": cpu, "memMb": 64}
+    phase["estimateMs"] = int(run_s * 1000)
+    body = {"bestEffort": not job.kept, "phases": [phase]}
+    return json.dumps({**body, "spec": json.dumps(spec)}).encode()
 
   async def _submit(
       self, job, body, deadline_ms: int, patience_s: float
@@ -153,71 +129,56 @@
         ("request-id", f"q-{job.id}-{len(job.statuses)}"),
     )
     host, life, sent_at = self._host, self._host.life, time.monotonic()
-    response = await self._request(
+    status, answer = await self._request(
         host, "POST", job.id, body, headers, patience_s
     )
-    if isinstance(response, int):
-      if response == 0 and not job.abandoned:
-        self._check_cut_off(host, life, job, sent_at, patience_s)
-      return response
+    pending_s = time.monotonic() - sent_at
     stopped_at = life.terminated_at
-    if stopped_at is not None and sent_at < stopped_at:
-      self._record.in_flight_at_stop += 1
-    if response.status == 200:
-      job.state = response.json()["state"]
+    if status == _BROKEN and not job.abandoned and pending_s > PENDING_S:
+      # Only a host that was killed or paused may cut a request off.
+      if stopped_at is not None and not life.disturbed:
+        self._record.violations.append(
+            f"{host.name} process {life.number}, stopped by SIGTERM, left job"
+            f" {job.id} unanswered after {pending_s:.3f} s"
+        )
+    elif status > 0 and stopped_at is not None and sent_at < stopped_at:
+      self._record.answered_at_stop += 1
+    if status == 200:
+      job.state = answer["state"]
       job.accepted = job.kept
-    elif response.status not in _EXPECTED:
-      self._record.violations.append(
-          f"job {job.id}: {host.name} answered {response.status}"
-      )
-    return response.status
+    elif status > 0 and status not in _EXPECTED:
+      self._record.violations.append(f"job {job.id}: {host.name}: {status}")
+    return status
 
   async def _request(
       self, host, method, job_id, body=b"", headers=(), timeout_s=3.0
-  ) -> httpio.Response | int:
-    """Returns the response, 0 if it is missing, or -1 without a connection."""
-    pool = self._pools.get(host.name)
-    if pool is None:
+  ) -> tuple[int, dict]:
+    if host.name not in self._pools:
       address = settings.Address(host.ip, host.files.callers_port)
-      pool = self._pools[host.name] = httpio.Pool(address, connect_s=1.0)
+      self._pools[host.name] = httpio.Pool(address, connect_s=1.0)
+    target = deployments.PREFIX + job_id
     try:
-      return await pool.request(
-          method, deployments.PREFIX + job_id, body, headers, timeout_s
+      response = await self._pools[host.name].request(
+          method, target, body, headers, timeout_s
       )
+      return response.status, response.json()
     except httpio.NotSentError:
-      return -1
+      return _NOT_CONNECTED, {}
     except httpio.LostReplyError:
-      return 0
-
-  def _check_cut_off(self, host, life, job, sent_at: float, patience_s: float):
-    """Checks that a host that was only asked to stop did not cut this off."""
-    pending_s = time.monotonic() - sent_at
-    if life.terminated_at is None or life.disturbed or pending_s < PENDING_S:
-      return
-    how = "unanswered" if pending_s >= patience_s else "cut off"
-    self._record.violations.append(
-        f"{host.name} process {life.number}, stopped by SIGTERM: request of job"
-        f" {job.id} {how} after {pending_s:.3f} s"
-    )
+      return _BROKEN, {}
 
   async def _follow(self, job: Job, cancels: bool):
-    """Polls a kept job until it ends."""
+    """Polls a kept job, or cancels it first, until it ends."""
     await curio.sleep(self._rng.uniform(0.0, 0.5))
     method = "DELETE" if cancels else "GET"
     while job.open:
       host = self._rng.choice(self._hosts)
-      sent_at = time.monotonic()
-      response = await self._request(host, method, job.id)
-      if not isinstance(response, int):
-        self._note_state(host, job, method, response, sent_at)
+      status, answer = await self._request(host, method, job.id)
+      if status == 200:
+        job.state = answer.get("state", job.state)
+      elif status == 410 and method == "GET":
+        self._record.violations.append(
+            f"accepted kept job {job.id}: {host.name} answers 410"
+        )
       method = "GET"
       await curio.sleep(POLL_S)
-
-  def _note_state(self, host, job, method, response, sent_at):
-    if response.status == 200:
-      job.state = response.json().get("state", job.state)
-    elif response.status == 410 and method == "GET":
-      self._record.violations.append(
-          f"accepted kept job {job.id}: 410 from {host.name} to a query sent at"
-          f" {sent_at:.3f}"
-      )
--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -1,5 +1,6 @@
 """The processes of a soak: the platform's stand-in, hosts, and proxies."""
 
+import atexit
 import dataclasses
 import json
 import os
@@ -19,39 +20,32 @@
 from tests.soak import proxy
 
 SLOTS = 6
-HOSTS_PER_DATA_CENTRE = 2
+STORE = "store"
+MAX_CLOCK_MS = 10_000_000
 # Time from SIGTERM to SIGKILL, as the hosts' settings files have it.
 GRACE_S = 6.0
 # A process that gets a signal sooner may not handle it yet.
 START_S = 3.0
 START_LIMIT_S = 20.0
-STORE = "store"
-MAX_CLOCK_MS = 10_000_000
 _LOST = (httpio.NotSentError, httpio.LostReplyError)
 
 
+def slot_name(number: int) -> str:
+  return f"slot-{number}"
+
+
 def own_loopback() -> str:
   """Returns a loopback address that no other process uses."""
   pid = os.getpid()
   return f"127.{64 + (pid >> 16)}.{pid >> 8 & 255}.{pid & 255}"
 
 
-def slot_name(number: int) -> str:
-  return f"slot-{number}"
-
-
 @dataclasses.dataclass
 class Life:
-  """One process of a host.
-
-  Attributes:
-    number: counts the host's processes.
-    process: the process.
-    started_at: when it was started, in monotonic time (s).
-    terminated_at: when it got SIGTERM (s), or None.
-    disturbed: True if it was paused or killed, so that it may cut requests off.
-    exited_at: when its exit was seen (s), or None.
-    version: the newest version of the configuration that it has shown.
+  """One process of a host; times are monotonic (s).
+
+  One that was disturbed (paused, killed, stopped as it started) may cut
+  requests off.
   """
 
   number: int
@@ -59,106 +53,76 @@
   started_at: float
   terminated_at: float | None = None
   disturbed: bool = False
-  exited_at: float | None = None
-  version: int = -1
+
+  @property
+  def running(self) -> bool:
+    return self.process.poll() is None
 
 
 class Host:
-  """A host whose processes follow one another.
-
-  Attributes:
-    files: its settings file, log and ports.
-    ip: the address that it listens on.
-    lives: its processes, in order.
-    paused: the number of pauses that go on.
-  """
+  """A host whose processes, its `lives`, follow one another."""
 
   def __init__(self, files: deployments.Host, ip: str):
     self.files = files
     self.ip = ip
     self.name = files.name
     self.lives: list[Life] = []
-    self.paused = 0
-    self._pools: dict[int, httpio.Pool] = {}
+    self.pauses = 0
 
   @property
   def life(self) -> Life:
     return self.lives[-1]
 
-  @property
-  def running(self) -> bool:
-    return bool(self.lives) and self.life.process.poll() is None
-
   def start(self):
-    """Starts a process, unless one runs."""
-    if self.running:
+    if self.lives and self.life.running:
       return
-    self.paused = 0
+    self.pauses = 0
     self.files.start()
-    self.lives.append(
-        Life(len(self.lives), self.files.process, time.monotonic())
-    )
+    number, process = len(self.lives), self.files.process
+    self.lives.append(Life(number, process, time.monotonic()))
 
   def terminate(self):
-    """Asks the process to stop."""
-    if self.running and self.life.terminated_at is None:
-      self.life.terminated_at = time.monotonic()
-      self.life.process.send_signal(signal.SIGTERM)
+    life, now = self.life, time.monotonic()
+    if life.running and life.terminated_at is None:
+      life.terminated_at = now
+      life.disturbed |= now < life.started_at + START_S
+      life.process.send_signal(signal.SIGTERM)
 
   def kill(self):
-    """Kills the process."""
-    if self.running:
-      self.life.disturbed = True
-      self.life.process.kill()
+    self._disturb(signal.SIGKILL)
 
   def pause(self):
     """Stops the process with SIGSTOP; each pause needs a `resume`."""
-    self.paused += 1
-    if self.running:
+    self.pauses += 1
+    self._disturb(signal.SIGSTOP)
+
+  def _disturb(self, number: signal.Signals):
+    if self.life.running:
       self.life.disturbed = True
-      self.life.process.send_signal(signal.SIGSTOP)
+      self.life.process.send_signal(number)
 
   def resume(self):
-    """Ends a pause."""
-    self.paused = max(0, self.paused - 1)
-    if self.running and not self.paused:
+    self.pauses = max(0, self.pauses - 1)
+    if not self.pauses:
       self.life.process.send_signal(signal.SIGCONT)
 
   def reload(self):
-    """Asks the process to read its settings file."""
-    if self.running and time.monotonic() > self.life.started_at + START_S:
+    if time.monotonic() > self.life.started_at + START_S:
       self.life.process.send_signal(signal.SIGHUP)
 
-  async def get(self, port: int, path: str) -> httpio.Response | None:
-    """Returns the answer to a GET request, or None."""
-    address = settings.Address(self.ip, port)
-    pool = self._pools.setdefault(port, httpio.Pool(address, connect_s=1.0))
+  async def is_ready(self) -> bool:
+    address = settings.Address(self.ip, self.files.readiness_port)
+    pool = httpio.Pool(address)
     try:
-      return await pool.request("GET", path, timeout_s=1.0)
+      response = await pool.request("GET", "/-/readyz", timeout_s=1.0)
     except _LOST:
-      return None
-
-  async def is_ready(self) -> bool:
-    response = await self.get(self.files.readiness_port, "/-/readyz")
-    return response is not None and response.status == 200
-
-
-def config(version: int, ip: str) -> dict:
-  """Returns a configuration; each odd version has one more queue."""
-  prefixes = [deployments.PREFIX] + ["/more/"] * (version % 2)
-  raw = deployments.config(version, prefixes)
-  # The callers' connections name the address in the Host header.
-  routes = [{**route, "host": ip} for route in raw["routes"]]
-  return {**raw, "routes": routes}
+      return False
+    await pool.close()
+    return response.status == 200
 
 
 class Cluster:
-  """All processes of a soak; `start` starts them, `close` ends them.
-
-  Attributes:
-    hosts: the hosts.
-    paths: the proxies, by the names of their client and server.
-  """
+  """All processes of a soak, and the proxies by their clients and servers."""
 
   def __init__(self, directory: pathlib.Path, seed: int):
     self.hosts: list[Host] = []
@@ -171,134 +135,114 @@
     self._control = httpio.Pool(self._control_address)
     self._platform = None
     self._version = 0
+    # For a soak that is stopped by a signal.
+    atexit.register(self.end_processes)
 
   def _free_address(self) -> settings.Address:
-    (port,) = ports.free_ports(1)
-    return settings.Address(self._ip, port)
+    return settings.Address(self._ip, ports.free_address().port)
 
   async def start(self):
-    """Starts the platform, the proxies and the hosts; waits for them."""
-    endpoint_addresses = [self._free_address() for _ in range(SLOTS)]
-    views = []
-    names = [
-        (f"{data_centre}-{i}", data_centre)
-        for data_centre in deployments.DATA_CENTRES
-        for i in range(HOSTS_PER_DATA_CENTRE)
+    centres = deployments.DATA_CENTRES
+    names = [(f"{centre}-{i}", centre) for centre in centres for i in range(2)]
+    servers = [(slot_name(i), self._free_address()) for i in range(SLOTS)]
+    endpoints = [
+        {
+            "address": str(address),
+            "data_centre": centres[i % len(centres)],
+            "clock_ms": self._rng.randrange(MAX_CLOCK_MS),
+        }
+        for i, (_, address) in enumerate(servers)
     ]
-    for name, data_centre in names:
-      store, store_proxy = self._free_address(), self._free_address()
+    views = []
+    for name, centre in names:
+      store = self._free_address()
+      store_proxy = self._add_path(name, STORE, store)
       views.append({"listen": str(store), "addresses": {}})
-      self._add_path(name, STORE, store_proxy, store)
-      files = deployments.Host(
-          self._directory, name, data_centre, store_proxy.port
-      )
-      text = files.settings_file.read_text()
-      files.settings_file.write_text(text.replace(ports.LOOPBACK, self._ip))
-      self.hosts.append(Host(files, self._ip))
+      host = self._new_host(name, centre, store_proxy.port)
+      self.hosts.append(host)
+      peer_port = host.files.metrics_port - 1
+      servers.append((name, settings.Address(self._ip, peer_port)))
     for view, host in zip(views, self.hosts, strict=True):
-      targets = [(slot_name(i), a) for i, a in enumerate(endpoint_addresses)]
-      for other in self.hosts:
-        if other is not host:
-          peer = settings.Address(self._ip, other.files.metrics_port - 1)
-          targets.append((other.name, peer))
-      for name, target in targets:
-        address = self._free_address()
-        self._add_path(host.name, name, address, target)
-        view["addresses"][str(target)] = str(address)
+      for name, target in servers:
+        if name != host.name:
+          address = self._add_path(host.name, name, target)
+          view["addresses"][str(target)] = str(address)
     for path in self.paths.values():
       await path.start()
-    await self._start_platform(views, endpoint_addresses)
+    await self._start_platform(views, endpoints)
     await self.configure(newer=True)
     for host in self.hosts:
       host.start()
-    await self.wait_ready()
+    for host in self.hosts:
+      await _wait_for(host.is_ready, f"{host.name} is ready")
 
-  def _add_path(self, client, server, address, target):
-    name = (client, server)
+  def _add_path(self, client: str, server: str, target) -> settings.Address:
+    address = self._free_address()
     rng = random.Random(f"{self._seed}/{client}/{server}")
-    self.paths[name] = proxy.Path(name, address, target, rng)
-
-  async def _start_platform(self, views, endpoint_addresses):
-    centres = deployments.DATA_CENTRES
-    raw = {
-        "seed": self._seed,
-        "control": str(self._control_address),
-        "views": views,
-        "endpoints": [
-            {
-                "address": str(address),
-                "data_centre": centres[i % len(centres)],
-                "clock_ms": self._rng.randrange(MAX_CLOCK_MS),
-            }
-            for i, address in enumerate(endpoint_addresses)
-        ],
-    }
+    path = proxy.Path((client, server), address, target, rng)
+    self.paths[path.name] = path
+    return address
+
+  def _new_host(self, name: str, data_centre: str, store_port: int) -> Host:
+    files = deployments.Host(self._directory, name, data_centre, store_port)
+    text = files.settings_file.read_text()
+    files.settings_file.write_text(text.replace(ports.LOOPBACK, self._ip))
+    return Host(files, self._ip)
+
+  async def _start_platform(self, views: list, endpoints: list):
+    raw = {"seed": self._seed, "views": views, "endpoints": endpoints}
+    raw["control"] = str(self._control_address)
     settings_file = self._directory / "platform.json"
     settings_file.write_text(json.dumps(raw))
+    command = [sys.executable, "-m", "tests.soak.platform", str(settings_file)]
     with (self._directory / "platform.log").open("wb") as log:
       self._platform = subprocess.Popen(
-          [sys.executable, "-m", "tests.soak.platform", str(settings_file)],
-          cwd=deployments.ROOT,
-          stdout=log,
-          stderr=log,
+          command, cwd=deployments.ROOT, stdout=log, stderr=log
       )
 
-    async def answers():
-      try:
-        await self.platform("report")
-      except _LOST:
-        return False
-      return True
+    await _wait_for(self._platform_answers, "the platform's stand-in answers")
 
-    await _wait_for(answers, "the platform's stand-in answers")
+  async def _platform_answers(self) -> bool:
+    try:
+      return bool(await self.platform("report"))
+    except _LOST:
+      return False
 
   async def platform(self, what: str, **arguments) -> dict:
-    """Makes a control call to the stand-in of the platform."""
     body = json.dumps(arguments).encode()
-    response = await self._control.request(
-        "POST", f"/soak/{what}", body, timeout_s=10.0
-    )
+    response = await self._control.request("POST", f"/soak/{what}", body)
     return response.json()
 
   async def configure(self, newer: bool):
     """Writes the next version of the configuration, or an older one."""
-    if newer:
-      self._version += 1
+    self._version += newer
     version = self._version if newer else max(1, self._version - 1)
-    value = config(version, self._ip)
+    # Each odd version has one more queue.
+    prefixes = [deployments.PREFIX] + ["/more/"] * (version % 2)
+    value = deployments.config(version, prefixes)
+    for route in value["routes"]:
+      # The callers' connections name the address in the Host header.
+      route["host"] = self._ip
     await self.platform("put", key="op/config", value=value)
 
-  async def wait_ready(self):
-    """Waits until every host is ready."""
-    for host in self.hosts:
-      await _wait_for(host.is_ready, f"{host.name} is ready")
-
   async def supervise(self):
-    """Notes exits, and kills processes whose grace period is over."""
     while True:
       await curio.sleep(0.02)
-      for host in self.hosts:
-        if not host.lives:
-          continue
-        life, now = host.life, time.monotonic()
-        if life.exited_at is None and not host.running:
-          life.exited_at = now
-        overdue = (
-            life.terminated_at is not None
-            and now > life.terminated_at + GRACE_S
-        )
-        if host.running and overdue:
+      for life in [host.life for host in self.hosts]:
+        since = life.terminated_at
+        if since is not None and time.monotonic() > since + GRACE_S:
           life.process.kill()
 
-  async def close(self):
-    """Ends every process and closes the proxies."""
+  def end_processes(self):
     processes = [life.process for host in self.hosts for life in host.lives]
-    if self._platform is not None:
-      processes.append(self._platform)
-    for process in processes:
-      if process.poll() is None:
+    for process in [*processes, self._platform]:
+      if process is not None:
         process.kill()
-      process.wait()
+        process.wait()
+
+  async def close(self):
+    self.end_processes()
+    atexit.unregister(self.end_processes)
     for path in self.paths.values():
       await path.close()
 
--- a/tests/soak/platform.py
+++ b/tests/soak/platform.py
@@ -1,10 +1,10 @@
 """The stand-in of the users' platform for the soak, as a process of its own.
 
-Run as ``python3 -m tests.soak.platform SETTINGS``. Each host has a port of its
-own for the store, which shows it the addresses of the proxies on its paths in
-place of the endpoints' and of the other hosts' addresses. ``/soak/...`` on the
-control port changes the configuration, the endpoints and the store, and
-reports what the endpoints saw.
+Run as ``python3 -m tests.soak.platform SETTINGS``. Each host has an address of
+its own for the store, which shows it the addresses of the proxies on its paths
+in place of the endpoints' and of the other hosts' addresses. ``/soak/...`` on
+the control address changes the store and the endpoints, and reports what the
+endpoints saw.
 """
 
 import dataclasses
@@ -30,7 +30,8 @@
 
 CAPACITY = model.Resources(64000, 131072, 0)
 MEMORY_MB = 64
-SLOTS = 8
+# An endpoint with more than this in use has no room for another large task.
+FULL_CPU = CAPACITY.cpu - 27000
 _PROXIED_PREFIXES = (platform_endpoints.PREFIX, claims.PREFIX)
 _ORDERS = ("/-/run-start", "/-/run-stop")
 
@@ -40,10 +41,7 @@
 
   def __init__(self, store: kvstore.KvStore, addresses: dict[str, str]):
     self._store = store
-    self._addresses = {
-        json.dumps(k).encode(): json.dumps(v).encode()
-        for k, v in addresses.items()
-    }
+    self._addresses = addresses
 
   def __getattr__(self, name):
     return getattr(self._store, name)
@@ -53,16 +51,16 @@
       return item
     value = item.value
     for address, proxy in self._addresses.items():
-      value = value.replace(address, proxy)
+      value = value.replace(f'"{address}"'.encode(), f'"{proxy}"'.encode())
     return dataclasses.replace(item, value=value)
 
-  def get(self, key: str) -> kvtypes.Item | None:
+  def get(self, key):
     return self._show(self._store.get(key))
 
-  def range(self, prefix: str) -> list[kvtypes.Item]:
+  def range(self, prefix):
     return [self._show(item) for item in self._store.range(prefix)]
 
-  def changes(self, prefix: str, after: int) -> list[kvtypes.Item] | None:
+  def changes(self, prefix, after):
     changed = self._store.changes(prefix, after)
     return changed and [self._show(item) for item in changed]
 
@@ -80,29 +78,10 @@
       await wireserver.WireServer.notify_watches(wire)
 
 
-@dataclasses.dataclass(frozen=True)
-class Start:
-  """A start of a run, as its endpoint saw it.
-
-  Attributes:
-    at: the monotonic time (s).
-    task: the task's name.
-    attempt: the attempt's number.
-    endpoint: the endpoint's id.
-    full: True if no other run of half a place fits beside it.
-  """
-
-  at: float
-  task: str
-  attempt: int
-  endpoint: str
-  full: bool
-
-
 class _Observed(endpoint_lib.EmulatedEndpoint):
-  """An emulated endpoint that records when its runs start."""
+  """An endpoint that records its starts: time, task, attempt, id, if full."""
 
-  def __init__(self, records: list[Start], *args):
+  def __init__(self, records: list[tuple], *args):
     super().__init__(*args)
     self._records = records
 
@@ -111,33 +90,28 @@
     result = super().start(order)
     if len(self.starts) > known:
       name = platform_endpoints.format_task_name(order.run.task)
-      used = sum(run.need.cpu for run in self._runs.values())
-      full = used > CAPACITY.cpu * 3 // 4
-      self._records.append(
-          Start(time.monotonic(), name, order.run.attempt, self.info.id, full)
-      )
+      full = sum(run.need.cpu for run in self._runs.values()) > FULL_CPU
+      row = (time.monotonic(), name, order.run.attempt, self.info.id, full)
+      self._records.append(row)
     return result
 
 
 class Slot:
   """The address of an endpoint, with one incarnation after the other."""
 
-  def __init__(self, platform, number: int, address: str, data_centre: str):
+  def __init__(self, platform, number: int, raw: dict):
     self._platform = platform
     self._number = number
-    self._address = settings.parse_address(address)
-    self._data_centre = data_centre
+    self._address = settings.parse_address(raw["address"])
+    self._data_centre = raw["data_centre"]
     self._incarnations = 0
     self.late_share = 0.0
-    self.endpoint: _Observed | None = None
+    self.begin(raw["clock_ms"])
 
-  async def start(self, clock_ms: int):
-    """Serves the first incarnation."""
-    self.begin(clock_ms)
+  async def start(self):
     await httpio.Server(self._address, self._handle).start()
 
   def begin(self, clock_ms: int):
-    """Begins a new incarnation and lists it."""
     self._incarnations += 1
     platform = self._platform
     info = model.Endpoint(
@@ -145,7 +119,7 @@
         self._address,
         fakeplatform.SERVICE,
         self._data_centre,
-        SLOTS,
+        fakeplatform.SLOTS,
         False,
         CAPACITY,
     )
@@ -162,32 +136,17 @@
     self._fake = fakeplatform.FakeEndpoint(self.endpoint, platform.specs)
     self.list("ready")
 
-  def list(self, state: str):
-    """Writes the endpoint's entry."""
-    entry = {
-        "service": fakeplatform.SERVICE,
-        "address": str(self._address),
-        "zone": self._data_centre,
-        "version": "v1",
-        "slots": SLOTS,
-        "state": state,
-        "capacity": {"cpu": CAPACITY.cpu, "memMb": CAPACITY.mem_mb, "gpu": 0},
-        "labels": ["a", fakeplatform.RACK],
-        "coldRemainingMs": 0,
-        "sequence": 1,
-    }
-    key = platform_endpoints.PREFIX + self.endpoint.info.id
-    self._platform.store.put(key, json.dumps(entry).encode())
+  @property
+  def key(self) -> str:
+    return platform_endpoints.PREFIX + self.endpoint.info.id
 
-  def unlist(self):
-    """Removes the endpoint's entry."""
-    key = platform_endpoints.PREFIX + self.endpoint.info.id
-    self._platform.store.transact(kvtypes.Transaction(removes=(key,)))
+  def list(self, state: str):
+    entry = fakeplatform.entry(self.endpoint.info, state)
+    self._platform.store.put(self.key, json.dumps(entry).encode())
 
   async def _handle(self, request: httpio.Request) -> httpio.Response:
     rng = self._platform.rng
-    late = request.target in _ORDERS and rng.random() < self.late_share
-    if late:
+    if request.target in _ORDERS and rng.random() < self.late_share:
       await curio.sleep(rng.uniform(0.1, 3.0))
     if self.endpoint.unreachable:
       raise ConnectionResetError("the endpoint is dead")
@@ -210,36 +169,29 @@
     self.rng = random.Random(f"{raw['seed']}/platform")
     self.clock = fakeplatform.RealClock()
     self.store = kvstore.KvStore()
-    self.specs = {}
+    self.specs, self.running_on, self.acknowledged_done = {}, {}, set()
     self.violations: list[str] = []
-    self.running_on = {}
-    self.acknowledged_done = set()
-    self.starts: list[Start] = []
+    self.starts: list[tuple] = []
     self._wires: list[_Wire] = []
     self._slots: list[Slot] = []
 
   async def run(self):
     for view in self._raw["views"]:
       wire = _Wire(View(self.store, view["addresses"]), self._wires)
-      await self._serve(view["listen"], wire.handle)
+      await _serve(view["listen"], wire.handle)
     for number, raw in enumerate(self._raw["endpoints"]):
-      slot = Slot(self, number, raw["address"], raw["data_centre"])
-      await slot.start(raw["clock_ms"])
-      self._slots.append(slot)
-    await self._serve(self._raw["control"], self._control)
+      self._slots.append(Slot(self, number, raw))
+      await self._slots[-1].start()
+    await _serve(self._raw["control"], self._control)
     await curio.spawn(self.clock.run, daemon=True)
     while True:
       await curio.sleep(0.05)
       if self.store.expire(time.monotonic()):
         await self._wires[0].notify_watches()
 
-  async def _serve(self, address: str, handler):
-    await httpio.Server(settings.parse_address(address), handler).start()
-
   async def _control(self, request: httpio.Request) -> httpio.Response:
     name = request.target.removeprefix("/soak/")
-    body = request.json() if request.body else {}
-    answer = getattr(self, f"_on_{name}")(**body) or {}
+    answer = getattr(self, f"_on_{name}")(**request.json()) or {}
     await self._wires[0].notify_watches()
     return httpio.json_response(200, answer)
 
@@ -257,10 +209,9 @@
   def _on_crash(self, slot: int):
     self._slots[slot].endpoint.crash()
 
-  def _on_unlist(self, slot: int):
-    self._slots[slot].unlist()
-
-  def _on_begin(self, slot: int, clock_ms: int):
+  def _on_return(self, slot: int, clock_ms: int):
+    key = self._slots[slot].key
+    self.store.transact(kvtypes.Transaction(removes=(key,)))
     self._slots[slot].begin(clock_ms)
 
   def _on_late(self, slot: int, share: float):
@@ -270,15 +221,17 @@
     return {"violations": self.violations, "starts": len(self.starts)}
 
   def _on_history(self) -> dict:
-    done = [
-        platform_endpoints.format_task_name(t) for t in self.acknowledged_done
-    ]
+    name = platform_endpoints.format_task_name
     return {
         "violations": self.violations,
-        "starts": [dataclasses.astuple(start) for start in self.starts],
-        "acknowledged": done,
+        "starts": self.starts,
+        "acknowledged": [name(task) for task in self.acknowledged_done],
     }
 
 
+async def _serve(address: str, handler):
+  await httpio.Server(settings.parse_address(address), handler).start()
+
+
 if __name__ == "__main__":
   curio.run(Platform(json.loads(pathlib.Path(sys.argv[1]).read_text())).run)
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -25,20 +25,18 @@
 # Bytes that can't be delivered for this long end their connection, as the
 # TCP user timeout of the programs does.
 MAX_HOLD_S = listener.USER_TIMEOUT_MS / 1000
+# The value of SO_LINGER with which closing a connection resets it.
+_RESET = b"\1\0\0\0\0\0\0\0"
 
 
 @dataclasses.dataclass(frozen=True)
 class Fault:
-  """What is wrong with a path.
+  """What is wrong with a path, up to the server and down to the client.
 
   Attributes:
     stall_share: share of the packets that are lost and sent again.
     hang_share: share of the time in which new connections aren't opened.
     refuse: True if new connections are refused; open ones go on.
-    delay_up_s: delay (s) of each packet towards the server.
-    delay_down_s: delay (s) of each packet towards the client.
-    hold_up: True if nothing arrives at the server.
-    hold_down: True if nothing arrives at the client.
   """
 
   stall_share: float = 0.0
@@ -58,12 +56,7 @@
 
 
 class Path:
-  """A proxy from its own address to a server's; `start` and `close` it.
-
-  Attributes:
-    name: the names of the client and the server.
-    address: where it listens.
-  """
+  """A proxy from its own address to a server's, which are its `name`."""
 
   def __init__(
       self,
@@ -73,26 +66,21 @@
       rng: random.Random,
   ):
     self.name = name
-    self.address = address
-    self._target = target
+    self._address, self._target = address, target
     self._rng = rng
     self._faults: dict[object, Fault] = {}
     self._fault = Fault()
     self._changed = curio.Event()
     self._changing = curio.Lock()
-    self._sock = None
-    self._accept_task = None
-    self._hang_task = None
+    self._sock = self._accept_task = self._hang_task = None
     self._fillers: list[socket.socket] = []
     self._connections: set[curio.Task] = set()
 
   async def start(self):
-    """Starts to accept connections."""
     await self._listen()
     self._hang_task = await curio.spawn(self._hang_loop, daemon=True)
 
   async def close(self):
-    """Closes all connections."""
     if self._hang_task is not None:
       await self._hang_task.cancel()
     await self._stop_listening()
@@ -110,28 +98,24 @@
     await self._set_listening()
 
   async def reset(self):
-    """Resets all open connections."""
     for task in list(self._connections):
       await task.cancel(blocking=False)
 
   async def _set_listening(self):
     async with self._changing:
-      await self._apply_fault()
-
-  async def _apply_fault(self):
-    if self._fault.refuse:
-      await self._stop_listening()
-      return
-    if self._sock is None:
-      await self._listen()
-    hang = self._rng.random() < self._fault.hang_share
-    if hang and not self._fillers:
-      await self._accept_task.cancel()
-      self._fill_backlog()
-    elif not hang and self._fillers:
-      self._close_fillers()
-      self._sock.listen(BACKLOG)
-      self._accept_task = await curio.spawn(self._accept_loop, daemon=True)
+      if self._fault.refuse:
+        await self._stop_listening()
+        return
+      if self._sock is None:
+        await self._listen()
+      hang = self._rng.random() < self._fault.hang_share
+      if hang and not self._fillers:
+        await self._accept_task.cancel()
+        self._fill_backlog()
+      elif not hang and self._fillers:
+        self._close_fillers()
+        self._sock.listen(BACKLOG)
+        self._accept_task = await curio.spawn(self._accept_loop, daemon=True)
 
   def _fill_backlog(self):
     # Linux drops the first packet of a connection if the queue is full.
@@ -140,7 +124,7 @@
       filler = socket.socket()
       filler.setblocking(False)
       with contextlib.suppress(OSError):
-        filler.connect((self.address.host, self.address.port))
+        filler.connect((self._address.host, self._address.port))
       self._fillers.append(filler)
 
   def _close_fillers(self):
@@ -149,12 +133,8 @@
     self._fillers = []
 
   async def _listen(self):
-    self._sock = curio.network.tcp_server_socket(
-        self.address.host,
-        self.address.port,
-        backlog=BACKLOG,
-        reuse_address=True,
-    )
+    host, port = self._address.host, self._address.port
+    self._sock = curio.network.tcp_server_socket(host, port, backlog=BACKLOG)
     self._accept_task = await curio.spawn(self._accept_loop, daemon=True)
 
   async def _stop_listening(self):
@@ -184,15 +164,14 @@
       socks.append(server)
       for sock in socks:
         listener.no_delay(sock)
-      relays = [
-          await curio.spawn(self._relay, client, server, True, task),
-          await curio.spawn(self._relay, server, client, False, task),
-      ]
+      for route in ((client, server, True), (server, client, False)):
+        relays.append(await curio.spawn(self._relay, *route, task))
       for relay in relays:
         await relay.join()
     except (OSError, curio.CancelledError):
       for sock in socks:
-        _reset_on_close(sock)
+        with contextlib.suppress(OSError):
+          sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
     finally:
       self._connections.discard(task)
       for relay in relays:
@@ -235,8 +214,3 @@
         return False
       await curio.ignore_after(left_s, self._changed.wait)
     return True
-
-
-def _reset_on_close(sock):
-  with contextlib.suppress(OSError):
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -16,21 +16,15 @@
 REPORT_PERIOD_S = 1.0
 # Accepted kept jobs must have ended this long after the last fault.
 SETTLE_S = 25.0
-# A soak that takes this much longer than its faults hangs.
-LIMIT_S = 90.0
 # After a broken promise the processes go on for this long, for their logs.
 AFTERMATH_S = 0.5
+# A soak that takes this much longer than its faults hangs.
+LIMIT_S = 90.0
 
 
 @dataclasses.dataclass(frozen=True)
 class Plan:
-  """What to run.
-
-  Attributes:
-    seed: everything random comes from it.
-    seconds: how long faults begin (s).
-    lossy_only: True for paths that lose packets and no other faults.
-  """
+  """A seed, for how long faults begin (s), and which."""
 
   seed: int
   seconds: float
@@ -38,86 +32,63 @@
 
 
 async def run(plan: Plan, directory: pathlib.Path, echo) -> checks.Verdict:
-  """Runs a soak; its schedule, logs and verdict stay in the directory.
+  """Runs a soak; its schedule, logs and verdict stay in the empty directory.
 
-  Args:
-    plan: what to run.
-    directory: an empty directory.
-    echo: called with each line of progress.
+  Each line of progress goes to `echo`.
   """
   schedule = faults.schedule(plan.seed, plan.seconds, plan.lossy_only)
-  rows = [dataclasses.asdict(fault) for fault in schedule]
-  _write(
-      directory / "schedule.json", {**dataclasses.asdict(plan), "faults": rows}
-  )
+  _write(directory / "schedule.json", [plan, *schedule])
   cluster = cluster_lib.Cluster(directory, plan.seed)
   try:
     await cluster.start()
     verdict = await curio.timeout_after(
-        plan.seconds + LIMIT_S,
-        _run_started,
-        plan,
-        cluster,
-        schedule,
-        directory,
-        echo,
+        plan.seconds + LIMIT_S, _soak, plan, cluster, schedule, directory, echo
     )
   finally:
     await cluster.close()
-  _write(directory / "verdict.json", dataclasses.asdict(verdict))
+  _write(directory / "verdict.json", [verdict])
   return verdict
 
 
-async def _run_started(plan, cluster, schedule, directory, echo):
+async def _soak(plan, cluster, schedule, directory, echo) -> checks.Verdict:
   record = callers.Record()
   injector = faults.Injector(cluster)
   began = time.monotonic()
-  begins = []
-
-  def on_fault(fault):
-    begins.append(
-        {"monotonic_s": time.monotonic(), **dataclasses.asdict(fault)}
-    )
-
   stopped = curio.Event()
-  helpers = [
-      await curio.spawn(cluster.supervise, daemon=True),
-      await curio.spawn(
-          checks.watch_versions, cluster.hosts, record.violations, daemon=True
-      ),
+  supervisor = await curio.spawn(cluster.supervise)
+  clients = [
+      callers.Caller(cluster, record, plan.seed, number)
+      for number in range(callers.CALLERS)
   ]
-  clients = []
-  for number in range(callers.CALLERS):
-    caller = callers.Caller(cluster, record, plan.seed, number)
-    clients.append(await curio.spawn(caller.run, stopped))
-  injection = await curio.spawn(injector.run, schedule, on_fault)
+  tasks = [await curio.spawn(client.run, stopped) for client in clients]
+  injection = await curio.spawn(injector.run, schedule)
+  broken = False
   while not injection.terminated or time.monotonic() < began + plan.seconds:
     await curio.sleep(REPORT_PERIOD_S)
     report = await cluster.platform("report")
-    echo(_progress(time.monotonic() - began, record, report, len(begins)))
-    if report["violations"] or record.violations:
+    echo(_progress(time.monotonic() - began, record, report, injector))
+    broken = bool(report["violations"] or record.violations)
+    if broken:
       await curio.sleep(AFTERMATH_S)
       await injection.cancel()
       break
-  else:
-    await injection.join()
   await stopped.set()
-  ended = record.violations or report["violations"]
-  if not ended:
-    await _settle(cluster, record, clients)
+  if not broken:
+    await injection.join()
+    await _settle(cluster, record, tasks)
   history = await cluster.platform("history")
-  for task in [*clients, *helpers]:
+  for task in [*tasks, supervisor]:
     await task.cancel()
-  _write(directory / "faults_made.json", begins)
+  rows = [{**_row(f), "from": a, "to": b} for f, a, b in injector.applied]
+  _write(directory / "faults_made.json", rows)
   _write(directory / "starts.json", history["starts"])
-  jobs = [dataclasses.asdict(job) for job in record.jobs.values()]
-  _write(directory / "jobs.json", jobs)
-  return checks.judge(history, record, injector, cluster.hosts, bool(ended))
+  _write(directory / "jobs.json", record.jobs.values())
+  return checks.judge(history, record, injector, cluster.hosts, broken)
 
 
-async def _settle(cluster, record: callers.Record, clients):
+async def _settle(cluster, record: callers.Record, tasks):
   """Waits until the callers are done and the accepted kept jobs have ended."""
-  for task in clients:
+  for task in tasks:
     await task.join()
   for host in cluster.hosts:
     host.start()
@@ -128,16 +99,20 @@
     await curio.sleep(0.1)
 
 
-def _progress(at: float, record: callers.Record, report, faults_made) -> str:
+def _progress(at: float, record: callers.Record, report, injector) -> str:
   statuses = collections.Counter(
       status for job in record.jobs.values() for status in job.statuses
   )
   counts = " ".join(f"{s}:{n}" for s, n in sorted(statuses.items()))
   return (
-      f"{at:5.1f} s  faults {faults_made}  jobs {len(record.jobs)}"
-      f"  starts {report['starts']}  answers {counts}"
+      f"{at:5.1f} s  faults over {len(injector.applied)}"
+      f"  jobs {len(record.jobs)}  starts {report['starts']}  answers {counts}"
   )
 
 
-def _write(path: pathlib.Path, value):
-  path.write_text(json.dumps(value, indent=1, default=str))
+def _row(value):
+  return dataclasses.asdict(value) if dataclasses.is_dataclass(value) else value
+
+
+def _write(path: pathlib.Path, rows):
+  path.write_text("\n".join(json.dumps(_row(row)) for row in rows) + "\n")
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,99 @@
+"""Short seeded soaks of the real programs, and tests of the soak's proxy."""
+
+import random
+import time
+
+import curio
+import pytest
+
+from fescueturn import httpio
+from fescueturn.lab import ports
+from tests.soak import __main__ as soak
+from tests.soak import proxy
+from tests.soak import run as run_lib
+
+
+@pytest.mark.parametrize(
+    "plan", (run_lib.Plan(1, 8.0, lossy_only=True), run_lib.Plan(2, 10.0))
+)
+def test_promises_hold_while_faults_are_injected(plan, tmp_path):
+  verdict = curio.run(run_lib.run, plan, tmp_path, print)
+  print(soak.format_verdict(plan, verdict))
+  assert verdict.violations == []
+  assert sum(count > 0 for count in verdict.tested.values()) >= 6
+
+
+def test_kept_seeds_can_be_read():
+  assert len(soak.read_regressions()) > 0
+
+
+def run_with_proxy(scenario):
+  """Runs a scenario with a path, its server's requests, and a client.
+
+  The client returns a status; None if it is unknown, 0 if nothing was sent.
+  """
+  target, address = ports.free_address(), ports.free_address()
+  path = proxy.Path(("a", "b"), address, target, random.Random(1))
+  pool = httpio.Pool(address, connect_s=0.25)
+  requests = []
+
+  async def handle(request):
+    requests.append(request.target)
+    return httpio.json_response(200, {})
+
+  async def get(name, timeout_s=5.0) -> int | None:
+    try:
+      return (await pool.request("GET", name, timeout_s=timeout_s)).status
+    except httpio.NotSentError:
+      return 0
+    except httpio.LostReplyError:
+      return None
+
+  async def main():
+    server = httpio.Server(target, handle)
+    await server.start()
+    await path.start()
+    await scenario(path, requests, get)
+    await path.close()
+    await server.close()
+
+  curio.run(main)
+
+
+def test_request_arrives_after_its_caller_gave_up():
+  async def scenario(path, requests, get):
+    assert await get("1") == 200
+    await path.set_fault("late", proxy.Fault(delay_up_s=0.2))
+    assert await get("2", timeout_s=0.05) is None
+    assert requests == ["1"]
+    await path.set_fault("hang", proxy.Fault(hang_share=1.0))
+    assert await get("3") == 0
+    assert requests == ["1", "2"]
+    await path.set_fault("hang", None)
+    assert await get("4") == 200
+
+  run_with_proxy(scenario)
+
+
+def test_refusal_lets_open_connections_go_on():
+  async def scenario(path, requests, get):
+    assert await get("1") == 200
+    await path.set_fault("refuse", proxy.Fault(refuse=True))
+    assert await get("2") == 200
+    await path.reset()
+    await curio.sleep(0.05)
+    assert await get("3") == 0
+    assert requests == ["1", "2"]
+
+  run_with_proxy(scenario)
+
+
+def test_one_way_cut_loses_the_answer_and_ends_the_connection():
+  async def scenario(path, requests, get):
+    await path.set_fault("cut", proxy.Fault(hold_down=True))
+    began = time.monotonic()
+    assert await get("1") is None
+    assert requests == ["1"]
+    assert time.monotonic() - began >= proxy.MAX_HOLD_S
+
+  run_with_proxy(scenario)
