--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -78,7 +78,6 @@
 
 
 def format_verdict(plan: run_lib.Plan, verdict: checks.Verdict) -> str:
-  """Returns the verdict as text."""
   lines = [f"seed {plan.seed}: {'FAILED' if verdict.violations else 'passed'}"]
   for promise, count in verdict.tested.items():
     risk = f"put to the test {count} times" if count else "never at risk"
@@ -88,8 +87,6 @@
 
 
 def _run_all(plans, keep: pathlib.Path, at_once: int) -> int:
-  """Runs each plan as a process of its own, a few at a time."""
-
   def run(plan):
     command = [sys.executable, "-m", "tests.soak", "--quiet"]
     command += ["--seed", str(plan.seed), "--seconds", str(plan.seconds)]
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -58,10 +58,7 @@
 
 @dataclasses.dataclass
 class Record:
-  """What all callers saw.
-
-  `answered_at_stop` counts answers to requests in flight at a SIGTERM.
-  """
+  """What all callers saw; answers to requests in flight at a SIGTERM count."""
 
   jobs: dict[str, Job] = dataclasses.field(default_factory=dict)
   violations: list[str] = dataclasses.field(default_factory=list)
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -53,7 +53,10 @@
   kept_ids = {job.id for job in jobs.values() if job.kept}
   tested = {
       ONE_RUN: sum(attempt > 1 for _, _, attempt, _, _ in starts),
-      NOT_AFTER_DONE: sum(n[:16] in kept_ids for n in history["acknowledged"]),
+      NOT_AFTER_DONE: sum(
+          name[:16] in kept_ids and how == "done"
+          for _, name, _, _, how, _ in history["acknowledged"]
+      ),
       CAPACITY: sum(full for *_, full in starts),
       REFUSED: sum(job.refused for job in jobs.values()),
       DRAINING: _check_drains(starts, injector, violations),
--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -42,11 +42,7 @@
 
 @dataclasses.dataclass
 class Life:
-  """One process of a host; times are monotonic (s).
-
-  One that was disturbed (paused, killed, stopped as it started) may cut
-  requests off.
-  """
+  """One process of a host; a disturbed one may cut requests off."""
 
   number: int
   process: subprocess.Popen
@@ -78,8 +74,8 @@
       return
     self.pauses = 0
     self.files.start()
-    number, process = len(self.lives), self.files.process
-    self.lives.append(Life(number, process, time.monotonic()))
+    life = Life(len(self.lives), self.files.process, time.monotonic())
+    self.lives.append(life)
 
   def terminate(self):
     life, now = self.life, time.monotonic()
@@ -111,8 +107,7 @@
       self.life.process.send_signal(signal.SIGHUP)
 
   async def is_ready(self) -> bool:
-    address = settings.Address(self.ip, self.files.readiness_port)
-    pool = httpio.Pool(address)
+    pool = httpio.Pool(settings.Address(self.ip, self.files.readiness_port))
     try:
       response = await pool.request("GET", "/-/readyz", timeout_s=1.0)
     except _LOST:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -108,7 +108,7 @@
 
 
 def _on_path(kind: str, amount: float) -> proxy.Fault | None:
-  """Returns the fault of a path for a kind; None resets its connections."""
+  """Returns a kind's fault of a path; None resets its connections."""
   return {
       "lossy": proxy.Fault(stall_share=amount, hang_share=amount),
       "delay": proxy.Fault(delay_up_s=amount, delay_down_s=amount),
@@ -124,11 +124,7 @@
 
 
 class Injector:
-  """Makes the faults of a schedule; `run` ends when all are over.
-
-  It notes the endpoints that drain, and the faults that are over, with their
-  monotonic times (s).
-  """
+  """Makes the faults of a schedule, and notes their times and the drains."""
 
   def __init__(self, cluster: cluster_lib.Cluster):
     self.drains: list[tuple[int, str, float]] = []
@@ -229,11 +225,10 @@
     self._busy_slots.discard(slot)
 
   async def _obey_late(self, fault: Fault):
-    for slot in fault.slots:
-      await self._cluster.platform("late", slot=slot, share=fault.amount)
-    await curio.sleep(fault.for_s)
-    for slot in fault.slots:
-      await self._cluster.platform("late", slot=slot, share=0.0)
+    for share, for_s in ((fault.amount, fault.for_s), (0.0, 0.0)):
+      for slot in fault.slots:
+        await self._cluster.platform("late", slot=slot, share=share)
+      await curio.sleep(for_s)
 
   async def _configure(self, fault: Fault):
     """Writes a newer configuration; sometimes an older one before it."""
--- a/tests/soak/platform.py
+++ b/tests/soak/platform.py
@@ -79,22 +79,34 @@
 
 
 class _Observed(endpoint_lib.EmulatedEndpoint):
-  """An endpoint that records its starts: time, task, attempt, id, if full."""
+  """An endpoint that records its starts and the acknowledgements of ends.
 
-  def __init__(self, records: list[tuple], *args):
+  A row is a time, task, attempt and id; whether it is full, or end and fence.
+  """
+
+  def __init__(self, platform, *args):
     super().__init__(*args)
-    self._records = records
+    self._platform = platform
+
+  def _row(self, run: model.RunId, *more) -> tuple:
+    name = platform_endpoints.format_task_name(run.task)
+    return (time.monotonic(), name, run.attempt, self.info.id, *more)
 
   def start(self, order):
     known = len(self.starts)
     result = super().start(order)
     if len(self.starts) > known:
-      name = platform_endpoints.format_task_name(order.run.task)
       full = sum(run.need.cpu for run in self._runs.values()) > FULL_CPU
-      row = (time.monotonic(), name, order.run.attempt, self.info.id, full)
-      self._records.append(row)
+      self._platform.starts.append(self._row(order.run, full))
     return result
 
+  def _acknowledge_results(self, last_seen):
+    for ended in self._ended:
+      if ended.number <= last_seen:
+        row = self._row(ended.run, ended.how.value, self._fence)
+        self._platform.acknowledged.append(row)
+    super()._acknowledge_results(last_seen)
+
 
 class Slot:
   """The address of an endpoint, with one incarnation after the other."""
@@ -124,7 +136,7 @@
         CAPACITY,
     )
     self.endpoint = _Observed(
-        platform.starts,
+        platform,
         info,
         platform.clock,
         functools.partial(_task_profile, platform.specs),
@@ -172,6 +184,7 @@
     self.specs, self.running_on, self.acknowledged_done = {}, {}, set()
     self.violations: list[str] = []
     self.starts: list[tuple] = []
+    self.acknowledged: list[tuple] = []
     self._wires: list[_Wire] = []
     self._slots: list[Slot] = []
 
@@ -221,12 +234,8 @@
     return {"violations": self.violations, "starts": len(self.starts)}
 
   def _on_history(self) -> dict:
-    name = platform_endpoints.format_task_name
-    return {
-        "violations": self.violations,
-        "starts": self.starts,
-        "acknowledged": [name(task) for task in self.acknowledged_done],
-    }
+    rows = {"starts": self.starts, "acknowledged": self.acknowledged}
+    return {"violations": self.violations, **rows}
 
 
 async def _serve(address: str, handler):
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -82,6 +82,7 @@
   rows = [{**_row(f), "from": a, "to": b} for f, a, b in injector.applied]
   _write(directory / "faults_made.json", rows)
   _write(directory / "starts.json", history["starts"])
+  _write(directory / "acknowledged.json", history["acknowledged"])
   _write(directory / "jobs.json", record.jobs.values())
   return checks.judge(history, record, injector, cluster.hosts, broken)
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,6 +2,7 @@
 
 import random
 import time
+import types
 
 import curio
 import pytest
@@ -9,6 +10,10 @@
 from fescueturn import httpio
 from fescueturn.lab import ports
 from tests.soak import __main__ as soak
+from tests.soak import callers
+from tests.soak import checks
+from tests.soak import cluster
+from tests.soak import faults
 from tests.soak import proxy
 from tests.soak import run as run_lib
 
@@ -97,3 +102,28 @@
     assert time.monotonic() - began >= proxy.MAX_HOLD_S
 
   run_with_proxy(scenario)
+
+
+def test_checks_find_each_broken_promise(tmp_path):
+  log = tmp_path / "host.log"
+  version = "event=config_in_force version="
+  log.write_text(f"event=started\n{version}2\n{version}1\nTraceback")
+  process = types.SimpleNamespace(poll=lambda: 1, returncode=1)
+  host = cluster.Host(types.SimpleNamespace(name="h", log_file=log), "")
+  host.lives.append(cluster.Life(0, process, 0.0))
+  ids = [f"{number:016x}" for number in range(3)]
+  jobs = [callers.Job(job_id, True, 1, False, False) for job_id in ids]
+  jobs[0].statuses, jobs[0].tried = [429, 503], True
+  jobs[1].state = "succeeded"
+  jobs[2].state, jobs[2].accepted = "running", True
+  record = callers.Record(dict(zip(ids, jobs, strict=True)), ["cut off"])
+  injector = faults.Injector(None)
+  injector.drains.append((0, "i-0-1", 1.0))
+  history = {"violations": ["two runs"], "acknowledged": []}
+  history["starts"] = [(9.0, f"{ids[0]}.0.0.0", 1, "i-0-1", True)]
+  verdict = checks.judge(history, record, injector, [host], False)
+  found = "\n".join(verdict.violations)
+  for words in ("two runs", "cut off", "refused", "succeeded", "not ended"):
+    assert words in found
+  for words in ("drains since", "configurations [2, 1]", "Traceback", "exited"):
+    assert words in found
