--- /dev/null
+++ b/tests/soak/__main__.py
@@ -0,0 +1,104 @@
+"""Command line of the soak: ``python3 -m tests.soak --help``."""
+
+import pathlib
+import random
+import shutil
+import signal
+import subprocess
+import sys
+import tempfile
+from concurrent import futures
+
+import click
+import curio
+
+from tests import deployments
+from tests.soak import checks
+from tests.soak import run as run_lib
+
+REGRESSIONS = pathlib.Path(__file__).with_name("regressions.txt")
+
+
+@click.command()
+@click.option("--seed", type=int, help="First seed; a fresh one by default.")
+@click.option("--seconds", default=20.0, help="How long faults begin.")
+@click.option("--seeds", default=1, help="Number of consecutive seeds.")
+@click.option("--at-once", default=1, help="Number of soaks at a time.")
+@click.option("--lossy", is_flag=True, help="Only paths that lose packets.")
+@click.option("--regressions", is_flag=True, help="Run the kept seeds.")
+@click.option("--quiet", is_flag=True, help="Print the verdict only.")
+@click.option(
+    "--keep",
+    default="soak-findings",
+    type=click.Path(path_type=pathlib.Path),
+    help="Where the folders of failed seeds go.",
+)
+def main(seed, seconds, seeds, at_once, lossy, regressions, quiet, keep):
+  """Soaks the real programs and prints which promises held."""
+  signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(128 + number))
+  if seed is None:
+    seed = random.SystemRandom().randrange(1_000_000)
+  numbers = range(seed, seed + seeds)
+  plans = [run_lib.Plan(number, seconds, lossy) for number in numbers]
+  if regressions:
+    plans = read_regressions()
+  if len(plans) == 1:
+    sys.exit(_run_here(plans[0], keep, quiet))
+  sys.exit(_run_all(plans, keep, at_once))
+
+
+def read_regressions() -> list[run_lib.Plan]:
+  """Returns the plans of the seeds that ever failed."""
+  plans = []
+  for line in REGRESSIONS.read_text().splitlines():
+    if line and not line.startswith("#"):
+      seed, seconds, mode, *_ = line.split()
+      plans.append(run_lib.Plan(int(seed), float(seconds), mode == "lossy"))
+  return plans
+
+
+def _run_here(plan: run_lib.Plan, keep: pathlib.Path, quiet: bool) -> int:
+  directory = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{plan.seed}-"))
+  echo = (lambda line: None) if quiet else click.echo
+  failed = True
+  try:
+    verdict = curio.run(run_lib.run, plan, directory, echo)
+    click.echo(format_verdict(plan, verdict))
+    failed = bool(verdict.violations)
+  finally:
+    if failed:
+      keep.mkdir(parents=True, exist_ok=True)
+      kept = keep / f"{plan.seed}{'-lossy' * plan.lossy_only}"
+      shutil.rmtree(kept, ignore_errors=True)
+      shutil.move(directory, kept)
+      click.echo(f"kept {kept}")
+    else:
+      shutil.rmtree(directory)
+  return int(failed)
+
+
+def format_verdict(plan: run_lib.Plan, verdict: checks.Verdict) -> str:
+  lines = [f"seed {plan.seed}: {'FAILED' if verdict.violations else 'passed'}"]
+  for promise, count in verdict.tested.items():
+    risk = f"put to the test {count} times" if count else "never at risk"
+    lines.append(f"  {promise}: {risk}")
+  lines += [f"  BROKEN {violation}" for violation in verdict.violations]
+  return "\n".join(lines)
+
+
+def _run_all(plans, keep: pathlib.Path, at_once: int) -> int:
+  def run(plan):
+    command = [sys.executable, "-m", "tests.soak", "--quiet"]
+    command += ["--seed", str(plan.seed), "--seconds", str(plan.seconds)]
+    command += ["--keep", str(keep.resolve()), *["--lossy"] * plan.lossy_only]
+    return subprocess.run(command, cwd=deployments.ROOT, check=False).returncode
+
+  with futures.ThreadPoolExecutor(at_once) as pool:
+    codes = list(pool.map(run, plans))
+  failed = [p.seed for p, code in zip(plans, codes, strict=True) if code]
+  click.echo(f"{len(plans)} seeds, {len(failed)} failed: {failed}")
+  return int(bool(failed))
+
+
+if __name__ == "__main__":
+  main()
--- /dev/null
+++ b/tests/soak/callers.py
@@ -0,0 +1,181 @@
+"""Callers of a soak: submit jobs as the users' clients do, and keep a record.
+
+A caller keeps its connection until it breaks. After a broken connection, a 502
+or a 504 it sends the same job to another host 1.3 s later.
+"""
+
+import dataclasses
+import json
+import random
+import time
+
+import curio
+
+from fescueturn import httpio
+from fescueturn import settings
+from tests import deployments
+
+CALLERS = 10
+# The users' clients send a job again this long after its connection broke.
+RESEND_S = 1.3
+MAX_TRIES = 4
+POLL_S = 0.25
+# A request that was pending for longer must be answered by a stopping host.
+PENDING_S = 0.1
+# How long after a job's deadline its caller gives up.
+PATIENCE_S = 4.0
+REFUSED = (429, 503)
+_EXPECTED = (200, 429, 502, 503, 504)
+_BROKEN, _NOT_CONNECTED = 0, -1
+
+
+@dataclasses.dataclass
+class Job:
+  """A job and what its caller saw of it.
+
+  It has one status a try, 0 for a broken connection and -1 for none. `tried`
+  tells that its caller sends it no more, `abandoned` that it hangs up soon.
+  """
+
+  id: str
+  kept: bool
+  tasks: int
+  fails: bool
+  abandoned: bool
+  statuses: list[int] = dataclasses.field(default_factory=list)
+  state: str | None = None
+  accepted: bool = False
+  tried: bool = False
+
+  @property
+  def refused(self) -> bool:
+    return self.tried and set(self.statuses) <= set(REFUSED)
+
+  @property
+  def open(self) -> bool:
+    return self.accepted and self.state in ("queued", "running")
+
+
+@dataclasses.dataclass
+class Record:
+  """What all callers saw; answers to requests in flight at a SIGTERM count."""
+
+  jobs: dict[str, Job] = dataclasses.field(default_factory=dict)
+  violations: list[str] = dataclasses.field(default_factory=list)
+  answered_at_stop: int = 0
+
+
+class Caller:
+  """One caller, with keep-alive connections to the hosts."""
+
+  def __init__(self, cluster, record: Record, seed: int, number: int):
+    self._hosts = cluster.hosts
+    self._record = record
+    self._rng = random.Random(f"{seed}/caller/{number}")
+    self._prefix = f"{seed & 0xFFFFFF:06x}{number:02x}"
+    self._count = 0
+    self._host = self._rng.choice(self._hosts)
+    self._pools: dict[str, httpio.Pool] = {}
+
+  async def run(self, stopped: curio.Event):
+    while not stopped.is_set():
+      await curio.sleep(self._rng.expovariate(4.0))
+      if self._rng.random() < 0.05:
+        self._host = self._rng.choice(self._hosts)
+      await self._run_job()
+
+  async def _run_job(self):
+    rng = self._rng
+    self._count += 1
+    kept = rng.random() < 0.3
+    abandoned = not kept and rng.random() < 0.05
+    tasks, fails = rng.choice((1, 1, 2, 3)), rng.random() < 0.04
+    job = Job(f"{self._prefix}{self._count:08x}", kept, tasks, fails, abandoned)
+    self._record.jobs[job.id] = job
+    body, deadline_ms = self._body(job), rng.choice((1500, 3000, 5000))
+    patience_s = deadline_ms / 1000 + PATIENCE_S
+    if abandoned:
+      patience_s = rng.uniform(0.05, 0.5)
+    for _ in range(MAX_TRIES):
+      status = await self._submit(job, body, deadline_ms, patience_s)
+      job.statuses.append(status)
+      if status == 200 or abandoned:
+        break
+      if status in REFUSED and rng.random() < 0.5:
+        break
+      await curio.sleep(1.0 if status in REFUSED else RESEND_S)
+      self._host = rng.choice([h for h in self._hosts if h is not self._host])
+    job.tried = True
+    if job.accepted:
+      await curio.spawn(self._follow, job, rng.random() < 0.1, daemon=True)
+
+  def _body(self, job: Job) -> bytes:
+    run_s = self._rng.choice((0.05, 0.15, 0.3, 0.6))
+    cpu = self._rng.choice((8000, 16000, 27000))
+    spec = {"run_s": run_s, "cpu": cpu, "fails": job.fails, "kept": job.kept}
+    phase = {"taskCount": job.tasks, "cpu": cpu, "memMb": 64}
+    phase["estimateMs"] = int(run_s * 1000)
+    body = {"bestEffort": not job.kept, "phases": [phase]}
+    return json.dumps({**body, "spec": json.dumps(spec)}).encode()
+
+  async def _submit(
+      self, job, body, deadline_ms: int, patience_s: float
+  ) -> int:
+    headers = (
+        ("deadline-ms", str(deadline_ms)),
+        ("request-id", f"q-{job.id}-{len(job.statuses)}"),
+    )
+    host, life, sent_at = self._host, self._host.life, time.monotonic()
+    status, answer = await self._request(
+        host, "POST", job.id, body, headers, patience_s
+    )
+    pending_s = time.monotonic() - sent_at
+    stopped_at = life.terminated_at
+    if status == _BROKEN and not job.abandoned and pending_s > PENDING_S:
+      # Only a host that was killed or paused may cut a request off.
+      if stopped_at is not None and not life.disturbed:
+        self._record.violations.append(
+            f"{host.name} process {life.number}, stopped by SIGTERM, left job"
+            f" {job.id} unanswered after {pending_s:.3f} s"
+        )
+    elif status > 0 and stopped_at is not None and sent_at < stopped_at:
+      self._record.answered_at_stop += 1
+    if status == 200:
+      job.state = answer["state"]
+      job.accepted = job.kept
+    elif status > 0 and status not in _EXPECTED:
+      self._record.violations.append(f"job {job.id}: {host.name}: {status}")
+    return status
+
+  async def _request(
+      self, host, method, job_id, body=b"", headers=(), timeout_s=3.0
+  ) -> tuple[int, dict]:
+    if host.name not in self._pools:
+      address = settings.Address(host.ip, host.files.callers_port)
+      self._pools[host.name] = httpio.Pool(address, connect_s=1.0)
+    target = deployments.PREFIX + job_id
+    try:
+      response = await self._pools[host.name].request(
+          method, target, body, headers, timeout_s
+      )
+      return response.status, response.json()
+    except httpio.NotSentError:
+      return _NOT_CONNECTED, {}
+    except httpio.LostReplyError:
+      return _BROKEN, {}
+
+  async def _follow(self, job: Job, cancels: bool):
+    """Polls a kept job, or cancels it first, until it ends."""
+    await curio.sleep(self._rng.uniform(0.0, 0.5))
+    method = "DELETE" if cancels else "GET"
+    while job.open:
+      host = self._rng.choice(self._hosts)
+      status, answer = await self._request(host, method, job.id)
+      if status == 200:
+        job.state = answer.get("state", job.state)
+      elif status == 410 and method == "GET":
+        self._record.violations.append(
+            f"accepted kept job {job.id}: {host.name} answers 410"
+        )
+      method = "GET"
+      await curio.sleep(POLL_S)
--- /dev/null
+++ b/tests/soak/cluster.py
@@ -0,0 +1,250 @@
+"""The processes of a soak: the platform's stand-in, hosts, and proxies."""
+
+import atexit
+import dataclasses
+import json
+import os
+import pathlib
+import random
+import signal
+import subprocess
+import sys
+import time
+
+import curio
+
+from fescueturn import httpio
+from fescueturn import settings
+from fescueturn.lab import ports
+from tests import deployments
+from tests.soak import proxy
+
+SLOTS = 6
+STORE = "store"
+MAX_CLOCK_MS = 10_000_000
+# Time from SIGTERM to SIGKILL, as the hosts' settings files have it.
+GRACE_S = 6.0
+# A process that gets a signal sooner may not handle it yet.
+START_S = 3.0
+START_LIMIT_S = 60.0
+_LOST = (httpio.NotSentError, httpio.LostReplyError)
+
+
+def slot_name(number: int) -> str:
+  return f"slot-{number}"
+
+
+def own_loopback() -> str:
+  """Returns a loopback address that no other process uses."""
+  pid = os.getpid()
+  return f"127.{64 + (pid >> 16)}.{pid >> 8 & 255}.{pid & 255}"
+
+
+@dataclasses.dataclass
+class Life:
+  """One process of a host; a disturbed one may cut requests off."""
+
+  number: int
+  process: subprocess.Popen
+  started_at: float
+  terminated_at: float | None = None
+  disturbed: bool = False
+
+  @property
+  def running(self) -> bool:
+    return self.process.poll() is None
+
+
+class Host:
+  """A host whose processes, its `lives`, follow one another."""
+
+  def __init__(self, files: deployments.Host, ip: str):
+    self.files = files
+    self.ip = ip
+    self.name = files.name
+    self.lives: list[Life] = []
+    self.pauses = 0
+
+  @property
+  def life(self) -> Life:
+    return self.lives[-1]
+
+  def start(self):
+    if self.lives and self.life.running:
+      return
+    self.pauses = 0
+    self.files.start()
+    life = Life(len(self.lives), self.files.process, time.monotonic())
+    self.lives.append(life)
+
+  def terminate(self):
+    life, now = self.life, time.monotonic()
+    if life.running and life.terminated_at is None:
+      life.terminated_at = now
+      life.disturbed |= now < life.started_at + START_S
+      life.process.send_signal(signal.SIGTERM)
+
+  def kill(self):
+    self._disturb(signal.SIGKILL)
+
+  def pause(self):
+    """Stops the process with SIGSTOP; each pause needs a `resume`."""
+    self.pauses += 1
+    self._disturb(signal.SIGSTOP)
+
+  def _disturb(self, number: signal.Signals):
+    if self.life.running:
+      self.life.disturbed = True
+      self.life.process.send_signal(number)
+
+  def resume(self):
+    self.pauses = max(0, self.pauses - 1)
+    if not self.pauses:
+      self.life.process.send_signal(signal.SIGCONT)
+
+  def reload(self):
+    if time.monotonic() > self.life.started_at + START_S:
+      self.life.process.send_signal(signal.SIGHUP)
+
+  async def is_ready(self) -> bool:
+    pool = httpio.Pool(settings.Address(self.ip, self.files.readiness_port))
+    try:
+      response = await pool.request("GET", "/-/readyz", timeout_s=1.0)
+    except _LOST:
+      return False
+    await pool.close()
+    return response.status == 200
+
+
+class Cluster:
+  """All processes of a soak, and the proxies by their clients and servers."""
+
+  def __init__(self, directory: pathlib.Path, seed: int):
+    self.hosts: list[Host] = []
+    self.paths: dict[tuple[str, str], proxy.Path] = {}
+    self._directory = directory
+    self._seed = seed
+    self._rng = random.Random(f"{seed}/cluster")
+    self._ip = own_loopback()
+    self._control_address = self._free_address()
+    self._control = httpio.Pool(self._control_address, connect_s=START_LIMIT_S)
+    self._platform = None
+    self._version = 0
+    # For a soak that is stopped by a signal.
+    atexit.register(self.end_processes)
+
+  def _free_address(self) -> settings.Address:
+    return settings.Address(self._ip, ports.free_address().port)
+
+  async def start(self):
+    centres = deployments.DATA_CENTRES
+    names = [(f"{centre}-{i}", centre) for centre in centres for i in range(2)]
+    servers = [(slot_name(i), self._free_address()) for i in range(SLOTS)]
+    endpoints = [
+        {
+            "address": str(address),
+            "data_centre": centres[i % len(centres)],
+            "clock_ms": self._rng.randrange(MAX_CLOCK_MS),
+        }
+        for i, (_, address) in enumerate(servers)
+    ]
+    views = []
+    for name, centre in names:
+      store = self._free_address()
+      store_proxy = self._add_path(name, STORE, store)
+      views.append({"listen": str(store), "addresses": {}})
+      host = self._new_host(name, centre, store_proxy.port)
+      self.hosts.append(host)
+      peer_port = host.files.metrics_port - 1
+      servers.append((name, settings.Address(self._ip, peer_port)))
+    for view, host in zip(views, self.hosts, strict=True):
+      for name, target in servers:
+        if name != host.name:
+          address = self._add_path(host.name, name, target)
+          view["addresses"][str(target)] = str(address)
+    for path in self.paths.values():
+      await path.start()
+    await self._start_platform(views, endpoints)
+    await self.configure(newer=True)
+    for host in self.hosts:
+      host.start()
+    for host in self.hosts:
+      await _wait_for(host.is_ready, f"{host.name} is ready")
+
+  def _add_path(self, client: str, server: str, target) -> settings.Address:
+    address = self._free_address()
+    rng = random.Random(f"{self._seed}/{client}/{server}")
+    path = proxy.Path((client, server), address, target, rng)
+    self.paths[path.name] = path
+    return address
+
+  def _new_host(self, name: str, data_centre: str, store_port: int) -> Host:
+    files = deployments.Host(self._directory, name, data_centre, store_port)
+    text = files.settings_file.read_text()
+    files.settings_file.write_text(text.replace(ports.LOOPBACK, self._ip))
+    return Host(files, self._ip)
+
+  async def _start_platform(self, views: list, endpoints: list):
+    raw = {"seed": self._seed, "views": views, "endpoints": endpoints}
+    raw["control"] = str(self._control_address)
+    settings_file = self._directory / "platform.json"
+    settings_file.write_text(json.dumps(raw))
+    command = [sys.executable, "-m", "tests.soak.platform", str(settings_file)]
+    with (self._directory / "platform.log").open("wb") as log:
+      self._platform = subprocess.Popen(
+          command, cwd=deployments.ROOT, stdout=log, stderr=log
+      )
+
+    await _wait_for(self._platform_answers, "the platform's stand-in answers")
+
+  async def _platform_answers(self) -> bool:
+    try:
+      return bool(await self.platform("report"))
+    except _LOST:
+      return False
+
+  async def platform(self, what: str, **arguments) -> dict:
+    body = json.dumps(arguments).encode()
+    response = await self._control.request("POST", f"/soak/{what}", body)
+    return response.json()
+
+  async def configure(self, newer: bool):
+    """Writes the next version of the configuration, or an older one."""
+    self._version += newer
+    version = self._version if newer else max(1, self._version - 1)
+    # Each odd version has one more queue.
+    prefixes = [deployments.PREFIX] + ["/more/"] * (version % 2)
+    value = deployments.config(version, prefixes)
+    for route in value["routes"]:
+      # The callers' connections name the address in the Host header.
+      route["host"] = self._ip
+    await self.platform("put", key="op/config", value=value)
+
+  async def supervise(self):
+    while True:
+      await curio.sleep(0.02)
+      for life in [host.life for host in self.hosts]:
+        since = life.terminated_at
+        if since is not None and time.monotonic() > since + GRACE_S:
+          life.process.kill()
+
+  def end_processes(self):
+    processes = [life.process for host in self.hosts for life in host.lives]
+    for process in [*processes, self._platform]:
+      if process is not None:
+        process.kill()
+        process.wait()
+
+  async def close(self):
+    self.end_processes()
+    atexit.unregister(self.end_processes)
+    for path in self.paths.values():
+      await path.close()
+
+
+async def _wait_for(condition, description: str):
+  end = time.monotonic() + START_LIMIT_S
+  while not await condition():
+    if time.monotonic() > end:
+      raise TimeoutError(f"not within {START_LIMIT_S} s: {description}")
+    await curio.sleep(0.05)
--- /dev/null
+++ b/tests/soak/faults.py
@@ -0,0 +1,254 @@
+"""The faults of a soak: a schedule drawn from the seed, and how each is made.
+
+Faults of one kind come in series of their own, so that those of different
+kinds overlap.
+"""
+
+import dataclasses
+import random
+import time
+
+import curio
+
+from tests.soak import cluster as cluster_lib
+from tests.soak import proxy
+
+HOSTS = tuple(range(4))
+SLOTS = tuple(range(cluster_lib.SLOTS))
+# No fault begins sooner.
+FIRST_S = 1.0
+_PATH_KINDS = "delay reset silence cut_up cut_down refuse hang".split()
+_HOST_KINDS = (
+    "terminate terminate kill kill pause terminate_kill pause_kill"
+    " pause_terminate reload"
+).split()
+_STORE_KINDS = (
+    "store_down store_delay store_cut_down store_late store_silence store_reset"
+    " config config config config_old"
+).split()
+
+
+@dataclasses.dataclass(frozen=True)
+class Fault:
+  """One entry of a schedule, which begins `at` seconds after the start.
+
+  It concerns the numbered hosts and endpoints; the amount is a share, a delay
+  (s) or a clock (ms), by kind.
+  """
+
+  at: float
+  kind: str
+  hosts: tuple[int, ...] = ()
+  slots: tuple[int, ...] = ()
+  for_s: float = 0.0
+  amount: float = 0.0
+
+  def disturbs_reads(self, slot: int) -> bool:
+    """Returns whether hosts of an endpoint may not read the store in time."""
+    near = any(host // 2 == slot % 2 for host in self.hosts)
+    disturbs = near and self.kind.startswith(("store", "pause"))
+    return disturbs or self.kind == "store_down"
+
+
+def schedule(seed: int, length_s: float, lossy_only: bool) -> list[Fault]:
+  rng = random.Random(f"{seed}/faults")
+  draws = [(0.8, _path_fault), (2.5, _host_fault)]
+  draws += [(3.5, _slot_fault), (3.0, _store_fault)]
+  faults = []
+  for mean_s, draw in [(2.0, _lossy)] if lossy_only else draws:
+    at = FIRST_S
+    while (at := at + rng.expovariate(1 / mean_s)) < length_s:
+      faults.append(Fault(round(at, 3), *draw(rng)))
+  return sorted(faults, key=lambda fault: fault.at)
+
+
+def _some(rng, numbers) -> tuple[int, ...]:
+  count = rng.choice((1, 1, 2, len(numbers)))
+  return tuple(sorted(rng.sample(numbers, count)))
+
+
+def _lossy(rng) -> tuple:
+  some_hosts = rng.random() < 0.5
+  hosts = _some(rng, HOSTS) if some_hosts else HOSTS
+  slots = SLOTS if some_hosts else _some(rng, SLOTS)
+  return "lossy", hosts, slots, rng.uniform(1.0, 5.0), rng.uniform(0.1, 0.4)
+
+
+def _path_fault(rng) -> tuple:
+  if rng.random() < 0.4:
+    return _lossy(rng)
+  kind, slots = rng.choice(_PATH_KINDS), _some(rng, SLOTS)
+  if rng.random() < 0.33:
+    kind, slots = f"peers_{kind}", ()
+  for_s = rng.uniform(0.1, rng.choice((0.8, 4.0)))
+  return kind, _some(rng, HOSTS), slots, for_s, rng.uniform(0.01, 0.3)
+
+
+def _host_fault(rng) -> tuple:
+  kind, hosts = rng.choice(_HOST_KINDS), (rng.choice(HOSTS),)
+  if rng.random() < 0.07:
+    hosts, kind = HOSTS, rng.choice(("kill", "terminate"))
+  return kind, hosts, (), rng.uniform(0.2, 3.0), rng.uniform(0.0, 2.0)
+
+
+def _slot_fault(rng) -> tuple:
+  kind = rng.choice(("drain", "drain", "crash", "late"))
+  for_s = rng.uniform(3.0, 6.0) if kind == "drain" else rng.uniform(0.2, 4.0)
+  if kind == "late":
+    return kind, (), _some(rng, SLOTS), for_s, rng.uniform(0.05, 0.3)
+  clock_ms = rng.randrange(cluster_lib.MAX_CLOCK_MS)
+  return kind, (), (rng.choice(SLOTS),), for_s, clock_ms
+
+
+def _store_fault(rng) -> tuple:
+  kind = rng.choice(_STORE_KINDS)
+  late = kind == "store_late"
+  amount = rng.uniform(1.0, 4.0) if late else rng.uniform(0.02, 0.6)
+  return kind, _some(rng, HOSTS), (), rng.uniform(0.3, 3.0), amount
+
+
+def _on_path(kind: str, amount: float) -> proxy.Fault | None:
+  """Returns a kind's fault of a path; None resets its connections."""
+  return {
+      "lossy": proxy.Fault(stall_share=amount, hang_share=amount),
+      "delay": proxy.Fault(delay_up_s=amount, delay_down_s=amount),
+      "silence": proxy.Fault(hold_up=True, hold_down=True, hang_share=1.0),
+      "cut_up": proxy.Fault(hold_up=True, hang_share=1.0),
+      "cut_down": proxy.Fault(hold_down=True),
+      "refuse": proxy.Fault(refuse=True),
+      "hang": proxy.Fault(hang_share=1.0),
+      # Requests are carried out after their callers have given up.
+      "late": proxy.Fault(delay_up_s=amount),
+      "reset": None,
+  }[kind]
+
+
+class Injector:
+  """Makes the faults of a schedule, and notes their times and the drains."""
+
+  def __init__(self, cluster: cluster_lib.Cluster):
+    self.drains: list[tuple[int, str, float]] = []
+    self.applied: list[tuple[Fault, float, float]] = []
+    self._cluster = cluster
+    self._busy_slots: set[int] = set()
+
+  async def run(self, faults: list[Fault]):
+    began = time.monotonic()
+    tasks = []
+    try:
+      for fault in faults:
+        await curio.sleep(max(0.0, began + fault.at - time.monotonic()))
+        tasks.append(await curio.spawn(self._apply, fault))
+      for task in tasks:
+        await task.join()
+    finally:
+      for task in tasks:
+        await task.cancel()
+
+  async def _apply(self, fault: Fault):
+    begins = time.monotonic()
+    make = _MAKERS.get(fault.kind, Injector._fail_paths)
+    try:
+      await make(self, fault)
+    finally:
+      self.applied.append((fault, begins, time.monotonic()))
+
+  async def _fail_paths(self, fault: Fault):
+    names = [host.name for host in self._cluster.hosts]
+    clients = {names[number] for number in fault.hosts}
+    servers = {cluster_lib.slot_name(number) for number in fault.slots}
+    paths = self._cluster.paths.values()
+    if fault.kind.startswith("peers_"):
+      # The paths from and to these hosts.
+      kind = fault.kind.removeprefix("peers_")
+      chosen = [
+          p for p in paths if p.name[1] in names and clients & set(p.name)
+      ]
+    else:
+      kind = fault.kind.removeprefix("store_")
+      servers = {cluster_lib.STORE} if kind != fault.kind else servers
+      chosen = [
+          p for p in paths if p.name[0] in clients and p.name[1] in servers
+      ]
+    path_fault = _on_path(kind, fault.amount)
+    if path_fault is None:
+      for path in chosen:
+        await path.reset()
+      return
+    for path in chosen:
+      await path.set_fault(fault, path_fault)
+    await curio.sleep(fault.for_s)
+    for path in chosen:
+      await path.set_fault(fault, None)
+
+  async def _signal_hosts(self, fault: Fault):
+    hosts = [self._cluster.hosts[number] for number in fault.hosts]
+    for number, step in enumerate(fault.kind.split("_")):
+      await curio.sleep(fault.amount if number else 0)
+      for host in hosts:
+        getattr(host, step)()
+    lives = [host.life for host in hosts]
+    if fault.kind.startswith("pause"):
+      await curio.sleep(fault.for_s)
+      for host in hosts:
+        host.resume()
+    if fault.kind in ("pause", "reload"):
+      return
+    while any(life.running for life in lives):
+      await curio.sleep(0.02)
+    await curio.sleep(fault.for_s / 2)
+    for host in hosts:
+      host.start()
+
+  async def _replace_endpoint(self, fault: Fault):
+    """An endpoint drains or crashes, and comes back with a new id."""
+    (slot,) = fault.slots
+    if slot in self._busy_slots:
+      return
+    self._busy_slots.add(slot)
+    down_s = fault.for_s
+    if fault.kind == "drain":
+      answer = await self._cluster.platform("drain", slot=slot)
+      self.drains.append((slot, answer["id"], answer["at"]))
+      await curio.sleep(fault.for_s)
+      down_s = 0.3
+    name = cluster_lib.slot_name(slot)
+    paths = [p for p in self._cluster.paths.values() if p.name[1] == name]
+    await self._cluster.platform("crash", slot=slot)
+    for path in paths:
+      await path.set_fault(fault, proxy.Fault(refuse=True))
+      await path.reset()
+    await curio.sleep(down_s)
+    await self._cluster.platform("return", slot=slot, clock_ms=fault.amount)
+    for path in paths:
+      await path.set_fault(fault, None)
+    self._busy_slots.discard(slot)
+
+  async def _obey_late(self, fault: Fault):
+    for share, for_s in ((fault.amount, fault.for_s), (0.0, 0.0)):
+      for slot in fault.slots:
+        await self._cluster.platform("late", slot=slot, share=share)
+      await curio.sleep(for_s)
+
+  async def _configure(self, fault: Fault):
+    """Writes a newer configuration; sometimes an older one before it."""
+    if fault.kind == "config_old":
+      await self._cluster.configure(newer=False)
+      await curio.sleep(fault.for_s)
+    await self._cluster.configure(newer=True)
+
+  async def _stop_store(self, fault: Fault):
+    await self._cluster.platform("down", down=True)
+    await curio.sleep(fault.for_s)
+    await self._cluster.platform("down", down=False)
+
+
+_MAKERS = {
+    **dict.fromkeys(_HOST_KINDS, Injector._signal_hosts),
+    "drain": Injector._replace_endpoint,
+    "crash": Injector._replace_endpoint,
+    "late": Injector._obey_late,
+    "config": Injector._configure,
+    "config_old": Injector._configure,
+    "store_down": Injector._stop_store,
+}
