--- a/fescueturn/scheduler/leases.py
+++ b/fescueturn/scheduler/leases.py
@@ -1,8 +1,7 @@
-"""Handles an owner's endpoints: the platform's list, the leases and the runs.
+"""Handles an owner's endpoints: the platform's list, leases and listed runs.
 
-Every answer of an endpoint is handled here. A run counts against its endpoint's
-capacity from its start request on, answered or not, so that no endpoint is
-overcommitted.
+A run counts against its endpoint's capacity from its start request on, answered
+or not, so that no endpoint is overcommitted.
 """
 
 from fescueturn.scheduler import crashes
@@ -152,7 +151,7 @@
     return
   record.call_pending = False
   owner.call_losses.record_call(event.result is model.CallResult.NO_ANSWER)
-  _update_clock(owner, record, event.clock_ms)
+  update_clock(owner, record, event.clock_ms)
   if event.result is model.CallResult.OK:
     _handle_run_lists(owner, record, event)
   else:
@@ -167,7 +166,7 @@
     renew_lease(owner, record, now=True)
 
 
-def _update_clock(owner, record, clock_ms: int | None):
+def update_clock(owner, record, clock_ms: int | None):
   """Records an endpoint's clock, which may show that this host was suspended.
 
   The host's own clock may not count the time for which it was suspended.
@@ -272,11 +271,11 @@
 def _handle_failed_call(owner, record, result: model.CallResult):
   """Handles a lease call that failed or got no answer."""
   if result is model.CallResult.FENCED:
-    _step_down(owner, record)
+    step_down(owner, record)
   elif result is model.CallResult.GONE:
-    _remove_old_incarnation(owner, record)
+    remove_old_incarnation(owner, record)
   elif result is model.CallResult.NOT_SENT:
-    _mark_silent(owner, record)
+    mark_silent(owner, record)
   elif result is model.CallResult.NO_ANSWER:
     _handle_lost_lease_call(owner, record)
   else:
@@ -284,7 +283,7 @@
     record.delay_next_call(owner.now)
 
 
-def _handle_lost_request(owner, record, sent_at: float | None):
+def handle_lost_request(owner, record, sent_at: float | None):
   """Handles a start or stop request without an answer.
 
   If the endpoint has answered another call since, only this one was lost.
@@ -316,13 +315,14 @@
     return
   record.calls_unanswered += 1
   if not record.runs_known or record.calls_unanswered >= MAX_UNANSWERED_CALLS:
-    _mark_silent(owner, record)
+    mark_silent(owner, record)
     return
   record.suspected_since = owner.now
   renew_lease(owner, record, now=True)
 
 
-def _mark_silent(owner, record):
+def mark_silent(owner, record):
+  """Marks an endpoint as silent; its lease is left to expire."""
   if record.silent_since is None:
     owner.emit(ownerstate.endpoint_log("endpoint_silent", record))
   record.mark_silent(owner.now)
@@ -330,14 +330,14 @@
   record.delay_next_call(owner.now)
 
 
-def _step_down(owner, record):
+def step_down(owner, record):
   """Gives up the shard: a host with a higher fencing token has taken over."""
   if not owner.fenced:
     owner.fenced = True
     owner.emit(ownerstate.endpoint_log("fenced", record, fence=owner.fence))
 
 
-def _remove_old_incarnation(owner, record):
+def remove_old_incarnation(owner, record):
   """Removes an endpoint at whose address another incarnation has answered.
 
   The old incarnation is not called again while the platform still lists it.
@@ -370,118 +370,3 @@
   info = record.info
   for job in crashes.confirm_crash(owner, info.id, info.address):
     outcomes.end_job_if_finished(owner, job)
-
-
-def handle_start_answer(owner: ownerstate.Owner, event: events.StartAnswered):
-  """Handles the answer to a start request."""
-  record = owner.endpoints.get(event.endpoint)
-  run = record.runs.get(event.run) if record else None
-  if record is not None:
-    _update_clock(owner, record, event.clock_ms)
-  if run is None:
-    return
-  if event.result is model.CallResult.OK:
-    _confirm_start(owner, record, run)
-    return
-  _handle_failed_start(owner, record, run, event.result)
-  runcontrol.start_waiting_tasks(owner)
-
-
-def _confirm_start(owner, record, run: endpointstate.Run):
-  """Marks a run as started: the next lease call lists it or its end."""
-  if run.state is endpointstate.RunState.ORDERED:
-    run.state = endpointstate.RunState.RUNNING
-  run.listed_from_call = run.listed_from_call or record.call_number + 1
-  renew_lease(owner, record)
-
-
-def _handle_failed_start(
-    owner, record, run: endpointstate.Run, result: model.CallResult
-):
-  owner.counters[f"start_{result.value}"] += 1
-  owner.emit(
-      ownerstate.run_log(
-          "start_failed",
-          record,
-          run,
-          result=result.value,
-          sends=run.sends,
-          age_ms=int((owner.now - run.started_at) * 1000),
-          fence=owner.fence,
-      )
-  )
-  if result is model.CallResult.FENCED:
-    _step_down(owner, record)
-    return
-  if result is model.CallResult.GONE:
-    _remove_old_incarnation(owner, record)
-    return
-  if result is model.CallResult.OLD_ATTEMPT and run.was_resent:
-    # An earlier request was carried out and the run has ended, or was stopped.
-    _confirm_start(owner, record, run)
-    return
-  if result is model.CallResult.NO_ANSWER:
-    _handle_lost_request(owner, record, run.sent_at)
-    is_listed = run.state is endpointstate.RunState.RUNNING
-    if not (is_listed or runcontrol.resend_start(owner, record, run)):
-      runcontrol.stop_possible_run(owner, record, run)
-    return
-  if result is model.CallResult.NOT_SENT:
-    _mark_silent(owner, record)
-  elif result is not model.CallResult.LATE:
-    record.back_off(owner.now)
-  if run.state is not endpointstate.RunState.ORDERED:
-    return
-  if run.was_resent:
-    # An earlier request may still be carried out.
-    runcontrol.stop_possible_run(owner, record, run)
-  else:
-    outcomes.finish_run(owner, record, run, model.RunOutcome.LOST, result.value)
-
-
-def handle_stop_answer(owner: ownerstate.Owner, event: events.StopAnswered):
-  """Handles the answer to a stop request."""
-  record = owner.endpoints.get(event.endpoint)
-  if record is None:
-    return
-  _update_clock(owner, record, event.clock_ms)
-  run = record.runs.get(event.run)
-  if event.result is model.CallResult.OK:
-    if run is not None:
-      # The next call lists it as running or ended, or doesn't list it at all.
-      run.state = endpointstate.RunState.STOPPING
-      run.listed_from_call = record.call_number + 1
-      run.stop_sent_at = None
-    renew_lease(owner, record, now=True)
-    return
-  if run is not None:
-    _log_failed_stop(owner, record, run, event.result)
-  if event.result is model.CallResult.FENCED:
-    _step_down(owner, record)
-  elif event.result is model.CallResult.GONE:
-    _remove_old_incarnation(owner, record)
-  elif event.result is model.CallResult.NOT_SENT:
-    _mark_silent(owner, record)
-  elif event.result is model.CallResult.NO_ANSWER and run is not None:
-    _handle_lost_request(owner, record, run.stop_sent_at)
-    if record.silent_since is None:
-      runcontrol.stop_run(owner, record, run)
-
-
-def _log_failed_stop(owner, record, run, result: model.CallResult):
-  """Logs the first failed stop request of a run; it is retried until answered."""
-  owner.counters[f"stop_{result.value}"] += 1
-  run.stop_failures += 1
-  if run.stop_failures > 1:
-    return
-  owner.emit(
-      ownerstate.run_log(
-          "stop_failed",
-          record,
-          run,
-          result=result.value,
-          state=run.state.value,
-          age_ms=int((owner.now - run.started_at) * 1000),
-          fence=owner.fence,
-      )
-  )
--- a/fescueturn/scheduler/reducer.py
+++ b/fescueturn/scheduler/reducer.py
@@ -18,6 +18,7 @@
 from fescueturn.scheduler import owner as owner_lib
 from fescueturn.scheduler import ownerstate
 from fescueturn.scheduler import roster
+from fescueturn.scheduler import runanswers
 from fescueturn.scheduler import runcontrol
 from fescueturn.scheduler import shardownership
 from fescueturn.scheduler import state as state_lib
@@ -276,8 +277,8 @@
     linkmessages.Offered: _on_offered,
     linkmessages.Withdrawn: _on_withdrawn,
     linkmessages.Ping: _on_ping,
-    events.StartAnswered: _for_endpoint(leases.handle_start_answer),
-    events.StopAnswered: _for_endpoint(leases.handle_stop_answer),
+    events.StartAnswered: _for_endpoint(runanswers.handle_start_answer),
+    events.StopAnswered: _for_endpoint(runanswers.handle_stop_answer),
     events.LeaseAnswered: _for_endpoint(leases.handle_lease_answer),
     events.Tick: _on_tick,
     events.ClaimAnswered: _on_claim_answered,
--- a/spec/starts.pml
+++ b/spec/starts.pml
@@ -9,7 +9,7 @@
  * endpoint's runs shows what is true when it answers. A lease that isn't extended
  * ends the run and keeps later copies from being carried out.
  *
- * The protocol checked, as in leases.py and runcontrol.py: a run ends when its
+ * The protocol checked, as in runanswers.py and leases.py: a run ends when its
  * only start request was surely not carried out, when the list shows its end, when
  * the list doesn't show it after a confirmed start or a confirmed stop, or when
  * its lease has expired. Then the next attempt is started.
