A cancelled job's results are acknowledged once its final state is stored

What happened: a kept job was cancelled, its task ended before the stop came, and the end was acknowledged at once, since the job was over for its holder. The holder died before the cancellation was in the store: the next one knew neither of the cancellation nor of the end, and started the task after it was done.

The end's acknowledgement now waits for the write of the job's final state, like that of an open job waits for its progress.

test_result_of_a_cancelled_job_is_acknowledged_once_its_state_is_stored: 'started after its task was done' before, passes now; test_kept_jobs and test_evacuation_kept: 54 passed.

--- a/fescueturn/scheduler/outcomes.py
+++ b/fescueturn/scheduler/outcomes.py
@@ -146,15 +146,17 @@
   if ended.how is model.RunOutcome.LOST:
     return
   kept_records = owner.kept_records
-  job = owner.by_id.get(ended.run.task.job_id)
-  if job is not None and job.job.kept:
+  job_id = ended.run.task.job_id
+  job = owner.by_id.get(job_id)
+  is_kept = job is not None and job.job.kept
+  if is_kept or job_id in kept_records.unsaved_states:
     ends_by_job = kept_records.unsaved_results
   elif not kept_records.loaded:
     ends_by_job = kept_records.early_results
   else:
     return
   record.unsaved_ends.add(ended.number)
-  ends = ends_by_job.setdefault(ended.run.task.job_id, set())
+  ends = ends_by_job.setdefault(job_id, set())
   ends.add((record.info.id, ended.number))
 
 
--- a/tests/test_kept_jobs.py
+++ b/tests/test_kept_jobs.py
@@ -297,6 +297,30 @@
   assert emulation.broken == []
 
 
+def test_result_of_a_cancelled_job_is_acknowledged_once_its_state_is_stored():
+  """Otherwise the next holder neither knows of the cancellation nor the result."""
+  emulation = fleets.fleet()
+  owner = fleets.owner_of(emulation, "a")
+  host = fleets.other_host(emulation, owner)
+  # Every endpoint has another run, so that its lease is renewed.
+  emulation.submit(host.name, fleets.job("o", 12, 1500), [1.5] * 12, 4.0)
+  emulation.clock.run_until(1.01)
+  submit(emulation, host.name, job("k", 1, 200))
+  emulation.clock.run_until(1.1)
+  owner.partitioned_from.add("store")
+  for endpoint in emulation.endpoints.values():
+    endpoint.order_delay_s = 1.0
+  emulation.query_kept_job(host.name, "k", "a", cancel=True)
+  emulation.clock.run_until(1.9)
+  for endpoint in emulation.endpoints.values():
+    endpoint.order_delay_s = 0.0
+  emulation.kill(owner.name)
+  emulation.kill(host.name)
+  emulation.clock.run_until(6)
+  assert emulation.broken == []
+  assert emulation.kept_store.states["k"] is model.KeptJobState.DONE
+
+
 @pytest.mark.parametrize("killed", (False, True))
 def test_task_that_always_fails_is_attempted_as_often_as_allowed(killed):
   emulation = fleets.fleet()
