A run that is stopped because its task is done is not logged as a duplicate

Cause: since any successful run completes its task, the run that is current then is stopped, and an endpoint may list it until it has ended.

test_run_that_is_stopped_once_its_task_is_done_is_no_duplicate failed before and passes now; a run beside the current one is logged as before.

--- a/fescueturn/scheduler/leases.py
+++ b/fescueturn/scheduler/leases.py
@@ -229,7 +229,9 @@
   """Logs once that an endpoint runs a task that has another run or is done."""
   job = owner.by_id.get(run.id.task.job_id)
   task = job.tasks.get(run.id.task) if job else None
-  if task is None or run.duplicate_logged or task.run == run.id:
+  if task is None or run.duplicate_logged:
+    return
+  if run.id in (task.run, task.previous_run):
     return
   if task.run is None and task.state is not ownerstate.TaskState.DONE:
     return
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -269,3 +269,15 @@
   answer(owner, record, 1.02, running=(model.ActiveRun(run.id, 40),))
   calls = [e for e in owner.take_effects() if isinstance(e, events.RenewLease)]
   assert [e.deadline_ms for e in calls] == [None]
+
+
+def test_run_that_is_stopped_once_its_task_is_done_is_no_duplicate():
+  owner = new_owner()
+  record = known_endpoint(owner)
+  run = start_job(owner, record)
+  (job,) = owner.jobs.values()
+  (task,) = job.tasks.values()
+  job.task_done(task)
+  task.previous_run = run.id
+  answer(owner, record, 0.01, running=(model.ActiveRun(run.id, 10),))
+  assert not logged(owner.take_effects(), "run_duplicate")
