Ground for the work on hard load: priorities reach the holder, uneven emulated loads, interfaces

Cause: a queue's priority was decoded and ended at the configuration, and the emulated load had neither bursts nor endpoints of several speeds, so that no test could show an overload. The stored records and recorded messages of jobs without a priority are unchanged.

--- a/fescueturn/emulator/endpoint.py
+++ b/fescueturn/emulator/endpoint.py
@@ -151,6 +151,13 @@
     """The active runs."""
     return list(self._runs)
 
+  def room_for(self, need: model.Resources) -> int:
+    """Returns how many more tasks of `need` the endpoint could run now."""
+    free = self.info.capacity
+    for run in self._runs.values():
+      free = free.minus(run.need)
+    return max(0, min(free.count(need), self.info.slots - len(self._runs)))
+
   def start(self, order: events.StartRun) -> model.CallResult:
     """Executes an order to start a run."""
     run_id = order.run
--- a/fescueturn/emulator/fleet.py
+++ b/fescueturn/emulator/fleet.py
@@ -36,10 +36,13 @@
   Attributes:
     answer: the answer.
     took_s: the time (s) from the request to the answer.
+    beside_room: True if the job was refused although the reachable endpoints
+      had room for all of its first tasks at that moment.
   """
 
   answer: events.Answer
   took_s: float
+  beside_room: bool = False
 
 
 class Fleet:
@@ -83,6 +86,7 @@
     self.running_on: dict[model.Task, set[str]] = {}
     self.acknowledged_done: set[model.Task] = set()
     self._submitted_at: dict[int, float] = {}
+    self._submitted_jobs: dict[int, model.Job] = {}
     self._store = fleetstore.FleetStore(self)
     self._calls = endpointcalls.EndpointCalls(self)
     self.restart_delay_s = 3.0
@@ -192,6 +196,7 @@
     self._requests += 1
     request = self._requests
     self._submitted_at[request] = self.clock.now
+    self._submitted_jobs[request] = job
     self.hosts[host].apply(events.JobArrived(request, job, deadline_s))
     return request
 
@@ -318,7 +323,25 @@
   def _answer(self, host, effect: events.Answer):
     del host
     took_s = self.clock.now - self._submitted_at[effect.request_id]
-    self.answers[effect.request_id] = CallerAnswer(effect, took_s)
+    refused = effect.outcome is model.Outcome.NOT_RUN
+    self.answers[effect.request_id] = CallerAnswer(
+        effect, took_s, refused and self._has_room(effect.request_id)
+    )
+
+  def _has_room(self, request: int) -> bool:
+    """Returns whether the endpoints have room for a job's first tasks now."""
+    job = self._submitted_jobs.get(request)
+    if job is None:
+      return False
+    first = [step for step in job.steps if not step.after]
+    usable = [
+        e
+        for e in self.endpoints.values()
+        if not (e.unreachable or e.superseded or e.info.draining)
+        and e.info.service == job.service
+    ]
+    room = sum(e.room_for(first[0].need) for e in usable)
+    return room >= sum(step.count for step in first)
 
   def _log(self, host, effect: events.Log):
     host.log.append(effect)
--- a/fescueturn/emulator/load.py
+++ b/fescueturn/emulator/load.py
@@ -28,6 +28,8 @@
 LATE_FACTOR = 3.0
 # The upper end of the latency histogram: one minute, in microseconds.
 MAX_LATENCY_US = 60_000_000
+# How much longer the few tasks take that are far above their estimate.
+LONG_TASK_FACTOR = 7.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -39,21 +41,50 @@
     share: its weight in the mix of kinds.
     tasks: the mean number of its tasks.
     run_ms: the mean run time (ms) of a task.
+    priority: its queue's priority; 0 is the most urgent.
   """
 
   name: str
   share: float
   tasks: int
   run_ms: int
+  priority: int = 0
 
 
 KINDS = (
-    Kind("wide", 34.4, 8, 60),
-    Kind("long", 6.25, 4, 900),
-    Kind("narrow", 100.0, 2, 200),
+    Kind("wide", 34.4, 8, 60, 0),
+    Kind("long", 6.25, 4, 900, 2),
+    Kind("narrow", 100.0, 2, 200, 1),
 )
 
 
+@dataclasses.dataclass(frozen=True)
+class Burst:
+  """A time with more jobs than usual.
+
+  Attributes:
+    start_s: when it begins, in seconds from the start of the load.
+    seconds: how long it lasts.
+    factor: how many times the usual number of jobs are submitted.
+    kind: the kind of job that it concerns; "" for all.
+    data_centre: the data centre whose callers it concerns; "" for all.
+  """
+
+  start_s: float
+  seconds: float
+  factor: float
+  kind: str = ""
+  data_centre: str = ""
+
+  def concerns(self, kind: Kind, data_centre: str, at_s: float) -> bool:
+    """Returns whether it raises the number of such jobs at a time (s)."""
+    return (
+        self.start_s <= at_s < self.start_s + self.seconds
+        and self.kind in ("", kind.name)
+        and self.data_centre in ("", data_centre)
+    )
+
+
 @dataclasses.dataclass(frozen=True)
 class Plan:
   """A load and the size of the fleet that serves it.
@@ -68,6 +99,13 @@
       three tasks, the others for two.
     lost_orders: share of the calls to endpoints that get no answer; start and
       stop orders among them are executed seconds later.
+    bursts: the times with more jobs.
+    task_cpu: the least and the most CPU that a task needs, in thousandths of a
+      core.
+    run_time_factors: how many times its nominal time a task takes on the first,
+      second, ... endpoint of a data centre, in turn.
+    long_tasks: share of the tasks that take `LONG_TASK_FACTOR` times as long as
+      the others of their job.
   """
 
   seed: int = 1
@@ -77,6 +115,10 @@
   hosts: int = 2
   endpoints: int = 8
   lost_orders: float = 0.0
+  bursts: tuple[Burst, ...] = ()
+  task_cpu: tuple[int, int] = (24000, 30000)
+  run_time_factors: tuple[float, ...] = (1.0,)
+  long_tasks: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -89,6 +131,8 @@
     in_time: jobs done within their objective.
     late: jobs done after their objective, but within `LATE_FACTOR` times it.
     refused: jobs that were refused and have not run.
+    refused_beside_room: those of them whose tasks the endpoints could all have
+      started when they were refused.
     failed: all other jobs.
     p50_ms: median latency (ms) of the jobs done.
     p99_ms: 99th percentile of the latency (ms) of the jobs done.
@@ -99,6 +143,7 @@
   in_time: int
   late: int
   refused: int
+  refused_beside_room: int
   failed: int
   p50_ms: float
   p99_ms: float
@@ -127,11 +172,15 @@
 
   Attributes:
     kind: its kind.
+    data_centre: the data centre of its caller.
+    submitted_at_s: when it was submitted, in seconds from the load's start.
     request: its request's number in the fleet.
     objective_s: its latency objective (s).
   """
 
   kind: Kind
+  data_centre: str
+  submitted_at_s: float
   request: int
   objective_s: float
 
@@ -147,6 +196,8 @@
       cpu = 96000 if number % 3 == 2 else 64000
       endpoint = fleet.add_endpoint(f"{name}-endpoint{number}", name, cpu)
       endpoint.loss_rate = plan.lost_orders
+      factors = plan.run_time_factors
+      endpoint.slowdown = factors[number % len(factors)]
   fleet.clock.run_until(STARTUP_S)
   return fleet
 
@@ -158,25 +209,73 @@
 
 def simulate_fleet(plan: Plan) -> tuple[fleet_lib.Fleet, Report]:
   """Simulates a load; returns the fleet at the end and the report."""
+  fleet, submitted = _submit_all(plan)
+  return fleet, _report(fleet, submitted)
+
+
+def simulate_between(plan: Plan, start_s: float, end_s: float) -> Report:
+  """Simulates a load; reports the jobs submitted between two times (s)."""
+  fleet, submitted = _submit_all(plan)
+  chosen = [j for j in submitted if start_s <= j.submitted_at_s < end_s]
+  return _report(fleet, chosen)
+
+
+def _submit_all(plan: Plan) -> tuple[fleet_lib.Fleet, list[_SubmittedJob]]:
+  """Runs a plan's whole load; returns the fleet at the end and the jobs."""
   fleet = build_fleet(plan)
   submitted: list[_SubmittedJob] = []
   for number in range(int(plan.seconds * plan.jobs_per_s)):
-    when = STARTUP_S + number / plan.jobs_per_s
-    fleet.clock.at(when, lambda n=number: submitted.append(_submit(fleet, n)))
+    at_s = number / plan.jobs_per_s
+    fleet.clock.at(
+        STARTUP_S + at_s,
+        lambda n=number, t=at_s: _submit(fleet, plan, n, t, submitted),
+    )
   fleet.clock.run_until(STARTUP_S + plan.seconds + MAX_CALLER_WAIT_S + 1.0)
-  return fleet, _report(fleet, submitted)
-
-
-def _submit(fleet: fleet_lib.Fleet, number: int) -> _SubmittedJob:
+  return fleet, submitted
+
+
+def _submit(
+    fleet: fleet_lib.Fleet,
+    plan: Plan,
+    number: int,
+    at_s: float,
+    submitted: list[_SubmittedJob],
+):
+  """Submits a job, and during a burst further ones of the same kind."""
+  kind = fleet.rng.choices(KINDS, [k.share for k in KINDS])[0]
+  host = fleet.rng.choice(list(fleet.hosts))
+  data_centre = fleet.hosts[host].data_centre
+  factor = 1.0
+  for burst in plan.bursts:
+    if burst.concerns(kind, data_centre, at_s):
+      factor *= burst.factor
+  copies = int(factor + fleet.rng.random()) if factor != 1.0 else 1
+  for copy in range(copies):
+    name = f"j{number}" if not copy else f"j{number}-{copy}"
+    submitted.append(_submit_one(fleet, plan, name, kind, host, at_s))
+
+
+def _submit_one(
+    fleet: fleet_lib.Fleet,
+    plan: Plan,
+    name: str,
+    kind: Kind,
+    host: str,
+    at_s: float,
+) -> _SubmittedJob:
   rng = fleet.rng
-  kind = rng.choices(KINDS, [k.share for k in KINDS])[0]
   count = max(1, round(rng.gauss(kind.tasks, 0.4 * kind.tasks)))
   mean_ms = max(0.2 * kind.run_ms, rng.gauss(kind.run_ms, 0.4 * kind.run_ms))
   run_s = [mean_ms / 1000 * rng.uniform(0.85, 1.15) for _ in range(count)]
+  if plan.long_tasks:
+    run_s = [
+        s * LONG_TASK_FACTOR if rng.random() < plan.long_tasks else s
+        for s in run_s
+    ]
   estimate_ms = int(mean_ms * rng.uniform(0.6, 1.4))
-  need = model.Resources(rng.randint(24000, 30000), 64, 0)
+  need = model.Resources(rng.randint(*plan.task_cpu), 64, 0)
   job = model.Job(
-      f"j{number}",
+      name,
       SERVICE,
       "spec",
       (model.Step(count, need, estimate_ms),),
@@ -184,11 +283,13 @@
       STRETCH,
       SLO_MS,
       kind.name,
+      priority=kind.priority,
   )
   wait_s = rng.uniform(MIN_CALLER_WAIT_S, MAX_CALLER_WAIT_S)
-  host = rng.choice(list(fleet.hosts))
   request = fleet.submit(host, job, run_s, wait_s)
-  return _SubmittedJob(kind, request, STRETCH * max(run_s) + SLO_MS / 1000)
+  objective_s = STRETCH * max(run_s) + SLO_MS / 1000
+  data_centre = fleet.hosts[host].data_centre
+  return _SubmittedJob(kind, data_centre, at_s, request, objective_s)
 
 
 def _report(fleet: fleet_lib.Fleet, submitted: list[_SubmittedJob]) -> Report:
@@ -205,16 +306,19 @@
     fleet, kind: Kind, submitted: list[_SubmittedJob]
 ) -> KindReport:
   counts = dict.fromkeys(("in_time", "late", "refused", "failed"), 0)
+  beside_room = 0
   latency = histogram.HdrHistogram(1, MAX_LATENCY_US, 3)
   of_kind = [job for job in submitted if job.kind is kind]
   for job in of_kind:
     result = fleet.answers[job.request]
     counts[_classify(result, job.objective_s)] += 1
+    beside_room += result.beside_room
     if result.answer.outcome is model.Outcome.DONE:
       latency.record_value(int(result.took_s * 1e6))
   return KindReport(
       kind.name,
       len(of_kind),
+      refused_beside_room=beside_room,
       p50_ms=latency.get_value_at_percentile(50) / 1000,
       p99_ms=latency.get_value_at_percentile(99) / 1000,
       **counts,
--- a/fescueturn/platform/callers.py
+++ b/fescueturn/platform/callers.py
@@ -68,6 +68,7 @@
       queue=queue.name,
       # A job that isn't best-effort must survive its caller and any host.
       kept=not raw.best_effort,
+      priority=queue.priority,
   )
 
 
--- a/fescueturn/platform/configuration.py
+++ b/fescueturn/platform/configuration.py
@@ -48,7 +48,7 @@
       stretch=raw.stretch,
       slo_ms=raw.slo_ms,
       timeout_ms=raw.timeout_ms,
-      priority=raw.priority,
+      priority=min(max(raw.priority, 0), model.LEAST_URGENT),
       needs_advice=bool(raw.advice),
   )
 
--- /dev/null
+++ b/fescueturn/scheduler/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions under load: plain functions over values, without owner or network."""
--- a/fescueturn/scheduler/keptcodec.py
+++ b/fescueturn/scheduler/keptcodec.py
@@ -16,17 +16,18 @@
 
 def encode_job(job: model.Job) -> bytes:
   """Returns a kept job's record, which does not contain the job's id."""
-  return _dump(
-      {
-          "service": job.service,
-          "spec": job.spec,
-          "steps": [_encode_step(step) for step in job.steps],
-          "attempts": job.attempts,
-          "stretch": job.stretch,
-          "slo_ms": job.slo_ms,
-          "queue": job.queue,
-      }
-  )
+  record = {
+      "service": job.service,
+      "spec": job.spec,
+      "steps": [_encode_step(step) for step in job.steps],
+      "attempts": job.attempts,
+      "stretch": job.stretch,
+      "slo_ms": job.slo_ms,
+      "queue": job.queue,
+  }
+  if job.priority:
+    record["priority"] = job.priority
+  return _dump(record)
 
 
 def _encode_step(step: model.Step) -> list:
@@ -60,6 +61,8 @@
         slo_ms=raw["slo_ms"],
         queue=raw["queue"],
         kept=True,
+        # A record without a priority is of a most urgent job.
+        priority=raw.get("priority", 0),
     )
   except (KeyError, TypeError, ValueError) as exc:
     raise MalformedRecordError(
--- a/fescueturn/scheduler/link.capnp
+++ b/fescueturn/scheduler/link.capnp
@@ -23,6 +23,7 @@
   sloMs @5 :UInt32;
   queue @6 :Text;
   kept @7 :Bool;
+  priority @8 :UInt16;
 }
 
 struct Pending {
--- a/fescueturn/scheduler/linkcodec.py
+++ b/fescueturn/scheduler/linkcodec.py
@@ -101,6 +101,7 @@
   group.job.sloMs = job.slo_ms
   group.job.queue = job.queue
   group.job.kept = job.kept
+  group.job.priority = job.priority
   steps = group.job.init("steps", len(job.steps))
   for target, step in zip(steps, job.steps, strict=True):
     _encode_step(target, step)
@@ -236,6 +237,7 @@
       job.sloMs,
       job.queue,
       job.kept,
+      job.priority,
   )
   key = linkmessages.JobKey(coordinator, message.jobId)
   return linkmessages.Offered(
--- a/fescueturn/scheduler/model.py
+++ b/fescueturn/scheduler/model.py
@@ -9,6 +9,9 @@
 
 from fescueturn import settings
 
+# The priority of the least urgent queues; messages between hosts carry no more.
+LEAST_URGENT = 2**16 - 1
+
 
 @dataclasses.dataclass(frozen=True)
 class Resources:
@@ -115,6 +118,7 @@
     kept: True for a kept job, which is durable: it is stored before it is
       accepted and survives the loss of any host. False for a job that is
       dropped when its caller stops waiting.
+    priority: its queue's priority; 0 is the most urgent.
   """
 
   id: str
@@ -126,6 +130,7 @@
   slo_ms: int = 0
   queue: str = ""
   kept: bool = False
+  priority: int = 0
 
   @property
   def task_count(self) -> int:
@@ -293,7 +298,7 @@
     stretch: see `Job.stretch`.
     slo_ms: see `Job.slo_ms`.
     timeout_ms: the configured timeout of its jobs.
-    priority: the configured priority.
+    priority: the configured priority; 0 is the most urgent.
     needs_advice: True if the queue is under a policy, which is not supported;
       its jobs are refused.
   """
--- a/tests/test_linkcodec.py
+++ b/tests/test_linkcodec.py
@@ -1,3 +1,5 @@
+import dataclasses
+
 import pytest
 
 from fescueturn.scheduler import keptevents
@@ -79,3 +81,10 @@
 def test_malformed_bytes_are_rejected(data):
   with pytest.raises(linkcodec.MalformedMessageError):
     linkcodec.decode(data, PROCESS)
+
+
+def test_priority_of_a_job_round_trips():
+  job = dataclasses.replace(JOB, priority=2)
+  offered = linkmessages.Offered(SHARD, KEY, job, 0.25, 1.5)
+  encoded = linkcodec.encode(SHARD, offered)
+  assert linkcodec.decode(encoded, PROCESS)[1] == offered
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -82,3 +82,20 @@
 def test_same_seed_gives_the_same_report():
   plan = load.Plan(seed=7, seconds=3, jobs_per_s=60)
   assert load.simulate(plan) == load.simulate(plan)
+
+
+def test_burst_raises_the_load_of_one_kind_in_one_data_centre():
+  burst = load.Burst(1.0, 1.0, 3.0, kind="wide", data_centre="dc0")
+  plan = load.Plan(seed=3, seconds=3, jobs_per_s=60, bursts=(burst,))
+  usual = load.simulate(load.Plan(seed=3, seconds=3, jobs_per_s=60))
+  raised = load.simulate(plan)
+  asked = {kind.kind: kind.asked for kind in raised.kinds}
+  before = {kind.kind: kind.asked for kind in usual.kinds}
+  assert asked["wide"] > before["wide"]
+  assert sum(asked.values()) < 1.5 * sum(before.values())
+
+
+def test_report_covers_the_jobs_submitted_between_two_times():
+  plan = load.Plan(seed=3, seconds=3, jobs_per_s=60)
+  report = load.simulate_between(plan, 1.0, 2.0)
+  assert sum(kind.asked for kind in report.kinds) == 60
