Learn queues' run times and endpoints' speeds apart from each other

Cause: an endpoint's slowness was the average of actual to declared times, so it mixed the callers' wrong declarations with the endpoint's speed.

Change: RunTimes has a decaying histogram of that ratio per queue; an endpoint's speed factor is learnt from its runs compared to their siblings and their queue; a slowed run counts against its endpoint, and is moved, only if the endpoint is the probable cause. Interfaces: owner.run_times, EndpointRecord.speed_factor (slowness stays as another name for it).

--- /dev/null
+++ b/fescueturn/scheduler/decisions/slowruns.py
@@ -0,0 +1,46 @@
+"""Decides whether a slowed run is its endpoint's fault or a long task.
+
+A long task takes as long anywhere, so stopping it only throws its work away. A
+run on a slow endpoint ends sooner elsewhere.
+"""
+
+import dataclasses
+
+# The share of endpoints that are assumed to be slow for a while where none is
+# known to be.
+ASSUMED_SLOW_SHARE = 0.01
+# Runs beside a slowed one that were in time for this part of its time show that
+# the endpoint isn't slow. It is below a half, since endpoints run two or three
+# tasks and their ends leave gaps.
+IN_TIME_OVERLAP = 0.4
+
+
+@dataclasses.dataclass(frozen=True)
+class SlowedRun:
+  """What is known about a run that takes several times its expected time.
+
+  Attributes:
+    endpoint_slow: True if its endpoint counts as slow.
+    in_time_beside: for which part of its time other runs there were in time.
+    siblings_slowed: True if tasks of its step are slowed on other endpoints
+      that don't count as slow.
+    long_share: the share of its queue's runs that take this long.
+    slow_share: the share of the endpoints that count as slow.
+  """
+
+  endpoint_slow: bool
+  in_time_beside: float
+  siblings_slowed: bool
+  long_share: float
+  slow_share: float
+
+
+def endpoint_is_cause(run: SlowedRun) -> bool:
+  """Returns whether the endpoint is the probable cause of a slowed run."""
+  if run.in_time_beside >= IN_TIME_OVERLAP:
+    return False
+  if run.endpoint_slow:
+    return True
+  if run.siblings_slowed:
+    return False
+  return max(ASSUMED_SLOW_SHARE, run.slow_share) >= run.long_share
--- a/fescueturn/scheduler/endpointstate.py
+++ b/fescueturn/scheduler/endpointstate.py
@@ -5,9 +5,11 @@
 later, and endpoints don't enforce their capacity themselves.
 """
 
+import collections
 import enum
 
 from fescueturn.scheduler import model
+from fescueturn.scheduler.decisions import speeds
 
 # The longest lease that the platform allows.
 MAX_LEASE_MS = 1000
@@ -56,16 +58,16 @@
 # An unlisted endpoint that has been silent for this long is forgotten with all
 # its runs. A lost start request is carried out at most 12 s late.
 FORGET_S = 15.0
-# The weight of the newest run in an endpoint's slowness. The average converges
-# after some eight runs, which is one to two seconds of work.
-SLOWNESS_GAIN = 0.25
-# A run that takes more than this many times its estimate is slowed by its
-# endpoint. Estimates are off by 40% at most and endpoints differ by a quarter,
-# which makes 2.1 times in all.
+# A run that takes more than this many times its estimate is slowed, by its
+# endpoint or because its task is long. Estimates are off by 40% at most and
+# endpoints differ by a quarter, which makes 2.1 times in all.
 SLOW_RATIO = 2.5
 # An endpoint counts as slow after slowed runs of this many jobs. A single job
 # may take longer than its estimate on any endpoint.
 SLOW_JOBS = 2
+# How many of its last runs in time an endpoint remembers: those that end while
+# a slowed one goes on.
+RUNS_IN_TIME = 8
 # A run's slowdown is not computed sooner than this, since its progress is
 # reported in whole percents.
 PROGRESS_MIN_S = 0.05
@@ -102,6 +104,11 @@
     stop_failures: how many of its stop requests failed.
     duplicate_logged: True once it was logged that its task has another run.
     abandoned: True once its lease has expired and its task may run elsewhere.
+    adopted: True if it was found at its endpoint, so that its start is unknown.
+    observed_share: the part of its work that has counted for its endpoint's
+      speed.
+    observed_at: when that part was done (s).
+    in_time_until: until when its progress has shown no slowdown (s).
   """
 
   def __init__(self, run_id, need, state, now, estimate_ms=0, deadline_ms=0):
@@ -120,6 +127,10 @@
     self.stop_failures = 0
     self.duplicate_logged = False
     self.abandoned = False
+    self.adopted = False
+    self.observed_share = 0.0
+    self.observed_at: float = now
+    self.in_time_until: float = now
 
   @property
   def was_resent(self) -> bool:
@@ -187,7 +198,7 @@
     excluded_until: until when it gets no new tasks (s).
     ejections: how often it was ejected without a successful run in between.
     failed_jobs: jobs whose runs have failed there since the last success.
-    slowness: the average ratio of run times to estimates.
+    speed: how fast work is done there.
     silent_since: since when it has been silent (s); None if it answers.
     suspected_since: since when it has been probed after a lost call (s); None
       if it isn't.
@@ -215,9 +226,13 @@
     self.excluded_until = 0.0
     self.ejections = 0
     self.failed_jobs: set[str] = set()
-    self.slowness = 1.0
+    self.speed = speeds.Speed(now)
     # Jobs with slowed runs here since a run last ended in time.
     self._slow_jobs: set[str] = set()
+    # When the last runs in time began and ended (s).
+    self._in_time: collections.deque[tuple[float, float]] = collections.deque(
+        maxlen=RUNS_IN_TIME
+    )
     self.silent_since: float | None = None
     self.suspected_since: float | None = None
     self.calls_unanswered = 0
@@ -231,6 +246,21 @@
     """The resources that no run takes up."""
     return self._free
 
+  @property
+  def speed_factor(self) -> float:
+    """Time that work takes there against a mean endpoint; above 1 is slower."""
+    return self.speed.factor
+
+  @property
+  def slowness(self) -> float:
+    """The speed factor."""
+    return self.speed.factor
+
+  @property
+  def slow(self) -> bool:
+    """True if it is slow for a while, so that its runs are moved."""
+    return self.speed.factor > SLOW_RATIO
+
   @property
   def ack_number(self) -> int:
     """The number up to which the endpoint may forget ended runs."""
@@ -258,7 +288,7 @@
 
   def usable(self, now: float) -> bool:
     """Returns whether the endpoint may get new tasks."""
-    if self.slowness > SLOW_RATIO and self.runs:
+    if self.slow and self.runs:
       return False  # A single run is enough to see whether it is still slow.
     return (
         self.runs_known
@@ -360,6 +390,7 @@
     """Sets the need and estimate of a run that was found there."""
     run.need = need
     run.estimate_ms = estimate_ms
+    run.adopted = True
     self._update_free()
 
   def remove(self, run_id: model.RunId) -> Run | None:
@@ -427,32 +458,44 @@
     self.excluded_until = max(self.excluded_until, now + pause_s)
     self.ejections += 1
 
-  def record_done_run(self, run: Run, now: float):
-    """Records a successful run, and its time compared to the estimate."""
+  def record_done_run(self):
+    """Records a successful run: the endpoint isn't failing."""
     self.failed_jobs.clear()
     self.ejections = 0
-    if run.estimate_ms:
-      took_ms = max(1.0, (now - run.started_at) * 1000)
-      ratio = took_ms / run.estimate_ms
-      if ratio < SLOW_RATIO:
-        self._slow_jobs.clear()
-      self.slowness += SLOWNESS_GAIN * (ratio - self.slowness)
 
-  def record_slow_run(self, run: Run, ratio: float) -> bool:
-    """Records a slowed run.
+  def record_run_in_time(self, run: Run, now: float):
+    """Records a run that took no longer than expected."""
+    self._slow_jobs.clear()
+    self._in_time.append((run.started_at, now))
+
+  def share_in_time(self, run: Run, now: float) -> float:
+    """Returns for which part of a run's time others there were in time."""
+    spans = list(self._in_time)
+    spans += [
+        (other.started_at, other.in_time_until)
+        for other in self.runs.values()
+        if other is not run
+    ]
+    covered_s = sum(
+        max(0.0, end - max(start, run.started_at)) for start, end in spans
+    )
+    return covered_s / max(PROGRESS_MIN_S, now - run.started_at)
+
+  def record_slow_run(self, run: Run, times: float) -> bool:
+    """Records a run that its endpoint has probably slowed.
 
     Args:
       run: the run.
-      ratio: how many times its estimate it takes.
+      times: how many times its expected time it takes.
 
     Returns:
       Whether the endpoint counts as slow from now on, and didn't before.
     """
     self._slow_jobs.add(run.id.task.job_id)
-    if len(self._slow_jobs) < SLOW_JOBS or self.slowness > ratio:
+    if len(self._slow_jobs) < SLOW_JOBS or self.speed_factor > times:
       return False
-    newly_slow = self.slowness <= SLOW_RATIO
-    self.slowness = ratio
+    newly_slow = not self.slow
+    self.speed.set_faulty(times)
     return newly_slow
 
   def snapshot(self, now: float) -> dict:
@@ -466,7 +509,8 @@
             for state in RunState
         },
         "free_cpu": self._free.cpu,
-        "slowness": round(self.slowness, 2),
+        "slowness": round(self.speed_factor, 2),
+        "speed_evidence": round(self.speed.evidence, 1),
         "out_for_s": round(max(0.0, self.excluded_until - now), 3),
         "silent_s": round(now - self.silent_since, 3)
         if self.silent_since is not None
--- a/fescueturn/scheduler/leases.py
+++ b/fescueturn/scheduler/leases.py
@@ -12,6 +12,7 @@
 from fescueturn.scheduler import ownerstate
 from fescueturn.scheduler import roster
 from fescueturn.scheduler import runcontrol
+from fescueturn.scheduler import runpace
 from fescueturn.scheduler import stragglers
 
 # How long a lease call waits at the endpoint for a run to end (a long poll).
@@ -188,8 +189,15 @@
       record.last_end_number = ended.number
       outcomes.handle_listed_end(owner, record, ended)
   listed = {r.run for r in event.running}
-  for running in event.running:
-    _update_listed_run(owner, record, running)
+  progressed = [
+      run
+      for running in event.running
+      if (run := _update_listed_run(owner, record, running)) is not None
+  ]
+  for run in progressed:
+    runpace.handle_progress(owner, record, run)
+  for run in progressed:
+    stragglers.handle_progress(owner, record, run)
   for run in list(record.runs.values()):
     must_be_listed = (
         run.listed_from_call and event.number >= run.listed_from_call
@@ -206,7 +214,10 @@
     renew_lease(owner, record)
 
 
-def _update_listed_run(owner, record, running: model.ActiveRun):
+def _update_listed_run(
+    owner, record, running: model.ActiveRun
+) -> endpointstate.Run | None:
+  """Updates a run as listed; returns it if it has progressed."""
   run = record.runs.get(running.run)
   if run is None:
     run = endpointstate.Run(
@@ -219,10 +230,11 @@
     run.state = endpointstate.RunState.RUNNING
     run.listed_from_call = record.call_number
   _log_duplicate(owner, record, run)
-  if running.percent > run.percent:
-    run.percent = running.percent
-    run.progressed_at = owner.now
-    stragglers.handle_progress(owner, record, run)
+  if running.percent <= run.percent:
+    return None
+  run.percent = running.percent
+  run.progressed_at = owner.now
+  return run
 
 
 def _log_duplicate(owner, record, run: endpointstate.Run):
--- a/fescueturn/scheduler/outcomes.py
+++ b/fescueturn/scheduler/outcomes.py
@@ -11,6 +11,7 @@
 from fescueturn.scheduler import model
 from fescueturn.scheduler import ownerstate
 from fescueturn.scheduler import runcontrol
+from fescueturn.scheduler import runpace
 
 _KEPT_STATES = {
     model.Outcome.DONE: model.KeptJobState.DONE,
@@ -31,9 +32,10 @@
     how: how it ended.
     reason: the reason, for the log.
   """
+  runpace.handle_end(owner, record, run, how)
   record.remove(run.id)
   if how is model.RunOutcome.DONE:
-    record.record_done_run(run, owner.now)
+    record.record_done_run()
   elif how is model.RunOutcome.FAILED and record.record_failed_run(
       run.id.task.job_id, owner.now
   ):
--- a/fescueturn/scheduler/owner.py
+++ b/fescueturn/scheduler/owner.py
@@ -114,6 +114,7 @@
 
 def _check_endpoint(owner, record: endpointstate.EndpointRecord):
   """Retries unanswered calls to an endpoint and stops unwanted runs."""
+  record.speed.fade(owner.now)
   for run in list(record.runs.values()):
     _check_run(owner, record, run)
   if record.can_be_forgotten(owner.now):
--- a/fescueturn/scheduler/ownerstate.py
+++ b/fescueturn/scheduler/ownerstate.py
@@ -15,6 +15,8 @@
 from fescueturn.scheduler import roster
 from fescueturn.scheduler import suspicion
 from fescueturn.scheduler import timeouts
+from fescueturn.scheduler.decisions import runtimes
+from fescueturn.scheduler.decisions import speeds
 
 # For this long a new holder accepts jobs before it knows what its endpoints are
 # running. The endpoint list takes 6 ms to arrive from the store and the
@@ -85,6 +87,7 @@
     tasks: its tasks by name.
     waiting: its tasks that can start now.
     unfinished: how many tasks of each step are not done.
+    paces: what the ended runs of each step tell of its declared time.
     resumed: True if a previous holder had it, or it was submitted before.
     begun: True once the start of a run was requested.
     offer_number: the number of the latest offer of it.
@@ -107,6 +110,7 @@
     self.tasks: dict[model.Task, TaskRecord] = {}
     self.waiting: list[TaskRecord] = []
     self.unfinished = [step.count for step in self.job.steps]
+    self.paces = [speeds.JobPace() for _ in self.job.steps]
     for number, step in enumerate(self.job.steps):
       for index in range(step.count):
         task = model.Task(self.job.id, number, index)
@@ -253,6 +257,7 @@
     # When an endpoint at the address last crashed.
     self.crashed_at: dict[settings.Address, float] = {}
     self.demand = reservations.Demand()
+    self.run_times = runtimes.RunTimes()
     self.fenced = False
     # Until when it takes into account that this process was paused (s).
     self.pause_grace_until = now
@@ -353,6 +358,7 @@
             name: record.snapshot(self.now)
             for name, record in sorted(self.endpoints.items())
         },
+        "run_times": self.run_times.snapshot(),
         "kept": self.kept_records.snapshot(),
         "counters": dict(self.counters),
     }
--- /dev/null
+++ b/fescueturn/scheduler/runpace.py
@@ -0,0 +1,187 @@
+"""Takes into account what runs show of declared times and endpoints' speeds.
+
+Both the progress of a run and its end are compared to what was declared, to the
+other tasks of its job and to the other runs on its endpoint. That gives the
+spread of its queue (`owner.run_times`), the speed of its endpoint, and endpoints
+that are slow for a while.
+"""
+
+import math
+
+from fescueturn.scheduler import endpointstate
+from fescueturn.scheduler import model
+from fescueturn.scheduler import ownerstate
+from fescueturn.scheduler.decisions import slowruns
+
+# Progress counts once this part of a run's work was done since it last counted.
+# It is reported in whole percents, so its time is then known to 5%.
+MIN_SHARE = 0.2
+
+
+def _job_and_task(owner, run: endpointstate.Run):
+  """Returns the job and task whose current run this is; None if there is none."""
+  job = owner.by_id.get(run.id.task.job_id)
+  task = job.tasks.get(run.id.task) if job else None
+  return (job, task) if task is not None and task.run == run.id else None
+
+
+def is_away(record, task: ownerstate.TaskRecord) -> bool:
+  """Returns whether a task runs far from its data, which slows it."""
+  near = task.step.near
+  return bool(near) and near not in record.info.labels
+
+
+def _is_comparable(owner, record, run: endpointstate.Run, task) -> bool:
+  """Returns whether the time of a run depends on its task and endpoint only."""
+  start_known = not (run.adopted or run.was_resent)
+  return (
+      bool(run.estimate_ms)
+      and start_known
+      and not owner.call_losses.is_lossy
+      and not is_away(record, task)
+  )
+
+
+def _declared_error(owner, job, task) -> tuple[float, float]:
+  """Returns the error of a task's declared time, and the figure's variance."""
+  typical = math.log(owner.run_times.quantile(job.job.queue, 0.5))
+  return job.paces[task.task.step].error(typical)
+
+
+def slowdown(owner: ownerstate.Owner, run: endpointstate.Run) -> float:
+  """Returns how many times its expected time a run takes; 0 if not slowed.
+
+  A declaration that is too long doesn't lower what is expected.
+  """
+  found = _job_and_task(owner, run)
+  if found is None or run.adopted:
+    return 0.0
+  error, _ = _declared_error(owner, *found)
+  ratio = run.observed_slowdown(owner.now) / math.exp(max(0.0, error))
+  return ratio if ratio > endpointstate.SLOW_RATIO else 0.0
+
+
+def handle_progress(
+    owner: ownerstate.Owner,
+    record: endpointstate.EndpointRecord,
+    run: endpointstate.Run,
+):
+  """Takes the progress of a run into account."""
+  found = _job_and_task(owner, run)
+  if found is None or not _is_comparable(owner, record, run, found[1]):
+    return
+  error, variance = _declared_error(owner, *found)
+  _observe_speed(owner, record, run, error, variance, run.percent / 100)
+  predicted_s = run.predicted_duration_s(owner.now)
+  if predicted_s is None:
+    return
+  ratio = predicted_s * 1000 / run.estimate_ms / math.exp(max(0.0, error))
+  if ratio <= endpointstate.SLOW_RATIO:
+    run.in_time_until = owner.now
+  elif endpoint_is_cause(owner, record, run):
+    _record_slow_run(owner, record, run, ratio)
+
+
+def handle_end(
+    owner: ownerstate.Owner,
+    record: endpointstate.EndpointRecord,
+    run: endpointstate.Run,
+    how: model.RunOutcome,
+):
+  """Takes the end of a run into account, before its task is updated.
+
+  A run that was stopped counts by its progress. Without these, only the short
+  ones of the tasks whose callers stop waiting would count.
+  """
+  found = _job_and_task(owner, run)
+  if found is None or not _is_comparable(owner, record, run, found[1]):
+    return
+  job, task = found
+  if how is model.RunOutcome.DONE:
+    took_s = owner.now - run.started_at
+    _record_done_run(owner, record, run, job, task)
+  elif how is model.RunOutcome.LOST and run.percent >= 100 * MIN_SHARE:
+    took_s = run.predicted_duration_s(run.progressed_at)
+  else:
+    return
+  if took_s is None or task.moved_from == record.info.id:
+    return
+  ratio = max(1.0, took_s * 1000) / run.estimate_ms
+  ratio /= record.speed_factor
+  owner.run_times.record(job.job.queue, ratio, owner.now)
+
+
+def _record_done_run(owner, record, run: endpointstate.Run, job, task):
+  """Compares a run that is done to its job and endpoint."""
+  error, variance = _declared_error(owner, job, task)
+  took_ms = max(1.0, (owner.now - run.started_at) * 1000)
+  ratio = math.log(took_ms / run.estimate_ms)
+  own_speed = record.speed.log_factor
+  _observe_speed(owner, record, run, error, variance, 1.0)
+  typical = math.log(owner.run_times.quantile(job.job.queue, 0.5))
+  job.paces[task.task.step].add(ratio - own_speed, typical)
+  times = math.exp(ratio - max(0.0, error))
+  if times <= endpointstate.SLOW_RATIO:
+    record.record_run_in_time(run, owner.now)
+  elif endpoint_is_cause(owner, record, run):
+    _record_slow_run(owner, record, run, times)
+
+
+def _observe_speed(owner, record, run, error: float, variance: float, done):
+  """Counts the work of a run since its progress last counted."""
+  share = done - run.observed_share
+  took_ms = (owner.now - run.observed_at) * 1000
+  if share < MIN_SHARE or took_ms <= 0:
+    return
+  run.observed_share = done
+  run.observed_at = owner.now
+  ratio = math.log(took_ms / (run.estimate_ms * share)) - error
+  record.speed.observe(ratio, variance, share, owner.now)
+
+
+def endpoint_is_cause(owner, record, run: endpointstate.Run) -> bool:
+  """Returns whether its endpoint is the probable cause of a slowed run."""
+  found = _job_and_task(owner, run)
+  if found is None:
+    return False
+  job, task = found
+  own = job.job
+  long_share = 1 - owner.run_times.share_below(
+      own.queue, endpointstate.SLOW_RATIO
+  )
+  return slowruns.endpoint_is_cause(
+      slowruns.SlowedRun(
+          record.slow,
+          record.share_in_time(run, owner.now),
+          _siblings_slowed(owner, job, task),
+          long_share,
+          _slow_share(owner),
+      )
+  )
+
+
+def _siblings_slowed(owner, job, task: ownerstate.TaskRecord) -> bool:
+  """Returns whether other tasks of its step are slowed on other endpoints."""
+  for other in job.tasks.values():
+    if other.step is not task.step or other.endpoint == task.endpoint:
+      continue
+    record = owner.endpoints.get(other.endpoint)
+    run = record.runs.get(other.run) if record else None
+    if run is None or record.slow:
+      continue
+    if run.observed_slowdown(owner.now):
+      return True
+  return False
+
+
+def _slow_share(owner) -> float:
+  slow = sum(record.slow for record in owner.endpoints.values())
+  return slow / max(1, len(owner.endpoints))
+
+
+def _record_slow_run(owner, record, run: endpointstate.Run, times: float):
+  if record.record_slow_run(run, times):
+    owner.counters["endpoint_slow"] += 1
+    owner.emit(
+        ownerstate.endpoint_log("endpoint_slow", record, times=round(times, 1))
+    )
--- a/fescueturn/scheduler/stragglers.py
+++ b/fescueturn/scheduler/stragglers.py
@@ -13,6 +13,7 @@
 from fescueturn.scheduler import endpointstate
 from fescueturn.scheduler import ownerstate
 from fescueturn.scheduler import runcontrol
+from fescueturn.scheduler import runpace
 
 # A run is moved only if its remaining time is this many times the time of a new
 # run, whose estimate may be too low by 40%.
@@ -27,16 +28,15 @@
     record: endpointstate.EndpointRecord,
     run: endpointstate.Run,
 ):
-  """Handles progress of a run: detects a slow endpoint, may move the run."""
-  ratio = run.observed_slowdown(owner.now)
-  if not ratio:
+  """Handles progress of a run: it may be moved away from a slow endpoint.
+
+  A long task isn't moved: it takes as long elsewhere.
+  """
+  if run.state is not endpointstate.RunState.RUNNING:
+    return
+  if not runpace.slowdown(owner, run):
     return
-  if record.record_slow_run(run, ratio):
-    owner.counters["endpoint_slow"] += 1
-    owner.emit(
-        ownerstate.endpoint_log("endpoint_slow", record, times=round(ratio, 1))
-    )
-  if run.state is endpointstate.RunState.RUNNING:
+  if runpace.endpoint_is_cause(owner, record, run):
     _move_if_faster(owner, record, run)
 
 
