Teams take turns for free slots by weight

Cause: the product's own interface served its teams one task each in turn, so an operator couldn't give an account a larger share, and a team of long tasks got many times the slot time of one of short tasks.

--- a/fescueturn/dispatch.py
+++ b/fescueturn/dispatch.py
@@ -5,6 +5,9 @@
 from fescueturn import messages
 from fescueturn import state as state_lib
 
+# A task counts as taking its slot for at least this long: the calls around it
+# take some milliseconds, whatever its caller declares.
+MIN_SLOT_S = 0.01
 # A task is overdue after OVERDUE_FACTOR times the longest declared run time in
 # its job, plus OVERDUE_EXTRA_S.
 OVERDUE_FACTOR = 2
@@ -12,18 +15,15 @@
 
 
 def dispatch(state: state_lib.EntryState) -> list:
-  """Sends waiting tasks to free slots, taking the teams in turn."""
+  """Sends waiting tasks to free slots, taking the teams in turn by weight."""
   effects = []
   blocked = set()
-  while True:
-    teams = [t for t in state.queue.teams if t not in blocked]
-    if not teams:
-      return effects
-    for team in teams:
-      sent = _send_next(state, team)
-      if sent is None:
-        blocked.add(team)
-      effects += sent or []
+  while (team := state.queue.next_team(blocked)) is not None:
+    sent = _send_next(state, team)
+    if sent is None:
+      blocked.add(team)
+    effects += sent or []
+  return effects
 
 
 def _send_next(state, team: str) -> list | None:
@@ -34,7 +34,7 @@
   """
   record, task_id = state.queue.peek(team)
   if record.phase is not state_lib.Phase.RUNNING:
-    state.queue.take(team)
+    state.queue.take(team, 0.0)
     return []
   team_settings = state.team_settings(team)
   if team_settings is None:
@@ -44,10 +44,15 @@
   endpoint = state.endpoints.pick(team_settings.service, state.now)
   if endpoint is None:
     return None
-  state.queue.take(team)
+  state.queue.take(team, _slot_s(record, task_id))
   return [_send(state, record, task_id, endpoint)]
 
 
+def _slot_s(record, task_id: str) -> float:
+  """Returns for how long a task takes a slot, as declared (s)."""
+  return max(MIN_SLOT_S, record.tasks[task_id].run_ms / 1000)
+
+
 def _quota_share(state, team_settings) -> int:
   """Returns this entry host's equal share of the team's quota."""
   view = state.membership.view
--- a/fescueturn/placement.py
+++ b/fescueturn/placement.py
@@ -4,18 +4,21 @@
 with a free slot in this entry host's share. It excludes endpoints that are
 leaving, unreachable, or fail the tasks they start: an endpoint that fails fast
 would otherwise look idle and attract every task. `TaskQueue` holds the tasks
-that wait for a slot and serves the teams in turn (round robin), so a burst of
-one team does not delay the tasks of another.
+that wait for a slot and serves the teams in turn by their weights (`shares`), so
+a burst of one team does not delay the tasks of another.
 """
 
 import collections
 import heapq
 import itertools
+from collections.abc import Callable
+from collections.abc import Collection
 from collections.abc import Iterable
 from typing import Any
 
 from fescueturn import events
 from fescueturn import routing
+from fescueturn import shares
 
 UNREACHABLE_PAUSE_S = 2.0
 # Number of consecutive failures, each in a different job, after which an
@@ -193,8 +196,14 @@
     busy: number of tasks in flight, by team.
   """
 
-  def __init__(self):
+  def __init__(self, weight_of: Callable[[str], float] | None = None):
+    """Creates an empty queue.
+
+    Args:
+      weight_of: returns a team's weight; all are equal by default.
+    """
     self._teams: dict[str, collections.deque[tuple[Any, str]]] = {}
+    self._turns = shares.Turns(weight_of)
     self.busy: collections.Counter[str] = collections.Counter()
 
   def __len__(self) -> int:
@@ -202,8 +211,13 @@
 
   @property
   def teams(self) -> list[str]:
-    """The teams with waiting tasks, least recently served first."""
-    return list(self._teams)
+    """The teams with waiting tasks, the one whose turn it is first."""
+    return sorted(self._teams, key=self._turns.key)
+
+  def next_team(self, blocked: Collection[str]) -> str | None:
+    """Returns the team whose turn it is among those not blocked, if any."""
+    teams = (team for team in self._teams if team not in blocked)
+    return min(teams, key=self._turns.key, default=None)
 
   def add(self, team: str, record: Any, task_ids: Iterable[str]):
     """Appends a job's tasks to the team's queue."""
@@ -219,9 +233,30 @@
     """Returns the team's next task as (record, task id); it stays queued."""
     return self._teams[team][0]
 
-  def take(self, team: str):
-    """Removes the team's next task; moves the team to the end of the round."""
+  def take(self, team: str, slot_s: float = 1.0):
+    """Removes the team's next task; among equal turns the team is then last.
+
+    Args:
+      team: the team.
+      slot_s: for how long the task takes a slot (s); it counts as the team's
+        turn. 0 if the task isn't sent.
+    """
     queue = self._teams.pop(team)
     queue.popleft()
+    self._turns.take(team, slot_s)
     if queue:
       self._teams[team] = queue
+
+  def snapshot(self) -> dict:
+    """Returns a JSON-serialisable dump of the teams and their shares."""
+    names = sorted({*self._teams, *(+self.busy)})
+    running = sum(self.busy.values())
+    return {
+        name: {
+            "weight": self._turns.weight(name),
+            "waiting": len(self._teams.get(name, ())),
+            "running": self.busy[name],
+            "share": round(self.busy[name] / max(1, running), 3),
+        }
+        for name in names
+    }
--- a/fescueturn/settings.py
+++ b/fescueturn/settings.py
@@ -13,6 +13,7 @@
 
 from fescueturn import codes
 from fescueturn import errors
+from fescueturn import shares
 
 _REQUIRED = object()
 
@@ -138,6 +139,7 @@
   max_tasks_per_job: int = 190
   max_tasks_in_flight: int = 2000
   deadline_ms: int = 10000
+  weight: float = shares.DEFAULT_WEIGHT
 
 
 @dataclasses.dataclass(frozen=True)
@@ -177,6 +179,7 @@
     "max_tasks_per_job": _positive_int,
     "max_tasks_in_flight": _positive_int,
     "deadline_ms": _positive_int,
+    "weight": shares.parse_weight,
 }
 
 _SECTIONS = {
--- a/fescueturn/state.py
+++ b/fescueturn/state.py
@@ -12,6 +12,7 @@
 from fescueturn import messages
 from fescueturn import placement
 from fescueturn import settings
+from fescueturn import shares
 from fescueturn import views
 
 
@@ -171,7 +172,7 @@
     self.membership = views.Membership(self.me)
     self.claims = claims.ClaimTable()
     self.endpoints = endpoints or placement.EndpointTable(name)
-    self.queue = placement.TaskQueue()
+    self.queue = placement.TaskQueue(self.team_weight)
     self.teams: dict[str, TeamEntry] = {}
     self.jobs: dict[str, JobRecord] = {}
     self.forwarded_requests: dict[int, ForwardedRequest] = {}
@@ -204,6 +205,11 @@
     entry = self.teams.get(team)
     return entry.team_settings if entry else None
 
+  def team_weight(self, team: str) -> float:
+    """Returns the team's weight in the turns for free slots."""
+    team_settings = self.team_settings(team)
+    return team_settings.weight if team_settings else shares.DEFAULT_WEIGHT
+
   def member(self, name: str) -> events.Member | None:
     """Returns the member of the current view with this name, or None."""
     view = self.membership.view
@@ -227,5 +233,6 @@
         "claims_held": len(self.claims),
         "parked_requests": len(self.forwarded_requests),
         "queued_tasks": len(self.queue),
+        "shares": self.queue.snapshot(),
         "counters": dict(self.counters),
     }
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -77,3 +77,36 @@
     queue.take(team)
   assert order == ["big", "small", "big"]
   assert len(queue) == 98
+
+
+def test_teams_get_slots_by_weight():
+  weights = {"heavy": 3.0, "light": 1.0}
+  queue = placement.TaskQueue(weights.__getitem__)
+  for team in weights:
+    queue.add(team, "k", [f"t{i}" for i in range(100)])
+  taken = []
+  for _ in range(40):
+    taken.append(queue.next_team(()))
+    queue.take(taken[-1], 0.2)
+  assert taken.count("heavy") == 30
+  assert queue.snapshot()["heavy"] == {
+      "weight": 3.0,
+      "waiting": 70,
+      "running": 0,
+      "share": 0.0,
+  }
+
+
+def test_blocked_team_is_next_but_saves_up_no_turns():
+  queue = placement.TaskQueue()
+  for team in ("blocked", "other"):
+    queue.add(team, "k", [f"t{i}" for i in range(100)])
+  for _ in range(20):
+    assert queue.next_team({"blocked"}) == "other"
+    queue.take("other")
+  order = []
+  for _ in range(10):
+    order.append(queue.next_team(()))
+    queue.take(order[-1])
+  assert order[0] == "blocked"
+  assert order.count("blocked") == 5
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -212,3 +212,26 @@
     sent[send.downstream_key] += 1
     sends += [e for e in finish(state, send) if isinstance(e, events.SendTask)]
   assert len(sent) == 7 and set(sent.values()) == {1}
+
+
+def test_free_slots_go_to_teams_by_the_weight_in_their_settings(state):
+  heavy = settings.TeamSettings(service="speller", weight=3.0)
+  light = settings.TeamSettings(service="speller")
+  reducer.reduce(state, events.TeamChanged("altamaha", 9, heavy))
+  reducer.reduce(state, events.TeamChanged("light", 9, light))
+  sends = []
+  for request, team in enumerate(("altamaha", "light")):
+    job = conftest.make_job(key=team, tasks=60)
+    job = dataclasses.replace(job, team=team, deadline_ms=60_000)
+    sends += reducer.reduce(state, events.JobArrived(request, job))
+  shares = state.snapshot()["shares"]
+  assert shares["altamaha"]["weight"] == 3.0
+  sends = [e for e in sends if isinstance(e, events.SendTask)]
+  sent = collections.Counter()
+  for _ in range(40):
+    effects = finish(state, sends.pop(0))
+    new = [e for e in effects if isinstance(e, events.SendTask)]
+    sent.update(e.team for e in new)
+    sends += new
+  assert abs(sent["altamaha"] - 30) <= 1
+  assert sent.total() == 40
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -69,3 +69,13 @@
   assert caught.value.code == codes.Code.SETTINGS_BAD_VALUE
   with pytest.raises(errors.SettingsError):
     settings.loads_team("[team]\nservice = speller\n[extra]\n")
+
+
+def test_team_weight_is_checked():
+  assert settings.loads_team("[team]\nservice = speller\n").weight == 1.0
+  text = "[team]\nservice = speller\nweight = {}\n"
+  assert settings.loads_team(text.format("2.5")).weight == 2.5
+  for bad in ("0", "-3", "nan", "inf", "1e6", "heavy"):
+    with pytest.raises(errors.SettingsError, match="weight") as caught:
+      settings.loads_team(text.format(bad))
+    assert caught.value.code == codes.Code.SETTINGS_BAD_VALUE
