An endpoint that is restarted under its id begins a new incarnation

Cause: an endpoint may come back under the same id with a later start (born). Its ends are numbered anew, so the owner ignored them as known ones, its clock is another one, and what was learnt of its speed doesn't hold.

Change: the adapter decodes born of entries and lease answers; a lease answer with a later one resets what concerned the earlier incarnation. Confirmed runs that the answer doesn't list are gone and their tasks start again at once; unanswered start requests count on, and those that may be carried out late are stopped first; ends that wait for the store no longer acknowledge ends of the new incarnation; the restart confirms a suspected crash. A later incarnation may have another address.

--- a/fescueturn/emulator/endpoint.py
+++ b/fescueturn/emulator/endpoint.py
@@ -279,6 +279,25 @@
       self._running_on[run_id.task].discard(self.info.id)
     self.unreachable = True
 
+  def restart(self, born_ms: int, clock_offset_ms: int = 0):
+    """Starts another incarnation under the same id, which knows nothing.
+
+    Args:
+      born_ms: when it starts (Unix time, ms).
+      clock_offset_ms: the time (ms) by which its clock is ahead of the virtual
+        one.
+    """
+    self.crash()
+    self.unreachable = False
+    self.info = dataclasses.replace(self.info, born_ms=born_ms)
+    self._offset_ms = clock_offset_ms
+    self._fence = 0
+    self._lease_end_ms = 0
+    self._ended = []
+    self._ended_count = 0
+    self._revoked = {}
+    self._pending_replies = []
+
   def stop(self, order: events.StopRun) -> model.CallResult:
     """Executes an order to stop a run."""
     if self.superseded:
@@ -363,4 +382,5 @@
         running,
         tuple(self._ended),
         call.fence,
+        self.info.born_ms,
     )
--- a/fescueturn/emulator/endpointcalls.py
+++ b/fescueturn/emulator/endpointcalls.py
@@ -70,6 +70,11 @@
         self._disconnected.add((host.name, name))
         end(model.CallResult.NO_ANSWER)
 
+    def execute_late(born_ms: int):
+      # What an incarnation has received ends with it.
+      if endpoint.info.born_ms == born_ms:
+        execute(endpoint)
+
     def arrive():
       if endpoint.unreachable or not self._fleet.can_reach(host, name):
         return
@@ -77,7 +82,8 @@
       if self._rng.random() < endpoint.loss_rate:
         delay_s = self._rng.uniform(2.0, 12.0)
       if delay_s:
-        self._clock.after(delay_s, lambda: execute(endpoint))
+        born_ms = endpoint.info.born_ms
+        self._clock.after(delay_s, lambda: execute_late(born_ms))
         return
       result = execute(endpoint)
       clock_ms = endpoint.clock_ms
--- a/fescueturn/httpio.py
+++ b/fescueturn/httpio.py
@@ -350,6 +350,11 @@
     self._idle: list[_ClientConnection] = []
     self._limit = curio.Semaphore(limit)
 
+  @property
+  def address(self) -> settings.Address:
+    """The address that its connections lead to."""
+    return self._address
+
   async def request(
       self,
       method: str,
--- a/fescueturn/platform/endpoints.py
+++ b/fescueturn/platform/endpoints.py
@@ -72,13 +72,19 @@
       draining=raw.state != "ready",
       capacity=model.Resources(capacity.cpu, capacity.mem_mb, capacity.gpu),
       labels=raw.labels,
+      born_ms=raw.born,
   )
 
 
 def _identity_changed(
     previous: model.Endpoint, current: model.Endpoint
 ) -> bool:
-  """Returns whether the entry differs in a field that can't change."""
+  """Returns whether the entry differs in a field that can't change.
+
+  A later incarnation under the same id may differ in all of them.
+  """
+  if current.born_ms > previous.born_ms:
+    return False
   return (previous.address, previous.service, previous.data_centre) != (
       current.address,
       current.service,
@@ -311,7 +317,9 @@
   ):
     self._now = now
     self._observe = observe or (lambda *_: None)
+    # By endpoint id, with the address that it is for.
     self._pools: dict[str, httpio.Pool] = {}
+    self._replaced_pools: list[httpio.Pool] = []
     # One for all endpoints, because answer times vary mostly with how late this
     # host reads the answers.
     self._answer_timeout = timeouts.AnswerTimeout()
@@ -369,6 +377,10 @@
 
   def _pool(self, endpoint: model.Endpoint) -> httpio.Pool:
     pool = self._pools.get(endpoint.id)
+    if pool is not None and pool.address != endpoint.address:
+      # Another incarnation under the same id, at another address.
+      self._replaced_pools.append(pool)
+      pool = None
     if pool is None:
       pool = self._pools[endpoint.id] = httpio.Pool(
           endpoint.address,
@@ -436,15 +448,19 @@
         running,
         ended,
         order.fence,
+        reply.body.born,
     )
 
   async def close_unlisted(self, listed: tuple[model.Endpoint, ...]):
     """Closes connections to endpoints that are no longer listed."""
+    replaced, self._replaced_pools = self._replaced_pools, []
+    for pool in replaced:
+      await pool.close()
     names = {endpoint.id for endpoint in listed}
     for name in [n for n in self._pools if n not in names]:
       await self._pools.pop(name).close()
 
   async def close(self):
     """Closes every idle connection."""
-    for pool in self._pools.values():
+    for pool in (*self._pools.values(), *self._replaced_pools):
       await pool.close()
--- a/fescueturn/platform/wire.py
+++ b/fescueturn/platform/wire.py
@@ -56,13 +56,16 @@
 
 
 class Entry(_Body):
-  """The entry that an endpoint writes in the store; every field is required.
+  """The entry that an endpoint writes in the store.
+
+  Every field but `born` is required.
 
   Attributes:
     zone: its data centre.
     cold_remaining_ms: unused.
     sequence: unused.
     labels: its kind and its rack.
+    born: when it started (Unix time, ms); 0 if it doesn't say.
   """
 
   service: Name
@@ -75,6 +78,7 @@
   sequence: Counter
   capacity: Capacity
   labels: tuple[str, ...]
+  born: Counter = 0
 
 
 # The operator's configuration.
@@ -271,12 +275,14 @@
     reason: why the call was refused.
     running: the runs in progress.
     finished: the runs that have ended.
+    born: when the endpoint started (Unix time, ms); 0 if it doesn't say.
   """
 
   clock_ms: Counter | None = None
   reason: str | None = None
   running: tuple[RunningRow, ...] = ()
   finished: tuple[FinishedRow, ...] = ()
+  born: Counter = 0
 
 
 # Callers' jobs.
--- a/fescueturn/scheduler/crashes.py
+++ b/fescueturn/scheduler/crashes.py
@@ -44,7 +44,7 @@
     return
   name = record.info.id
   task.lost_endpoints[name] = record.info.address
-  _add_suspected_crash(owner, name, task)
+  _add_suspected_crash(owner, name, task, record.born_ms)
   if job.job.kept:
     _save_losses(owner, job, name)
   losses = _count_losses(task)
@@ -63,10 +63,14 @@
   )
 
 
-def _add_suspected_crash(owner, name: str, task: ownerstate.TaskRecord):
+def _add_suspected_crash(
+    owner, name: str, task: ownerstate.TaskRecord, born_ms: int = 0
+):
   loss = owner.suspected_crashes.get(name)
   if loss is None:
-    loss = ownerstate.SuspectedCrash(task.lost_endpoints[name], owner.now)
+    loss = ownerstate.SuspectedCrash(
+        task.lost_endpoints[name], owner.now, born_ms
+    )
     owner.suspected_crashes[name] = loss
   loss.tasks.add(task.task)
 
@@ -138,6 +142,24 @@
   return [(job, job.tasks[task]) for job, task in jobs if job is not None]
 
 
+def settle_losses(
+    owner: ownerstate.Owner, record
+) -> list[ownerstate.JobRecord]:
+  """Decides on the losses of an endpoint that answers.
+
+  Another incarnation under the same id confirms the crash; the same one
+  discards it.
+
+  Returns:
+    The jobs that lost it, if its crash is confirmed.
+  """
+  loss = owner.suspected_crashes.get(record.info.id)
+  if loss is not None and loss.born_ms and record.born_ms > loss.born_ms:
+    return confirm_crash(owner, record.info.id, loss.address)
+  discard_losses(owner, record.info.id)
+  return []
+
+
 def discard_losses(owner: ownerstate.Owner, name: str):
   """Discards the losses of an endpoint that did not crash, or may not have."""
   for _, task in _pop_losses(owner, name):
--- a/fescueturn/scheduler/decisions/speeds.py
+++ b/fescueturn/scheduler/decisions/speeds.py
@@ -25,9 +25,11 @@
 # The square of the deviation that is added in a second: a speed that was known
 # to 5% is known to 20% after 20 s without a run.
 DRIFT_PER_S = 0.002
-# The time in which what is known of an idle endpoint fades towards the mean. A
-# fault that makes an endpoint slow lasts for seconds.
+# The time in which what is known of an idle endpoint fades towards the mean.
 FADE_S = 30.0
+# The same for an endpoint that a fault has made slow. Such faults last for
+# seconds, and it gets few runs that would show their end.
+FAULT_FADE_S = 5.0
 # A run that seems this many times slower than its endpoint has been says nothing
 # of its speed: the task is long, or a fault has begun. Errors of declarations
 # reach 1.7 and tasks of one job differ by 1.2.
@@ -35,6 +37,9 @@
 # The deviation of a speed that a fault has just changed; the next run in time is
 # believed at once.
 FAULT_DEVIATION = 1.0
+# An endpoint that is suspected of a fault counts as this many times slower, so
+# that others get the next tasks.
+SUSPECT_RATIO = 1.5
 
 _OUTLIER = math.log(OUTLIER_RATIO)
 
@@ -96,7 +101,8 @@
     elapsed_s = now - self._at
     if elapsed_s <= 0:
       return
-    kept = math.exp(-elapsed_s / FADE_S)
+    faulty = self._log_factor > _OUTLIER
+    kept = math.exp(-elapsed_s / (FAULT_FADE_S if faulty else FADE_S))
     self._at = now
     self._log_factor *= kept
     self._evidence *= kept
@@ -124,6 +130,11 @@
     self._variance = max(MIN_DEVIATION**2, (1 - gain) * self._variance)
     self._evidence += share
 
+  def suspect(self):
+    """Counts the endpoint as slower, until a run shows that it isn't."""
+    self._log_factor += math.log(SUSPECT_RATIO)
+    self._variance = max(self._variance, SPEED_DEVIATION**2)
+
   def set_faulty(self, factor: float):
     """Sets the speed of an endpoint that a fault has made slow."""
     self._log_factor = math.log(factor)
--- a/fescueturn/scheduler/endpointstate.py
+++ b/fescueturn/scheduler/endpointstate.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+import dataclasses
 import enum
 
 from fescueturn.scheduler import model
@@ -65,6 +66,11 @@
 # An endpoint counts as slow after slowed runs of this many jobs. A single job
 # may take longer than its estimate on any endpoint.
 SLOW_JOBS = 2
+# A start request without an answer may be carried out this much later.
+LATE_START_S = 13.0
+# How many such requests an endpoint's record keeps, the newest ones. With 30% of
+# the calls lost, an endpoint with 20 starts a second has 78.
+LATE_STARTS = 100
 # How many of its last runs in time an endpoint remembers: those that end while
 # a slowed one goes on.
 RUNS_IN_TIME = 8
@@ -172,11 +178,28 @@
     )
 
 
+@dataclasses.dataclass(frozen=True)
+class LateStart:
+  """A start request that got no answer.
+
+  Attributes:
+    run: the run.
+    need: the resources that it would take.
+    sent_at: when the request was sent (s).
+  """
+
+  run: model.RunId
+  need: model.Resources
+  sent_at: float
+
+
 class EndpointRecord:
   """One endpoint as its owner sees it.
 
   Attributes:
     info: the endpoint as the platform lists it.
+    born_ms: when the incarnation started whose runs are recorded here (Unix
+      time, ms); 0 if it isn't known.
     listed: True while the platform lists it.
     runs_known: True once it has listed its runs.
     runs: its runs, of which some may not have started.
@@ -208,6 +231,7 @@
 
   def __init__(self, info: model.Endpoint, now: float):
     self.info = info
+    self.born_ms = info.born_ms
     self.listed = True
     self.runs_known = False
     self.runs: dict[model.RunId, Run] = {}
@@ -233,6 +257,10 @@
     self._in_time: collections.deque[tuple[float, float]] = collections.deque(
         maxlen=RUNS_IN_TIME
     )
+    # Start requests without an answer, and when they were sent (s).
+    self._late_starts: collections.deque[LateStart] = collections.deque(
+        maxlen=LATE_STARTS
+    )
     self.silent_since: float | None = None
     self.suspected_since: float | None = None
     self.calls_unanswered = 0
@@ -261,6 +289,11 @@
     """True if it is slow for a while, so that its runs are moved."""
     return self.speed.factor > SLOW_RATIO
 
+  @property
+  def suspected_slow(self) -> bool:
+    """True if a run there was slowed since the last one in time."""
+    return bool(self._slow_jobs)
+
   @property
   def ack_number(self) -> int:
     """The number up to which the endpoint may forget ended runs."""
@@ -286,6 +319,43 @@
     self.listed = True
     self._update_free()
 
+  def record_late_start(self, run: Run):
+    """Records that the start request of a run got no answer."""
+    self._late_starts.append(LateStart(run.id, run.need, run.sent_at))
+
+  def late_starts(self, now: float) -> list["LateStart"]:
+    """Returns the start requests that may still be carried out late."""
+    return [s for s in self._late_starts if now - s.sent_at < LATE_START_S]
+
+  @property
+  def restart_listed(self) -> bool:
+    """True while a later incarnation is listed, which hasn't answered yet."""
+    return self.info.born_ms > self.born_ms
+
+  def begin_incarnation(self, born_ms: int, now: float):
+    """Forgets all that only concerns the incarnation before.
+
+    Its runs are kept: requests for them without an answer may be carried out by
+    the new incarnation, and its lists show which of the others are gone.
+
+    Args:
+      born_ms: when the new incarnation started (Unix time, ms).
+      now: the time (s).
+    """
+    self.born_ms = born_ms
+    self.runs_known = False
+    self.last_end_number = 0
+    self.unsaved_ends.clear()
+    self.last_sent_ack = 0
+    self.last_saved_end = 0
+    self.lease_end_ms = 0
+    self._clock_ms = None
+    self.ejections = 0
+    self.failed_jobs.clear()
+    self.speed = speeds.Speed(now)
+    self._slow_jobs.clear()
+    self._in_time.clear()
+
   def usable(self, now: float) -> bool:
     """Returns whether the endpoint may get new tasks."""
     if self.slow and self.runs:
@@ -293,6 +363,7 @@
     return (
         self.runs_known
         and self.listed
+        and not self.restart_listed
         and not self.info.draining
         and self.excluded_until <= now
         and self.silent_since is None
--- a/fescueturn/scheduler/events.py
+++ b/fescueturn/scheduler/events.py
@@ -149,6 +149,8 @@
     running: the endpoint's current runs.
     ended: runs that ended and whose end has not been acknowledged.
     fence: the fencing token of the `RenewLease`.
+    born_ms: when the incarnation that answered started (see `model.Endpoint`);
+      0 if it isn't known.
   """
 
   endpoint: str
@@ -158,6 +160,7 @@
   running: tuple[model.ActiveRun, ...] = ()
   ended: tuple[model.EndedRun, ...] = ()
   fence: int = 0
+  born_ms: int = 0
 
 
 # Events for the host as a whole.
--- a/fescueturn/scheduler/keptrecords.py
+++ b/fescueturn/scheduler/keptrecords.py
@@ -237,6 +237,24 @@
     results = self.unsaved_results.get(job_id, ())
     return any(number == ENDPOINT_LOST for _, number in results)
 
+  def forget_result_numbers(self, endpoint: str):
+    """Forgets which ends an endpoint waits for, as it was restarted.
+
+    Their jobs' progress is stored nevertheless. The numbers of its ends start
+    anew, so an acknowledgement would concern other ends.
+    """
+
+    def is_valid(result: ResultKey) -> bool:
+      return result[0] != endpoint or result[1] == ENDPOINT_LOST
+
+    for results in (self.unsaved_results, self.early_results):
+      for job_id, keys in results.items():
+        results[job_id] = {key for key in keys if is_valid(key)}
+    self._results_in_flight = {
+        job_id: frozenset(filter(is_valid, keys))
+        for job_id, keys in self._results_in_flight.items()
+    }
+
   def pop_saved_results(self, job_id: str) -> frozenset[ResultKey]:
     """Removes and returns the results of a job that the write has stored."""
     saved = self._results_in_flight.pop(job_id, frozenset())
--- a/fescueturn/scheduler/leases.py
+++ b/fescueturn/scheduler/leases.py
@@ -46,12 +46,15 @@
   own_endpoints = {
       e.id: e for e in listed if e.data_centre == owner.shard.data_centre
   }
-  owner.dead_incarnations &= {(e.id, e.address) for e in own_endpoints.values()}
+  owner.dead_incarnations &= {
+      (e.id, e.address, e.born_ms) for e in own_endpoints.values()
+  }
   for job in crashes.confirm_replaced_endpoints(owner, own_endpoints.values()):
     outcomes.end_job_if_finished(owner, job)
   for name, info in own_endpoints.items():
     record = owner.endpoints.get(name)
-    if record is None and (name, info.address) in owner.dead_incarnations:
+    incarnation = (name, info.address, info.born_ms)
+    if record is None and incarnation in owner.dead_incarnations:
       continue
     if record is None:
       record = endpointstate.EndpointRecord(info, owner.now)
@@ -66,6 +69,8 @@
           ownerstate.endpoint_log("endpoint_changed", record, now=info.draining)
       )
     record.update(info)
+    if record.restart_listed:
+      renew_lease(owner, record, now=True)
   for name, record in list(owner.endpoints.items()):
     if name not in own_endpoints and record.listed:
       record.listed = False
@@ -152,6 +157,11 @@
     return
   record.call_pending = False
   owner.call_losses.record_call(event.result is model.CallResult.NO_ANSWER)
+  if event.born_ms and event.born_ms < record.born_ms:
+    # An earlier incarnation's answer, which came after a later one's.
+    renew_lease(owner, record)
+    return
+  _detect_restart(owner, record, event)
   update_clock(owner, record, event.clock_ms)
   if event.result is model.CallResult.OK:
     _handle_run_lists(owner, record, event)
@@ -160,6 +170,53 @@
   runcontrol.start_waiting_tasks(owner)
 
 
+def _detect_restart(owner, record, event: events.LeaseAnswered):
+  """Begins another incarnation if an endpoint was restarted under its id.
+
+  Its earlier incarnation holds and runs nothing any more. An answer that
+  doesn't say when its endpoint started is taken for that of the listed one.
+  """
+  answered = event.result is model.CallResult.OK
+  born_ms = event.born_ms or (record.info.born_ms if answered else 0)
+  if born_ms <= record.born_ms:
+    return
+  if not record.born_ms:
+    record.born_ms = born_ms  # The first that is heard of it.
+    return
+  listed = {running.run for running in event.running}
+  lost = [
+      run
+      for run in record.runs.values()
+      if 0 < run.listed_from_call <= event.number and run.id not in listed
+  ]
+  owner.emit(
+      ownerstate.endpoint_log(
+          "endpoint_restarted", record, lost=len(lost), born_ms=born_ms
+      )
+  )
+  owner.counters["endpoint_restarted"] += 1
+  for run in lost:
+    crashes.record_loss(owner, record, run)
+  owner.kept_records.forget_result_numbers(record.info.id)
+  record.begin_incarnation(born_ms, owner.now)
+  _revoke_late_starts(owner, record)
+
+
+def _revoke_late_starts(owner, record):
+  """Stops runs whose start request may still be carried out, late.
+
+  The earlier incarnation would have refused a second copy of the request, or one
+  whose run was stopped; this one knows of neither.
+  """
+  for late in record.late_starts(owner.now):
+    run = record.runs.get(late.run)
+    if run is None:
+      state = endpointstate.RunState.UNSURE
+      run = endpointstate.Run(late.run, late.need, state, owner.now)
+      record.add(run)
+    runcontrol.stop_possible_run(owner, record, run)
+
+
 def handle_pause(owner: ownerstate.Owner):
   """Handles a pause of this process: asks all endpoints for their runs."""
   owner.pause_grace_until = owner.now + PAUSE_GRACE_S
@@ -183,7 +240,8 @@
   if first_report and event.clock_ms is not None:
     record.cover_earlier_leases(event.clock_ms)
   record.runs_known = True
-  crashes.discard_losses(owner, record.info.id)
+  for job in crashes.settle_losses(owner, record):
+    outcomes.end_job_if_finished(owner, job)
   for ended in event.ended:
     if ended.number > record.last_end_number:
       record.last_end_number = ended.number
@@ -356,7 +414,8 @@
 
   The old incarnation is not called again while the platform still lists it.
   """
-  owner.dead_incarnations.add((record.info.id, record.info.address))
+  info = record.info
+  owner.dead_incarnations.add((info.id, info.address, info.born_ms))
   owner.endpoint_reported(record.info.id)
   remove_endpoint(owner, record, crashed=True)
 
--- a/fescueturn/scheduler/model.py
+++ b/fescueturn/scheduler/model.py
@@ -57,7 +57,7 @@
   """One incarnation of a machine that runs tasks.
 
   Attributes:
-    id: identifies the incarnation; a restarted machine gets a new id.
+    id: identifies the endpoint; a restarted machine may get a new one.
     address: where the endpoint accepts requests.
     service: the pool that the endpoint belongs to.
     data_centre: the data centre that the endpoint is in.
@@ -66,6 +66,8 @@
     capacity: the endpoint's total resources.
     labels: the machine's kind and rack, matched by `Step.requires` and
       `Step.near`.
+    born_ms: when this incarnation started (Unix time, ms), which tells apart
+      those with one id; 0 if it isn't known.
   """
 
   id: str
@@ -76,6 +78,7 @@
   draining: bool
   capacity: Resources
   labels: tuple[str, ...] = ()
+  born_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/fescueturn/scheduler/ownerstate.py
+++ b/fescueturn/scheduler/ownerstate.py
@@ -174,12 +174,14 @@
   Attributes:
     address: the endpoint's address.
     since: when it was lost (s).
+    born_ms: when the lost incarnation started (Unix time, ms), 0 if unknown.
     tasks: the tasks that it was running.
   """
 
-  def __init__(self, address: settings.Address, since: float):
+  def __init__(self, address: settings.Address, since: float, born_ms: int = 0):
     self.address = address
     self.since = since
+    self.born_ms = born_ms
     self.tasks: set[model.Task] = set()
 
 
@@ -236,7 +238,7 @@
     self.kept_records = keptrecords.KeptRecords()
     self.endpoints: dict[str, endpointstate.EndpointRecord] = {}
     # Incarnations that are listed although another one answers at the address.
-    self.dead_incarnations: set[tuple[str, settings.Address]] = set()
+    self.dead_incarnations: set[tuple[str, settings.Address, int]] = set()
     # The number of listed endpoints of each size, by service.
     self._sizes: dict[str, collections.Counter[_EndpointSize]] = {}
     self.jobs: dict[linkmessages.JobKey, JobRecord] = {}
--- a/fescueturn/scheduler/runanswers.py
+++ b/fescueturn/scheduler/runanswers.py
@@ -63,6 +63,7 @@
     return
   if result is model.CallResult.NO_ANSWER:
     leases.handle_lost_request(owner, record, run.sent_at)
+    record.record_late_start(run)
     is_listed = run.state is endpointstate.RunState.RUNNING
     if not (is_listed or runcontrol.resend_start(owner, record, run)):
       runcontrol.stop_possible_run(owner, record, run)
--- a/fescueturn/scheduler/runpace.py
+++ b/fescueturn/scheduler/runpace.py
@@ -180,6 +180,8 @@
 
 
 def _record_slow_run(owner, record, run: endpointstate.Run, times: float):
+  if not record.suspected_slow:
+    record.speed.suspect()
   if record.record_slow_run(run, times):
     owner.counters["endpoint_slow"] += 1
     owner.emit(
--- a/tests/test_platform_endpoints.py
+++ b/tests/test_platform_endpoints.py
@@ -39,6 +39,18 @@
   assert endpoint.labels == ("a", "r1-3")
 
 
+def test_start_of_an_endpoint_is_decoded():
+  assert endpoints.decode_entry(item("i-1")).born_ms == 0
+  born = endpoints.decode_entry(item("i-1", born=1_780_000_000_123))
+  assert born.born_ms == 1_780_000_000_123
+
+
+@pytest.mark.parametrize("born", [None, -1, 1.5, "8", True, [], 2**70])
+def test_entry_with_an_invalid_start_is_rejected(born):
+  with pytest.raises(errors.SettingsError, match="born"):
+    endpoints.decode_entry(item("i-1", born=born))
+
+
 def test_malformed_entry_is_skipped_and_the_others_are_used():
   bad = kvtypes.Item(endpoints.PREFIX + "i-2", 6, b"{}")
   with pytest.raises(errors.SettingsError):
@@ -147,6 +159,15 @@
   assert after == dataclasses.replace(before, draining=True)
 
 
+def test_later_incarnation_under_the_same_id_may_have_another_address():
+  endpoint_list = endpoints.EndpointList()
+  endpoint_list.update((item("i-1", born=5),), 0.0)
+  moved = item("i-1", born=6, address="10.128.0.10:8080")
+  (endpoint,) = endpoint_list.update((moved,), 1.0)
+  assert not endpoint.draining
+  assert str(endpoint.address) == "10.128.0.10:8080"
+
+
 def test_rejected_entry_is_logged_once():
   reader, lines = endpoints.EntryReader(), []
   sink = logger.add(lines.append, format="{message}")
@@ -187,25 +208,50 @@
   assert endpoints.format_task_name(task) == name
 
 
-@pytest.mark.parametrize(
-    "body", [b"", b"{}", b'{"running": [], "finished": []}']
-)
-def test_lease_answer_without_a_clock_does_not_show_that_runs_ended(body):
-  address = ports.free_address()
-
-  async def handle(request):
-    del request
-    return httpio.Response(200, body)
+def renew_once(responses: dict, call_of) -> list[events.LeaseAnswered]:
+  """Returns the answers to a lease call at each of the responses' addresses."""
 
   async def play():
-    server = httpio.Server(address, handle)
-    await server.start()
+    servers, answers = [], []
     calls = endpoints.EndpointCalls(lambda: 0.0)
-    listed = item("i-1", address=str(address))
-    call = events.RenewLease(endpoints.decode_entry(listed), 1, 0, None, 0, 7)
-    answer = await calls.renew(call)
+    for address, body in responses.items():
+
+      async def handle(request, body=body):
+        del request
+        return httpio.Response(200, body)
+
+      servers.append(httpio.Server(address, handle))
+      await servers[-1].start()
+      answers.append(await calls.renew(call_of(address)))
     await calls.close()
-    await server.close()
-    return answer
+    for server in servers:
+      await server.close()
+    return answers
+
+  return curio.run(play)
+
+
+def lease_call(address, **changed) -> events.RenewLease:
+  listed = item("i-1", address=str(address), **changed)
+  return events.RenewLease(endpoints.decode_entry(listed), 1, 0, None, 0, 7)
+
+
+def test_calls_follow_an_endpoint_to_its_new_address():
+  """An endpoint that is restarted under its id may have another address."""
+  first, second = ports.free_address(), ports.free_address()
+  answers = renew_once(
+      {
+          first: b'{"clockMs": 9, "born": 5}',
+          second: b'{"clockMs": 2, "born": 6}',
+      },
+      lease_call,
+  )
+  assert [a.born_ms for a in answers] == [5, 6]
+
 
-  assert curio.run(play).result is model.CallResult.NO_ANSWER
+@pytest.mark.parametrize(
+    "body", [b"", b"{}", b'{"running": [], "finished": []}']
+)
+def test_lease_answer_without_a_clock_does_not_show_that_runs_ended(body):
+  (answer,) = renew_once({ports.free_address(): body}, lease_call)
+  assert answer.result is model.CallResult.NO_ANSWER
--- /dev/null
+++ b/tests/test_restarted_endpoints.py
@@ -0,0 +1,226 @@
+"""Tests endpoints that are restarted under the same id."""
+
+import dataclasses
+
+import pytest
+
+from fescueturn.scheduler import events
+from fescueturn.scheduler import keptevents
+from fescueturn.scheduler import leases
+from fescueturn.scheduler import model
+from fescueturn.scheduler import owner as owner_lib
+from fescueturn.scheduler import ownerstate
+from fescueturn.scheduler import runanswers
+from tests import fleets
+from tests import test_kept_jobs as kept
+from tests import test_leases
+
+BORN = dataclasses.replace(test_leases.ENDPOINT, born_ms=1000)
+RESTARTED = dataclasses.replace(BORN, born_ms=5000)
+
+
+def answer(owner, record, now, born_ms, clock_ms, number=None, **lists):
+  owner.now = now
+  leases.handle_lease_answer(
+      owner,
+      events.LeaseAnswered(
+          BORN.id,
+          number or record.call_number,
+          model.CallResult.OK,
+          clock_ms,
+          born_ms=born_ms,
+          **lists,
+      ),
+  )
+
+
+def known_endpoint(owner):
+  leases.handle_endpoint_list(owner, (BORN,))
+  record = owner.endpoints[BORN.id]
+  answer(owner, record, 0.0, BORN.born_ms, 900_000)
+  return record
+
+
+def started_run(owner, record):
+  run = test_leases.start_job(owner, record)
+  runanswers.handle_start_answer(
+      owner,
+      events.StartAnswered(BORN.id, run.id, model.CallResult.OK, 900_001),
+  )
+  answer(
+      owner,
+      record,
+      0.05,
+      BORN.born_ms,
+      900_050,
+      running=(model.ActiveRun(run.id, 20),),
+  )
+  owner.take_effects()
+  return run
+
+
+def started(effects) -> list[model.RunId]:
+  return [e.run for e in effects if isinstance(e, events.StartRun)]
+
+
+def stopped(effects) -> list[model.RunId]:
+  return [e.run for e in effects if isinstance(e, events.StopRun)]
+
+
+def test_runs_of_the_earlier_incarnation_are_started_again_at_once():
+  owner = test_leases.new_owner()
+  record = known_endpoint(owner)
+  run = started_run(owner, record)
+  answer(owner, record, 0.1, RESTARTED.born_ms, 20)
+  effects = owner.take_effects()
+  assert started(effects) == [model.RunId(run.id.task, 2)]
+  (line,) = test_leases.logged(effects, "endpoint_restarted")
+  assert line["lost"] == 1
+  (start,) = [e for e in effects if isinstance(e, events.StartRun)]
+  assert start.deadline_ms < 2000, "on the new clock"
+
+
+def test_ends_are_numbered_anew():
+  owner = test_leases.new_owner()
+  record = known_endpoint(owner)
+  run = started_run(owner, record)
+  record.last_end_number = 70
+  answer(owner, record, 0.1, RESTARTED.born_ms, 20)
+  (next_run,) = record.runs
+  ended = model.EndedRun(1, next_run, model.RunOutcome.DONE)
+  answer(owner, record, 0.2, RESTARTED.born_ms, 120, ended=(ended,))
+  outcomes = test_leases.job_outcomes(owner.take_effects())
+  assert outcomes == [model.Outcome.DONE]
+  assert (record.last_end_number, run.id.attempt) == (1, 1)
+
+
+def test_run_that_the_new_incarnation_has_is_not_started_again():
+  """Its start request was carried out after the restart."""
+  owner = test_leases.new_owner()
+  record = known_endpoint(owner)
+  run = test_leases.start_job(owner, record)
+  listed = (model.ActiveRun(run.id, 1),)
+  answer(owner, record, 0.1, RESTARTED.born_ms, 20, running=listed)
+  assert started(owner.take_effects()) == []
+  assert list(record.runs) == [run.id]
+
+
+def test_unanswered_start_is_kept_until_its_answer():
+  owner = test_leases.new_owner()
+  record = known_endpoint(owner)
+  run = test_leases.start_job(owner, record)
+  answer(owner, record, 0.1, RESTARTED.born_ms, 20)
+  assert started(owner.take_effects()) == []
+  assert list(record.runs) == [run.id]
+
+
+def test_start_that_may_be_carried_out_late_is_revoked():
+  owner = test_leases.new_owner()
+  record = known_endpoint(owner)
+  run = test_leases.start_job(owner, record)
+  test_leases.lose_start_request(owner, run, 0.02)
+  answer(owner, record, 0.1, RESTARTED.born_ms, 20)
+  effects = owner.take_effects()
+  assert stopped(effects) == [run.id]
+  assert started(effects) == [], "not before the stop is confirmed"
+
+
+def test_listed_restart_is_asked_for_its_runs_and_gets_no_tasks_before():
+  owner = test_leases.new_owner()
+  record = known_endpoint(owner)
+  owner.take_effects()
+  leases.handle_endpoint_list(owner, (RESTARTED,))
+  assert not record.usable(owner.now)
+  calls = [e for e in owner.take_effects() if isinstance(e, events.RenewLease)]
+  assert len(calls) == 1
+  answer(owner, record, 0.1, RESTARTED.born_ms, 20)
+  assert record.usable(owner.now)
+
+
+def test_answer_of_the_earlier_incarnation_is_ignored():
+  owner = test_leases.new_owner()
+  record = known_endpoint(owner)
+  answer(owner, record, 0.1, RESTARTED.born_ms, 20)
+  found = model.ActiveRun(model.RunId(model.Task("x", 0, 0), 1), 9)
+  owner_lib.tick(owner)
+  answer(owner, record, 0.2, BORN.born_ms, 900_200, running=(found,))
+  assert not record.runs
+  assert record.born_ms == RESTARTED.born_ms
+  assert record.clock_ms(0.2) < 1000
+
+
+def test_speed_and_failures_are_forgotten():
+  owner = test_leases.new_owner()
+  record = known_endpoint(owner)
+  record.speed.set_faulty(6.0)
+  record.failed_jobs.update(("j", "k"))
+  answer(owner, record, 0.1, RESTARTED.born_ms, 20)
+  assert record.speed_factor == 1.0
+  assert not record.slow and not record.failed_jobs
+
+
+def test_end_to_be_stored_does_not_acknowledge_one_of_the_new_incarnation():
+  """Guards against forgetting an end that is not in the store yet."""
+  owner = test_leases.new_owner()
+  record = known_endpoint(owner)
+  kept_records = owner.kept_records
+  kept_records.mark_loaded(keptevents.KeptJobsLoaded(test_leases.SHARD, 7))
+  kept_records.unsaved_results["k"] = {(BORN.id, 1), ("other", 1)}
+  record.unsaved_ends.add(1)
+  answer(owner, record, 0.1, RESTARTED.born_ms, 20)
+  assert kept_records.unsaved_results == {"k": {("other", 1)}}
+  assert not record.has_unsent_ack
+
+
+def test_restart_confirms_the_crash_that_a_task_is_suspected_of():
+  owner = test_leases.new_owner()
+  record = known_endpoint(owner)
+  started_run(owner, record)
+  answer(owner, record, 0.1, RESTARTED.born_ms, 20)
+  (job,) = owner.jobs.values()
+  (task,) = job.tasks.values()
+  assert task.crashed == {BORN.id}
+  assert not task.lost_endpoints
+
+
+def test_endpoint_that_answered_again_did_not_crash():
+  owner = test_leases.new_owner()
+  record = known_endpoint(owner)
+  run = started_run(owner, record)
+  owner.suspected_crashes[BORN.id] = ownerstate.SuspectedCrash(
+      BORN.address, 0.0, BORN.born_ms
+  )
+  listed = (model.ActiveRun(run.id, 30),)
+  answer(owner, record, 0.1, BORN.born_ms, 900_100, running=listed)
+  assert not owner.suspected_crashes
+
+
+def restart_some(emulation, every_s: float, until_s: float):
+  """Restarts a random endpoint in intervals, mostly with a clock far behind."""
+
+  def restart_one(number: int):
+    name = emulation.rng.choice(list(emulation.endpoints))
+    offset_ms = emulation.rng.choice((0, 0, 5_000_000))
+    emulation.endpoints[name].restart(1000 + number, offset_ms)
+
+  count = int(until_s / every_s)
+  for number in range(1, count):
+    emulation.clock.after(number * every_s, lambda n=number: restart_one(n))
+
+
+@pytest.mark.parametrize("seed", range(4))
+@pytest.mark.parametrize("loss_rate", (0.0, 0.1))
+def test_no_task_runs_twice_while_endpoints_are_restarted(seed, loss_rate):
+  emulation = fleets.fleet(seed=seed)
+  for number, endpoint in enumerate(emulation.endpoints.values()):
+    endpoint.info = dataclasses.replace(endpoint.info, born_ms=1 + number)
+    endpoint.loss_rate = loss_rate
+  emulation.clock.run_until(3.0)
+  hosts = list(emulation.hosts.values())
+  requests = fleets.submit_load(emulation, hosts, 6.0, 30)
+  submitted = kept.load(emulation, lambda: hosts, 6.0, 10)
+  restart_some(emulation, 0.3, 6.0)
+  emulation.clock.run_until(30.0)
+  outcomes = fleets.count_outcomes(emulation, requests)
+  kept.assert_guarantees_hold(emulation, submitted)
+  assert outcomes[model.Outcome.DONE] >= 0.8 * len(requests)
