Endpoints are chosen from an index; runs are moved from leaving endpoints

_choose_endpoint looked at every endpoint for each task, and nothing read the times that an endpoint announces: the least time that it stays while it is emptied, and how long it is still slow after its start. All that ran on an endpoint that left was found lost only by silence and the end of its lease.

The holder's endpoints are a table with an index by service, label, speed and free CPU. The order of preference is as before, except that cold endpoints come last and are used only in part; a property test compares it with a scan. A run that won't end before its endpoint leaves is stopped and started elsewhere if another endpoint could take it now, at most once a task.

--- a/fescueturn/emulator/fleet.py
+++ b/fescueturn/emulator/fleet.py
@@ -253,6 +253,22 @@
     endpoint = self.endpoints[name]
     endpoint.info = dataclasses.replace(endpoint.info, draining=drained)
 
+  def announce_leave(self, name: str, stays_s: float):
+    """Lists an endpoint as draining; it leaves with its runs after a time."""
+    endpoint = self.endpoints[name]
+    endpoint.info = dataclasses.replace(
+        endpoint.info,
+        draining=True,
+        stays_ms=int(1000 * stays_s),
+        clock_ms=endpoint.clock_ms,
+    )
+
+    def leave():
+      endpoint.crash()
+      self.unlisted.add(name)
+
+    self.clock.after(stays_s, leave)
+
   def evacuate(self, data_centre: str, wanted: bool = True):
     """Requests a data centre's evacuation, or ends it, as the operator does."""
     self._store.evacuate(data_centre, wanted)
--- a/fescueturn/platform/endpoints.py
+++ b/fescueturn/platform/endpoints.py
@@ -63,15 +63,20 @@
   except ValueError as exc:
     raise errors.SettingsError(f"{item.key}: address: {exc}") from exc
   capacity = raw.capacity
+  draining = raw.state != "ready"
+  leaves = draining and raw.remaining_ms is not None
   return model.Endpoint(
       id=item.key.removeprefix(PREFIX),
       address=address,
       service=raw.service,
       data_centre=raw.zone,
       slots=raw.slots,
-      draining=raw.state != "ready",
+      draining=draining,
       capacity=model.Resources(capacity.cpu, capacity.mem_mb, capacity.gpu),
       labels=raw.labels,
+      stays_ms=int(raw.remaining_ms) if leaves else None,
+      cold_ms=raw.cold_remaining_ms,
+      clock_ms=raw.clock_ms,
   )
 
 
--- a/fescueturn/platform/wire.py
+++ b/fescueturn/platform/wire.py
@@ -56,13 +56,17 @@
 
 
 class Entry(_Body):
-  """The entry that an endpoint writes in the store; every field is required.
+  """The entry that an endpoint writes in the store.
+
+  Fields without a default are required.
 
   Attributes:
     zone: its data centre.
-    cold_remaining_ms: unused.
+    cold_remaining_ms: how much longer it remains slow after its start.
     sequence: unused.
     labels: its kind and its rack.
+    remaining_ms: the least time that it stays; only while it is draining.
+    clock_ms: its clock when it wrote the entry, if it tells.
   """
 
   service: Name
@@ -75,6 +79,8 @@
   sequence: Counter
   capacity: Capacity
   labels: tuple[str, ...]
+  remaining_ms: Quantity | None = None
+  clock_ms: Counter | None = None
 
 
 # The operator's configuration.
--- /dev/null
+++ b/fescueturn/scheduler/decisions/placing.py
@@ -0,0 +1,274 @@
+"""Chooses the endpoint for a task, from an index by speed and free CPU.
+
+The index is kept up as runs begin and end, so that a choice looks at few
+endpoints however many there are. An endpoint that gets no tasks now is taken
+out of the index when a choice comes across it, and put back when its state has
+changed or its exclusion is over.
+"""
+
+import bisect
+import dataclasses
+import heapq
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Iterator
+from typing import NamedTuple
+
+from fescueturn.scheduler import endpointstate
+from fescueturn.scheduler import model
+from fescueturn.scheduler.decisions import leaving
+
+# Endpoints whose speeds differ by less than this part count as equally fast,
+# since speeds are learnt from run times whose estimates are off by 40%.
+SPEED_DIGITS = 1
+
+
+@dataclasses.dataclass(frozen=True)
+class Wanted:
+  """What a task asks of its endpoint.
+
+  Attributes:
+    service: the service of its job.
+    task: the task.
+    step: its step.
+    moved_from: the endpoint that it was moved from; "" if none.
+  """
+
+  service: str
+  task: model.Task
+  step: model.Step
+  moved_from: str = ""
+
+
+def allows(
+    record: endpointstate.EndpointRecord, wanted: Wanted, now: float
+) -> bool:
+  """Returns whether a task may start now on an endpoint, and fits there."""
+  step = wanted.step
+  return (
+      record.info.service == wanted.service
+      and record.fits(step.need)
+      and (not step.requires or step.requires in record.info.labels)
+      and record.usable(now)
+      and leaving.has_warm_room(record, step.need, now)
+      and not _has_most_runs(record, wanted)
+  )
+
+
+def _has_most_runs(record, wanted: Wanted) -> bool:
+  """Returns whether an endpoint has as many runs of the step as it may have."""
+  most = wanted.step.most_per_endpoint
+  if not most:
+    return False
+  step_key = (wanted.task.job_id, wanted.task.step)
+  runs = sum((r.task.job_id, r.task.step) == step_key for r in record.runs)
+  return runs >= most
+
+
+class Speed(NamedTuple):
+  """How fast an endpoint is, the fastest first.
+
+  Attributes:
+    cold: True while it is slow after its start.
+    slowness: the ratio of its run times to their estimates, rounded.
+  """
+
+  cold: bool
+  slowness: float
+
+
+def speed_of(record: endpointstate.EndpointRecord, now: float) -> Speed:
+  """Returns how fast an endpoint is."""
+  slowness = round(record.slowness, SPEED_DIGITS)
+  return Speed(leaving.is_cold(record, now), slowness)
+
+
+def rank(
+    record: endpointstate.EndpointRecord, wanted: Wanted, now: float
+) -> tuple[object, ...]:
+  """Returns the key by which endpoints are compared; the least is the best.
+
+  Avoids the endpoint that the task was moved from, then prefers the task's
+  rack, a warm endpoint, the fastest one and the one with the most free CPU, in
+  this order.
+  """
+  step = wanted.step
+  return (
+      record.info.id == wanted.moved_from,
+      bool(step.near) and step.near not in record.info.labels,
+      speed_of(record, now),
+      -record.free.cpu,
+      record.info.id,
+  )
+
+
+def choose_by_scan(
+    records: Iterable[endpointstate.EndpointRecord],
+    wanted: Wanted,
+    now: float,
+    risk: Callable[[endpointstate.EndpointRecord], tuple[object, ...]],
+) -> endpointstate.EndpointRecord | None:
+  """Returns the best endpoint for a task that may crash it; looks at all.
+
+  Args:
+    records: the endpoints.
+    wanted: what the task asks of its endpoint.
+    now: the time.
+    risk: returns what the task would put at risk on an endpoint; the least is
+      the best.
+  """
+
+  def key(record):
+    moved_away, *others = rank(record, wanted, now)
+    return (moved_away, risk(record), *others)
+
+  allowed = [r for r in records if allows(r, wanted, now)]
+  return min(allowed, key=key, default=None)
+
+
+@dataclasses.dataclass(frozen=True)
+class _Place:
+  """Where an endpoint is in the index.
+
+  Attributes:
+    groups: the services and labels under which it is found.
+    order: how fast it is.
+    entry: its free CPU, negative so that the most comes first, and its id.
+  """
+
+  groups: tuple[tuple[str, str], ...]
+  order: Speed
+  entry: tuple[int, str]
+
+
+def _place_of(record: endpointstate.EndpointRecord, now: float) -> _Place:
+  service = record.info.service
+  labels = ("", *dict.fromkeys(label for label in record.info.labels if label))
+  groups = tuple((service, label) for label in labels)
+  entry = (-record.free.cpu, record.info.id)
+  return _Place(groups, speed_of(record, now), entry)
+
+
+class EndpointTable(dict[str, endpointstate.EndpointRecord]):
+  """A holder's endpoints by id, with the index from which they are chosen.
+
+  Each record reports its changes to the table that it is in.
+  """
+
+  def __init__(self):
+    super().__init__()
+    # By service and label, by speed: the entries in ascending order.
+    self._groups: dict[tuple[str, str], dict[Speed, list[tuple[int, str]]]] = {}
+    self._places: dict[str, _Place] = {}
+    # Endpoints whose place in the index may be another one by now.
+    self._changed: set[str] = set()
+    # When endpoints change by themselves: exclusions end, cold ones are warm.
+    self._due: list[tuple[float, str]] = []
+    # Endpoints that the current choice has found unusable.
+    self._met_unusable: list[str] = []
+
+  def __setitem__(self, name: str, record: endpointstate.EndpointRecord):
+    super().__setitem__(name, record)
+    record.on_change = lambda: self._changed.add(name)
+    self._changed.add(name)
+
+  def __delitem__(self, name: str):
+    super().__delitem__(name)
+    self._changed.add(name)
+
+  def pop(self, name: str, *default):
+    """Removes an endpoint and returns its record."""
+    self._changed.add(name)
+    return super().pop(name, *default)
+
+  def choose(
+      self,
+      wanted: Wanted,
+      now: float,
+      accepts: Callable[[endpointstate.EndpointRecord], bool] | None = None,
+  ) -> endpointstate.EndpointRecord | None:
+    """Returns the endpoint on which a task should start now, or None.
+
+    Args:
+      wanted: what the task asks of its endpoint.
+      now: the time.
+      accepts: a further condition on the endpoint.
+    """
+    self._update_index(now)
+    chosen = self._first_allowed(wanted, now, accepts)
+    for name in self._met_unusable:
+      self._take_out(name, now)
+    self._met_unusable.clear()
+    return chosen
+
+  def _first_allowed(self, wanted: Wanted, now: float, accepts):
+    moved_from = None
+    for record in self._in_order(wanted, now):
+      if not allows(record, wanted, now) or (accepts and not accepts(record)):
+        continue
+      if record.info.id != wanted.moved_from:
+        return record
+      moved_from = moved_from or record
+    return moved_from
+
+  def _in_order(
+      self, wanted: Wanted, now: float
+  ) -> Iterator[endpointstate.EndpointRecord]:
+    """Yields the usable endpoints with enough free CPU, the best first."""
+    step = wanted.step
+    if step.near:
+      yield from self._in_group((wanted.service, step.near), step.need, now)
+    group = (wanted.service, step.requires)
+    for record in self._in_group(group, step.need, now):
+      if not step.near or step.near not in record.info.labels:
+        yield record
+
+  def _in_group(
+      self, group: tuple[str, str], need: model.Resources, now: float
+  ) -> Iterator[endpointstate.EndpointRecord]:
+    classes = self._groups.get(group, {})
+    for key in sorted(classes):
+      for free, name in classes[key]:
+        if -free < need.cpu:
+          break
+        record = self[name]
+        if record.usable(now):
+          yield record
+        else:
+          self._met_unusable.append(name)
+
+  def _take_out(self, name: str, now: float):
+    """Takes an endpoint out of the index until it may be usable again."""
+    self._remove_place(name)
+    excluded_until = self[name].excluded_until
+    if excluded_until > now:
+      heapq.heappush(self._due, (excluded_until, name))
+
+  def _update_index(self, now: float):
+    while self._due and self._due[0][0] <= now:
+      self._changed.add(heapq.heappop(self._due)[1])
+    for name in self._changed:
+      self._remove_place(name)
+      if name in self:
+        self._add_place(name, now)
+    self._changed.clear()
+
+  def _add_place(self, name: str, now: float):
+    record = self[name]
+    place = self._places[name] = _place_of(record, now)
+    if place.order.cold:
+      heapq.heappush(self._due, (record.cold_until, name))
+    for group in place.groups:
+      classes = self._groups.setdefault(group, {})
+      bisect.insort(classes.setdefault(place.order, []), place.entry)
+
+  def _remove_place(self, name: str):
+    place = self._places.pop(name, None)
+    if place is None:
+      return
+    for group in place.groups:
+      classes = self._groups[group]
+      entries = classes[place.order]
+      del entries[bisect.bisect_left(entries, place.entry)]
+      if not entries:
+        del classes[place.order]
--- a/fescueturn/scheduler/endpointstate.py
+++ b/fescueturn/scheduler/endpointstate.py
@@ -6,6 +6,8 @@
 """
 
 import enum
+import math
+from collections.abc import Callable
 
 from fescueturn.scheduler import model
 
@@ -167,7 +169,6 @@
   Attributes:
     info: the endpoint as the platform lists it.
     listed: True while the platform lists it.
-    runs_known: True once it has listed its runs.
     runs: its runs, of which some may not have started.
     last_end_number: the highest sequence number of an ended run that it has
       listed.
@@ -193,12 +194,18 @@
       if it isn't.
     calls_unanswered: lease calls without an answer since its last answer.
     last_answer_at: when it last answered any call (s).
+    leaves_at: the earliest time at which it leaves (s); None if it hasn't
+      announced that.
+    cold_until: until when it is slow after its start (s).
+    cold_s: how long it was slow from when it was first listed (s).
+    entry_recorded: True once the times that its entry announces are recorded.
+    on_change: called when its capacity, speed or health may have changed.
   """
 
   def __init__(self, info: model.Endpoint, now: float):
     self.info = info
     self.listed = True
-    self.runs_known = False
+    self._runs_known = False
     self.runs: dict[model.RunId, Run] = {}
     self.last_end_number = 0
     self.unsaved_ends: set[int] = set()
@@ -222,10 +229,25 @@
     self.suspected_since: float | None = None
     self.calls_unanswered = 0
     self.last_answer_at = now
+    self.leaves_at: float | None = None
+    self.cold_until = 0.0
+    self.cold_s = 0.0
+    self.entry_recorded = False
+    self.on_change: Callable[[], None] = lambda: None
     self._clock_ms: int | None = None
     self._clock_at = now
     self._free = info.capacity
 
+  @property
+  def runs_known(self) -> bool:
+    """True once it has listed its runs."""
+    return self._runs_known
+
+  @runs_known.setter
+  def runs_known(self, known: bool):
+    self._runs_known = known
+    self.on_change()
+
   @property
   def free(self) -> model.Resources:
     """The resources that no run takes up."""
@@ -299,6 +321,8 @@
     self._clock_ms = clock_ms
     self._clock_at = now
     self.last_answer_at = now
+    if self.silent_since is not None or self.suspected_since is not None:
+      self.on_change()
     self.silent_since = None
     self.suspected_since = None
     self.calls_unanswered = 0
@@ -310,6 +334,13 @@
     elapsed_ms = (now - self._clock_at) * 1000
     return self._clock_ms + int(elapsed_ms * MIN_CLOCK_RATE)
 
+  def latest_clock_ms(self, now: float) -> int | None:
+    """Returns the endpoint's clock, estimated from above; None if unknown."""
+    if self._clock_ms is None:
+      return None
+    elapsed_ms = (now - self._clock_at) * 1000
+    return self._clock_ms + math.ceil(elapsed_ms * (2 - MIN_CLOCK_RATE))
+
   def clock_gain_ms(self, clock_ms: int | None, now: float) -> float:
     """Returns by how much an answer's clock exceeds any that is possible."""
     if clock_ms is None or self._clock_ms is None:
@@ -375,6 +406,7 @@
       # A run of unknown size may take up the whole endpoint.
       free = free.minus(run.need or self.info.capacity)
     self._free = free
+    self.on_change()
 
   def mark_silent(self, now: float):
     """Marks the endpoint as silent."""
@@ -437,6 +469,7 @@
       if ratio < SLOW_RATIO:
         self._slow_jobs.clear()
       self.slowness += SLOWNESS_GAIN * (ratio - self.slowness)
+      self.on_change()
 
   def record_slow_run(self, run: Run, ratio: float) -> bool:
     """Records a slowed run.
@@ -453,6 +486,7 @@
       return False
     newly_slow = self.slowness <= SLOW_RATIO
     self.slowness = ratio
+    self.on_change()
     return newly_slow
 
   def snapshot(self, now: float) -> dict:
@@ -461,6 +495,10 @@
         "listed": self.listed,
         "known": self.runs_known,
         "draining": self.info.draining,
+        "leaves_in_s": round(self.leaves_at - now, 3)
+        if self.leaves_at is not None
+        else None,
+        "cold_s": round(max(0.0, self.cold_until - now), 3),
         "runs": {
             state.value: sum(r.state is state for r in self.runs.values())
             for state in RunState
--- a/fescueturn/scheduler/leases.py
+++ b/fescueturn/scheduler/leases.py
@@ -13,6 +13,7 @@
 from fescueturn.scheduler import roster
 from fescueturn.scheduler import runcontrol
 from fescueturn.scheduler import stragglers
+from fescueturn.scheduler.decisions import leaving
 
 # How long a lease call waits at the endpoint for a run to end (a long poll).
 # The next call then renews the lease with 500 of its 800 ms left, enough for a
@@ -56,6 +57,7 @@
       record = endpointstate.EndpointRecord(info, owner.now)
       if owner.roster.must_delay_join(name, owner.now):
         record.exclude_until(owner.now + roster.JOIN_DELAY_S)
+      leaving.record_entry(record, info, owner.now)
       owner.endpoints[name] = record
       owner.emit(ownerstate.endpoint_log("endpoint_seen", record))
       renew_lease(owner, record)
@@ -64,7 +66,9 @@
       owner.emit(
           ownerstate.endpoint_log("endpoint_changed", record, now=info.draining)
       )
+    leaving.record_entry(record, info, owner.now)
     record.update(info)
+    stragglers.move_from_leaving(owner, record)
   for name, record in list(owner.endpoints.items()):
     if name not in own_endpoints and record.listed:
       record.listed = False
--- a/fescueturn/scheduler/model.py
+++ b/fescueturn/scheduler/model.py
@@ -66,6 +66,11 @@
     capacity: the endpoint's total resources.
     labels: the machine's kind and rack, matched by `Step.requires` and
       `Step.near`.
+    stays_ms: the least time that it stays from when it wrote its entry; None
+      if it hasn't announced that it leaves.
+    cold_ms: how much longer it is slow after its start, from when it wrote its
+      entry.
+    clock_ms: its clock when it wrote its entry; None if that isn't known.
   """
 
   id: str
@@ -76,6 +81,9 @@
   draining: bool
   capacity: Resources
   labels: tuple[str, ...] = ()
+  stays_ms: int | None = None
+  cold_ms: int = 0
+  clock_ms: int | None = None
 
 
 @dataclasses.dataclass(frozen=True)
--- a/fescueturn/scheduler/owner.py
+++ b/fescueturn/scheduler/owner.py
@@ -14,6 +14,7 @@
 from fescueturn.scheduler import outcomes
 from fescueturn.scheduler import ownerstate
 from fescueturn.scheduler import runcontrol
+from fescueturn.scheduler import stragglers
 
 # How long a run found at an endpoint after a takeover may go without a known
 # job before it is stopped. A coordinator learns of the new holder through the
@@ -116,6 +117,7 @@
   """Retries unanswered calls to an endpoint and stops unwanted runs."""
   for run in list(record.runs.values()):
     _check_run(owner, record, run)
+  stragglers.move_from_leaving(owner, record)
   if record.can_be_forgotten(owner.now):
     owner.emit(ownerstate.endpoint_log("endpoint_forgotten", record))
     leases.remove_endpoint(owner, record, crashed=False)
--- a/fescueturn/scheduler/ownerstate.py
+++ b/fescueturn/scheduler/ownerstate.py
@@ -15,6 +15,7 @@
 from fescueturn.scheduler import roster
 from fescueturn.scheduler import suspicion
 from fescueturn.scheduler import timeouts
+from fescueturn.scheduler.decisions import placing
 
 # For this long a new holder accepts jobs before it knows what its endpoints are
 # running. The endpoint list takes 6 ms to arrive from the store and the
@@ -230,7 +231,7 @@
     # How long finished kept jobs stay known (s).
     self.ended_job_retention_s = ended_job_retention_s
     self.kept_records = keptrecords.KeptRecords()
-    self.endpoints: dict[str, endpointstate.EndpointRecord] = {}
+    self.endpoints = placing.EndpointTable()
     # Incarnations that are listed although another one answers at the address.
     self.dead_incarnations: set[tuple[str, settings.Address]] = set()
     # The number of listed endpoints of each size, by service.
--- a/fescueturn/scheduler/runcontrol.py
+++ b/fescueturn/scheduler/runcontrol.py
@@ -1,10 +1,13 @@
 """Starts an owner's waiting tasks on endpoints, and stops their runs."""
 
+from collections.abc import Callable
+
 from fescueturn.scheduler import crashes
 from fescueturn.scheduler import endpointstate
 from fescueturn.scheduler import events
 from fescueturn.scheduler import model
 from fescueturn.scheduler import ownerstate
+from fescueturn.scheduler.decisions import placing
 
 # No task of a job is started with less than this left until the job's deadline.
 MIN_TIME_LEFT_S = 0.02
@@ -23,9 +26,6 @@
   waiting = [job for job in owner.jobs.values() if job.waiting]
   if not waiting:
     return
-  usable = [r for r in owner.endpoints.values() if r.usable(owner.now)]
-  if not usable:
-    return
   waiting.sort(key=lambda job: job.latest_start)
   for job in waiting:
     if job.deadline - owner.now < MIN_TIME_LEFT_S:
@@ -37,47 +37,35 @@
           owner, job, task
       ):
         continue
-      record = _choose_endpoint(owner, job, task, usable)
+      record = _choose_endpoint(owner, job, task)
       if record is None:
         break
       _start_task(owner, job, task, record)
 
 
-def _choose_endpoint(owner, job, task: ownerstate.TaskRecord, usable):
-  """Returns the best endpoint with capacity for the task, or None.
-
-  Avoids the endpoint that the task was moved from, then prefers the task's
-  rack, the fastest endpoint and the one with the most free CPU, in this order.
-  """
-  step = task.step
-  has_losses = bool(task.lost_endpoints or task.crashed)
-  best, best_rank = None, None
-  for record in usable:
-    if record.info.service != job.job.service or not record.fits(step.need):
-      continue
-    if step.requires and step.requires not in record.info.labels:
-      continue
-    if step.most_per_endpoint and _count_step_runs(record, task) >= (
-        step.most_per_endpoint
-    ):
-      continue
-    near = not step.near or step.near in record.info.labels
-    moved_away = record.info.id == task.moved_from
-    # A task that may crash its endpoint is placed where it puts the fewest
-    # other runs at risk.
-    risk = ()
-    if has_losses:
-      risk = (crashes.crashed_recently(owner, record), len(record.runs))
-    rank = (
-        moved_away,
-        risk,
-        not near,
-        round(record.slowness, 1),
-        -record.free.cpu,
-    )
-    if best is None or rank < best_rank:
-      best, best_rank = record, rank
-  return best
+def _choose_endpoint(
+    owner,
+    job,
+    task: ownerstate.TaskRecord,
+    accepts: Callable[[endpointstate.EndpointRecord], bool] | None = None,
+):
+  """Returns the best endpoint on which the task may start now, or None."""
+  wanted = placing.Wanted(
+      job.job.service, task.task, task.step, task.moved_from
+  )
+  if not (task.lost_endpoints or task.crashed):
+    return owner.endpoints.choose(wanted, owner.now, accepts)
+  # A task that may crash its endpoint is placed where it puts the fewest other
+  # runs at risk. Such tasks are few.
+  return placing.choose_by_scan(
+      [r for r in owner.endpoints.values() if accepts is None or accepts(r)],
+      wanted,
+      owner.now,
+      lambda record: (
+          crashes.crashed_recently(owner, record),
+          len(record.runs),
+      ),
+  )
 
 
 def can_start_elsewhere(
@@ -91,20 +79,11 @@
     task: the task.
     record: the endpoint that it runs on.
   """
-  fast = [
-      other
-      for other in owner.endpoints.values()
-      if other is not record
-      and other.slowness < endpointstate.SLOW_RATIO
-      and other.usable(owner.now)
-  ]
-  return _choose_endpoint(owner, job, task, fast) is not None
-
-
-def _count_step_runs(record, task: ownerstate.TaskRecord) -> int:
-  """Returns how many runs of the task's step the endpoint has."""
-  step_key = (task.task.job_id, task.task.step)
-  return sum((r.task.job_id, r.task.step) == step_key for r in record.runs)
+
+  def accepts(other: endpointstate.EndpointRecord) -> bool:
+    return other is not record and other.slowness < endpointstate.SLOW_RATIO
+
+  return _choose_endpoint(owner, job, task, accepts) is not None
 
 
 def _start_task(
--- a/fescueturn/scheduler/stragglers.py
+++ b/fescueturn/scheduler/stragglers.py
@@ -1,4 +1,7 @@
-"""Detects slow endpoints by the progress of their runs, and moves stragglers.
+"""Detects slow endpoints by the progress of their runs, and moves runs.
+
+Runs are moved from slow endpoints, and from endpoints that leave before the
+runs end.
 
 Each lease call reports how much of a run is done, from which its end is
 predicted. This guards against endpoints that are slow for a while, for example
@@ -13,6 +16,7 @@
 from fescueturn.scheduler import endpointstate
 from fescueturn.scheduler import ownerstate
 from fescueturn.scheduler import runcontrol
+from fescueturn.scheduler.decisions import leaving
 
 # A run is moved only if its remaining time is this many times the time of a new
 # run, whose estimate may be too low by 40%.
@@ -40,22 +44,41 @@
     _move_if_faster(owner, record, run)
 
 
-def _move_if_faster(owner, record, run: endpointstate.Run):
-  """Stops a run that would end sooner if it was restarted elsewhere.
+def move_from_leaving(
+    owner: ownerstate.Owner, record: endpointstate.EndpointRecord
+):
+  """Moves the runs that won't end before their endpoint leaves.
 
-  A task is moved only once.
+  Everything that runs there then is lost, which is only noticed by the lack of
+  answers and the end of the lease.
   """
+  if record.leaves_at is None:
+    return
+  for run in list(record.runs.values()):
+    if run.state is endpointstate.RunState.RUNNING and leaving.ends_too_late(
+        record, run, owner.now
+    ):
+      _move(owner, record, run, "leaving")
+
+
+def _move_if_faster(owner, record, run: endpointstate.Run):
+  """Stops a run that would end sooner if it was restarted elsewhere."""
+  left_s = leaving.predicted_end(run, record.slowness) - owner.now
+  if left_s >= MOVE_GAIN * run.estimate_ms / 1000 + MOVE_S:
+    _move(owner, record, run, "slow")
+
+
+def _move(owner, record, run: endpointstate.Run, why: str):
+  """Stops a run whose task can start elsewhere now; a task is moved once."""
   job = owner.by_id.get(run.id.task.job_id)
   task = job.tasks.get(run.id.task) if job else None
   if task is None or task.run != run.id or task.moved_from or job.returning:
     return
-  left_s = run.predicted_duration_s(owner.now) * (100 - run.percent) / 100
-  if left_s < MOVE_GAIN * task.estimate_s + MOVE_S:
-    return
   if not owner.may_start or not runcontrol.can_start_elsewhere(
       owner, job, task, record
   ):
     return
+  left_s = leaving.predicted_end(run, record.slowness) - owner.now
   task.moved_from = record.info.id
   owner.counters["run_moved"] += 1
   owner.emit(
@@ -63,8 +86,9 @@
           "run_moved",
           record,
           run,
+          why=why,
           percent=run.percent,
-          left_ms=int(left_s * 1000),
+          left_ms=int(1000 * left_s),
           estimate_ms=run.estimate_ms,
       )
   )
--- /dev/null
+++ b/tests/test_placing.py
@@ -0,0 +1,236 @@
+"""Tests the choice of endpoints from the index by speed and free CPU."""
+
+import dataclasses
+
+import hypothesis
+from hypothesis import strategies
+
+from fescueturn import settings
+from fescueturn.scheduler import endpointstate
+from fescueturn.scheduler import model
+from fescueturn.scheduler.decisions import placing
+
+RACKS = ("r0", "r1")
+SLOTS = 3
+
+
+def endpoint(
+    name: str, cpu: int = 64000, labels=("a", "r0"), service: str = "s"
+) -> model.Endpoint:
+  return model.Endpoint(
+      name,
+      settings.Address(name, 1),
+      service,
+      "dc",
+      SLOTS,
+      False,
+      model.Resources(cpu, 4096, 0),
+      labels,
+  )
+
+
+def known_record(info: model.Endpoint) -> endpointstate.EndpointRecord:
+  record = endpointstate.EndpointRecord(info, 0.0)
+  record.runs_known = True
+  return record
+
+
+def table_of(*infos: model.Endpoint) -> placing.EndpointTable:
+  table = placing.EndpointTable()
+  for info in infos:
+    table[info.id] = known_record(info)
+  return table
+
+
+def add_run(record, cpu: int, number: int, mem_mb: int = 64):
+  run = model.RunId(model.Task(f"j{number % 3}", 0, number), 1)
+  need = model.Resources(cpu, mem_mb, 0)
+  state = endpointstate.RunState.RUNNING
+  record.add(endpointstate.Run(run, need, state, 0.0, 100))
+
+
+def wanted(cpu: int, moved_from: str = "", **step) -> placing.Wanted:
+  need = model.Resources(cpu, 64, 0)
+  task = model.Task("j0", 0, 99)
+  return placing.Wanted("s", task, model.Step(1, need, 100, **step), moved_from)
+
+
+def name_of(record: endpointstate.EndpointRecord | None) -> str:
+  return record.info.id if record is not None else ""
+
+
+def test_fastest_endpoint_with_room_is_chosen_then_the_emptiest():
+  table = table_of(endpoint("e0"), endpoint("e1", 96000), endpoint("e2"))
+  assert name_of(table.choose(wanted(32000), 1.0)) == "e1"
+  add_run(table["e1"], 40000, 0)
+  assert name_of(table.choose(wanted(32000), 1.0)) == "e0"
+  run = endpointstate.Run(
+      model.RunId(model.Task("k", 0, 0), 1), None, None, 0.0, 1000
+  )
+  table["e2"].record_done_run(run, 0.5)
+  assert name_of(table.choose(wanted(32000), 1.0)) == "e2", "it is faster"
+  assert table.choose(wanted(97000), 1.0) is None
+
+
+def test_task_returns_to_the_endpoint_it_was_moved_from_only_if_no_other_fits():
+  table = table_of(endpoint("e0"), endpoint("e1"))
+  assert name_of(table.choose(wanted(32000, "e0"), 1.0)) == "e1"
+  add_run(table["e1"], 40000, 0)
+  assert name_of(table.choose(wanted(32000, "e0"), 1.0)) == "e0"
+
+
+def test_endpoint_is_chosen_again_once_its_exclusion_is_over():
+  table = table_of(endpoint("e0"))
+  table["e0"].back_off(1.0)
+  assert table.choose(wanted(32000), 1.1) is None
+  later = 1.0 + endpointstate.BACK_OFF_S
+  assert name_of(table.choose(wanted(32000), later)) == "e0"
+
+
+def test_silent_endpoint_is_chosen_again_once_it_answers():
+  table = table_of(endpoint("e0"))
+  table["e0"].mark_silent(1.0)
+  assert table.choose(wanted(32000), 1.1) is None
+  table["e0"].update_clock(500, 1.2)
+  assert name_of(table.choose(wanted(32000), 1.2)) == "e0"
+
+
+def test_cold_endpoint_comes_last_and_gets_more_room_as_it_warms_up():
+  cold = endpoint("e0", 96000)
+  table = table_of(cold, endpoint("e1"))
+  table["e0"].cold_until, table["e0"].cold_s = 5.0, 4.0
+  assert name_of(table.choose(wanted(32000), 1.0)) == "e1"
+  add_run(table["e1"], 60000, 0)
+  assert name_of(table.choose(wanted(32000), 1.0)) == "e0"
+  add_run(table["e0"], 32000, 1)
+  assert table.choose(wanted(32000), 1.0) is None, "half its room is used"
+  assert name_of(table.choose(wanted(32000), 4.0)) == "e0"
+  assert name_of(table.choose(wanted(32000), 5.0)) == "e0"
+
+
+def test_replaced_and_removed_endpoints_are_not_chosen():
+  table = table_of(endpoint("e0"), endpoint("e1"))
+  table["e0"] = known_record(endpoint("e0", 10000))
+  assert name_of(table.choose(wanted(32000), 1.0)) == "e1"
+  table.pop("e1")
+  assert table.choose(wanted(32000), 1.0) is None
+
+
+NUMBERS = strategies.integers(0, 5)
+CPU = strategies.integers(1, 8).map(lambda n: n * 8000)
+CHANGES = strategies.one_of(
+    strategies.tuples(strategies.just("run"), NUMBERS, CPU),
+    strategies.tuples(
+        strategies.sampled_from(
+            (
+                "end",
+                "done",
+                "silent",
+                "suspect",
+                "answer",
+                "back_off",
+                "eject",
+                "drain",
+                "unlist",
+                "list",
+                "cold",
+                "forget",
+                "known",
+                "slow",
+                "full",
+            )
+        ),
+        NUMBERS,
+        CPU,
+    ),
+    strategies.tuples(strategies.just("choose"), NUMBERS, CPU),
+)
+STEPS = strategies.fixed_dictionaries(
+    {},
+    optional={
+        "requires": strategies.sampled_from(("a", "r1")),
+        "near": strategies.sampled_from(RACKS),
+        "most_per_endpoint": strategies.integers(1, 2),
+    },
+)
+
+
+def apply_change(table, infos, change: str, number: int, cpu: int, now: float):
+  """Changes one endpoint as the holder's other modules do."""
+  info = infos[number]
+  record = table.get(info.id)
+  if record is None:
+    table[info.id] = endpointstate.EndpointRecord(info, now)
+    return
+  if change == "run":
+    add_run(record, cpu, int(now * 10))
+  elif change == "full":
+    add_run(record, 1000, int(now * 10), mem_mb=4096)
+  elif change in ("end", "done") and record.runs:
+    run = record.remove(next(iter(record.runs)))
+    if change == "done":
+      record.record_done_run(run, now)
+  elif change == "silent":
+    record.mark_silent(now)
+  elif change == "suspect":
+    record.suspected_since = now
+  elif change == "answer":
+    record.update_clock(int(now * 1000), now)
+  elif change == "back_off":
+    record.back_off(now)
+  elif change == "eject":
+    record.eject(now)
+  elif change == "drain":
+    draining = not record.info.draining
+    record.update(dataclasses.replace(record.info, draining=draining))
+  elif change == "unlist":
+    record.listed = False
+  elif change == "list":
+    record.update(record.info)
+  elif change == "cold":
+    record.cold_until, record.cold_s = now + 0.5, 0.5
+    record.update(record.info)
+  elif change == "forget":
+    del table[info.id]
+  elif change == "known":
+    record.runs_known = True
+  elif change == "slow":
+    for job in ("k", "l"):
+      run = model.RunId(model.Task(job, 0, 0), 1)
+      record.record_slow_run(endpointstate.Run(run, None, None, now), 3.0)
+
+
+@hypothesis.settings(max_examples=400, deadline=None)
+@hypothesis.given(
+    strategies.lists(CHANGES, max_size=40),
+    STEPS,
+    strategies.sampled_from(("", "e0", "e3")),
+)
+def test_index_chooses_as_a_scan_of_all_endpoints_would(
+    changes, step, moved_from
+):
+  infos = [
+      endpoint(
+          f"e{n}",
+          64000 if n % 3 else 96000,
+          ("a" if n < 4 else "b", RACKS[n % 2]),
+          "s" if n < 5 else "other",
+      )
+      for n in range(6)
+  ]
+  table = table_of(*infos)
+  for tick, (change, number, cpu) in enumerate(changes):
+    now = 1.0 + 0.1 * tick
+    apply_change(table, infos, change, number, cpu, now)
+    if change != "choose" and tick != len(changes) - 1:
+      continue
+    task = wanted(cpu, moved_from, **step)
+    chosen = table.choose(task, now)
+    scanned = placing.choose_by_scan(table.values(), task, now, lambda _: ())
+    assert name_of(chosen) == name_of(scanned)
+    if chosen is not None:
+      assert chosen.usable(now)
+      assert chosen.fits(task.step.need)
+      assert not task.step.requires or (
+          task.step.requires in chosen.info.labels
+      )
