--- a/fescueturn/platform/wire.py
+++ b/fescueturn/platform/wire.py
@@ -58,14 +58,16 @@
 class Entry(_Body):
   """The entry that an endpoint writes in the store.
 
-  Every field but `born` is required.
+  Fields without a default are required.
 
   Attributes:
     zone: its data centre.
-    cold_remaining_ms: unused.
+    cold_remaining_ms: how much longer it remains slow after its start.
     sequence: unused.
     labels: its kind and its rack.
     born: when it started (Unix time, ms); 0 if it doesn't say.
+    remaining_ms: the least time that it stays; only while it is draining.
+    clock_ms: its clock when it wrote the entry, if it tells.
   """
 
   service: Name
@@ -79,6 +81,8 @@
   capacity: Capacity
   labels: tuple[str, ...]
   born: Counter = 0
+  remaining_ms: Quantity | None = None
+  clock_ms: Counter | None = None
 
 
 # The operator's configuration.
--- a/fescueturn/scheduler/leases.py
+++ b/fescueturn/scheduler/leases.py
@@ -14,6 +14,7 @@
 from fescueturn.scheduler import runcontrol
 from fescueturn.scheduler import runpace
 from fescueturn.scheduler import stragglers
+from fescueturn.scheduler.decisions import leaving
 
 # How long a lease call waits at the endpoint for a run to end (a long poll).
 # The next call then renews the lease with 500 of its 800 ms left, enough for a
@@ -60,6 +61,7 @@
       record = endpointstate.EndpointRecord(info, owner.now)
       if owner.roster.must_delay_join(name, owner.now):
         record.exclude_until(owner.now + roster.JOIN_DELAY_S)
+      leaving.record_entry(record, info, owner.now)
       owner.endpoints[name] = record
       owner.emit(ownerstate.endpoint_log("endpoint_seen", record))
       renew_lease(owner, record)
@@ -68,9 +70,11 @@
       owner.emit(
           ownerstate.endpoint_log("endpoint_changed", record, now=info.draining)
       )
+    leaving.record_entry(record, info, owner.now)
     record.update(info)
     if record.restart_listed:
       renew_lease(owner, record, now=True)
+    stragglers.move_from_leaving(owner, record)
   for name, record in list(owner.endpoints.items()):
     if name not in own_endpoints and record.listed:
       record.listed = False
@@ -109,13 +113,16 @@
   record.call_pending = True
   record.call_sent_at = owner.now
   record.last_sent_ack = record.ack_number
+  last_seen = _last_seen(record)
+  record.last_seen = last_seen
+  record.call_answered = False
   wait_ms = 0 if now else _call_wait_ms(owner, record)
   record.call_is_long_poll = wait_ms > 0
   owner.emit(
       events.RenewLease(
           record.info,
           record.call_number,
-          record.last_sent_ack,
+          last_seen,
           _new_lease_end(owner, record),
           wait_ms,
           owner.fence,
@@ -123,6 +130,19 @@
   )
 
 
+def _last_seen(record: endpointstate.EndpointRecord) -> int:
+  """Returns the number up to which a call lets the endpoint forget ended runs.
+
+  It is 0 unless the call before was answered and left ends to acknowledge. An
+  incarnation that has started meanwhile numbers its own ends from 1, and would
+  forget them unseen.
+  """
+  confirmed = record.last_sent_ack <= record.confirmed_ack
+  if record.born_ms and (confirmed or not record.call_answered):
+    return 0
+  return record.last_sent_ack
+
+
 def _call_wait_ms(owner, record: endpointstate.EndpointRecord) -> int:
   """Returns how long a lease call may wait for a run to end (ms).
 
@@ -164,6 +184,8 @@
   _detect_restart(owner, record, event)
   update_clock(owner, record, event.clock_ms)
   if event.result is model.CallResult.OK:
+    record.call_answered = True
+    record.confirmed_ack = max(record.confirmed_ack, record.last_seen)
     _handle_run_lists(owner, record, event)
   else:
     _handle_failed_call(owner, record, event.result)
--- a/fescueturn/scheduler/model.py
+++ b/fescueturn/scheduler/model.py
@@ -68,6 +68,11 @@
       `Step.near`.
     born_ms: when this incarnation started (Unix time, ms), which tells apart
       those with one id; 0 if it isn't known.
+    stays_ms: the least time that it stays from when it wrote its entry; None
+      if it hasn't announced that it leaves.
+    cold_ms: how much longer it is slow after its start, from when it wrote its
+      entry.
+    clock_ms: its clock when it wrote its entry; None if that isn't known.
   """
 
   id: str
@@ -79,6 +84,9 @@
   capacity: Resources
   labels: tuple[str, ...] = ()
   born_ms: int = 0
+  stays_ms: int | None = None
+  cold_ms: int = 0
+  clock_ms: int | None = None
 
 
 @dataclasses.dataclass(frozen=True)
--- a/fescueturn/scheduler/runpace.py
+++ b/fescueturn/scheduler/runpace.py
@@ -137,6 +137,7 @@
   run.observed_at = owner.now
   ratio = math.log(took_ms / (run.estimate_ms * share)) - error
   record.speed.observe(ratio, variance, share, owner.now)
+  record.on_change()
 
 
 def endpoint_is_cause(owner, record, run: endpointstate.Run) -> bool:
@@ -182,6 +183,7 @@
 def _record_slow_run(owner, record, run: endpointstate.Run, times: float):
   if not record.suspected_slow:
     record.speed.suspect()
+    record.on_change()
   if record.record_slow_run(run, times):
     owner.counters["endpoint_slow"] += 1
     owner.emit(
