Centre endpoints' speed factors, so that they can't drift with queues' medians

Runs only tell how endpoints compare with each other: factors of 0.6, 1.0 and 1.6 were learnt as 1.02, 1.53 and 1.85 while the queues' medians fell to 0.65.

--- a/fescueturn/scheduler/decisions/speeds.py
+++ b/fescueturn/scheduler/decisions/speeds.py
@@ -10,6 +10,7 @@
 """
 
 import math
+from collections.abc import Iterable
 
 # How much the declared times of a queue's jobs differ from its typical error.
 # Errors of up to 40%, spread evenly, have this standard deviation.
@@ -37,6 +38,8 @@
 # The deviation of a speed that a fault has just changed; the next run in time is
 # believed at once.
 FAULT_DEVIATION = 1.0
+# Endpoints differ by less than this many times unless one has a fault.
+FAULT_RATIO = 2.5
 # An endpoint that is suspected of a fault counts as this many times slower, so
 # that others get the next tasks.
 SUSPECT_RATIO = 1.5
@@ -101,7 +104,7 @@
     elapsed_s = now - self._at
     if elapsed_s <= 0:
       return
-    faulty = self._log_factor > _OUTLIER
+    faulty = self.factor > FAULT_RATIO
     kept = math.exp(-elapsed_s / (FAULT_FADE_S if faulty else FADE_S))
     self._at = now
     self._log_factor *= kept
@@ -130,6 +133,10 @@
     self._variance = max(MIN_DEVIATION**2, (1 - gain) * self._variance)
     self._evidence += share
 
+  def shift(self, amount: float):
+    """Adds an amount to the logarithm of the factor."""
+    self._log_factor += amount
+
   def suspect(self):
     """Counts the endpoint as slower, until a run shows that it isn't."""
     self._log_factor += math.log(SUSPECT_RATIO)
@@ -140,3 +147,19 @@
     self._log_factor = math.log(factor)
     self._variance = FAULT_DEVIATION**2
     self._evidence = 0.0
+
+
+def centre(speeds: Iterable[Speed]):
+  """Makes the mean factor of endpoints 1.
+
+  Runs only tell how endpoints compare with each other. Without this, all factors
+  and the typical error of declarations could drift apart.
+  """
+  known = [(s, s.evidence / (1 + s.evidence)) for s in speeds if s.evidence]
+  usual = [(s, weight) for s, weight in known if s.factor <= FAULT_RATIO]
+  total = sum(weight for _, weight in usual)
+  if not total:
+    return
+  mean = sum(s.log_factor * weight for s, weight in usual) / total
+  for speed, _ in known:
+    speed.shift(-mean)
--- a/fescueturn/scheduler/owner.py
+++ b/fescueturn/scheduler/owner.py
@@ -14,6 +14,7 @@
 from fescueturn.scheduler import outcomes
 from fescueturn.scheduler import ownerstate
 from fescueturn.scheduler import runcontrol
+from fescueturn.scheduler import runpace
 
 # How long a run found at an endpoint after a takeover may go without a known
 # job before it is stopped. A coordinator learns of the new holder through the
@@ -40,6 +41,7 @@
   hand_back_jobs(owner)
   for record in list(owner.endpoints.values()):
     _check_endpoint(owner, record)
+  runpace.tick(owner)
   if owner.kept_records.loaded:
     _expire_early_results(owner)
   keptjobs.tick(owner)
@@ -114,7 +116,6 @@
 
 def _check_endpoint(owner, record: endpointstate.EndpointRecord):
   """Retries unanswered calls to an endpoint and stops unwanted runs."""
-  record.speed.fade(owner.now)
   for run in list(record.runs.values()):
     _check_run(owner, record, run)
   if record.can_be_forgotten(owner.now):
--- a/fescueturn/scheduler/ownerstate.py
+++ b/fescueturn/scheduler/ownerstate.py
@@ -260,6 +260,8 @@
     self.crashed_at: dict[settings.Address, float] = {}
     self.demand = reservations.Demand()
     self.run_times = runtimes.RunTimes()
+    # When the speeds of the endpoints were last compared (s).
+    self.speeds_compared_at = now
     self.fenced = False
     # Until when it takes into account that this process was paused (s).
     self.pause_grace_until = now
--- a/fescueturn/scheduler/runpace.py
+++ b/fescueturn/scheduler/runpace.py
@@ -6,16 +6,33 @@
 that are slow for a while.
 """
 
+import collections
 import math
 
 from fescueturn.scheduler import endpointstate
 from fescueturn.scheduler import model
 from fescueturn.scheduler import ownerstate
 from fescueturn.scheduler.decisions import slowruns
+from fescueturn.scheduler.decisions import speeds
 
 # Progress counts once this part of a run's work was done since it last counted.
 # It is reported in whole percents, so its time is then known to 5%.
 MIN_SHARE = 0.2
+# How often the speeds of all endpoints are compared. They change over seconds.
+COMPARE_PERIOD_S = 0.25
+
+
+def tick(owner: ownerstate.Owner):
+  """Lets what is known of endpoints' speeds fade, and compares them."""
+  if owner.now - owner.speeds_compared_at < COMPARE_PERIOD_S:
+    return
+  owner.speeds_compared_at = owner.now
+  by_service = collections.defaultdict(list)
+  for record in owner.endpoints.values():
+    record.speed.fade(owner.now)
+    by_service[record.info.service].append(record.speed)
+  for endpoint_speeds in by_service.values():
+    speeds.centre(endpoint_speeds)
 
 
 def _job_and_task(owner, run: endpointstate.Run):
