Weigh a slow endpoint against long tasks by the number of slowed jobs there

Cause: once a queue was known to have long tasks, slowed runs counted against no endpoint, so a slow one was never found.

Change: every slowed run counts unless others there were in time or its siblings elsewhere are slowed too; it is moved if a slow endpoint is at least as probable as that each of the slowed jobs has a long task. Tests of what counts and what moves.

--- a/fescueturn/scheduler/decisions/slowruns.py
+++ b/fescueturn/scheduler/decisions/slowruns.py
@@ -24,6 +24,8 @@
     in_time_beside: for which part of its time other runs there were in time.
     siblings_slowed: True if tasks of its step are slowed on other endpoints
       that don't count as slow.
+    slowed_jobs: how many jobs, its own among them, had runs slowed there since
+      one was in time.
     long_share: the share of its queue's runs that take this long.
     slow_share: the share of the endpoints that count as slow.
   """
@@ -31,16 +33,26 @@
   endpoint_slow: bool
   in_time_beside: float
   siblings_slowed: bool
+  slowed_jobs: int
   long_share: float
   slow_share: float
 
 
-def endpoint_is_cause(run: SlowedRun) -> bool:
-  """Returns whether the endpoint is the probable cause of a slowed run."""
+def counts_against_endpoint(run: SlowedRun) -> bool:
+  """Returns whether nothing shows that the endpoint isn't the cause."""
   if run.in_time_beside >= IN_TIME_OVERLAP:
     return False
-  if run.endpoint_slow:
-    return True
-  if run.siblings_slowed:
+  return run.endpoint_slow or not run.siblings_slowed
+
+
+def endpoint_is_cause(run: SlowedRun) -> bool:
+  """Returns whether the endpoint is the probable cause of a slowed run.
+
+  It is if a slow endpoint is at least as probable as that each of the slowed
+  jobs has a long task.
+  """
+  if not counts_against_endpoint(run):
     return False
-  return max(ASSUMED_SLOW_SHARE, run.slow_share) >= run.long_share
+  slow_share = max(ASSUMED_SLOW_SHARE, run.slow_share)
+  all_long = run.long_share ** max(1, run.slowed_jobs)
+  return run.endpoint_slow or slow_share >= all_long
--- a/fescueturn/scheduler/decisions/speeds.py
+++ b/fescueturn/scheduler/decisions/speeds.py
@@ -80,6 +80,8 @@
   def __init__(self, now: float):
     self._at = now
     self._log_factor = 0.0
+    # Kept beside its logarithm, as it is read for each placement.
+    self._factor = 1.0
     self._variance = SPEED_DEVIATION**2
     # Runs that this rests on, in shares of their work.
     self._evidence = 0.0
@@ -87,7 +89,7 @@
   @property
   def factor(self) -> float:
     """Time that work takes here against a mean endpoint; above 1 is slower."""
-    return math.exp(self._log_factor)
+    return self._factor
 
   @property
   def log_factor(self) -> float:
@@ -99,6 +101,10 @@
     """How many runs this rests on, decayed."""
     return self._evidence
 
+  def _set(self, log_factor: float):
+    self._log_factor = log_factor
+    self._factor = math.exp(log_factor)
+
   def fade(self, now: float):
     """Lets what is known fade with the time."""
     elapsed_s = now - self._at
@@ -107,7 +113,7 @@
     faulty = self.factor > FAULT_RATIO
     kept = math.exp(-elapsed_s / (FAULT_FADE_S if faulty else FADE_S))
     self._at = now
-    self._log_factor *= kept
+    self._set(self._log_factor * kept)
     self._evidence *= kept
     self._variance = min(
         max(self._variance, SPEED_DEVIATION**2),
@@ -129,22 +135,22 @@
       return
     noise = (variance + TASK_DEVIATION**2) / share
     gain = self._variance / (self._variance + noise)
-    self._log_factor += gain * off
+    self._set(self._log_factor + gain * off)
     self._variance = max(MIN_DEVIATION**2, (1 - gain) * self._variance)
     self._evidence += share
 
   def shift(self, amount: float):
     """Adds an amount to the logarithm of the factor."""
-    self._log_factor += amount
+    self._set(self._log_factor + amount)
 
   def suspect(self):
     """Counts the endpoint as slower, until a run shows that it isn't."""
-    self._log_factor += math.log(SUSPECT_RATIO)
+    self._set(self._log_factor + math.log(SUSPECT_RATIO))
     self._variance = max(self._variance, SPEED_DEVIATION**2)
 
   def set_faulty(self, factor: float):
     """Sets the speed of an endpoint that a fault has made slow."""
-    self._log_factor = math.log(factor)
+    self._set(math.log(factor))
     self._variance = FAULT_DEVIATION**2
     self._evidence = 0.0
 
--- a/fescueturn/scheduler/endpointstate.py
+++ b/fescueturn/scheduler/endpointstate.py
@@ -289,10 +289,13 @@
     """True if it is slow for a while, so that its runs are moved."""
     return self.speed.factor > SLOW_RATIO
 
-  @property
-  def suspected_slow(self) -> bool:
-    """True if a run there was slowed since the last one in time."""
-    return bool(self._slow_jobs)
+  def slowed_jobs(self, run: Run) -> int:
+    """Returns how many jobs had slowed runs since one was in time.
+
+    Args:
+      run: a slowed run, whose job is counted too.
+    """
+    return len(self._slow_jobs | {run.id.task.job_id})
 
   @property
   def ack_number(self) -> int:
@@ -552,6 +555,12 @@
     )
     return covered_s / max(PROGRESS_MIN_S, now - run.started_at)
 
+  def suspect(self, run: Run):
+    """Counts the endpoint as somewhat slower at the first slowed run."""
+    if not self._slow_jobs:
+      self.speed.suspect()
+    self._slow_jobs.add(run.id.task.job_id)
+
   def record_slow_run(self, run: Run, times: float) -> bool:
     """Records a run that its endpoint has probably slowed.
 
--- a/fescueturn/scheduler/runpace.py
+++ b/fescueturn/scheduler/runpace.py
@@ -95,7 +95,7 @@
   ratio = predicted_s * 1000 / run.estimate_ms / math.exp(max(0.0, error))
   if ratio <= endpointstate.SLOW_RATIO:
     run.in_time_until = owner.now
-  elif endpoint_is_cause(owner, record, run):
+  else:
     _record_slow_run(owner, record, run, ratio)
 
 
@@ -140,7 +140,7 @@
   times = math.exp(ratio - max(0.0, error))
   if times <= endpointstate.SLOW_RATIO:
     record.record_run_in_time(run, owner.now)
-  elif endpoint_is_cause(owner, record, run):
+  else:
     _record_slow_run(owner, record, run, times)
 
 
@@ -158,22 +158,26 @@
 
 def endpoint_is_cause(owner, record, run: endpointstate.Run) -> bool:
   """Returns whether its endpoint is the probable cause of a slowed run."""
+  slowed = _describe(owner, record, run)
+  return slowed is not None and slowruns.endpoint_is_cause(slowed)
+
+
+def _describe(
+    owner, record, run: endpointstate.Run
+) -> slowruns.SlowedRun | None:
+  """Returns what is known about a slowed run; None if its job is unknown."""
   found = _job_and_task(owner, run)
   if found is None:
-    return False
+    return None
   job, task = found
-  own = job.job
-  long_share = 1 - owner.run_times.share_below(
-      own.queue, endpointstate.SLOW_RATIO
-  )
-  return slowruns.endpoint_is_cause(
-      slowruns.SlowedRun(
-          record.slow,
-          record.share_in_time(run, owner.now),
-          _siblings_slowed(owner, job, task),
-          long_share,
-          _slow_share(owner),
-      )
+  below = owner.run_times.share_below(job.job.queue, endpointstate.SLOW_RATIO)
+  return slowruns.SlowedRun(
+      record.slow,
+      record.share_in_time(run, owner.now),
+      _siblings_slowed(owner, job, task),
+      record.slowed_jobs(run),
+      1 - below,
+      _slow_share(owner),
   )
 
 
@@ -197,8 +201,12 @@
 
 
 def _record_slow_run(owner, record, run: endpointstate.Run, times: float):
-  if not record.suspected_slow:
-    record.speed.suspect()
+  """Records a slowed run, unless its endpoint is surely not the cause."""
+  slowed = _describe(owner, record, run)
+  if slowed is None or not slowruns.counts_against_endpoint(slowed):
+    return
+  if slowed.slowed_jobs == 1 and slowruns.endpoint_is_cause(slowed):
+    record.suspect(run)
   if record.record_slow_run(run, times):
     owner.counters["endpoint_slow"] += 1
     owner.emit(
--- a/tests/test_stragglers.py
+++ b/tests/test_stragglers.py
@@ -78,3 +78,76 @@
   assert (line["at_work"], line["waiting"]) == (1, 0)
   assert line["longest_at"] in emulation.endpoints
   assert 0 < line["longest_percent"] < 50
+
+
+def stops(emulation) -> int:
+  return sum(e.stops for e in emulation.endpoints.values())
+
+
+def learn_long_tasks(emulation, jobs: int):
+  """Runs jobs of which one in ten has a task of seven times its estimate."""
+  for number in range(jobs):
+    run_s = [0.1] * 4
+    run_s[0] *= 7 if number % 10 == 0 else 1
+    job = fleets.job(f"learn{number}", 4, 100, slo_ms=2000)
+    start = lambda job=job, run_s=run_s: emulation.submit(  # noqa: E731
+        "a0", job, run_s, 5.0
+    )
+    emulation.clock.after(0.1 * number, start)
+  emulation.clock.run_until(emulation.clock.now + 0.1 * jobs + 2.0)
+
+
+def test_long_task_is_not_moved_once_its_queue_is_known_to_have_some():
+  emulation = fleets.fleet()
+  learn_long_tasks(emulation, 60)
+  before = stops(emulation)
+  job = fleets.job("j", 4, 400, slo_ms=4000)
+  request = emulation.submit("a0", job, [0.4, 0.4, 0.4, 2.8], 8.0)
+  emulation.clock.run_until(emulation.clock.now + 6.0)
+  assert emulation.answers[request].answer.outcome is model.Outcome.DONE
+  assert emulation.answers[request].took_s < 2.9
+  assert stops(emulation) == before
+
+
+def test_long_task_beside_runs_in_time_is_not_moved():
+  """It is the first of its queue, but others on its endpoint are in time."""
+  emulation = fleets.fleet(endpoints=1)
+  long_job = fleets.job("long", 1, 400, slo_ms=4000)
+  request = emulation.submit("a0", long_job, [2.8], 8.0)
+  for number in range(20):
+    short = fleets.job(f"short{number}", 1, 100, slo_ms=4000)
+    emulation.clock.after(
+        0.11 * number,
+        lambda job=short: emulation.submit("a0", job, [0.1], 8.0),
+    )
+  emulation.clock.run_until(emulation.clock.now + 6.0)
+  assert emulation.answers[request].answer.outcome is model.Outcome.DONE
+  assert stops(emulation) == 0
+
+
+def test_runs_of_a_slow_endpoint_are_moved_although_long_tasks_are_known():
+  emulation = fleets.fleet()
+  learn_long_tasks(emulation, 60)
+  slow = [emulation.endpoints[f"e-a{n}"] for n in range(8)]
+  for endpoint in slow[:2]:
+    endpoint.slowdown = 8.0
+  requests = [
+      emulation.submit("a0", fleets.job(f"j{n}", 4, 900, 300), [0.9] * 4, 5.0)
+      for n in range(4)
+  ]
+  emulation.clock.run_until(emulation.clock.now + 5.0)
+  assert slow[0].starts and stops(emulation)
+  for request in requests:
+    assert emulation.answers[request].answer.outcome is model.Outcome.DONE
+    assert emulation.answers[request].took_s < 2.5, "not moved: 7.2 s"
+
+
+def test_tasks_of_a_queue_declared_far_too_short_are_not_moved():
+  emulation = fleets.fleet()
+  for number in range(2):
+    before = stops(emulation)
+    job = fleets.job(f"j{number}", 4, 200, slo_ms=4000)
+    request = emulation.submit("a0", job, [2.0] * 4, 8.0)
+    emulation.clock.run_until(emulation.clock.now + 6.0)
+    assert emulation.answers[request].answer.outcome is model.Outcome.DONE
+  assert stops(emulation) == before, "the first job has shown it"
