--- a/fescueturn/scheduler/decisions/speeds.py
+++ b/fescueturn/scheduler/decisions/speeds.py
@@ -10,6 +10,7 @@
 """
 
 import math
+from collections.abc import Iterable
 
 # How much the declared times of a queue's jobs differ from its typical error.
 # Errors of up to 40%, spread evenly, have this standard deviation.
@@ -37,6 +38,8 @@
 # The deviation of a speed that a fault has just changed; the next run in time is
 # believed at once.
 FAULT_DEVIATION = 1.0
+# Endpoints differ by less than this many times unless one has a fault.
+FAULT_RATIO = 2.5
 # An endpoint that is suspected of a fault counts as this many times slower, so
 # that others get the next tasks.
 SUSPECT_RATIO = 1.5
@@ -77,6 +80,8 @@
   def __init__(self, now: float):
     self._at = now
     self._log_factor = 0.0
+    # Kept beside its logarithm, as it is read for each placement.
+    self._factor = 1.0
     self._variance = SPEED_DEVIATION**2
     # Runs that this rests on, in shares of their work.
     self._evidence = 0.0
@@ -84,7 +89,7 @@
   @property
   def factor(self) -> float:
     """Time that work takes here against a mean endpoint; above 1 is slower."""
-    return math.exp(self._log_factor)
+    return self._factor
 
   @property
   def log_factor(self) -> float:
@@ -96,15 +101,19 @@
     """How many runs this rests on, decayed."""
     return self._evidence
 
+  def _set(self, log_factor: float):
+    self._log_factor = log_factor
+    self._factor = math.exp(log_factor)
+
   def fade(self, now: float):
     """Lets what is known fade with the time."""
     elapsed_s = now - self._at
     if elapsed_s <= 0:
       return
-    faulty = self._log_factor > _OUTLIER
+    faulty = self.factor > FAULT_RATIO
     kept = math.exp(-elapsed_s / (FAULT_FADE_S if faulty else FADE_S))
     self._at = now
-    self._log_factor *= kept
+    self._set(self._log_factor * kept)
     self._evidence *= kept
     self._variance = min(
         max(self._variance, SPEED_DEVIATION**2),
@@ -126,17 +135,37 @@
       return
     noise = (variance + TASK_DEVIATION**2) / share
     gain = self._variance / (self._variance + noise)
-    self._log_factor += gain * off
+    self._set(self._log_factor + gain * off)
     self._variance = max(MIN_DEVIATION**2, (1 - gain) * self._variance)
     self._evidence += share
 
+  def shift(self, amount: float):
+    """Adds an amount to the logarithm of the factor."""
+    self._set(self._log_factor + amount)
+
   def suspect(self):
     """Counts the endpoint as slower, until a run shows that it isn't."""
-    self._log_factor += math.log(SUSPECT_RATIO)
+    self._set(self._log_factor + math.log(SUSPECT_RATIO))
     self._variance = max(self._variance, SPEED_DEVIATION**2)
 
   def set_faulty(self, factor: float):
     """Sets the speed of an endpoint that a fault has made slow."""
-    self._log_factor = math.log(factor)
+    self._set(math.log(factor))
     self._variance = FAULT_DEVIATION**2
     self._evidence = 0.0
+
+
+def centre(speeds: Iterable[Speed]):
+  """Makes the mean factor of endpoints 1.
+
+  Runs only tell how endpoints compare with each other. Without this, all factors
+  and the typical error of declarations could drift apart.
+  """
+  known = [(s, s.evidence / (1 + s.evidence)) for s in speeds if s.evidence]
+  usual = [(s, weight) for s, weight in known if s.factor <= FAULT_RATIO]
+  total = sum(weight for _, weight in usual)
+  if not total:
+    return
+  mean = sum(s.log_factor * weight for s, weight in usual) / total
+  for speed, _ in known:
+    speed.shift(-mean)
--- a/fescueturn/scheduler/runpace.py
+++ b/fescueturn/scheduler/runpace.py
@@ -6,16 +6,35 @@
 that are slow for a while.
 """
 
+import collections
 import math
 
 from fescueturn.scheduler import endpointstate
 from fescueturn.scheduler import model
 from fescueturn.scheduler import ownerstate
 from fescueturn.scheduler.decisions import slowruns
+from fescueturn.scheduler.decisions import speeds
 
 # Progress counts once this part of a run's work was done since it last counted.
 # It is reported in whole percents, so its time is then known to 5%.
 MIN_SHARE = 0.2
+# How often the speeds of all endpoints are compared. They change over seconds.
+COMPARE_PERIOD_S = 0.25
+
+
+def tick(owner: ownerstate.Owner):
+  """Lets what is known of endpoints' speeds fade, and compares them."""
+  if owner.now - owner.speeds_compared_at < COMPARE_PERIOD_S:
+    return
+  owner.speeds_compared_at = owner.now
+  by_service = collections.defaultdict(list)
+  for record in owner.endpoints.values():
+    record.speed.fade(owner.now)
+    by_service[record.info.service].append(record.speed)
+  for endpoint_speeds in by_service.values():
+    speeds.centre(endpoint_speeds)
+  for record in owner.endpoints.values():
+    record.on_change()
 
 
 def _job_and_task(owner, run: endpointstate.Run):
@@ -78,7 +97,7 @@
   ratio = predicted_s * 1000 / run.estimate_ms / math.exp(max(0.0, error))
   if ratio <= endpointstate.SLOW_RATIO:
     run.in_time_until = owner.now
-  elif endpoint_is_cause(owner, record, run):
+  else:
     _record_slow_run(owner, record, run, ratio)
 
 
@@ -123,7 +142,7 @@
   times = math.exp(ratio - max(0.0, error))
   if times <= endpointstate.SLOW_RATIO:
     record.record_run_in_time(run, owner.now)
-  elif endpoint_is_cause(owner, record, run):
+  else:
     _record_slow_run(owner, record, run, times)
 
 
@@ -142,22 +161,26 @@
 
 def endpoint_is_cause(owner, record, run: endpointstate.Run) -> bool:
   """Returns whether its endpoint is the probable cause of a slowed run."""
+  slowed = _describe(owner, record, run)
+  return slowed is not None and slowruns.endpoint_is_cause(slowed)
+
+
+def _describe(
+    owner, record, run: endpointstate.Run
+) -> slowruns.SlowedRun | None:
+  """Returns what is known about a slowed run; None if its job is unknown."""
   found = _job_and_task(owner, run)
   if found is None:
-    return False
+    return None
   job, task = found
-  own = job.job
-  long_share = 1 - owner.run_times.share_below(
-      own.queue, endpointstate.SLOW_RATIO
-  )
-  return slowruns.endpoint_is_cause(
-      slowruns.SlowedRun(
-          record.slow,
-          record.share_in_time(run, owner.now),
-          _siblings_slowed(owner, job, task),
-          long_share,
-          _slow_share(owner),
-      )
+  below = owner.run_times.share_below(job.job.queue, endpointstate.SLOW_RATIO)
+  return slowruns.SlowedRun(
+      record.slow,
+      record.share_in_time(run, owner.now),
+      _siblings_slowed(owner, job, task),
+      record.slowed_jobs(run),
+      1 - below,
+      _slow_share(owner),
   )
 
 
@@ -181,9 +204,12 @@
 
 
 def _record_slow_run(owner, record, run: endpointstate.Run, times: float):
-  if not record.suspected_slow:
-    record.speed.suspect()
-    record.on_change()
+  """Records a slowed run, unless its endpoint is surely not the cause."""
+  slowed = _describe(owner, record, run)
+  if slowed is None or not slowruns.counts_against_endpoint(slowed):
+    return
+  if slowed.slowed_jobs == 1 and slowruns.endpoint_is_cause(slowed):
+    record.suspect(run)
   if record.record_slow_run(run, times):
     owner.counters["endpoint_slow"] += 1
     owner.emit(
