--- a/fescueturn/cli.py
+++ b/fescueturn/cli.py
@@ -30,6 +30,7 @@
 from fescueturn.lab import demo
 from fescueturn.lab import faultbench
 from fescueturn.lab import hotpath
+from fescueturn.lab import placingbench
 from fescueturn.platform import store
 from fescueturn.standins import standin_endpoint
 from fescueturn.standins import standin_platform
@@ -355,6 +356,16 @@
   click.echo(faultbench.report(faultbench.run(out, chosen)))
 
 
+@bench_group.command("placing")
+@click.option("--endpoints", default=59, show_default=True)
+@click.option("--tasks", default=20_000, show_default=True)
+def bench_placing(endpoints, tasks):
+  """Measure the cost of choosing an endpoint for a task, without I/O."""
+  costs = placingbench.measure(endpoints, tasks)
+  for field, value in dataclasses.asdict(costs).items():
+    click.echo(f"{field}={value:.1f}")
+
+
 @bench_group.command("hotpath")
 @click.option("--seconds", default=4.0, show_default=True)
 @click.option("--jobs-per-s", default=430.0, show_default=True)
