Data centre cut off: planned stops release to a named successor, new holders serve from an inherited list

Cause: a draining holder released its claim at once, also with the store away or beside hosts that were draining themselves; every host of the data centre then claimed; and a new holder that the store left without an answer had no endpoints.

Change: a holder that stops serves on until the store answers and another live host that isn't draining is there (the one with enough CPU that was started last); it names that host, which claims alone and at once. With a slow store it serves until the next claim is reported. Hosts of a data centre get the shard's list of endpoints with the pongs, when it changes, at 2 KB/s at most; a new holder uses its copy if the store doesn't answer. Kept jobs wait for the store.

--- a/fescueturn/emulator/fleet.py
+++ b/fescueturn/emulator/fleet.py
@@ -57,6 +57,8 @@
     broken: a line for each violation of an invariant.
     task_profiles: the actual behaviour of each task.
     store_up: False while the store is unavailable.
+    store_delay_s: one-way delay (s) of claims, notifications and lists of
+      endpoints.
     store_reply_loss_rate: share of the writes whose answers are lost.
     store_late_write_rate: share of the writes that are executed only seconds
       later and never answered.
@@ -78,6 +80,7 @@
     self.broken: list[str] = []
     self.task_profiles: dict[model.Task, endpoint_lib.TaskProfile] = {}
     self.store_up = True
+    self.store_delay_s = fleetstore.STORE_DELAY_S
     self.store_reply_loss_rate = 0.0
     self.store_late_write_rate = 0.0
     self.kept_load_delay_s = 4 * fleetstore.STORE_DELAY_S
@@ -356,7 +359,7 @@
         if not (e.unreachable or e.superseded) and name not in self.unlisted
     )
     self.clock.after(
-        2 * fleetstore.STORE_DELAY_S,
+        2 * self.store_delay_s,
         lambda: host.apply(events.EndpointsListed(listed)),
     )
 
--- a/fescueturn/emulator/fleetstore.py
+++ b/fescueturn/emulator/fleetstore.py
@@ -66,6 +66,7 @@
 
   def claim(self, host, effect: events.ClaimShard):
     """Executes a claim; it fails if the shard's claim has changed meanwhile."""
+    delay_s = self._fleet.store_delay_s
 
     def arrive():
       current = self._claims.get(effect.shard)
@@ -84,11 +85,11 @@
         follows = self._last_fences.get(effect.shard, 0)
         self._last_fences[effect.shard] = holder.fence
         won = events.HolderChanged(effect.shard, holder, follows=follows)
-        self._fleet.clock.after(STORE_DELAY_S, lambda: host.apply(won))
+        self._fleet.clock.after(delay_s, lambda: host.apply(won))
       answered = events.ClaimAnswered(effect.shard)
-      self._fleet.clock.after(STORE_DELAY_S, lambda: host.apply(answered))
+      self._fleet.clock.after(delay_s, lambda: host.apply(answered))
 
-    self._fleet.clock.after(STORE_DELAY_S, arrive)
+    self._fleet.clock.after(delay_s, arrive)
 
   def _watch_lease(self, shard, holder: model.Holder, host: hosts.EmulatedHost):
     """Deletes a claim whose holder has not renewed its lease in time."""
@@ -121,7 +122,7 @@
 
   def _notify(self, host: hosts.EmulatedHost, changed: events.HolderChanged):
     if self.can_reach_store(host):
-      delay_s = STORE_DELAY_S * self._fleet.rng.uniform(
+      delay_s = self._fleet.store_delay_s * self._fleet.rng.uniform(
           1.0, MAX_WATCH_DELAY_FACTOR
       )
       self._fleet.clock.after(delay_s, lambda: host.apply(changed))
@@ -192,6 +193,8 @@
 
   def release(self, host, effect: events.ReleaseShard):
     """Executes the release of a claim, unless another holder has it by now."""
+    delay_s = self._fleet.store_delay_s
+    released = events.ShardReleased(effect.shard, effect.fence)
 
     def arrive():
       current = self._claims.get(effect.shard)
@@ -201,8 +204,9 @@
           and current.fence == effect.fence
       ):
         self.set_claim(effect.shard, None)
+        self._fleet.clock.after(delay_s, lambda: host.apply(released))
 
-    self._fleet.clock.after(STORE_DELAY_S, arrive)
+    self._fleet.clock.after(delay_s, arrive)
 
 
 EFFECT_HANDLERS = {
--- a/fescueturn/platform/claims.py
+++ b/fescueturn/platform/claims.py
@@ -169,8 +169,15 @@
         )
     )
 
-  async def release(self, effect: events.ReleaseShard):
-    """Removes a claim, so that another host can claim the shard at once."""
+  async def release(
+      self, effect: events.ReleaseShard
+  ) -> events.ShardReleased | None:
+    """Removes a claim, so that another host can claim the shard at once.
+
+    Returns:
+      The event that the claim was removed; None if it wasn't or if that is
+      unknown.
+    """
     try:
       key = claim_key(effect.shard)
       await self._client.transact(
@@ -179,6 +186,8 @@
     except errors.KvError as exc:
       # The lease is no longer renewed, so the claim expires soon.
       logger.warning('event=release_failed error="{}"', exc)
+      return None
+    return events.ShardReleased(effect.shard, effect.fence)
 
   async def _renew_loop(self):
     while True:
--- a/fescueturn/scheduler/coordinator.py
+++ b/fescueturn/scheduler/coordinator.py
@@ -6,7 +6,10 @@
 same shard takes over the job with its running tasks, or the job is given up.
 """
 
+import dataclasses
+
 from fescueturn.scheduler import coordinatorstate
+from fescueturn.scheduler import endpointlist
 from fescueturn.scheduler import events
 from fescueturn.scheduler import jobdispatch
 from fescueturn.scheduler import jobqueries
@@ -92,6 +95,9 @@
   if isinstance(message, linkmessages.Pong):
     _pong_received(state, event.shard, holder, message)
     return
+  if isinstance(message, linkmessages.EndpointList):
+    _list_received(state, event.shard, holder, message)
+    return
   if isinstance(message, keptevents.KeptJobReply):
     jobqueries.handle_state_report(state, message)
     return
@@ -114,6 +120,8 @@
 ):
   holder.pending = dict(message.pending)
   holder.update_roster(message)
+  if message.list_version and message.list_version == holder.list_version:
+    _confirm_list(state, shard, message)
   if not message.holding:
     _holder_lost(state, shard, "stood_down")
     return
@@ -132,6 +140,26 @@
     _offer_orphans(state, shard)
 
 
+def _confirm_list(state, shard: model.Shard, pong: linkmessages.Pong):
+  """Records that the holder's list of endpoints is still the copied one."""
+  known = state.endpoint_lists[shard]
+  state.endpoint_lists[shard] = dataclasses.replace(
+      known, read_at=pong.at - pong.list_age_s
+  )
+
+
+def _list_received(
+    state,
+    shard: model.Shard,
+    holder: coordinatorstate.HolderRecord,
+    message: linkmessages.EndpointList,
+):
+  holder.list_version = message.version
+  state.endpoint_lists[shard] = endpointlist.KnownList(
+      message.endpoints, message.at - message.age_s
+  )
+
+
 def _offer_orphans(state, shard: model.Shard):
   """Offers orphaned jobs of the shard to its holder, which is alive."""
   for record in list(state.jobs.values()):
@@ -406,10 +434,17 @@
               roster,
               can_hold,
               () if is_local else suspects,
+              state.draining,
+              _uptime_s(state),
+              holder.list_version if is_local else None,
           ),
       )
 
 
+def _uptime_s(state) -> float:
+  return state.now - (state.started_at or 0.0)
+
+
 def _suspects(state) -> tuple[linkmessages.SuspectedHolder, ...]:
   """Returns the holders of this data centre that this host suspects."""
   return tuple(
--- a/fescueturn/scheduler/coordinatorstate.py
+++ b/fescueturn/scheduler/coordinatorstate.py
@@ -4,6 +4,7 @@
 import dataclasses
 import enum
 
+from fescueturn.scheduler import endpointlist
 from fescueturn.scheduler import evacuation
 from fescueturn.scheduler import events
 from fescueturn.scheduler import linkmessages
@@ -123,6 +124,8 @@
     roster: all endpoints where runs that the holder started may be active.
     roster_version: the version of `roster`; 0 if none was received.
     roster_valid_at: when the ping was sent that last confirmed `roster` (s).
+    list_version: the version of the holder's list of endpoints that this host
+      has a copy of; 0 for none.
   """
 
   def __init__(self, holder: model.Holder, now: float):
@@ -134,6 +137,7 @@
     self.roster: frozenset[str] = frozenset()
     self.roster_version = 0
     self.roster_valid_at = 0.0
+    self.list_version = 0
 
   @property
   def process(self) -> linkmessages.HostProcess:
@@ -164,6 +168,12 @@
     self.now = 0.0
     # True while this host has the CPU to hold a shard and isn't draining.
     self.can_hold = False
+    # True once this host is being shut down.
+    self.draining = False
+    # When this host's process started (s); None before its first event.
+    self.started_at: float | None = None
+    # Copies of the lists of endpoints of this data centre's shards.
+    self.endpoint_lists: dict[model.Shard, endpointlist.KnownList] = {}
     # Since when no holder can be offered a job (s); None while one can.
     self.unserved_since: float | None = None
     self.holders: dict[model.Shard, HolderRecord] = {}
@@ -221,5 +231,12 @@
             }
             for shard, record in self.holders.items()
         },
+        "endpoint_lists": {
+            f"{shard.data_centre}/{shard.number}": {
+                "endpoints": len(known.endpoints),
+                "read_s_ago": round(self.now - known.read_at, 3),
+            }
+            for shard, known in self.endpoint_lists.items()
+        },
         "counters": dict(self.counters),
     }
--- a/fescueturn/scheduler/election.py
+++ b/fescueturn/scheduler/election.py
@@ -25,8 +25,9 @@
 # stagger, a 20 ms tick and 6 ms in the store) and its claim is known (10 to 40
 # ms on a busy host). With 48 ms both claimed in the same millisecond.
 LOW_CPU_DELAY_S = 0.25
-# Interval at which a claim is retried while the shard is free: three times what
-# a claim usually takes, and few calls while the store is down.
+# Minimum interval at which a claim is retried while the shard is free: three
+# times what a claim usually takes, and few calls while the store is down. It is
+# longer where the last claim took longer.
 CLAIM_RETRY_S = 0.3
 # Minimum age of a claim before its holder may be suspected: a holder may be
 # silent for seconds while it takes over a thousand endpoints, and each further
@@ -53,6 +54,11 @@
 # return.
 NO_HOLDER_SEEN_DELAY_S = 0.3
 
+# How long a host that its holder has named as successor claims the shard
+# without delay: a slow store reports the release and answers the claim within
+# this time, and if it doesn't, the other hosts claim the shard too.
+NAMED_S = 3.0
+
 
 class Candidate:
   """This host's state in the election of one shard's holder.
@@ -75,6 +81,11 @@
     store_read: whether the store's claim was read since this host started.
     last_fence: the fencing token of the last holder known.
     no_holder_seen: whether no holder was seen since this host started.
+    claim_took_s: how long the store took to answer the last claim (s).
+    named_until: until when this host claims the shard at once, because its
+      holder has named it as its successor (s).
+    released_at: when this host, as the holder, last asked the store to delete
+      its claim (s).
   """
 
   def __init__(
@@ -94,6 +105,9 @@
     self.store_read = False
     self.last_fence = 0
     self.no_holder_seen = True
+    self.claim_took_s = 0.0
+    self.named_until = 0.0
+    self.released_at = 0.0
     host_hash = zlib.crc32(
         f"{host}/{shard.data_centre}/{shard.number}".encode()
     )
@@ -101,6 +115,12 @@
     missing_cores = max(0.0, 1.0 - cores / HOLDER_CORES)
     self._stagger_s += LOW_CPU_DELAY_S * missing_cores
 
+  def last_claim_s(self, now: float) -> float:
+    """Returns how long the store took to answer the claim just won (s)."""
+    if self.claiming_since is None:
+      return self.claim_took_s
+    return now - self.claiming_since
+
   def delay_s(
       self, is_owner: bool, draining: bool, holder_alive: bool
   ) -> float:
@@ -111,14 +131,14 @@
       draining: whether this host is draining.
       holder_alive: whether another host, the last holder, is still alive.
     """
-    if is_owner:
+    if is_owner and not draining:
       return 0.0
     delay = self._stagger_s
     if self.no_holder_seen:
       delay += NO_HOLDER_SEEN_DELAY_S
     if draining:
       delay += DRAINING_DELAY_S
-    if holder_alive:
+    if holder_alive or is_owner:
       delay += LIVE_HOLDER_DELAY_S
     return delay
 
@@ -200,9 +220,11 @@
     return None
   if candidate.claiming_since is not None or now < candidate.yield_until:
     return None
-  if now - candidate.last_claim_at < CLAIM_RETRY_S:
+  retry_s = max(CLAIM_RETRY_S, candidate.claim_took_s)
+  if now - candidate.last_claim_at < retry_s:
     return None
-  if now - candidate.free_since < candidate.delay_s(
+  must_wait = draining or not is_named(candidate, now)
+  if must_wait and now - candidate.free_since < candidate.delay_s(
       is_owner, draining, holder_alive
   ):
     return None
@@ -215,7 +237,19 @@
   return events.ClaimShard(candidate.shard, replaces, candidate.last_fence)
 
 
+def name_successor(candidate: Candidate, now: float):
+  """Handles the holder's message that this host is to follow it."""
+  candidate.named_until = now + NAMED_S
+
+
+def is_named(candidate: Candidate, now: float) -> bool:
+  """Returns whether this host claims the shard without delay once it is free."""
+  return now < candidate.named_until
+
+
 def handle_claim_answer(candidate: Candidate, now: float):
   """Handles the answer to a claim; the watch reports whether it succeeded."""
+  if candidate.claiming_since is not None:
+    candidate.claim_took_s = now - candidate.claiming_since
   candidate.claiming_since = None
   candidate.last_claim_at = now
--- /dev/null
+++ b/fescueturn/scheduler/endpointlist.py
@@ -0,0 +1,99 @@
+"""Copies of the platform's list of endpoints at the hosts of a data centre.
+
+The holder of a shard sends the shard's part of the list to the other hosts of
+its data centre when it changes. The next holder serves from its copy if the
+store doesn't answer. It asks each endpoint for its runs first, so an endpoint
+that has ended since gets no tasks.
+"""
+
+import dataclasses
+
+from fescueturn.scheduler import linkmessages
+from fescueturn.scheduler import model
+
+# How long a new holder waits for the store's list, which takes 6 ms, before it
+# serves from its copy. It accepts jobs without endpoints for twice this time.
+STORE_WAIT_S = 0.05
+# A copy of this age may be used whatever the store's state: endpoints must get
+# no task later than 2 s after the store has accepted that they drain.
+SAFE_AGE_S = 1.5
+# An older copy is used once the store has left the holder without an answer
+# for this long. A store in order answers in a few ms, so that draining
+# endpoints are not learned of in time by any host.
+SLOW_STORE_S = 0.3
+# Maximum age of a copy. Few endpoints begin to drain in this time, and those
+# serve on for two seconds and more.
+MAX_AGE_S = 10.0
+# Bounds the traffic of the copies to each host: an endpoint takes some 150
+# bytes, so that 60 endpoints are sent every 4.5 s if they change all the time.
+BYTES_PER_S = 2000
+ENDPOINT_BYTES = 150
+
+
+@dataclasses.dataclass(frozen=True)
+class KnownList:
+  """A copy of a shard's list of endpoints.
+
+  Attributes:
+    endpoints: the endpoints.
+    read_at: when a holder read the list from the store (s).
+  """
+
+  endpoints: tuple[model.Endpoint, ...]
+  read_at: float
+
+  def usable(self, now: float, store_silent_s: float) -> bool:
+    """Returns whether a holder may serve from this copy.
+
+    Args:
+      now: the time (s).
+      store_silent_s: how long the store has left the holder without an answer,
+        the time that it took to answer the holder's claim included (s).
+    """
+    age_s = now - self.read_at
+    if age_s <= SAFE_AGE_S:
+      return True
+    return age_s <= MAX_AGE_S and store_silent_s >= SLOW_STORE_S
+
+
+class SharedList:
+  """A holder's list of endpoints, in versions that rise with each change.
+
+  Attributes:
+    version: the current version; 0 while there is no list.
+  """
+
+  def __init__(self):
+    self.version = 0
+    self._known = KnownList((), 0.0)
+    self._sent_at: dict[linkmessages.HostProcess, float] = {}
+
+  def age_s(self, now: float) -> float:
+    """Returns for how long the list has not been read from the store (s)."""
+    return now - self._known.read_at
+
+  def update(self, endpoints: tuple[model.Endpoint, ...], read_at: float):
+    """Records the list as read from the store at `read_at`."""
+    if endpoints != self._known.endpoints or not self.version:
+      self.version += 1
+    self._known = KnownList(endpoints, read_at)
+
+  def message_for(
+      self, ping: linkmessages.Ping, now: float
+  ) -> linkmessages.EndpointList | None:
+    """Returns the list for a host that has another version, if one is due."""
+    known = ping.list_version
+    if known is None or known == self.version:
+      return None
+    size_bytes = ENDPOINT_BYTES * len(self._known.endpoints)
+    self._sent_at = {
+        process: sent_at
+        for process, sent_at in self._sent_at.items()
+        if now - sent_at < size_bytes / BYTES_PER_S
+    }
+    if ping.process in self._sent_at:
+      return None
+    self._sent_at[ping.process] = now
+    return linkmessages.EndpointList(
+        ping.at, self.version, self.age_s(now), self._known.endpoints
+    )
--- a/fescueturn/scheduler/events.py
+++ b/fescueturn/scheduler/events.py
@@ -18,6 +18,7 @@
     | linkmessages.JobEnded
     | linkmessages.Returned
     | linkmessages.Pong
+    | linkmessages.EndpointList
 )
 
 # Events for the coordinator.
@@ -178,6 +179,19 @@
   shard: model.Shard
 
 
+@dataclasses.dataclass(frozen=True)
+class ShardReleased:
+  """The store has deleted this host's claim; the watch reports it later.
+
+  Attributes:
+    shard: the shard.
+    fence: the fencing token of the deleted claim.
+  """
+
+  shard: model.Shard
+  fence: int
+
+
 @dataclasses.dataclass(frozen=True)
 class EvacuationsChanged:
   """The operator's evacuation requests changed; lists all that are active."""
@@ -212,6 +226,7 @@
     | LeaseAnswered
     | Tick
     | ClaimAnswered
+    | ShardReleased
     | EvacuationsChanged
     | DrainStarted
     | ProcessEnding
--- a/fescueturn/scheduler/host.py
+++ b/fescueturn/scheduler/host.py
@@ -46,7 +46,8 @@
     claim: executes a `ClaimShard`; returns the change of holder, or None if
       this host isn't the holder or the outcome is unknown (the watch on the
       claims reports it).
-    release: executes a `ReleaseShard`.
+    release: executes a `ReleaseShard`; returns None if the claim was not
+      deleted or if that is unknown (the watch on the claims reports it).
     on_ownership_change: called with whether this host owns a shard, whenever
       that changes.
     load_kept: executes a `LoadKeptJobs`.
@@ -59,7 +60,9 @@
   stop: Callable[[events.StopRun], Awaitable[events.StopAnswered]]
   renew: Callable[[events.RenewLease], Awaitable[events.LeaseAnswered]]
   claim: Callable[[events.ClaimShard], Awaitable[events.HolderChanged | None]]
-  release: Callable[[events.ReleaseShard], Awaitable[None]]
+  release: Callable[
+      [events.ReleaseShard], Awaitable[events.ShardReleased | None]
+  ]
   on_ownership_change: Callable[[bool], Awaitable[None]]
   load_kept: Callable[
       [keptevents.LoadKeptJobs], Awaitable[keptevents.KeptJobsLoaded]
@@ -248,11 +251,11 @@
     await self.apply(events.JobCancelled(job_id))
 
   async def drain(self):
-    """Starts a planned stop: gives up owned shards at once."""
+    """Starts a planned stop: releases owned shards to a successor."""
     await self.apply(events.DrainStarted())
 
   async def finish_drain(self):
-    """Ends a planned stop: answers every caller that still waits."""
+    """Ends a planned stop: answers all callers, gives up shards still held."""
     await self.apply(events.ProcessEnding())
 
   async def close(self):
@@ -291,7 +294,12 @@
     await curio.spawn(run, daemon=True)
 
   async def _release(self, effect: events.ReleaseShard):
-    await curio.spawn(self._ports.release, effect, daemon=True)
+    async def run():
+      released = await self._ports.release(effect)
+      if released is not None:
+        await self.apply(released)
+
+    await curio.spawn(run, daemon=True)
 
   async def _answer(self, effect: events.Answer):
     waiter = self._waiters.get(effect.request_id)
--- a/fescueturn/scheduler/leases.py
+++ b/fescueturn/scheduler/leases.py
@@ -5,6 +5,7 @@
 """
 
 from fescueturn.scheduler import crashes
+from fescueturn.scheduler import endpointlist
 from fescueturn.scheduler import endpointstate
 from fescueturn.scheduler import events
 from fescueturn.scheduler import model
@@ -41,13 +42,41 @@
 ):
   """Applies the platform's list; asks new endpoints which runs they have."""
   owner.listed_at = owner.now
-  owner.set_endpoint_sizes(listed)
   own_endpoints = {
       e.id: e for e in listed if e.data_centre == owner.shard.data_centre
   }
+  owner.shared_list.update(tuple(own_endpoints.values()), owner.now)
   owner.dead_incarnations &= {(e.id, e.address) for e in own_endpoints.values()}
   for job in crashes.confirm_replaced_endpoints(owner, own_endpoints.values()):
     outcomes.end_job_if_finished(owner, job)
+  _apply_list(owner, listed, own_endpoints)
+
+
+def use_inherited_list(owner: ownerstate.Owner, known: endpointlist.KnownList):
+  """Serves from a copy of the previous holder's list, without the store's.
+
+  It may be older than what the store knows, so it confirms no crash.
+  """
+  owner.emit(
+      events.log(
+          "list_inherited",
+          data_centre=owner.shard.data_centre,
+          fence=owner.fence,
+          endpoints=len(known.endpoints),
+          age_ms=int((owner.now - known.read_at) * 1000),
+      )
+  )
+  owner.counters["list_inherited"] += 1
+  owner.shared_list.update(known.endpoints, known.read_at)
+  _apply_list(owner, known.endpoints, {e.id: e for e in known.endpoints})
+
+
+def _apply_list(
+    owner,
+    listed: tuple[model.Endpoint, ...],
+    own_endpoints: dict[str, model.Endpoint],
+):
+  owner.set_endpoint_sizes(listed)
   for name, info in own_endpoints.items():
     record = owner.endpoints.get(name)
     if record is None and (name, info.address) in owner.dead_incarnations:
--- a/fescueturn/scheduler/link.capnp
+++ b/fescueturn/scheduler/link.capnp
@@ -38,6 +38,20 @@
   fence @2 :UInt64;
 }
 
+struct Endpoint {
+  id @0 :Text;
+  host @1 :Text;
+  port @2 :UInt16;
+  service @3 :Text;
+  dataCentre @4 :Text;
+  slots @5 :UInt32;
+  draining @6 :Bool;
+  cpu @7 :UInt32;
+  memMb @8 :UInt32;
+  gpu @9 :UInt32;
+  labels @10 :List(Text);
+}
+
 struct Message {
   dataCentre @0 :Text;
   shard @1 :UInt16;
@@ -58,6 +72,12 @@
       canHold @5 :Bool;
       # Holders that the sender suspects.
       doubts @29 :List(Doubt);
+      draining @31 :Bool;
+      # How long the sender's process has run; 0 if it doesn't say.
+      uptimeMs @32 :UInt32;
+      # One more than the version of the holder's list of endpoints that the
+      # sender has; 0 to request no list.
+      listRequest @33 :UInt32;
     }
     offered :group {
       job @6 :Job;
@@ -79,6 +99,11 @@
       endpoints @27 :List(Text);
       # Holders that enough hosts suspect.
       agreed @30 :List(Doubt);
+      # Version of the holder's list of endpoints, and its age.
+      listVersion @34 :UInt32;
+      listAgeMs @35 :UInt32;
+      # True if the receiver should claim the shard once it is free.
+      successor @36 :Bool;
     }
     accepted @12 :Void;
     declined :group {
@@ -103,6 +128,12 @@
       # True if a task of the job may have run.
       ran @28 :Bool;
     }
+    # The holder's list of endpoints; sent only to a host that requests it.
+    listed :group {
+      version @37 :UInt32;
+      ageMs @38 :UInt32;
+      rows @39 :List(Endpoint);
+    }
   }
 
   enum KeptState {
--- a/fescueturn/scheduler/linkcodec.py
+++ b/fescueturn/scheduler/linkcodec.py
@@ -11,6 +11,7 @@
 
 from fescueturn import codes
 from fescueturn import errors
+from fescueturn import settings
 from fescueturn.scheduler import keptevents
 from fescueturn.scheduler import linkmessages
 from fescueturn.scheduler import model
@@ -29,6 +30,8 @@
 }
 # Value of `roster` in a ping that requests no roster.
 _NO_ROSTER = 2**32 - 1
+# The longest time that a field in ms holds: 49 days.
+_MAX_MS = 2**32 - 1
 # State in a query reply when the holder does not know the job.
 _UNKNOWN_JOB_STATE = "unknown"
 _OUTCOMES = {name: outcome for outcome, name in _OUTCOME_NAMES.items()}
@@ -73,11 +76,19 @@
   out.roster = _NO_ROSTER if message.roster is None else message.roster
   group = out.init("ping")
   group.canHold = message.can_hold
+  group.draining = message.draining
+  group.uptimeMs = _to_ms(message.uptime_s)
+  if message.list_version is not None:
+    group.listRequest = message.list_version + 1
   _encode_suspects(
       group.init("doubts", len(message.suspects)), message.suspects
   )
 
 
+def _to_ms(seconds: float) -> int:
+  return min(_MAX_MS, int(seconds * 1000))
+
+
 def _encode_suspects(rows, suspects: tuple[linkmessages.SuspectedHolder, ...]):
   for row, suspect in zip(rows, suspects, strict=True):
     row.dataCentre = suspect.shard.data_centre
@@ -130,6 +141,9 @@
   out.roster = message.roster
   group = out.init("pong")
   group.holding = message.holding
+  group.listVersion = message.list_version
+  group.listAgeMs = _to_ms(message.list_age_s)
+  group.successor = message.successor
   if message.endpoints is not None:
     group.hasEndpoints = True
     group.endpoints = list(message.endpoints)
@@ -183,6 +197,26 @@
   out.init("returned").ran = message.may_have_run
 
 
+def _encode_endpoint_list(out, message: linkmessages.EndpointList):
+  out.at = message.at
+  group = out.init("listed")
+  group.version = message.version
+  group.ageMs = _to_ms(message.age_s)
+  rows = group.init("rows", len(message.endpoints))
+  for row, endpoint in zip(rows, message.endpoints, strict=True):
+    row.id = endpoint.id
+    row.host = endpoint.address.host
+    row.port = endpoint.address.port
+    row.service = endpoint.service
+    row.dataCentre = endpoint.data_centre
+    row.slots = endpoint.slots
+    row.draining = endpoint.draining
+    row.cpu = endpoint.capacity.cpu
+    row.memMb = endpoint.capacity.mem_mb
+    row.gpu = endpoint.capacity.gpu
+    row.labels = list(endpoint.labels)
+
+
 _ENCODERS = {
     Hello: _encode_hello,
     linkmessages.Ping: _encode_ping,
@@ -193,6 +227,7 @@
     linkmessages.Declined: _encode_declined,
     linkmessages.JobEnded: _encode_ended,
     linkmessages.Returned: _encode_returned,
+    linkmessages.EndpointList: _encode_endpoint_list,
     keptevents.KeptJobQuery: _encode_query,
     keptevents.KeptJobReply: _encode_query_reply,
 }
@@ -273,6 +308,9 @@
       roster,
       message.ping.canHold,
       _decode_suspects(message.ping.doubts),
+      message.ping.draining,
+      message.ping.uptimeMs / 1000,
+      message.ping.listRequest - 1 if message.ping.listRequest else None,
   )
 
 
@@ -295,6 +333,35 @@
       message.roster,
       tuple(pong.endpoints) if pong.hasEndpoints else None,
       _decode_suspects(pong.agreed),
+      pong.listVersion,
+      pong.listAgeMs / 1000,
+      pong.successor,
+  )
+
+
+def _decode_endpoint_list(
+    message, shard, coordinator
+) -> linkmessages.EndpointList:
+  del shard, coordinator
+  group = message.listed
+  return linkmessages.EndpointList(
+      message.at,
+      group.version,
+      group.ageMs / 1000,
+      tuple(_decode_endpoint(row) for row in group.rows),
+  )
+
+
+def _decode_endpoint(row) -> model.Endpoint:
+  return model.Endpoint(
+      row.id,
+      settings.Address(row.host, row.port),
+      row.service,
+      row.dataCentre,
+      row.slots,
+      row.draining,
+      model.Resources(row.cpu, row.memMb, row.gpu),
+      tuple(row.labels),
   )
 
 
@@ -336,6 +403,7 @@
     "returned": lambda m, shard, process: linkmessages.Returned(
         linkmessages.JobKey(process, m.jobId), m.number, m.returned.ran
     ),
+    "listed": _decode_endpoint_list,
     "asked": lambda m, shard, process: keptevents.KeptJobQuery(
         shard, process, m.jobId, m.asked.cancel
     ),
--- a/fescueturn/scheduler/linkmessages.py
+++ b/fescueturn/scheduler/linkmessages.py
@@ -102,6 +102,10 @@
       shard's data centre, has enough CPU, and is not shutting down.
     suspects: holders in the coordinator's data centre from which it gets no
       messages.
+    draining: True if the coordinator's host is being shut down.
+    uptime_s: how long its process has run; 0 if it doesn't say.
+    list_version: the version of the holder's list of endpoints that the
+      coordinator has; 0 for none; None to request no list.
   """
 
   shard: model.Shard
@@ -110,6 +114,9 @@
   roster: int | None = None
   can_hold: bool = False
   suspects: tuple[SuspectedHolder, ...] = ()
+  draining: bool = False
+  uptime_s: float = 0.0
+  list_version: int | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -177,6 +184,11 @@
     endpoints: the roster, if the ping had another version: every endpoint that
       may have runs that this holder started.
     confirmed_suspects: holders that enough hosts suspect to have failed.
+    list_version: the current version of the holder's list of endpoints; 0
+      while it has none.
+    list_age_s: how long ago that list was read from the store.
+    successor: True if the receiver should claim the shard as soon as it is
+      free, because the holder is about to release it.
   """
 
   holding: bool = True
@@ -185,3 +197,23 @@
   roster: int = 0
   endpoints: tuple[str, ...] | None = None
   confirmed_suspects: tuple[SuspectedHolder, ...] = ()
+  list_version: int = 0
+  list_age_s: float = 0.0
+  successor: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class EndpointList:
+  """A holder's list of its shard's endpoints, sent to hosts that may follow it.
+
+  Attributes:
+    at: the `at` of the ping that requested it.
+    version: the list's version.
+    age_s: how long ago it was read from the store.
+    endpoints: the endpoints.
+  """
+
+  at: float
+  version: int
+  age_s: float
+  endpoints: tuple[model.Endpoint, ...]
--- a/fescueturn/scheduler/ownerstate.py
+++ b/fescueturn/scheduler/ownerstate.py
@@ -5,6 +5,7 @@
 import enum
 
 from fescueturn import settings
+from fescueturn.scheduler import endpointlist
 from fescueturn.scheduler import endpointstate
 from fescueturn.scheduler import evacuation
 from fescueturn.scheduler import events
@@ -13,6 +14,7 @@
 from fescueturn.scheduler import model
 from fescueturn.scheduler import reservations
 from fescueturn.scheduler import roster
+from fescueturn.scheduler import succession
 from fescueturn.scheduler import suspicion
 from fescueturn.scheduler import timeouts
 
@@ -215,6 +217,8 @@
       ended_job_retention_s: float = 0.0,
       previous_roster: frozenset[str] | None = None,
       evacuations: evacuation.Evacuations | None = None,
+      inherited: endpointlist.KnownList | None = None,
+      claim_took_s: float = 0.0,
   ):
     self.shard = shard
     self.fence = fence
@@ -242,6 +246,18 @@
     self.first_contacts: dict[linkmessages.HostProcess, float] = {}
     # Hosts that could take the shard over, with the time of the last ping.
     self.successors: dict[linkmessages.HostProcess, float] = {}
+    # The other hosts of the data centre that have pinged this owner.
+    self.local_hosts: dict[linkmessages.HostProcess, succession.LocalHost] = {}
+    # The host that is to claim the shard once this one releases it.
+    self.successor: linkmessages.HostProcess | None = None
+    # True once it was logged that a planned stop can't release the shard yet.
+    self.release_put_off = False
+    # Its list of endpoints, for the hosts of the data centre.
+    self.shared_list = endpointlist.SharedList()
+    # This host's copy of the previous holder's list, until a list is in use.
+    self.inherited = inherited
+    # How long the store took to answer this owner's claim (s).
+    self.claim_took_s = claim_took_s
     # Holders of other data centres that hosts there report as silent.
     self.holder_suspicions = suspicion.SuspicionTracker()
     self.call_losses = timeouts.CallLossRate()
@@ -343,6 +359,10 @@
         "shard": [self.shard.data_centre, self.shard.number],
         "fence": self.fence,
         "settled": self.recovered,
+        "successor": self.successor.host if self.successor else None,
+        "list_age_s": round(self.shared_list.age_s(self.now), 3)
+        if self.shared_list.version
+        else None,
         "jobs": len(self.jobs),
         "waiting_tasks": sum(len(j.waiting) for j in self.jobs.values()),
         "coordinators": {
--- a/fescueturn/scheduler/reducer.py
+++ b/fescueturn/scheduler/reducer.py
@@ -6,6 +6,7 @@
 
 from fescueturn.scheduler import coordinator
 from fescueturn.scheduler import election
+from fescueturn.scheduler import endpointlist
 from fescueturn.scheduler import events
 from fescueturn.scheduler import jobdispatch
 from fescueturn.scheduler import jobqueries
@@ -22,6 +23,7 @@
 from fescueturn.scheduler import runcontrol
 from fescueturn.scheduler import shardownership
 from fescueturn.scheduler import state as state_lib
+from fescueturn.scheduler import succession
 
 # A gap of this length between ticks shows that this process was paused, so
 # missing messages during the gap do not indicate that other hosts failed.
@@ -40,6 +42,8 @@
   """
   state.now = now
   state.coordinator.now = now
+  if state.coordinator.started_at is None:
+    state.coordinator.started_at = now
   for owner in state.owners.values():
     owner.now = now
   _handle_own_pause(state, is_tick=isinstance(event, events.Tick))
@@ -72,9 +76,24 @@
 def _on_holder_changed(state, event: events.HolderChanged) -> list:
   extra = shardownership.handle_holder_change(state, event)
   coordinator.handle_holder_change(state.coordinator, event)
+  candidate = state.candidates.get(event.shard)
+  if candidate is not None and election.is_named(candidate, state.now):
+    extra += _claims(state, [candidate])
   return extra
 
 
+def _on_shard_released(state, event: events.ShardReleased) -> list:
+  holder = state.candidates[event.shard].holder
+  if holder is None or holder.fence != event.fence:
+    return []  # The watch has reported this, and perhaps the next holder.
+  return _on_holder_changed(state, events.HolderChanged(event.shard, None))
+
+
+def _claims(state, candidates) -> list[events.ClaimShard]:
+  claims = [shardownership.decide(state, c) for c in candidates]
+  return [claim for claim in claims if claim is not None]
+
+
 def _on_link_lost(state, event: events.LinkLost):
   if event.refused:
     shardownership.mark_holder_stale(state, event.shard, event.process, 0.0)
@@ -88,7 +107,10 @@
     grace_s = election.NOT_HOLDING_GRACE_S
     shardownership.mark_holder_stale(state, event.shard, event.process, grace_s)
   elif pong is not None and event.shard in state.candidates:
-    election.mark_holder_alive(state.candidates[event.shard])
+    candidate = state.candidates[event.shard]
+    election.mark_holder_alive(candidate)
+    if pong.successor:
+      election.name_successor(candidate, state.now)
   coordinator.handle_message(state.coordinator, event)
   for suspect in pong.confirmed_suspects if pong is not None else ():
     shardownership.handle_suspected_holder(state, suspect)
@@ -102,6 +124,20 @@
       offers.recheck_admissions(owner)
 
 
+def _use_inherited_list(owner: ownerstate.Owner):
+  """Serves from a copy of the list of endpoints if the store doesn't answer."""
+  waited_s = owner.now - owner.taken_at
+  known = owner.inherited
+  if known is None or waited_s < endpointlist.STORE_WAIT_S:
+    return
+  if owner.listed_at is not None:
+    owner.inherited = None
+  elif known.usable(owner.now, waited_s + owner.claim_took_s):
+    owner.inherited = None
+    leases.use_inherited_list(owner, known)
+    offers.recheck_admissions(owner)
+
+
 def _on_offered(state, event: linkmessages.Offered) -> list:
   owner = state.owners.get(event.shard)
   if owner is None:
@@ -141,8 +177,17 @@
     owner.successors[event.process] = state.now
   else:
     owner.successors.pop(event.process, None)
+  is_local = event.roster is not None
+  if is_local and event.process != state.me.process:
+    host = succession.LocalHost(
+        state.now, event.can_hold, event.draining, event.uptime_s
+    )
+    succession.record(owner.local_hosts, event.process, host)
   owner.holder_suspicions.report(event.process, event.suspects, state.now)
   owner.send_to_coordinator(event.process, _pong(owner, event))
+  endpoint_list = owner.shared_list.message_for(event, state.now)
+  if endpoint_list is not None:
+    owner.send_to_coordinator(event.process, endpoint_list)
   return []
 
 
@@ -161,6 +206,9 @@
       roster=update.version,
       endpoints=update.endpoints,
       confirmed_suspects=owner.holder_suspicions.confirmed(owner.now),
+      list_version=owner.shared_list.version,
+      list_age_s=owner.shared_list.age_s(owner.now),
+      successor=ping.process == owner.successor,
   )
 
 
@@ -196,11 +244,13 @@
   del event
   coordinator.tick(state.coordinator)
   for owner in state.owners.values():
+    _use_inherited_list(owner)
     owner_lib.tick(owner)
     _move_kept_jobs(state, owner)
   effects = shardownership.hand_over_shards(state)
-  claims = [shardownership.decide(state, c) for c in state.candidates.values()]
-  return effects + [claim for claim in claims if claim is not None]
+  if state.draining:
+    effects += shardownership.release_shards(state)
+  return effects + _claims(state, state.candidates.values())
 
 
 def _move_kept_jobs(state, owner: ownerstate.Owner):
@@ -250,20 +300,18 @@
 
 
 def _on_drain_started(state, event: events.DrainStarted) -> list:
-  """Releases all shards, so that other hosts take over during a shutdown."""
+  """Releases the shards that other hosts can take over during a shutdown."""
   del event
   state.draining = True
+  state.coordinator.draining = True
   state.coordinator.can_hold = False
-  effects = []
-  for shard, owner in list(state.owners.items()):
-    effects.append(events.ReleaseShard(shard, owner.fence))
-    effects += shardownership.drop_owner(state, shard, "draining")
-  return effects
+  return shardownership.release_shards(state)
 
 
-def _on_process_ending(state, event: events.ProcessEnding):
+def _on_process_ending(state, event: events.ProcessEnding) -> list:
   del event
   coordinator.abort_all(state.coordinator)
+  return shardownership.give_up_shards(state)
 
 
 _HANDLERS = {
@@ -282,6 +330,7 @@
     events.LeaseAnswered: _for_endpoint(leases.handle_lease_answer),
     events.Tick: _on_tick,
     events.ClaimAnswered: _on_claim_answered,
+    events.ShardReleased: _on_shard_released,
     events.EvacuationsChanged: _on_evacuations_changed,
     events.DrainStarted: _on_drain_started,
     events.ProcessEnding: _on_process_ending,
--- a/fescueturn/scheduler/shardownership.py
+++ b/fescueturn/scheduler/shardownership.py
@@ -10,6 +10,7 @@
 from fescueturn.scheduler import model
 from fescueturn.scheduler import ownerstate
 from fescueturn.scheduler import roster
+from fescueturn.scheduler import succession
 
 
 def handle_holder_change(state, event: events.HolderChanged) -> list:
@@ -26,7 +27,7 @@
   )
   holder = candidate.holder
   if holder is None and state.now < candidate.yield_until:
-    return drop_owner(state, event.shard, "roomier_host")
+    return _handle_release_reported(state, candidate)
   if holder is None:
     return []
   is_mine = (
@@ -55,10 +56,29 @@
   )
 
 
+def _handle_release_reported(state, candidate: election.Candidate) -> list:
+  """Gives up a released shard, unless the next claim will take its time."""
+  if not state.draining:
+    return drop_owner(state, candidate.shard, "roomier_host")
+  took_s = state.now - candidate.released_at
+  if took_s <= succession.PROMPT_RELEASE_S:
+    return drop_owner(state, candidate.shard, "draining")
+  if candidate.shard not in state.owners:
+    return []
+  return [
+      events.log(
+          "release_slow",
+          data_centre=candidate.shard.data_centre,
+          took_ms=int(took_s * 1000),
+      )
+  ]
+
+
 def _take_shard(state, shard: model.Shard, fence: int, follows: int) -> list:
   # The new owner starts without endpoints: an earlier list may show endpoints
   # as ready that are draining by now, and the I/O shell fetches a fresh one as
-  # soon as a shard is owned.
+  # soon as a shard is owned. The copy of the earlier one is used only if the
+  # store doesn't answer.
   endpoints_to_query = roster.inherited_endpoints(
       state.coordinator.holders.get(shard), follows, state.now
   )
@@ -69,6 +89,8 @@
       state.me.ended_job_retention_s,
       endpoints_to_query,
       state.evacuations,
+      state.coordinator.endpoint_lists.get(shard),
+      state.candidates[shard].last_claim_s(state.now),
   )
   return [
       events.log(
@@ -161,6 +183,73 @@
   return effects
 
 
+def release_shards(state) -> list:
+  """Releases a draining host's shards once a successor can claim them.
+
+  Until then this host serves them, at the latest until its process ends.
+  """
+  effects = []
+  for shard, owner in state.owners.items():
+    candidate = state.candidates[shard]
+    if state.now < candidate.yield_until:
+      continue
+    answers = succession.store_answers(owner.listed_at, state.now)
+    successor = succession.choose_successor(owner.local_hosts, state.now)
+    if successor is None or not answers:
+      effects += _log_kept_claim(owner, "no_host" if answers else "store_away")
+      continue
+    effects += _release_to(state, owner, successor)
+  return effects
+
+
+def _log_kept_claim(owner: ownerstate.Owner, why: str) -> list:
+  if owner.release_put_off:
+    return []
+  owner.release_put_off = True
+  return [
+      events.log(
+          "release_put_off",
+          data_centre=owner.shard.data_centre,
+          fence=owner.fence,
+          why=why,
+      )
+  ]
+
+
+def _release_to(
+    state, owner: ownerstate.Owner, successor: linkmessages.HostProcess
+) -> list:
+  candidate = state.candidates[owner.shard]
+  candidate.yield_until = state.now + handover.YIELD_S
+  candidate.released_at = state.now
+  owner.successor = successor
+  named = linkmessages.Pong(
+      pending=tuple(sorted(keptjobs.pending(owner).items())), successor=True
+  )
+  effects = [
+      events.SendToCoordinator(successor, owner.shard, named),
+      events.log(
+          "shard_released",
+          data_centre=owner.shard.data_centre,
+          fence=owner.fence,
+          successor=successor.host,
+          uptime_s=round(owner.local_hosts[successor].uptime_s, 1),
+      ),
+  ]
+  if candidate.holder is not None:
+    effects.append(events.ReleaseShard(owner.shard, owner.fence))
+  return effects
+
+
+def give_up_shards(state) -> list:
+  """Gives up all shards, as this process ends."""
+  effects = []
+  for shard, owner in list(state.owners.items()):
+    effects.append(events.ReleaseShard(shard, owner.fence))
+    effects += drop_owner(state, shard, "stopping")
+  return effects
+
+
 def decide(state, candidate: election.Candidate) -> events.ClaimShard | None:
   """Returns the claim to make for a shard now, if any."""
   holder = state.coordinator.holders.get(candidate.shard)
--- a/fescueturn/scheduler/state.py
+++ b/fescueturn/scheduler/state.py
@@ -51,8 +51,8 @@
 
   @property
   def idle(self) -> bool:
-    """True if no caller is waiting for a response."""
-    return not self.coordinator.jobs
+    """True if no caller is waiting for a response and no shard is held."""
+    return not (self.coordinator.jobs or self.owners)
 
   @property
   def needs_fast_ticks(self) -> bool:
--- a/tests/test_linkcodec.py
+++ b/tests/test_linkcodec.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from fescueturn import settings
 from fescueturn.scheduler import keptevents
 from fescueturn.scheduler import linkcodec
 from fescueturn.scheduler import linkmessages
@@ -25,6 +26,17 @@
     "queue-1",
 )
 
+ENDPOINT = model.Endpoint(
+    "i-1",
+    settings.Address("10.0.0.4", 8161),
+    "speller",
+    "north",
+    8,
+    False,
+    NEED,
+    ("kind-a", "r1"),
+)
+DRAINING_ENDPOINT = dataclasses.replace(ENDPOINT, id="i-2", draining=True)
 
 MESSAGES = [
     linkcodec.Hello(PROCESS),
@@ -68,6 +80,11 @@
 NEW_MESSAGES = [
     linkcodec.Hello(PROCESS, 3),
     linkmessages.Withdrawn(SHARD, KEY, 65535),
+    linkmessages.Ping(
+        SHARD, PROCESS, 12.5, 7, draining=True, uptime_s=4.5, list_version=0
+    ),
+    linkmessages.Pong(list_version=3, list_age_s=0.75, successor=True),
+    linkmessages.EndpointList(12.5, 3, 0.75, (ENDPOINT, DRAINING_ENDPOINT)),
 ]
 
 
