A holder that ends while the store is away grants its shard to another host

Cause: a claim can only be made in the store, so a planned stop whose grace ends during an outage of the store left the data centre without a holder until its end.

Change: numbers that the store has spent while a claim was in place can't become the fencing token of any other claim. Shortly before its end such a holder grants a part of them to its successor, which serves under the lowest and claims the shard as soon as the store answers. spec/succession.pml models it, with six mutants.

--- a/fescueturn/emulator/fleet.py
+++ b/fescueturn/emulator/fleet.py
@@ -353,6 +353,7 @@
     """Sends a host the store's list of endpoints, if it can reach the store."""
     if not self._store.can_reach_store(host):
       return
+    self._store.report_revision(host)
     listed = tuple(
         e.info
         for name, e in self.endpoints.items()
--- a/fescueturn/emulator/fleetstore.py
+++ b/fescueturn/emulator/fleetstore.py
@@ -12,6 +12,8 @@
 # hosts handle them late.
 MAX_WATCH_DELAY_FACTOR = 6.0
 CLAIM_LEASE_S = 1.5
+# How many other keys are written between two reports of the store's revision.
+OTHER_WRITES = 5
 # Time (s) after which an unanswered write is repeated.
 STORE_TIMEOUT_S = 1.0
 STORE_RETRY_S = 0.1
@@ -30,6 +32,8 @@
     self._revision = 10
     self._claims: dict[model.Shard, model.Holder] = {}
     self._last_fences: dict[model.Shard, int] = {}
+    # Hosts that have missed notifications of claims.
+    self._behind: set[str] = set()
 
   def evacuate(self, data_centre: str, wanted: bool):
     """Stores a request to evacuate a data centre, or deletes it."""
@@ -54,6 +58,7 @@
     if not self.can_reach_store(host):
       self._fleet.clock.after(0.1, lambda: self.read_claims(host))
       return
+    self._behind.discard(host.name)
     self.notify_evacuations(host)
     # In the order of the hosts, as a set's order differs between processes and
     # runs would not be repeatable.
@@ -127,8 +132,22 @@
       )
       self._fleet.clock.after(delay_s, lambda: host.apply(changed))
     else:
+      self._behind.add(host.name)
       self._fleet.clock.after(0.2, lambda: self.read_claims(host))
 
+  def report_revision(self, host: hosts.EmulatedHost):
+    """Reports a revision up to which a host has been notified of claims."""
+    self._revision += OTHER_WRITES
+    read = events.ClaimsRead(self._revision)
+
+    def arrive():
+      if host.name not in self._behind:
+        host.apply(read)
+
+    if host.name not in self._behind:
+      delay_s = self._fleet.store_delay_s * MAX_WATCH_DELAY_FACTOR
+      self._fleet.clock.after(delay_s, arrive)
+
   def notify_evacuations(self, host: hosts.EmulatedHost):
     """Sends a host the evacuation requests once it can reach the store."""
     if not self.can_reach_store(host):
--- a/fescueturn/emulator/hosts.py
+++ b/fescueturn/emulator/hosts.py
@@ -1,5 +1,6 @@
 """An emulated host: the real reducer, driven by a virtual timer."""
 
+from fescueturn import settings
 from fescueturn.scheduler import events
 from fescueturn.scheduler import linkmessages
 from fescueturn.scheduler import model
@@ -37,7 +38,12 @@
     shards = (model.Shard(data_centre),)
     self.state = state_lib.HostState(
         state_lib.HostIdentity(
-            self.process, data_centre, shards, ENDED_JOB_TTL_S, cores
+            self.process,
+            data_centre,
+            shards,
+            ENDED_JOB_TTL_S,
+            cores,
+            settings.Address(name, 1),
         )
     )
     self.up = True
--- a/fescueturn/platform/claims.py
+++ b/fescueturn/platform/claims.py
@@ -210,6 +210,11 @@
 
 
 OnHolder = Callable[[events.HolderChanged], Awaitable[None]]
+OnRead = Callable[[events.ClaimsRead], Awaitable[None]]
+
+
+async def _ignore_read(event: events.ClaimsRead):
+  del event
 
 
 async def watch_loop(
@@ -218,6 +223,7 @@
     convergence_s: float,
     shards: tuple[model.Shard, ...],
     on_holder: OnHolder,
+    on_read: OnRead = _ignore_read,
 ):
   """Watches the shards' holders forever and reports every change.
 
@@ -228,6 +234,7 @@
       known.
     shards: this host's shards, which are reported even if nobody holds them.
     on_holder: called with each change.
+    on_read: called once all changes up to a revision were reported.
   """
   backoff = storebackoff.StoreBackoff("holders", now)
   watch_wait_ms = storebackoff.watch_wait_ms(convergence_s)
@@ -243,6 +250,7 @@
         revision = changes.revision
         for item in changes.items:
           await _report_change(item, known, on_holder)
+        await on_read(events.ClaimsRead(revision))
       backoff.record_success(revision, full_read)
     except kvtypes.HistoryGoneError:
       await backoff.handle_history_gone(revision)
--- a/fescueturn/platform/role.py
+++ b/fescueturn/platform/role.py
@@ -47,6 +47,9 @@
 # The process exits this long before the end of its grace period, even if jobs
 # are still open.
 EXIT_MARGIN_S = 0.7
+# How long before its exit a process that could not release its shard grants it
+# to another host: three tries of 0.2 s fit.
+GRANT_BEFORE_EXIT_S = 0.7
 # Time to read and answer the last requests on open connections.
 FLUSH_S = 0.15
 POLL_S = 0.1
@@ -94,6 +97,7 @@
             shards,
             node.ended_job_retention_s,
             node.cores,
+            node.peer_address,
         ),
         node.peer_address,
         host_lib.Ports(
@@ -145,6 +149,7 @@
             self._node.convergence_s,
             shards,
             self._host.apply,
+            self._host.apply,
         ),
         (
             configuration.watch_loop,
@@ -196,6 +201,8 @@
         self._callers.refuse_new_jobs()
       if elapsed_s > ROTATION_DELAY_S and self._host.state.idle:
         break
+      if self._timer.now() > deadline - GRANT_BEFORE_EXIT_S:
+        await self._host.prepare_exit()
       await curio.sleep(POLL_S)
     self._callers.refuse_new_jobs()
     await self._host.finish_drain()
--- a/fescueturn/scheduler/events.py
+++ b/fescueturn/scheduler/events.py
@@ -10,7 +10,10 @@
 from fescueturn.scheduler import model
 
 CoordinatorMessage = (
-    linkmessages.Offered | linkmessages.Withdrawn | linkmessages.Ping
+    linkmessages.Offered
+    | linkmessages.Withdrawn
+    | linkmessages.Ping
+    | linkmessages.GrantTaken
 )
 HolderMessage = (
     linkmessages.Accepted
@@ -19,6 +22,8 @@
     | linkmessages.Returned
     | linkmessages.Pong
     | linkmessages.EndpointList
+    | linkmessages.ShardGranted
+    | linkmessages.HolderMoved
 )
 
 # Events for the coordinator.
@@ -204,6 +209,18 @@
   """A planned shutdown began."""
 
 
+@dataclasses.dataclass(frozen=True)
+class ClaimsRead:
+  """All changes of claims up to a revision of the store were reported."""
+
+  revision: int
+
+
+@dataclasses.dataclass(frozen=True)
+class DrainEnding:
+  """The grace period of a planned shutdown is nearly over."""
+
+
 @dataclasses.dataclass(frozen=True)
 class ProcessEnding:
   """The grace period of a planned shutdown is over.
@@ -229,6 +246,8 @@
     | ShardReleased
     | EvacuationsChanged
     | DrainStarted
+    | ClaimsRead
+    | DrainEnding
     | ProcessEnding
 )
 
--- a/fescueturn/scheduler/host.py
+++ b/fescueturn/scheduler/host.py
@@ -89,7 +89,8 @@
 class SchedulerHost:
   """One host's scheduler.
 
-  The order of calls is `start`, `drain`, `finish_drain` and `close`.
+  The order of calls is `start`, `drain`, `prepare_exit`, `finish_drain` and
+  `close`.
   """
 
   def __init__(
@@ -254,6 +255,11 @@
     """Starts a planned stop: releases owned shards to a successor."""
     await self.apply(events.DrainStarted())
 
+  async def prepare_exit(self):
+    """Grants the shards still held to other hosts; may be called repeatedly."""
+    if not self._state.ending:
+      await self.apply(events.DrainEnding())
+
   async def finish_drain(self):
     """Ends a planned stop: answers all callers, gives up shards still held."""
     await self.apply(events.ProcessEnding())
--- a/fescueturn/scheduler/link.capnp
+++ b/fescueturn/scheduler/link.capnp
@@ -128,6 +128,27 @@
       # True if a task of the job may have run.
       ran @28 :Bool;
     }
+    # The holder hands its shard over without the store; sent only to a host
+    # that requests its list of endpoints.
+    granted :group {
+      fence @40 :UInt64;
+      limit @41 :UInt64;
+    }
+    # A host tells the holder that granted it the shard that it has taken it.
+    taken :group {
+      host @42 :Text;
+      boot @43 :Text;
+      peer @44 :Text;
+      fence @45 :UInt64;
+    }
+    # That holder tells coordinators who follows it; sent only to those whose
+    # pings give their uptime.
+    moved :group {
+      host @46 :Text;
+      boot @47 :Text;
+      peer @48 :Text;
+      fence @49 :UInt64;
+    }
     # The holder's list of endpoints; sent only to a host that requests it.
     listed :group {
       version @37 :UInt32;
--- a/fescueturn/scheduler/linkcodec.py
+++ b/fescueturn/scheduler/linkcodec.py
@@ -197,6 +197,27 @@
   out.init("returned").ran = message.may_have_run
 
 
+def _encode_granted(out, message: linkmessages.ShardGranted):
+  group = out.init("granted")
+  group.fence = message.fence
+  group.limit = message.limit
+
+
+def _encode_taken(out, message: linkmessages.GrantTaken):
+  _encode_holder(out.init("taken"), message.holder)
+
+
+def _encode_moved(out, message: linkmessages.HolderMoved):
+  _encode_holder(out.init("moved"), message.holder)
+
+
+def _encode_holder(group, holder: model.Holder):
+  group.host = holder.host
+  group.boot = holder.boot
+  group.peer = str(holder.peer)
+  group.fence = holder.fence
+
+
 def _encode_endpoint_list(out, message: linkmessages.EndpointList):
   out.at = message.at
   group = out.init("listed")
@@ -228,6 +249,9 @@
     linkmessages.JobEnded: _encode_ended,
     linkmessages.Returned: _encode_returned,
     linkmessages.EndpointList: _encode_endpoint_list,
+    linkmessages.ShardGranted: _encode_granted,
+    linkmessages.GrantTaken: _encode_taken,
+    linkmessages.HolderMoved: _encode_moved,
     keptevents.KeptJobQuery: _encode_query,
     keptevents.KeptJobReply: _encode_query_reply,
 }
@@ -352,6 +376,11 @@
   )
 
 
+def _decode_holder(group) -> model.Holder:
+  peer = settings.parse_address(group.peer)
+  return model.Holder(group.host, group.boot, peer, group.fence)
+
+
 def _decode_endpoint(row) -> model.Endpoint:
   return model.Endpoint(
       row.id,
@@ -404,6 +433,15 @@
         linkmessages.JobKey(process, m.jobId), m.number, m.returned.ran
     ),
     "listed": _decode_endpoint_list,
+    "granted": lambda m, shard, process: linkmessages.ShardGranted(
+        m.granted.fence, m.granted.limit
+    ),
+    "taken": lambda m, shard, process: linkmessages.GrantTaken(
+        shard, _decode_holder(m.taken)
+    ),
+    "moved": lambda m, shard, process: linkmessages.HolderMoved(
+        _decode_holder(m.moved)
+    ),
     "asked": lambda m, shard, process: keptevents.KeptJobQuery(
         shard, process, m.jobId, m.asked.cancel
     ),
--- a/fescueturn/scheduler/linkmessages.py
+++ b/fescueturn/scheduler/linkmessages.py
@@ -202,6 +202,44 @@
   successor: bool = False
 
 
+@dataclasses.dataclass(frozen=True)
+class ShardGranted:
+  """A holder that is shut down hands its shard over without the store.
+
+  Attributes:
+    fence: the receiver's fencing token, higher than the holder's and lower than
+      that of any later claim in the store.
+    limit: the highest number that the receiver may grant in turn.
+  """
+
+  fence: int
+  limit: int
+
+
+@dataclasses.dataclass(frozen=True)
+class GrantTaken:
+  """A host tells the earlier holder that it has taken a granted shard over.
+
+  Attributes:
+    shard: the shard.
+    holder: the new holder.
+  """
+
+  shard: model.Shard
+  holder: model.Holder
+
+
+@dataclasses.dataclass(frozen=True)
+class HolderMoved:
+  """A holder tells a coordinator that another host has taken its shard over.
+
+  Attributes:
+    holder: the new holder.
+  """
+
+  holder: model.Holder
+
+
 @dataclasses.dataclass(frozen=True)
 class EndpointList:
   """A holder's list of its shard's endpoints, sent to hosts that may follow it.
--- a/fescueturn/scheduler/ownerstate.py
+++ b/fescueturn/scheduler/ownerstate.py
@@ -3,6 +3,7 @@
 import collections
 import dataclasses
 import enum
+import math
 
 from fescueturn import settings
 from fescueturn.scheduler import endpointlist
@@ -250,6 +251,15 @@
     self.local_hosts: dict[linkmessages.HostProcess, succession.LocalHost] = {}
     # The host that is to claim the shard once this one releases it.
     self.successor: linkmessages.HostProcess | None = None
+    # Numbers that it may grant as fencing tokens, the highest that it has
+    # granted, and when it last did (s).
+    self.spare_fences = succession.NO_FENCES
+    self.last_granted = 0
+    self.granted_at = -math.inf
+    # True if it holds the shard by a grant, without a claim in the store.
+    self.by_grant = False
+    # Coordinators that understand who has taken the shard over.
+    self.knows_moves: set[linkmessages.HostProcess] = set()
     # True once it was logged that a planned stop can't release the shard yet.
     self.release_put_off = False
     # Its list of endpoints, for the hosts of the data centre.
--- a/fescueturn/scheduler/reducer.py
+++ b/fescueturn/scheduler/reducer.py
@@ -8,6 +8,7 @@
 from fescueturn.scheduler import election
 from fescueturn.scheduler import endpointlist
 from fescueturn.scheduler import events
+from fescueturn.scheduler import grants
 from fescueturn.scheduler import jobdispatch
 from fescueturn.scheduler import jobqueries
 from fescueturn.scheduler import keptevents
@@ -100,7 +101,7 @@
   coordinator.handle_link_lost(state.coordinator, event)
 
 
-def _on_holder_message(state, event: events.HolderMessageReceived):
+def _on_holder_message(state, event: events.HolderMessageReceived) -> list:
   pong = event.message if isinstance(event.message, linkmessages.Pong) else None
   if pong is not None and not pong.holding:
     # The holder stepped down, or another process now runs at its address.
@@ -108,12 +109,20 @@
     shardownership.mark_holder_stale(state, event.shard, event.process, grace_s)
   elif pong is not None and event.shard in state.candidates:
     candidate = state.candidates[event.shard]
-    election.mark_holder_alive(candidate)
+    named = candidate.holder
+    if named and event.process.boot == named.boot:
+      election.mark_holder_alive(candidate)
     if pong.successor:
       election.name_successor(candidate, state.now)
+  if isinstance(event.message, linkmessages.ShardGranted):
+    return grants.handle_grant(state, event.shard, event.process, event.message)
+  if isinstance(event.message, linkmessages.HolderMoved):
+    grants.handle_moved(state, event.shard, event.process, event.message)
+    return []
   coordinator.handle_message(state.coordinator, event)
   for suspect in pong.confirmed_suspects if pong is not None else ():
     shardownership.handle_suspected_holder(state, suspect)
+  return []
 
 
 def _on_endpoints_listed(state, event: events.EndpointsListed):
@@ -177,6 +186,8 @@
     owner.successors[event.process] = state.now
   else:
     owner.successors.pop(event.process, None)
+  if event.uptime_s:
+    owner.knows_moves.add(event.process)
   is_local = event.roster is not None
   if is_local and event.process != state.me.process:
     host = succession.LocalHost(
@@ -250,6 +261,8 @@
   effects = shardownership.hand_over_shards(state)
   if state.draining:
     effects += shardownership.release_shards(state)
+  if state.ending:
+    effects += grants.grant_shards(state)
   return effects + _claims(state, state.candidates.values())
 
 
@@ -308,6 +321,20 @@
   return shardownership.release_shards(state)
 
 
+def _on_drain_ending(state, event: events.DrainEnding) -> list:
+  del event
+  state.ending = True
+  return grants.grant_shards(state)
+
+
+def _on_claims_read(state, event: events.ClaimsRead):
+  grants.handle_claims_read(state, event)
+
+
+def _on_grant_taken(state, event: linkmessages.GrantTaken) -> list:
+  return grants.handle_grant_taken(state, event)
+
+
 def _on_process_ending(state, event: events.ProcessEnding) -> list:
   del event
   coordinator.abort_all(state.coordinator)
@@ -333,6 +360,9 @@
     events.ShardReleased: _on_shard_released,
     events.EvacuationsChanged: _on_evacuations_changed,
     events.DrainStarted: _on_drain_started,
+    events.ClaimsRead: _on_claims_read,
+    events.DrainEnding: _on_drain_ending,
+    linkmessages.GrantTaken: _on_grant_taken,
     events.ProcessEnding: _on_process_ending,
     keptevents.KeptJobQueryArrived: _for_coordinator(jobqueries.handle_query),
     keptevents.KeptJobQuery: _on_kept_job_query,
--- a/fescueturn/scheduler/roster.py
+++ b/fescueturn/scheduler/roster.py
@@ -53,6 +53,12 @@
     self._endpoints: frozenset[str] = frozenset()
     self._removed_until: dict[str, float] = {}
 
+  def continue_from(self, endpoints: Iterable[str], now: float):
+    """Continues an earlier holder's roster, which other hosts may have."""
+    self._version = 1
+    for endpoint in endpoints:
+      self.record_removal(endpoint, now)
+
   def record_removal(self, endpoint: str, now: float):
     """Records that the holder removed an endpoint, which may return soon."""
     self._removed_until[endpoint] = now + REMOVED_RETENTION_S
--- a/fescueturn/scheduler/shardownership.py
+++ b/fescueturn/scheduler/shardownership.py
@@ -43,7 +43,9 @@
     return []
   if owner is not None and owner.fence >= holder.fence:
     return []
-  if owner is not None and not keptjobs.has_kept_jobs(owner):
+  # The earlier holder may have granted the shard to yet another host.
+  keeps_jobs = owner is not None and not owner.by_grant
+  if keeps_jobs and not keptjobs.has_kept_jobs(owner):
     keptjobs.replace_fence(owner, holder.fence)
     return []
   # Another holder may have written records of kept jobs between the two claims,
@@ -82,7 +84,7 @@
   endpoints_to_query = roster.inherited_endpoints(
       state.coordinator.holders.get(shard), follows, state.now
   )
-  state.owners[shard] = ownerstate.Owner(
+  owner = ownerstate.Owner(
       shard,
       fence,
       state.now,
@@ -92,6 +94,7 @@
       state.coordinator.endpoint_lists.get(shard),
       state.candidates[shard].last_claim_s(state.now),
   )
+  state.owners[shard] = owner
   return [
       events.log(
           "shard_taken",
@@ -106,6 +109,22 @@
   ]
 
 
+def take_granted_shard(
+    state,
+    shard: model.Shard,
+    grant: linkmessages.ShardGranted,
+    before: model.Holder,
+) -> list:
+  """Takes over a shard that its holder, `before`, has granted to this host."""
+  effects = _take_shard(state, shard, grant.fence, before.fence)
+  owner = state.owners[shard]
+  owner.by_grant = True
+  owner.spare_fences = succession.FenceRange(grant.fence + 1, grant.limit)
+  # A host that claims the shard next may know the earlier holder's roster only.
+  owner.roster.continue_from(owner.unreported or (), state.now)
+  return effects
+
+
 def step_down(state, owner: ownerstate.Owner, reason: str):
   """Gives up a shard at once; its coordinators wait for the next holder."""
   for process in owner.last_contact:
--- a/fescueturn/scheduler/state.py
+++ b/fescueturn/scheduler/state.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from fescueturn import settings
 from fescueturn.scheduler import coordinatorstate
 from fescueturn.scheduler import election
 from fescueturn.scheduler import evacuation
@@ -21,6 +22,7 @@
     ended_job_retention_s: how long the records of kept jobs are retained after
       the jobs' end.
     cores: CPU capacity, in cores of the usual speed.
+    peer: the host's address for messages from other hosts.
   """
 
   process: linkmessages.HostProcess
@@ -28,6 +30,7 @@
   shards: tuple[model.Shard, ...]
   ended_job_retention_s: float = 0.0
   cores: float = election.HOLDER_CORES
+  peer: settings.Address = settings.Address("", 0)
 
 
 class HostState:
@@ -38,6 +41,8 @@
     self.now = 0.0
     self.last_tick_at: float | None = None
     self.draining = False
+    # True shortly before the process of a draining host ends.
+    self.ending = False
     self.evacuations = evacuation.Evacuations()
     self.coordinator = coordinatorstate.Coordinator(
         me.process, me.data_centre, self.evacuations
--- a/fescueturn/scheduler/succession.py
+++ b/fescueturn/scheduler/succession.py
@@ -47,6 +47,30 @@
     return now - self.pinged_at < ALIVE_S
 
 
+@dataclasses.dataclass(frozen=True)
+class FenceRange:
+  """Fencing tokens that a holder may grant: numbers that the store has spent.
+
+  Attributes:
+    first: the lowest.
+    limit: the highest; below `first` if there are none.
+  """
+
+  first: int
+  limit: int
+
+  def split(self) -> tuple["FenceRange", "FenceRange"]:
+    """Returns the part to grant to a successor, and the rest."""
+    middle = (self.first + self.limit) // 2
+    return FenceRange(self.first, middle), FenceRange(middle + 1, self.limit)
+
+  def __bool__(self) -> bool:
+    return self.first <= self.limit
+
+
+NO_FENCES = FenceRange(1, 0)
+
+
 def record(
     hosts: dict[linkmessages.HostProcess, LocalHost],
     process: linkmessages.HostProcess,
--- a/tests/test_linkcodec.py
+++ b/tests/test_linkcodec.py
@@ -36,6 +36,7 @@
     NEED,
     ("kind-a", "r1"),
 )
+HOLDER = model.Holder("h", "b", settings.Address("10.0.0.4", 7720), 2**40)
 DRAINING_ENDPOINT = dataclasses.replace(ENDPOINT, id="i-2", draining=True)
 
 MESSAGES = [
@@ -84,6 +85,9 @@
         SHARD, PROCESS, 12.5, 7, draining=True, uptime_s=4.5, list_version=0
     ),
     linkmessages.Pong(list_version=3, list_age_s=0.75, successor=True),
+    linkmessages.ShardGranted(2**40, 2**40 + 7),
+    linkmessages.GrantTaken(SHARD, HOLDER),
+    linkmessages.HolderMoved(HOLDER),
     linkmessages.EndpointList(12.5, 3, 0.75, (ENDPOINT, DRAINING_ENDPOINT)),
 ]
 
--- a/tests/test_spec.py
+++ b/tests/test_spec.py
@@ -17,6 +17,8 @@
 ONE_DATA_CENTRE = "!(running[(1-s)])"
 MORE_STARTS = "((starts<5)||sound)"
 ONE_ENDPOINT = "]==255)"
+ONE_TOKEN = "((user[granted[me]]==0)||(user[granted[me]]==(me+1)))"
+SERVED = "((serving[0]||serving[1])||serving[2])"
 STARTS_TWICE = "assertion violated (starts<=1)"
 
 
@@ -47,6 +49,7 @@
         ("moves.pml", []),
         ("losses.pml", []),
         ("starts.pml", []),
+        ("succession.pml", []),
     ],
 )
 def test_protocol_holds(tmp_path, spec, defines):
@@ -86,6 +89,12 @@
         ("starts.pml", "-DLAST_COPY", ONE_ENDPOINT),
         ("starts.pml", "-DNO_STOP", ONE_ENDPOINT),
         ("starts.pml", "-DNO_EXPIRY", ONE_ENDPOINT),
+        ("succession.pml", "-DANY_NUMBER", "(revision>highest)"),
+        ("succession.pml", "-DSTALE_CLAIM", ONE_TOKEN),
+        ("succession.pml", "-DSAME_NUMBER", ONE_TOKEN),
+        ("succession.pml", "-DREREAD", ONE_TOKEN),
+        ("succession.pml", "-DDROP_SLOW", SERVED),
+        ("succession.pml", "-DNO_HOST", SERVED),
         ("settings.pml", "-DNO_CAS", "base_of[revision]==(revision-1)"),
         ("settings.pml", "-DNO_MONOTONIC", "applied[h]>=highest[h]"),
     ],
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -111,19 +111,21 @@
   emulation = fleets.fleet(seed=seed)
   emulation.clock.run_until(4.0)
   cut_off(emulation, "a")
-  emulation.clock.run_until(4.5)
+  emulation.clock.run_until(6.0)
   holder = fleets.owner_of(emulation, "a")
   other = fleets.other_host(emulation, holder)
   holder.apply(events.DrainStarted())
   requests = []
   for number in range(20):
-    emulation.clock.run_until(4.7 + number * 0.1)
+    emulation.clock.run_until(6.2 + number * 0.1)
     requests.append(submit(emulation, other, f"j{number}"))
-  emulation.clock.run_until(8.0)
+  emulation.clock.run_until(9.5)
   assert {outcome(emulation, r) for r in requests} == {model.Outcome.DONE}
   assert not holder.state.idle
+  assert len(lines(emulation, "release_put_off")) == 1
+  assert not lines(emulation, "shard_released"), "a late release frees it"
   cut_off(emulation, "a", restored=True)
-  emulation.clock.run_until(10.5)
+  emulation.clock.run_until(12.0)
   assert fleets.owner_of(emulation, "a") is not holder
   assert holder.state.idle
   assert emulation.broken == []
@@ -255,3 +257,186 @@
   list_bytes = count * endpointlist.ENDPOINT_BYTES
   spent = sent * list_bytes
   assert spent <= list_bytes + now * endpointlist.BYTES_PER_S + 1e-6
+
+
+# Grants of shards while the store is away.
+
+
+def stop_in_outage(emulation, holder, at: float, end: bool = True):
+  """Stops a holder as the platform does, while the store doesn't answer."""
+  emulation.clock.at(at, lambda: holder.apply(events.DrainStarted()))
+  emulation.clock.at(at + 4.6, lambda: holder.apply(events.DrainEnding()))
+  if end:
+    emulation.clock.at(at + 5.3, lambda: holder.apply(events.ProcessEnding()))
+    emulation.clock.at(at + 5.45, lambda: emulation.kill(holder.name))
+
+
+def submit_until(emulation, host, until: float) -> list[int]:
+  requests = []
+  while emulation.clock.now < until:
+    requests.append(submit(emulation, host, f"g{emulation.clock.now}"))
+    emulation.clock.run_until(emulation.clock.now + 0.1)
+  return requests
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_stops_in_turn_while_the_store_is_away_keep_the_shard_served(seed):
+  emulation = fleets.fleet(hosts=5, seed=seed)
+  emulation.clock.run_until(4.0)
+  emulation.store_up = False
+  emulation.clock.run_until(6.0)
+  first = fleets.owner_of(emulation, "a")
+  stop_in_outage(emulation, first, 6.0)
+  emulation.clock.run_until(11.0)
+  second = fleets.owner_of(emulation, "a")
+  assert second is not first
+  stop_in_outage(emulation, second, 12.0)
+  caller_host = next(
+      h
+      for h in fleets.hosts_in(emulation, "a")
+      if h.up and not h.state.owners and not h.state.draining
+  )
+  requests = submit_until(emulation, caller_host, 18.0)
+  third = fleets.owner_of(emulation, "a")
+  assert third not in (first, second)
+  emulation.store_up = True
+  requests += submit_until(emulation, caller_host, 22.0)
+  emulation.clock.run_until(24.0)
+  outcomes = [outcome(emulation, r) for r in requests]
+  assert outcomes.count(model.Outcome.DONE) > 0.97 * len(requests)
+  (owner,) = fleets.owner_of(emulation, "a").state.owners.values()
+  assert not owner.by_grant
+  assert owner.kept_records.loaded
+  assert emulation.broken == []
+
+
+def test_hosts_of_other_data_centres_turn_to_the_host_that_got_the_grant():
+  emulation = fleets.fleet()
+  emulation.clock.run_until(4.0)
+  emulation.store_up = False
+  emulation.clock.run_until(6.0)
+  stop_in_outage(emulation, fleets.owner_of(emulation, "a"), 6.0)
+  emulation.clock.run_until(12.0)
+  holder = fleets.owner_of(emulation, "a")
+  for host in emulation.hosts.values():
+    if host.up:
+      record = host.state.coordinator.holders[SHARD]
+      assert record.holder.host == holder.name
+      assert not record.lost
+
+
+def test_claim_in_the_store_wins_over_a_grant():
+  """The granting host and the one that gets the grant are cut off together."""
+  emulation = fleets.fleet(hosts=5)
+  emulation.clock.run_until(4.0)
+  hosts = fleets.hosts_in(emulation, "a")
+  holder = fleets.owner_of(emulation, "a")
+  heir = fleets.other_host(emulation, holder)
+  for host in (holder, heir):
+    host.partitioned_from |= {"store", *emulation.hosts} - {
+        holder.name,
+        heir.name,
+    }
+  holder.apply(events.DrainStarted())
+  emulation.clock.run_until(5.7)  # The others have claimed the shard by now.
+  assert [h for h in hosts if h.state.owners and h not in (holder, heir)]
+  holder.apply(events.DrainEnding())
+  emulation.clock.run_until(7.0)
+  fences = {h.state.owners[SHARD].fence for h in hosts if h.state.owners}
+  assert len(fences) == sum(bool(h.state.owners) for h in hosts)
+  for host in (holder, heir):
+    host.partitioned_from.clear()
+  emulation.clock.run_until(9.0)
+  assert fleets.owner_of(emulation, "a") not in (holder, heir)
+  assert emulation.broken == []
+
+
+def test_host_with_a_grant_claims_the_shard_once_the_store_answers():
+  emulation = fleets.fleet()
+  emulation.clock.run_until(4.0)
+  emulation.store_up = False
+  stop_in_outage(emulation, fleets.owner_of(emulation, "a"), 6.0, end=False)
+  emulation.clock.run_until(11.0)
+  (owner,) = fleets.owner_of(emulation, "a").state.owners.values()
+  assert owner.by_grant
+  emulation.store_up = True
+  emulation.clock.run_until(11.5)
+  (owner,) = fleets.owner_of(emulation, "a").state.owners.values()
+  assert not owner.by_grant
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_second_of_two_grants_lets_no_task_run_twice(seed):
+  """The first host with a grant is cut off, and claims the shard afterwards."""
+  emulation = fleets.fleet(hosts=5, seed=seed)
+  emulation.clock.run_until(4.0)
+  emulation.store_up = False
+  holder = fleets.owner_of(emulation, "a")
+  emulation.clock.run_until(6.0)
+  holder.apply(events.DrainStarted())
+  holder.apply(events.DrainEnding())
+  (granted,) = lines(emulation, "shard_granted")
+  first = emulation.hosts[dict(granted.fields)["to"]]
+  first.partitioned_from = {"store", *emulation.hosts, *emulation.endpoints}
+  first.partitioned_from.discard(first.name)
+  emulation.clock.run_until(7.0)
+  assert first.state.owners
+  (second,) = (
+      h
+      for h in fleets.hosts_in(emulation, "a")
+      if h.state.owners and h not in (first, holder)
+  )
+  caller_host = next(
+      h
+      for h in fleets.hosts_in(emulation, "a")
+      if h not in (first, second, holder)
+  )
+  emulation.submit(
+      caller_host.name, fleets.job("j", 3, 4000), [4.0] * 3, deadline_s=9.0
+  )
+  emulation.clock.run_until(8.0)
+  assert sum(len(e.running) for e in emulation.endpoints.values()) == 3
+  for host in fleets.hosts_in(emulation, "a"):
+    host.partitioned_from = {"store"} if host is not first else set()
+  emulation.store_up = True
+  fence = first.state.owners[SHARD].fence
+  while first.state.owners[SHARD].fence == fence:
+    emulation.clock.run_until(emulation.clock.now + 0.01)
+    assert emulation.clock.now < 9.0
+  for host in fleets.hosts_in(emulation, "a"):
+    host.partitioned_from.clear()
+  emulation.clock.run_until(8.5)
+  assert not first.state.owners[SHARD].by_grant
+  emulation.clock.run_until(16.0)
+  assert emulation.broken == []
+  assert outcome(emulation, 1) is model.Outcome.DONE
+
+
+def test_late_grant_is_ignored_once_another_host_holds_the_shard():
+  emulation = fleets.fleet()
+  emulation.clock.run_until(4.0)
+  earlier = fleets.owner_of(emulation, "a")
+  fence = earlier.state.owners[SHARD].fence
+  earlier.apply(events.DrainStarted())
+  emulation.clock.run_until(5.0)
+  holder = fleets.owner_of(emulation, "a")
+  other = next(
+      h for h in fleets.hosts_in(emulation, "a") if h not in (earlier, holder)
+  )
+  grant = linkmessages.ShardGranted(fence + 1, fence + 3)
+  other.apply(events.HolderMessageReceived(SHARD, earlier.process, grant))
+  assert not other.state.owners
+
+
+@hypothesis.given(st.integers(1, 50), st.integers(0, 60), st.integers(1, 8))
+def test_ranges_of_grants_never_overlap(first, count, times):
+  rest = succession.FenceRange(first, first + count - 1)
+  used = []
+  for _ in range(times):
+    if not rest:
+      break
+    granted, rest = rest.split()
+    assert granted
+    used += range(granted.first, granted.limit + 1)
+  used += range(rest.first, rest.limit + 1)
+  assert sorted(used) == list(range(first, first + count))
