--- a/fescueturn/platform/claims.py
+++ b/fescueturn/platform/claims.py
@@ -169,8 +169,15 @@
         )
     )
 
-  async def release(self, effect: events.ReleaseShard):
-    """Removes a claim, so that another host can claim the shard at once."""
+  async def release(
+      self, effect: events.ReleaseShard
+  ) -> events.ShardReleased | None:
+    """Removes a claim, so that another host can claim the shard at once.
+
+    Returns:
+      The event that the claim was removed; None if it wasn't or if that is
+      unknown.
+    """
     try:
       key = claim_key(effect.shard)
       await self._client.transact(
@@ -179,6 +186,8 @@
     except errors.KvError as exc:
       # The lease is no longer renewed, so the claim expires soon.
       logger.warning('event=release_failed error="{}"', exc)
+      return None
+    return events.ShardReleased(effect.shard, effect.fence)
 
   async def _renew_loop(self):
     while True:
@@ -201,6 +210,11 @@
 
 
 OnHolder = Callable[[events.HolderChanged], Awaitable[None]]
+OnRead = Callable[[events.ClaimsRead], Awaitable[None]]
+
+
+async def _ignore_read(event: events.ClaimsRead):
+  del event
 
 
 async def watch_loop(
@@ -209,6 +223,7 @@
     convergence_s: float,
     shards: tuple[model.Shard, ...],
     on_holder: OnHolder,
+    on_read: OnRead = _ignore_read,
 ):
   """Watches the shards' holders forever and reports every change.
 
@@ -219,6 +234,7 @@
       known.
     shards: this host's shards, which are reported even if nobody holds them.
     on_holder: called with each change.
+    on_read: called once all changes up to a revision were reported.
   """
   backoff = storebackoff.StoreBackoff("holders", now)
   watch_wait_ms = storebackoff.watch_wait_ms(convergence_s)
@@ -234,6 +250,7 @@
         revision = changes.revision
         for item in changes.items:
           await _report_change(item, known, on_holder)
+        await on_read(events.ClaimsRead(revision))
       backoff.record_success(revision, full_read)
     except kvtypes.HistoryGoneError:
       await backoff.handle_history_gone(revision)
--- a/fescueturn/scheduler/events.py
+++ b/fescueturn/scheduler/events.py
@@ -10,7 +10,10 @@
 from fescueturn.scheduler import model
 
 CoordinatorMessage = (
-    linkmessages.Offered | linkmessages.Withdrawn | linkmessages.Ping
+    linkmessages.Offered
+    | linkmessages.Withdrawn
+    | linkmessages.Ping
+    | linkmessages.GrantTaken
 )
 HolderMessage = (
     linkmessages.Accepted
@@ -18,6 +21,9 @@
     | linkmessages.JobEnded
     | linkmessages.Returned
     | linkmessages.Pong
+    | linkmessages.EndpointList
+    | linkmessages.ShardGranted
+    | linkmessages.HolderMoved
 )
 
 # Events for the coordinator.
@@ -181,6 +187,19 @@
   shard: model.Shard
 
 
+@dataclasses.dataclass(frozen=True)
+class ShardReleased:
+  """The store has deleted this host's claim; the watch reports it later.
+
+  Attributes:
+    shard: the shard.
+    fence: the fencing token of the deleted claim.
+  """
+
+  shard: model.Shard
+  fence: int
+
+
 @dataclasses.dataclass(frozen=True)
 class EvacuationsChanged:
   """The operator's evacuation requests changed; lists all that are active."""
@@ -193,6 +212,18 @@
   """A planned shutdown began."""
 
 
+@dataclasses.dataclass(frozen=True)
+class ClaimsRead:
+  """All changes of claims up to a revision of the store were reported."""
+
+  revision: int
+
+
+@dataclasses.dataclass(frozen=True)
+class DrainEnding:
+  """The grace period of a planned shutdown is nearly over."""
+
+
 @dataclasses.dataclass(frozen=True)
 class ProcessEnding:
   """The grace period of a planned shutdown is over.
@@ -215,8 +246,11 @@
     | LeaseAnswered
     | Tick
     | ClaimAnswered
+    | ShardReleased
     | EvacuationsChanged
     | DrainStarted
+    | ClaimsRead
+    | DrainEnding
     | ProcessEnding
 )
 
