--- a/fescueturn/scheduler/coordinatorstate.py
+++ b/fescueturn/scheduler/coordinatorstate.py
@@ -9,6 +9,9 @@
 from fescueturn.scheduler import events
 from fescueturn.scheduler import linkmessages
 from fescueturn.scheduler import model
+from fescueturn.scheduler import shardroom
+from fescueturn.scheduler.decisions import retrydelay
+from fescueturn.scheduler.decisions import shardchoice
 
 
 class Phase(enum.Enum):
@@ -47,6 +50,8 @@
     shard: the shard to whose holder the job was last offered, if any.
     process: that holder's process.
     offer_count: how often the job was offered.
+    offered_at: when it was last offered (s).
+    choice: why it was offered there; None if it had to be that shard.
     orphaned_at: when its holder was lost (s).
     declined_by: shards that declined the job outright or handed it back.
     wait_ms_by_shard: the expected wait (ms) at each shard that declined to
@@ -55,6 +60,7 @@
     may_have_run: True once a task may have run, whether or not it still does.
     reason: why a holder declined the job outright, for the logs.
     wait_ms: the longest wait that such a holder reported (ms).
+    best_wait_ms: the shortest one; None if none reported any.
   """
 
   def __init__(self, request_id, key, job, now, deadline_s, trace_id):
@@ -68,6 +74,8 @@
     self.shard: model.Shard | None = None
     self.process: linkmessages.HostProcess | None = None
     self.offer_count = 0
+    self.offered_at = 0.0
+    self.choice: shardchoice.Choice | None = None
     self.orphaned_at = 0.0
     self.declined_by: set[model.Shard] = set()
     self.wait_ms_by_shard: dict[model.Shard, int] = {}
@@ -75,6 +83,7 @@
     self.may_have_run = False
     self.reason = ""
     self.wait_ms = 0
+    self.best_wait_ms: int | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -126,6 +135,7 @@
     roster_valid_at: when the ping was sent that last confirmed `roster` (s).
     list_version: the version of the holder's list of endpoints that this host
       has a copy of; 0 for none.
+    room: what it last reported of its room.
   """
 
   def __init__(self, holder: model.Holder, now: float):
@@ -138,6 +148,7 @@
     self.roster_version = 0
     self.roster_valid_at = 0.0
     self.list_version = 0
+    self.room = shardroom.ShardRoom()
 
   @property
   def process(self) -> linkmessages.HostProcess:
@@ -185,6 +196,10 @@
     self.queries: dict[tuple[str, bool], JobQuery] = {}
     self.pinged_at = 0.0
     self.remote_pinged_at = 0.0
+    # Until when the holders are asked for their room, and when they last were.
+    self.room_wanted_until = 0.0
+    self.room_asked_at = 0.0
+    self.returns = retrydelay.Returns()
     self.counters: collections.Counter[str] = collections.Counter()
     self.effects: list[events.Effect] = []
 
@@ -228,6 +243,7 @@
                 "fence": record.holder.fence,
                 "heard_s_ago": round(self.now - record.last_contact_at, 3),
                 "lost": record.lost,
+                "room": record.room.snapshot(self.now),
             }
             for shard, record in self.holders.items()
         },
--- a/fescueturn/scheduler/events.py
+++ b/fescueturn/scheduler/events.py
@@ -24,6 +24,7 @@
     | linkmessages.EndpointList
     | linkmessages.ShardGranted
     | linkmessages.HolderMoved
+    | linkmessages.RoomReported
 )
 
 # Events for the coordinator.
--- a/fescueturn/scheduler/link.capnp
+++ b/fescueturn/scheduler/link.capnp
@@ -52,6 +52,24 @@
   labels @10 :List(Text);
 }
 
+# The free capacity and the waiting work of one service at a holder.
+struct ServiceRoom {
+  service @0 :Text;
+  stepCpu @1 :UInt32;
+  # The number of endpoints by free CPU in steps of stepCpu.
+  endpointsByRoom @2 :List(UInt16);
+  freeSlots @3 :UInt16;
+  running @4 :UInt16;
+  remainingMs @5 :UInt32;
+  # The work of the waiting tasks by priority.
+  waitingMs @6 :List(UInt32);
+  slownessPercent @7 :UInt16;
+}
+
+struct RoomReport {
+  services @0 :List(ServiceRoom);
+}
+
 struct Message {
   dataCentre @0 :Text;
   shard @1 :UInt16;
@@ -78,6 +96,8 @@
       # One more than the version of the holder's list of endpoints that the
       # sender has; 0 to request no list.
       listRequest @33 :UInt32;
+      # True to get a room message after the pong.
+      wantsRoom @50 :Bool;
     }
     offered :group {
       job @6 :Job;
@@ -110,6 +130,8 @@
       waitMs @13 :UInt32;
       inTime @18 :Bool;
       why @19 :Text;
+      # The holder's room; null if it isn't known.
+      room @51 :RoomReport;
     }
     ended :group {
       outcome @14 :Outcome;
@@ -155,6 +177,8 @@
       ageMs @38 :UInt32;
       rows @39 :List(Endpoint);
     }
+    # Follows a pong, if the ping wants it; at is that of the ping.
+    room @52 :RoomReport;
   }
 
   enum KeptState {
--- a/fescueturn/scheduler/linkmessages.py
+++ b/fescueturn/scheduler/linkmessages.py
@@ -8,6 +8,7 @@
 import dataclasses
 
 from fescueturn.scheduler import model
+from fescueturn.scheduler.decisions import room as room_lib
 
 
 @dataclasses.dataclass(frozen=True)
@@ -106,6 +107,8 @@
     uptime_s: how long its process has run; 0 if it doesn't say.
     list_version: the version of the holder's list of endpoints that the
       coordinator has; 0 for none; None to request no list.
+    wants_room: True to get a `RoomReported`. Coordinators of an earlier version
+      don't ask, as they couldn't read it.
   """
 
   shard: model.Shard
@@ -117,6 +120,7 @@
   draining: bool = False
   uptime_s: float = 0.0
   list_version: int | None = None
+  wants_room: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -139,6 +143,7 @@
     in_time: True if the job would still complete in time after that wait, so
       it was declined only because the offer was `immediate_only`.
     reason: one-word reason, for the logs.
+    room: the holder's room; None from a holder of an earlier version.
   """
 
   key: JobKey
@@ -146,6 +151,7 @@
   wait_ms: int
   in_time: bool = False
   reason: str = "no_room"
+  room: room_lib.RoomReport | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -255,3 +261,16 @@
   version: int
   age_s: float
   endpoints: tuple[model.Endpoint, ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class RoomReported:
+  """A holder's room, sent after a `Pong` whose `Ping` asked for it.
+
+  Attributes:
+    report: the room.
+    at: the `at` of the ping.
+  """
+
+  report: room_lib.RoomReport
+  at: float
--- a/fescueturn/scheduler/ownerstate.py
+++ b/fescueturn/scheduler/ownerstate.py
@@ -19,6 +19,7 @@
 from fescueturn.scheduler import suspicion
 from fescueturn.scheduler import timeouts
 from fescueturn.scheduler.decisions import placing
+from fescueturn.scheduler.decisions import room
 from fescueturn.scheduler.decisions import runtimes
 from fescueturn.scheduler.decisions import speeds
 
@@ -289,6 +290,8 @@
     self.run_times = runtimes.RunTimes()
     # When the speeds of the endpoints were last compared (s).
     self.speeds_compared_at = now
+    # The last room report, and when it was made (s).
+    self.room_report: tuple[float, room.RoomReport | None] = (now, None)
     self.fenced = False
     # Until when it takes into account that this process was paused (s).
     self.pause_grace_until = now
--- a/fescueturn/scheduler/reducer.py
+++ b/fescueturn/scheduler/reducer.py
@@ -18,6 +18,7 @@
 from fescueturn.scheduler import model
 from fescueturn.scheduler import offers
 from fescueturn.scheduler import owner as owner_lib
+from fescueturn.scheduler import ownerroom
 from fescueturn.scheduler import ownerstate
 from fescueturn.scheduler import roster
 from fescueturn.scheduler import runanswers
@@ -199,6 +200,10 @@
   endpoint_list = owner.shared_list.message_for(event, state.now)
   if endpoint_list is not None:
     owner.send_to_coordinator(event.process, endpoint_list)
+  report = ownerroom.report(owner) if event.wants_room else None
+  if report is not None:
+    message = linkmessages.RoomReported(report, event.at)
+    owner.send_to_coordinator(event.process, message)
   return []
 
 
