A moved task isn't started again on the endpoint that is slow

Two runs of a slow endpoint that were moved at once for one free slot elsewhere: the second started where it had been, and stayed, as a task is moved once.

--- a/fescueturn/scheduler/decisions/slowruns.py
+++ b/fescueturn/scheduler/decisions/slowruns.py
@@ -22,7 +22,7 @@
   Attributes:
     endpoint_slow: True if its endpoint counts as slow.
     in_time_beside: for which part of its time other runs there were in time.
-    siblings_slowed: True if tasks of its step are slowed on other endpoints
+    siblings_slowed: True if all tasks of its step are slowed, also on endpoints
       that don't count as slow.
     slowed_jobs: how many jobs, its own among them, had runs slowed there since
       one was in time.
--- a/fescueturn/scheduler/runcontrol.py
+++ b/fescueturn/scheduler/runcontrol.py
@@ -63,6 +63,8 @@
       continue
     near = not step.near or step.near in record.info.labels
     moved_away = record.info.id == task.moved_from
+    if moved_away and record.slow:
+      continue  # A task is moved only once, so it would stay there.
     # A task that may crash its endpoint is placed where it puts the fewest
     # other runs at risk.
     risk = ()
--- a/fescueturn/scheduler/runpace.py
+++ b/fescueturn/scheduler/runpace.py
@@ -182,17 +182,24 @@
 
 
 def _siblings_slowed(owner, job, task: ownerstate.TaskRecord) -> bool:
-  """Returns whether other tasks of its step are slowed on other endpoints."""
+  """Returns whether all other tasks of its step are slowed, as far as known.
+
+  Only those on other endpoints that don't count as slow tell something.
+  """
+  slowed = False
   for other in job.tasks.values():
-    if other.step is not task.step or other.endpoint == task.endpoint:
+    if other.step is not task.step or other is task:
       continue
+    if other.state is ownerstate.TaskState.DONE:
+      return False
     record = owner.endpoints.get(other.endpoint)
     run = record.runs.get(other.run) if record else None
-    if run is None or record.slow:
+    if run is None or not run.percent or other.endpoint == task.endpoint:
       continue
-    if run.observed_slowdown(owner.now):
-      return True
-  return False
+    if not run.observed_slowdown(owner.now):
+      return False
+    slowed = slowed or not record.slow
+  return slowed
 
 
 def _slow_share(owner) -> float:
