--- a/fescueturn/scheduler/decisions/placing.py
+++ b/fescueturn/scheduler/decisions/placing.py
@@ -50,6 +50,8 @@
       and record.fits(step.need)
       and (not step.requires or step.requires in record.info.labels)
       and record.usable(now)
+      # A task is moved only once, so it would stay there.
+      and not (record.slow and record.info.id == wanted.moved_from)
       and leaving.has_warm_room(record, step.need, now)
       and not _has_most_runs(record, wanted)
   )
