Slow endpoints get several tasks in one round again; cold ones are only put last

A slow endpoint with runs gets no more tasks, and the list of usable endpoints used to be made once a round, so that an idle slow one could be filled in it.

A run that ends within the time of a stop isn't moved from a leaving endpoint.

--- a/fescueturn/scheduler/decisions/leaving.py
+++ b/fescueturn/scheduler/decisions/leaving.py
@@ -1,4 +1,4 @@
-"""How long an endpoint surely stays, and how much of a cold one is used.
+"""How long an endpoint surely stays, and whether it is still cold.
 
 An endpoint that is being emptied announces the least time that it stays, and
 everything on it ends when it leaves. One that has just started announces how
@@ -15,10 +15,8 @@
 # A run must end this long before its endpoint leaves, so that its end is still
 # reported: the answer to a call takes up to 20 ms.
 REPORT_S = 0.02
-# The part of a cold endpoint's CPU that is used when it is listed first. It
-# rises to the whole in the time that the endpoint announced. A cold endpoint's
-# tasks are slow, but refused jobs aren't served at all.
-COLD_SHARE = 0.5
+# A run that ends within the time that its stop takes is left alone.
+STOP_S = 0.05
 
 
 def is_same_statement(before: model.Endpoint, info: model.Endpoint) -> bool:
@@ -57,9 +55,7 @@
   if info.stays_ms is not None:
     age_s = entry_age_s(record, info, now)
     record.leaves_at = now + info.stays_ms / 1000 - age_s
-  cold_s = info.cold_ms / 1000
-  record.cold_until = now + cold_s
-  record.cold_s = max(record.cold_s, cold_s) if cold_s else 0.0
+  record.cold_until = now + info.cold_ms / 1000
 
 
 def is_cold(record: endpointstate.EndpointRecord, now: float) -> bool:
@@ -67,21 +63,6 @@
   return record.cold_until > now
 
 
-def has_warm_room(
-    record: endpointstate.EndpointRecord, need: model.Resources, now: float
-) -> bool:
-  """Returns whether a task fits into the part of a cold endpoint in use.
-
-  One task is always allowed. It is true for an endpoint that isn't cold.
-  """
-  if not is_cold(record, now) or not record.runs:
-    return True
-  cold_part = min(1.0, (record.cold_until - now) / record.cold_s)
-  share = 1.0 - (1.0 - COLD_SHARE) * cold_part
-  capacity = record.info.capacity.cpu
-  return capacity - record.free.cpu + need.cpu <= share * capacity
-
-
 def ends_too_late(
     record: endpointstate.EndpointRecord, run: endpointstate.Run, now: float
 ) -> bool:
@@ -89,7 +70,7 @@
   if record.leaves_at is None or run.need is None:
     return False
   end = predicted_end(run, record.slowness)
-  return max(end, now) + REPORT_S > record.leaves_at
+  return end + REPORT_S > record.leaves_at and end - now > STOP_S
 
 
 def predicted_end(run: endpointstate.Run, slowness: float) -> float:
--- a/fescueturn/scheduler/decisions/placing.py
+++ b/fescueturn/scheduler/decisions/placing.py
@@ -50,7 +50,6 @@
       and record.fits(step.need)
       and (not step.requires or step.requires in record.info.labels)
       and record.usable(now)
-      and leaving.has_warm_room(record, step.need, now)
       and not _has_most_runs(record, wanted)
   )
 
--- a/fescueturn/scheduler/endpointstate.py
+++ b/fescueturn/scheduler/endpointstate.py
@@ -197,7 +197,6 @@
     leaves_at: the earliest time at which it leaves (s); None if it hasn't
       announced that.
     cold_until: until when it is slow after its start (s).
-    cold_s: how long it was slow from when it was first listed (s).
     entry_recorded: True once the times that its entry announces are recorded.
     on_change: called when its capacity, speed or health may have changed.
   """
@@ -231,7 +230,6 @@
     self.last_answer_at = now
     self.leaves_at: float | None = None
     self.cold_until = 0.0
-    self.cold_s = 0.0
     self.entry_recorded = False
     self.on_change: Callable[[], None] = lambda: None
     self._clock_ms: int | None = None
@@ -280,8 +278,8 @@
 
   def usable(self, now: float) -> bool:
     """Returns whether the endpoint may get new tasks."""
-    if self.slowness > SLOW_RATIO and self.runs:
-      return False  # A single run is enough to see whether it is still slow.
+    if self.slowness > SLOW_RATIO and self._has_run_from_before(now):
+      return False  # A few runs are enough to see whether it is still slow.
     return (
         self.runs_known
         and self.listed
@@ -291,6 +289,9 @@
         and self.suspected_since is None
     )
 
+  def _has_run_from_before(self, now: float) -> bool:
+    return any(run.started_at < now for run in self.runs.values())
+
   @property
   def may_have_capacity(self) -> bool:
     """True if it may have free capacity, but hasn't listed its runs yet."""
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -104,3 +104,6 @@
   assert leaving.ends_too_late(record, run, 1.5)
   run.percent, run.progressed_at = 90, 1.5
   assert not leaving.ends_too_late(record, run, 1.5), "it is nearly done"
+  record.leaves_at = 1.55
+  assert leaving.ends_too_late(record, run, 1.5)
+  assert not leaving.ends_too_late(record, run, 1.52), "a stop takes as long"
