--- a/fescueturn/scheduler/decisions/placing.py
+++ b/fescueturn/scheduler/decisions/placing.py
@@ -52,7 +52,6 @@
       and record.usable(now)
       # A task is moved only once, so it would stay there.
       and not (record.slow and record.info.id == wanted.moved_from)
-      and leaving.has_warm_room(record, step.need, now)
       and not _has_most_runs(record, wanted)
   )
 
