Retry-After of a host that has just started: a higher rate is assumed

After all hosts were killed and started again (emulated, load x 5 for 0.5 s), its first refused callers were told 4 and 5 s though room was free after 0.75 s.

--- a/fescueturn/scheduler/decisions/retrydelay.py
+++ b/fescueturn/scheduler/decisions/retrydelay.py
@@ -19,9 +19,10 @@
 RATE_WINDOW_S = 2.0
 # Callers are counted by when they return in steps of this length (s).
 STEP_S = 0.25
-# The lowest rate (jobs a second) that is assumed, so that a host that has just
-# started doesn't tell its first callers the longest delay.
-MIN_SERVED_PER_S = 4.0
+# The lowest rate (jobs a second) that is assumed: somewhat below what a host
+# serves on the users' data sheets. A host that has just started has served
+# nothing yet, and its callers find room again within a second or two.
+MIN_SERVED_PER_S = 10.0
 # Priorities that are told apart; the last includes all that are less urgent.
 PRIORITIES = 4
 
