--- a/fescueturn/scheduler/ownerstate.py
+++ b/fescueturn/scheduler/ownerstate.py
@@ -370,6 +370,8 @@
         "fence": self.fence,
         "settled": self.recovered,
         "successor": self.successor.host if self.successor else None,
+        "by_grant": self.by_grant,
+        "spare_fences": [self.spare_fences.first, self.spare_fences.limit],
         "list_age_s": round(self.shared_list.age_s(self.now), 3)
         if self.shared_list.version
         else None,
--- a/fescueturn/scheduler/reducer.py
+++ b/fescueturn/scheduler/reducer.py
@@ -258,9 +258,10 @@
     _use_inherited_list(owner)
     owner_lib.tick(owner)
     _move_kept_jobs(state, owner)
-  effects = shardownership.hand_over_shards(state)
   if state.draining:
-    effects += shardownership.release_shards(state)
+    effects = shardownership.release_shards(state)
+  else:
+    effects = shardownership.hand_over_shards(state)
   if state.ending:
     effects += grants.grant_shards(state)
   return effects + _claims(state, state.candidates.values())
--- a/fescueturn/scheduler/shardownership.py
+++ b/fescueturn/scheduler/shardownership.py
@@ -116,7 +116,8 @@
     before: model.Holder,
 ) -> list:
   """Takes over a shard that its holder, `before`, has granted to this host."""
-  effects = _take_shard(state, shard, grant.fence, before.fence)
+  effects = drop_owner(state, shard, "replaced")
+  effects += _take_shard(state, shard, grant.fence, before.fence)
   owner = state.owners[shard]
   owner.by_grant = True
   owner.spare_fences = succession.FenceRange(grant.fence + 1, grant.limit)
--- a/tests/deployments.py
+++ b/tests/deployments.py
@@ -116,6 +116,16 @@
         e["known"] for o in owned for e in o["endpoints"].values()
     )
 
+  def spare_fences(self) -> int:
+    """Returns how many numbers it may grant as fencing tokens."""
+    _, dump = call(self.metrics_port, "GET", "/dump")
+    ranges = [o["spare_fences"] for o in dump["scheduler"]["owned"]]
+    return sum(limit + 1 - first for first, limit in ranges)
+
+  def holds_by_grant(self) -> bool:
+    _, dump = call(self.metrics_port, "GET", "/dump")
+    return any(o["by_grant"] for o in dump["scheduler"]["owned"])
+
   def knows_owner(self, data_centre: str, owner: "Host | None") -> bool:
     _, dump = call(self.metrics_port, "GET", "/dump")
     known = dump["scheduler"]["coordinator"]["holders"].get(f"{data_centre}/0")
@@ -217,6 +227,9 @@
   def put(self, key, value):
     call(self.store_port, "POST", "/test/put", {"key": key, "value": value})
 
+  def set_store_answers(self, answers: bool):
+    call(self.store_port, "POST", "/test/store", {"answers": answers})
+
   def report(self) -> dict:
     return call(self.store_port, "GET", "/test/report")[1]
 
--- a/tests/fakeplatform.py
+++ b/tests/fakeplatform.py
@@ -4,7 +4,7 @@
 where DC are names of data centres. It serves the platform's HTTP API. The
 endpoints are emulated in real time. ``POST /test/put`` writes a key as the
 platform's operator would, and ``GET /test/report`` lists the starts and the
-violations seen so far.
+violations seen so far. ``POST /test/store`` sets whether the store answers.
 """
 
 import functools
@@ -183,6 +183,7 @@
   clock = RealClock()
   store = kvstore.KvStore()
   wire = wireserver.WireServer(store, time.monotonic)
+  store_answers = True
   specs, violations, running_on, acknowledged_done, emulated = (
       {},
       [],
@@ -211,6 +212,12 @@
       store.put(body["key"], json.dumps(body["value"]).encode())
       await wire.notify_watches()
       return httpio.json_response(200, {})
+    if request.target == "/test/store":
+      nonlocal store_answers
+      store_answers = request.json()["answers"]
+      return httpio.json_response(200, {})
+    if not store_answers:
+      return httpio.Response(503)
     return await wire.handle(request)
 
   await httpio.Server(settings.Address("127.0.0.1", store_port), handle).start()
--- a/tests/test_platform_role.py
+++ b/tests/test_platform_role.py
@@ -245,3 +245,35 @@
     process.send_signal(signal.SIGHUP)
     time.sleep(0.0005)
   assert process.wait(1.0) == 0
+
+
+def test_holder_that_stops_while_the_store_is_away_grants_its_shard(deployment):
+  for host in deployment.hosts:
+    if host.process.poll() is not None:
+      host.start()
+      deployments.wait_for(host.is_ready, f"{host.name} ready")
+  deployment.await_owners()
+  owner = deployment.owner("north")
+  heir = deployment.other_host(owner)
+  for number in range(5):
+    deployment.put(f"other/{number}", number)
+  deployments.wait_for(
+      lambda: owner.spare_fences() > 1, "revisions that others have spent"
+  )
+  deployment.set_store_answers(False)
+  try:
+    time.sleep(2.0)
+    owner.process.send_signal(signal.SIGTERM)
+    while owner.process.poll() is None:
+      response, _ = heir.submit(deployments.job_id(time.monotonic_ns()))
+      assert response.status == 200
+    assert "event=shard_granted" in owner.log()
+    assert heir.holds_by_grant()
+    assert heir.submit(deployments.job_id(0x77))[0].status == 200
+  finally:
+    deployment.set_store_answers(True)
+  deployments.wait_for(lambda: not heir.holds_by_grant(), "claim in the store")
+  assert heir.submit(deployments.job_id(0x78))[0].status == 200
+  assert deployment.report()["broken"] == []
+  owner.start()
+  deployments.wait_for(owner.is_ready, "host ready again")
