A task slowed by being far from its data is moved only to room near it

Such runs counted as slowed by their endpoint and were restarted anywhere, where they take as long again.

--- a/fescueturn/scheduler/runpace.py
+++ b/fescueturn/scheduler/runpace.py
@@ -48,12 +48,18 @@
   return (job, task) if task is not None and task.run == run.id else None
 
 
-def is_away(record, task: ownerstate.TaskRecord) -> bool:
+def _is_away(record, task: ownerstate.TaskRecord) -> bool:
   """Returns whether a task runs far from its data, which slows it."""
   near = task.step.near
   return bool(near) and near not in record.info.labels
 
 
+def runs_away(owner, record, run: endpointstate.Run) -> bool:
+  """Returns whether the task of a run runs far from its data."""
+  found = _job_and_task(owner, run)
+  return found is not None and _is_away(record, found[1])
+
+
 def _is_comparable(owner, record, run: endpointstate.Run, task) -> bool:
   """Returns whether the time of a run depends on its task and endpoint only."""
   start_known = not (run.adopted or run.was_resent)
@@ -61,7 +67,7 @@
       bool(run.estimate_ms)
       and start_known
       and not owner.call_losses.is_lossy
-      and not is_away(record, task)
+      and not _is_away(record, task)
   )
 
 
--- a/fescueturn/scheduler/stragglers.py
+++ b/fescueturn/scheduler/stragglers.py
@@ -30,16 +30,33 @@
 ):
   """Handles progress of a run: it may be moved away from a slow endpoint.
 
-  A long task isn't moved: it takes as long elsewhere.
+  A long task isn't moved: it takes as long elsewhere. Nor is one that is slowed
+  by being far from its data, unless there is room near it.
   """
   if run.state is not endpointstate.RunState.RUNNING:
     return
   if not runpace.slowdown(owner, run):
     return
+  if runpace.runs_away(owner, record, run):
+    if _near_endpoint_has_room(owner, run):
+      _move_if_faster(owner, record, run)
+    return
   if runpace.endpoint_is_cause(owner, record, run):
     _move_if_faster(owner, record, run)
 
 
+def _near_endpoint_has_room(owner, run: endpointstate.Run) -> bool:
+  """Returns whether a task that runs far from its data could start near it."""
+  step = owner.by_id[run.id.task.job_id].tasks[run.id.task].step
+  return any(
+      step.near in other.info.labels
+      and not other.slow
+      and other.usable(owner.now)
+      and other.fits(step.need)
+      for other in owner.endpoints.values()
+  )
+
+
 def _move_if_faster(owner, record, run: endpointstate.Run):
   """Stops a run that would end sooner if it was restarted elsewhere.
 
--- a/tests/test_stragglers.py
+++ b/tests/test_stragglers.py
@@ -1,7 +1,14 @@
 """Tests the detection of slow endpoints, and the moves of their runs."""
 
+import dataclasses
+
+import pytest
+
 from fescueturn.scheduler import endpointstate
+from fescueturn.scheduler import events
+from fescueturn.scheduler import leases
 from fescueturn.scheduler import model
+from fescueturn.scheduler import stragglers
 from tests import fleets
 from tests import test_leases
 
@@ -152,3 +159,30 @@
     emulation.clock.run_until(emulation.clock.now + 6.0)
     assert emulation.answers[request].answer.outcome is model.Outcome.DONE
   assert stops(emulation) == before, "the first job has shown it"
+
+
+@pytest.mark.parametrize("near_has_room", (True, False))
+def test_task_far_from_its_data_is_moved_only_to_room_near_it(near_has_room):
+  owner = test_leases.new_owner()
+  record = test_leases.known_endpoint(owner)
+  run = test_leases.start_job(owner, record)
+  (task,) = owner.by_id["j"].tasks.values()
+  task.step = dataclasses.replace(task.step, near="r1")
+  others = [
+      dataclasses.replace(test_leases.OTHER_ENDPOINT, id="far"),
+      dataclasses.replace(
+          test_leases.OTHER_ENDPOINT,
+          id="near",
+          labels=("r1",),
+          slots=8 if near_has_room else 0,
+      ),
+  ]
+  leases.handle_endpoint_list(owner, (test_leases.ENDPOINT, *others))
+  for other in others:
+    owner.endpoints[other.id].runs_known = True
+  owner.now, run.percent = 0.3, 10
+  run.state = endpointstate.RunState.RUNNING
+  owner.take_effects()
+  stragglers.handle_progress(owner, record, run)
+  moved = [e for e in owner.take_effects() if isinstance(e, events.StopRun)]
+  assert bool(moved) == near_has_room
