--- a/fescueturn/scheduler/stragglers.py
+++ b/fescueturn/scheduler/stragglers.py
@@ -81,6 +81,7 @@
   left_s = leaving.predicted_end(run, record.slowness) - owner.now
   task.moved_from = record.info.id
   owner.counters["run_moved"] += 1
+  owner.counters[f"run_moved_{why}"] += 1
   owner.emit(
       ownerstate.run_log(
           "run_moved",
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -64,6 +64,17 @@
   assert request not in emulation.answers
 
 
+def test_room_of_leaving_endpoints_counts_for_no_new_job():
+  emulation = fleets.fleet(endpoints=1)
+  for name in emulation.endpoints:
+    emulation.announce_leave(name, 5.0)
+  emulation.clock.run_until(2.0)
+  request = emulation.submit("a0", fleets.job("j", 1, 60), [0.06])
+  emulation.clock.run_until(2.1)
+  answer = emulation.answers[request].answer
+  assert answer.outcome is model.Outcome.NOT_RUN
+
+
 def entry(**fields) -> model.Endpoint:
   return dataclasses.replace(test_placing.endpoint("e0"), **fields)
 
--- a/tests/test_platform_endpoints.py
+++ b/tests/test_platform_endpoints.py
@@ -39,6 +39,26 @@
   assert endpoint.labels == ("a", "r1-3")
 
 
+def test_times_that_an_entry_announces_are_decoded():
+  leaving = item("i-1", state="draining", remainingMs=1740.5, clockMs=48213)
+  endpoint = endpoints.decode_entry(leaving)
+  assert (endpoint.stays_ms, endpoint.clock_ms) == (1740, 48213)
+  cold = endpoints.decode_entry(item("i-1", coldRemainingMs=900))
+  assert (cold.cold_ms, cold.stays_ms, cold.clock_ms) == (900, None, None)
+  ready = endpoints.decode_entry(item("i-1", remainingMs=1740))
+  assert ready.stays_ms is None, "only a draining endpoint leaves"
+
+
+@pytest.mark.parametrize("field", ("remainingMs", "clockMs"))
+@pytest.mark.parametrize("wrong", (-1, 2**70, True, "8", [], {}))
+def test_entry_with_a_wrong_time_yields_no_endpoint(field, wrong):
+  bad = item("i-2", state="draining", **{field: wrong})
+  with pytest.raises(errors.SettingsError, match="i-2"):
+    endpoints.decode_entry(bad)
+  listed = endpoints.EndpointList().update((item("i-1"), bad), 0.0)
+  assert [e.id for e in listed] == ["i-1"]
+
+
 def test_malformed_entry_is_skipped_and_the_others_are_used():
   bad = kvtypes.Item(endpoints.PREFIX + "i-2", 6, b"{}")
   with pytest.raises(errors.SettingsError):
