A granted shard's new holder is told to all coordinators that ever pinged the old one

Cause: idle hosts of other data centres ping once a second and drop out of the last contacts after 0.35 s; and a holder that the endpoints fenced off before it heard of its successor told nobody. The latter fails in tests/test_succession.py without the change.

--- a/fescueturn/scheduler/grants.py
+++ b/fescueturn/scheduler/grants.py
@@ -44,6 +44,7 @@
       continue
     successor = succession.choose_successor(owner.local_hosts, state.now)
     if successor is not None and owner.spare_fences:
+      state.granting[owner.shard] = owner
       effects += _grant(owner, successor)
   return effects
 
@@ -94,7 +95,8 @@
 
 def handle_grant_taken(state, event: linkmessages.GrantTaken) -> list:
   """Tells all coordinators who has taken a granted shard over, and stops."""
-  owner = state.owners.get(event.shard)
+  # The endpoints may have fenced it off already.
+  owner = state.granting.get(event.shard)
   is_granted = (
       owner is not None
       and owner.fence < event.holder.fence <= owner.last_granted
@@ -102,9 +104,14 @@
   if not is_granted:
     return []
   moved = linkmessages.HolderMoved(event.holder)
-  for process in [p for p in owner.last_contact if p in owner.knows_moves]:
-    owner.send_to_coordinator(process, moved)
-  return shardownership.drop_owner(state, event.shard, "granted")
+  coordinators = sorted(owner.knows_moves, key=lambda p: (p.host, p.boot))
+  effects = [
+      events.SendToCoordinator(process, event.shard, moved)
+      for process in coordinators
+  ]
+  if state.owners.get(event.shard) is owner:
+    effects += shardownership.drop_owner(state, event.shard, "granted")
+  return effects
 
 
 def handle_moved(
--- a/fescueturn/scheduler/state.py
+++ b/fescueturn/scheduler/state.py
@@ -53,6 +53,8 @@
         for shard in me.shards
     }
     self.owners: dict[model.Shard, ownerstate.Owner] = {}
+    # The owners that have granted their shards, until this process ends.
+    self.granting: dict[model.Shard, ownerstate.Owner] = {}
 
   @property
   def idle(self) -> bool:
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -325,6 +325,21 @@
       assert not record.lost
 
 
+def test_holder_fenced_off_before_it_hears_of_its_grant_still_tells_others():
+  emulation = fleets.fleet()
+  emulation.clock.run_until(4.0)
+  emulation.store_up = False
+  holder = fleets.owner_of(emulation, "a")
+  stop_in_outage(emulation, holder, 6.0, end=False)
+  emulation.clock.run_until(10.599)
+  holder.state.owners[SHARD].fenced = True
+  emulation.clock.run_until(12.0)
+  heir = fleets.owner_of(emulation, "a")
+  assert heir is not holder
+  for host in emulation.hosts.values():
+    assert host.state.coordinator.holders[SHARD].holder.host == heir.name
+
+
 def test_claim_in_the_store_wins_over_a_grant():
   """The granting host and the one that gets the grant are cut off together."""
   emulation = fleets.fleet(hosts=5)
