--- a/fescueturn/scheduler/reservations.py
+++ b/fescueturn/scheduler/decisions/reservations.py
@@ -11,6 +11,7 @@
 
 import dataclasses
 import math
+from collections.abc import Mapping
 
 # Averaging time of a queue's demand: long compared with the run times of its
 # jobs (60 ms to 1 s), short compared with a burst of 4 s.
@@ -27,6 +28,10 @@
 # use at least 2 of 5 slots; at 220 jobs a second (2.2 times the capacity) a
 # quarter of them are served.
 MAX_RESERVED_FRACTION = 0.6
+# The same for wider jobs that are more urgent. They go first in any case; the
+# reservation only helps bursts of them to find many slots at once, and a caller
+# who is refused beside a slot that is kept free is served worst.
+MAX_RESERVED_FOR_URGENT = 0.2
 
 
 @dataclasses.dataclass
@@ -37,11 +42,13 @@
     jobs: the number of jobs.
     tasks: the number of tasks.
     work_s: the run time of all tasks (s).
+    priority: the queue's urgency; 0 is the most urgent.
   """
 
   jobs: float = 0.0
   tasks: float = 0.0
   work_s: float = 0.0
+  priority: int = 0
 
   @property
   def width(self) -> float:
@@ -67,7 +74,14 @@
     self._queues: dict[str, _QueueDemand] = {}
     self._at = 0.0
 
-  def add(self, queue: str, tasks: int, work_s: float, now: float):
+  def add(
+      self,
+      queue: str,
+      tasks: int,
+      work_s: float,
+      now: float,
+      priority: int = 0,
+  ):
     """Adds a job of `tasks` tasks that run for `work_s` in all."""
     factor = math.exp(-max(0.0, now - self._at) / WINDOW_S)
     self._at = now
@@ -76,15 +90,31 @@
       if other.jobs < MIN_JOBS:
         del self._queues[name]
     demand = self._queues.setdefault(queue, _QueueDemand())
+    demand.priority = priority
     demand.jobs += 1
     demand.tasks += tasks
     demand.work_s += work_s
 
+  def more_urgent_slots(self, priority: int) -> float:
+    """Returns how many slots the demand of more urgent queues would occupy."""
+    return sum(
+        demand.mean_slots
+        for demand in self._queues.values()
+        if demand.priority < priority
+    )
+
   def reserved_for_wider(
-      self, queue: str, tasks: int, in_use: dict[str, int], total: int
+      self,
+      queue: str,
+      tasks: int,
+      in_use: Mapping[str, int],
+      total: int,
+      priority: int = 0,
   ) -> int:
     """Returns how many slots a job must leave to queues of wider jobs.
 
+    Queues that are less urgent have no part in it: room is guaranteed to them.
+
     Nothing is reserved while the demand of all queues is below the capacity.
 
     Args:
@@ -92,6 +122,7 @@
       tasks: the number of its tasks.
       in_use: the number of running and waiting tasks, by queue.
       total: the number of slots.
+      priority: its urgency.
     """
     if sum(demand.mean_slots for demand in self._queues.values()) < total:
       # There are slots for all. A reservation in this case too cost a load of
@@ -99,9 +130,25 @@
       return 0
     own = self._queues.get(queue)
     width = own.width if own else tasks
-    reserved = sum(
-        max(0.0, PEAK_FACTOR * demand.mean_slots - in_use.get(other, 0))
+    wider = [
+        (other, demand)
         for other, demand in self._queues.items()
         if demand.width > width
+    ]
+    equal = sum(
+        _lacking_slots(demand, in_use.get(other, 0))
+        for other, demand in wider
+        if demand.priority == priority
     )
+    urgent = sum(
+        _lacking_slots(demand, in_use.get(other, 0))
+        for other, demand in wider
+        if demand.priority < priority
+    )
+    reserved = equal + min(urgent, MAX_RESERVED_FOR_URGENT * total)
     return int(min(reserved, MAX_RESERVED_FRACTION * total))
+
+
+def _lacking_slots(demand: _QueueDemand, in_use: int) -> float:
+  """Returns how many slots a queue lacks at the peak of its demand."""
+  return max(0.0, PEAK_FACTOR * demand.mean_slots - in_use)
--- a/fescueturn/scheduler/ownerstate.py
+++ b/fescueturn/scheduler/ownerstate.py
@@ -11,10 +11,11 @@
 from fescueturn.scheduler import keptrecords
 from fescueturn.scheduler import linkmessages
 from fescueturn.scheduler import model
-from fescueturn.scheduler import reservations
 from fescueturn.scheduler import roster
 from fescueturn.scheduler import suspicion
 from fescueturn.scheduler import timeouts
+from fescueturn.scheduler.decisions import assumedtimes
+from fescueturn.scheduler.decisions import reservations
 
 # For this long a new holder accepts jobs before it knows what its endpoints are
 # running. The endpoint list takes 6 ms to arrive from the store and the
@@ -81,7 +82,7 @@
     arrived: when it reached its coordinator, on this host's clock (s).
     deadline: when its caller stops waiting (s).
     latest_start: when its first tasks should start to meet the objective (s);
-      jobs are started in this order.
+      the jobs of one urgency are started in this order.
     tasks: its tasks by name.
     waiting: its tasks that can start now.
     unfinished: how many tasks of each step are not done.
@@ -126,6 +127,11 @@
         for task in self.tasks.values()
     )
 
+  @property
+  def active_tasks(self) -> int:
+    """How many of its tasks have a run that may be active."""
+    return sum(t.state is TaskState.ACTIVE for t in self.tasks.values())
+
   @property
   def started(self) -> bool:
     """True when one of its tasks is active or done."""
@@ -253,11 +259,15 @@
     # When an endpoint at the address last crashed.
     self.crashed_at: dict[settings.Address, float] = {}
     self.demand = reservations.Demand()
+    # How long runs take compared to what their callers declare.
+    self.run_times = assumedtimes.AssumedRunTimes()
     self.fenced = False
     # Until when it takes into account that this process was paused (s).
     self.pause_grace_until = now
     self.taken_at = now
     self.counters: collections.Counter[str] = collections.Counter()
+    # What became of the jobs of each queue.
+    self.queue_counters: dict[str, collections.Counter[str]] = {}
     self.effects: list[events.Effect] = []
 
   @property
@@ -319,6 +329,19 @@
         for size, count in counts.items()
     )
 
+  def slots_in_use(self, service: str) -> collections.Counter[int]:
+    """Returns how many tasks of each urgency occupy room of a service."""
+    in_use: collections.Counter[int] = collections.Counter()
+    for job in self.jobs.values():
+      if job.begun and job.job.service == service:
+        in_use[job.job.priority] += job.active_tasks
+    return in_use
+
+  def count_job(self, job: model.Job, what: str):
+    """Counts what became of a job of its queue."""
+    counters = self.queue_counters.setdefault(job.queue, collections.Counter())
+    counters[what] += 1
+
   def endpoint_reported(self, endpoint: str):
     """Records that an endpoint has listed its runs, or no longer exists."""
     if self.unreported is not None:
@@ -345,6 +368,11 @@
         "settled": self.recovered,
         "jobs": len(self.jobs),
         "waiting_tasks": sum(len(j.waiting) for j in self.jobs.values()),
+        "urgencies": self._urgencies(),
+        "queues": {
+            queue: dict(counters)
+            for queue, counters in sorted(self.queue_counters.items())
+        },
         "coordinators": {
             p.host: round(self.now - at, 3)
             for p, at in self.last_contact.items()
@@ -357,6 +385,18 @@
         "counters": dict(self.counters),
     }
 
+  def _urgencies(self) -> dict[int, dict[str, int]]:
+    """Returns the waiting and active tasks of each urgency."""
+    tasks: dict[int, dict[str, int]] = {}
+    for job in self.jobs.values():
+      counts = tasks.setdefault(
+          job.job.priority, {"jobs": 0, "waiting": 0, "active": 0}
+      )
+      counts["jobs"] += 1
+      counts["waiting"] += len(job.waiting)
+      counts["active"] += job.active_tasks
+    return tasks
+
 
 def endpoint_log(event: str, record: endpointstate.EndpointRecord, **fields):
   """Returns a log line about an endpoint."""
--- a/fescueturn/scheduler/runcontrol.py
+++ b/fescueturn/scheduler/runcontrol.py
@@ -5,6 +5,8 @@
 from fescueturn.scheduler import events
 from fescueturn.scheduler import model
 from fescueturn.scheduler import ownerstate
+from fescueturn.scheduler import roomview
+from fescueturn.scheduler.decisions import order
 
 # No task of a job is started with less than this left until the job's deadline.
 MIN_TIME_LEFT_S = 0.02
@@ -26,11 +28,33 @@
   usable = [r for r in owner.endpoints.values() if r.usable(owner.now)]
   if not usable:
     return
-  waiting.sort(key=lambda job: job.latest_start)
-  for job in waiting:
-    if job.deadline - owner.now < MIN_TIME_LEFT_S:
-      continue
-    if job.returning or owner.may_have_unknown_runs(job):
+  startable = [job for job in waiting if _startable(owner, job)]
+  for service in sorted({job.job.service for job in startable}):
+    _start_in_turn(
+        owner,
+        [job for job in startable if job.job.service == service],
+        [record for record in usable if record.info.service == service],
+    )
+
+
+def _startable(owner, job: ownerstate.JobRecord) -> bool:
+  """Returns whether tasks of the job may be started now."""
+  if job.deadline - owner.now < MIN_TIME_LEFT_S or job.returning:
+    return False
+  return not owner.may_have_unknown_runs(job)
+
+
+def _start_in_turn(owner, jobs: list[ownerstate.JobRecord], usable):
+  """Starts tasks of one service's jobs, in the order of their urgency."""
+  by_key = {job.key: job for job in jobs}
+  views = [roomview.waiting_job(job) for job in jobs]
+  in_use = owner.slots_in_use(jobs[0].job.service)
+  guaranteed = order.guaranteed_slots(
+      {*in_use, *(view.priority for view in views)}, sum(in_use.values())
+  )
+  for view in order.in_turn(views, in_use, guaranteed):
+    job = by_key[view.key]
+    if not _may_begin(owner, job, usable):
       continue
     for task in list(job.waiting):
       if task.previous_run is not None or crashes.blocks_start(
@@ -41,6 +65,24 @@
       if record is None:
         break
       _start_task(owner, job, task, record)
+      in_use[job.job.priority] += 1
+
+
+def _may_begin(owner, job: ownerstate.JobRecord, usable) -> bool:
+  """Returns whether the tasks of a job can all start in time, if any can now.
+
+  A job whose last tasks would start too late isn't begun: what it did would be
+  of little use to its caller.
+  """
+  count = len(job.waiting)
+  if job.begun or job.job.kept or count == 1:
+    return True
+  need = job.waiting[0].step.need
+  if not any(record.fits(need) for record in usable):
+    return False
+  slots = roomview.slots_for(owner, usable, need)
+  last_start = slots[min(count, len(slots)) - 1].free_at
+  return last_start <= max(owner.now, job.latest_start)
 
 
 def _choose_endpoint(owner, job, task: ownerstate.TaskRecord, usable):
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -1,8 +1,8 @@
 import pytest
 
-from fescueturn.scheduler import admission
 from fescueturn.scheduler import model
 from fescueturn.scheduler import routes
+from fescueturn.scheduler.decisions import admission
 
 NEED = model.Resources(27000, 64, 0)
 
--- a/tests/test_reservations.py
+++ b/tests/test_reservations.py
@@ -1,4 +1,4 @@
-from fescueturn.scheduler import reservations
+from fescueturn.scheduler.decisions import reservations
 
 TOTAL = 18
 
