--- a/fescueturn/scheduler/runcontrol.py
+++ b/fescueturn/scheduler/runcontrol.py
@@ -8,6 +8,7 @@
 from fescueturn.scheduler import model
 from fescueturn.scheduler import ownerstate
 from fescueturn.scheduler import roomview
+from fescueturn.scheduler.decisions import admission
 from fescueturn.scheduler.decisions import order
 from fescueturn.scheduler.decisions import placing
 
@@ -84,7 +85,11 @@
   if not any(record.fits(need) for record in usable):
     return False
   slots = roomview.slots_for(owner, usable, need)
-  last_start = slots[min(count, len(slots)) - 1].free_at
+  run_s = max(task.estimate_s for task in job.waiting)
+  times = [slot.free_at for slot in slots]
+  finish_s = admission.expected_finish_s(times, (), count, run_s, owner.now)
+  waves = -(-count // len(times))
+  last_start = owner.now + finish_s - run_s * waves
   return last_start <= max(owner.now, job.latest_start)
 
 
