--- a/fescueturn/scheduler/endpointstate.py
+++ b/fescueturn/scheduler/endpointstate.py
@@ -209,6 +209,9 @@
       forget them.
     last_sent_ack: the number up to which it was last allowed to forget ended
       runs.
+    call_ack: the number in the last lease call; 0 if it had none.
+    last_heard_ack: the highest such number in a call that it answered.
+    call_lost: True once a lease call got no answer, until one gets one.
     last_saved_end: the highest number of an ended run that was written to the
       store.
     call_number: the number of the last lease call.
@@ -238,6 +241,9 @@
     self.last_end_number = 0
     self.unsaved_ends: set[int] = set()
     self.last_sent_ack = 0
+    self.call_ack = 0
+    self.last_heard_ack = 0
+    self.call_lost = False
     self.last_saved_end = 0
     self.call_number = 0
     self.call_pending = False
@@ -309,7 +315,26 @@
   @property
   def has_unsent_ack(self) -> bool:
     """True if ended runs that were saved haven't been acknowledged yet."""
-    return self.last_saved_end > self.last_sent_ack
+    told = self.last_heard_ack if self.born_ms else self.last_sent_ack
+    return self.last_saved_end > told
+
+  def next_ack(self) -> int:
+    """Returns up to which number the next call allows it to forget ended runs.
+
+    It is 0 where the number may be taken for one of another incarnation, whose
+    ends would then be forgotten unseen: once the endpoint has heard the number,
+    and after a call without an answer.
+    """
+    may_be_restarted = self.call_lost or self.restart_listed
+    heard = self.ack_number <= self.last_heard_ack
+    self.call_ack = 0
+    if not (self.born_ms and (heard or may_be_restarted)):
+      self.call_ack = self.last_sent_ack = self.ack_number
+    return self.call_ack
+
+  def record_heard_ack(self):
+    """Records that the last lease call was answered."""
+    self.last_heard_ack = max(self.last_heard_ack, self.call_ack)
 
   def record_saved_end(self, number: int):
     """Records that an ended run is in the store."""
@@ -350,6 +375,8 @@
     self.last_end_number = 0
     self.unsaved_ends.clear()
     self.last_sent_ack = 0
+    self.call_ack = 0
+    self.last_heard_ack = 0
     self.last_saved_end = 0
     self.lease_end_ms = 0
     self._clock_ms = None
--- a/fescueturn/scheduler/leases.py
+++ b/fescueturn/scheduler/leases.py
@@ -108,14 +108,14 @@
   record.call_number += 1
   record.call_pending = True
   record.call_sent_at = owner.now
-  record.last_sent_ack = record.ack_number
+  ack_number = record.next_ack()
   wait_ms = 0 if now else _call_wait_ms(owner, record)
   record.call_is_long_poll = wait_ms > 0
   owner.emit(
       events.RenewLease(
           record.info,
           record.call_number,
-          record.last_sent_ack,
+          ack_number,
           _new_lease_end(owner, record),
           wait_ms,
           owner.fence,
@@ -161,6 +161,7 @@
     # An earlier incarnation's answer, which came after a later one's.
     renew_lease(owner, record)
     return
+  record.call_lost = event.result is model.CallResult.NO_ANSWER
   _detect_restart(owner, record, event)
   update_clock(owner, record, event.clock_ms)
   if event.result is model.CallResult.OK:
@@ -240,6 +241,7 @@
   if first_report and event.clock_ms is not None:
     record.cover_earlier_leases(event.clock_ms)
   record.runs_known = True
+  record.record_heard_ack()
   for job in crashes.settle_losses(owner, record):
     outcomes.end_job_if_finished(owner, job)
   for ended in event.ended:
--- a/fescueturn/scheduler/runpace.py
+++ b/fescueturn/scheduler/runpace.py
@@ -123,33 +123,40 @@
   ones of the tasks whose callers stop waiting would count.
   """
   found = _job_and_task(owner, run)
-  if found is None or not _is_comparable(owner, record, run, found[1]):
+  took_s = _time_of_ended_run(owner, run, how)
+  if found is None or took_s is None:
     return
   job, task = found
-  if how is model.RunOutcome.DONE:
-    took_s = owner.now - run.started_at
-    _record_done_run(owner, record, run, job, task)
-  elif how is model.RunOutcome.LOST and run.percent >= 100 * MIN_SHARE:
-    took_s = run.predicted_duration_s(run.progressed_at)
-  else:
+  if not _is_comparable(owner, record, run, task):
     return
-  if took_s is None or task.moved_from == record.info.id:
-    return
-  ratio = max(1.0, took_s * 1000) / run.estimate_ms
-  ratio /= record.speed_factor
-  owner.run_times.record(job.job.queue, ratio, owner.now)
+  error, variance = _declared_error(owner, job, task)
+  ratio = math.log(max(1.0, took_s * 1000) / run.estimate_ms)
+  on_mean_endpoint = ratio - record.speed.log_factor
+  if how is model.RunOutcome.DONE:
+    _observe_speed(owner, record, run, error, variance, 1.0)
+    _record_pace(owner, record, run, math.exp(ratio - max(0.0, error)))
+  if task.moved_from == record.info.id:
+    return  # The next run of the task tells more.
+  queue = job.job.queue
+  if how is model.RunOutcome.DONE:
+    typical = math.log(owner.run_times.quantile(queue, 0.5))
+    job.paces[task.task.step].add(on_mean_endpoint, typical)
+  owner.run_times.record(queue, math.exp(on_mean_endpoint), owner.now)
 
 
-def _record_done_run(owner, record, run: endpointstate.Run, job, task):
-  """Compares a run that is done to its job and endpoint."""
-  error, variance = _declared_error(owner, job, task)
-  took_ms = max(1.0, (owner.now - run.started_at) * 1000)
-  ratio = math.log(took_ms / run.estimate_ms)
-  own_speed = record.speed.log_factor
-  _observe_speed(owner, record, run, error, variance, 1.0)
-  typical = math.log(owner.run_times.quantile(job.job.queue, 0.5))
-  job.paces[task.task.step].add(ratio - own_speed, typical)
-  times = math.exp(ratio - max(0.0, error))
+def _time_of_ended_run(
+    owner, run: endpointstate.Run, how: model.RunOutcome
+) -> float | None:
+  """Returns how long a run took, or would have taken (s); None if unknown."""
+  if how is model.RunOutcome.DONE:
+    return owner.now - run.started_at
+  if how is model.RunOutcome.LOST and run.percent >= 100 * MIN_SHARE:
+    return run.predicted_duration_s(run.progressed_at)
+  return None
+
+
+def _record_pace(owner, record, run: endpointstate.Run, times: float):
+  """Records whether a run that is done was in time on its endpoint."""
   if times <= endpointstate.SLOW_RATIO:
     record.record_run_in_time(run, owner.now)
   else:
