--- a/fescueturn/emulator/load.py
+++ b/fescueturn/emulator/load.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import random
 
 from hdrh import histogram
 
@@ -241,18 +242,23 @@
     at_s: float,
     submitted: list[_SubmittedJob],
 ):
-  """Submits a job, and during a burst further ones of the same kind."""
-  kind = fleet.rng.choices(KINDS, [k.share for k in KINDS])[0]
-  host = fleet.rng.choice(list(fleet.hosts))
+  """Submits a job, and during a burst further ones of the same kind.
+
+  Its choices depend on the seed and the job's number only, so that plans and
+  versions of the code are compared on the same jobs.
+  """
+  rng = random.Random(f"{plan.seed}/{number}")
+  kind = rng.choices(KINDS, [k.share for k in KINDS])[0]
+  host = rng.choice(list(fleet.hosts))
   data_centre = fleet.hosts[host].data_centre
   factor = 1.0
   for burst in plan.bursts:
     if burst.concerns(kind, data_centre, at_s):
       factor *= burst.factor
-  copies = int(factor + fleet.rng.random()) if factor != 1.0 else 1
+  copies = int(factor + rng.random())
   for copy in range(copies):
     name = f"j{number}" if not copy else f"j{number}-{copy}"
-    submitted.append(_submit_one(fleet, plan, name, kind, host, at_s))
+    submitted.append(_submit_one(fleet, plan, name, kind, host, at_s, rng))
 
 
 def _submit_one(
@@ -262,8 +268,8 @@
     kind: Kind,
     host: str,
     at_s: float,
+    rng: random.Random,
 ) -> _SubmittedJob:
-  rng = fleet.rng
   count = max(1, round(rng.gauss(kind.tasks, 0.4 * kind.tasks)))
   mean_ms = max(0.2 * kind.run_ms, rng.gauss(kind.run_ms, 0.4 * kind.run_ms))
   run_s = [mean_ms / 1000 * rng.uniform(0.85, 1.15) for _ in range(count)]
