--- a/fescueturn/scheduler/leases.py
+++ b/fescueturn/scheduler/leases.py
@@ -141,17 +141,14 @@
   record.call_number += 1
   record.call_pending = True
   record.call_sent_at = owner.now
-  record.last_sent_ack = record.ack_number
-  last_seen = _last_seen(record)
-  record.last_seen = last_seen
-  record.call_answered = False
+  ack_number = record.next_ack()
   wait_ms = 0 if now else _call_wait_ms(owner, record)
   record.call_is_long_poll = wait_ms > 0
   owner.emit(
       events.RenewLease(
           record.info,
           record.call_number,
-          last_seen,
+          ack_number,
           _new_lease_end(owner, record),
           wait_ms,
           owner.fence,
@@ -159,19 +156,6 @@
   )
 
 
-def _last_seen(record: endpointstate.EndpointRecord) -> int:
-  """Returns the number up to which a call lets the endpoint forget ended runs.
-
-  It is 0 unless the call before was answered and left ends to acknowledge. An
-  incarnation that has started meanwhile numbers its own ends from 1, and would
-  forget them unseen.
-  """
-  confirmed = record.last_sent_ack <= record.confirmed_ack
-  if record.born_ms and (confirmed or not record.call_answered):
-    return 0
-  return record.last_sent_ack
-
-
 def _call_wait_ms(owner, record: endpointstate.EndpointRecord) -> int:
   """Returns how long a lease call may wait for a run to end (ms).
 
@@ -210,11 +194,10 @@
     # An earlier incarnation's answer, which came after a later one's.
     renew_lease(owner, record)
     return
+  record.call_lost = event.result is model.CallResult.NO_ANSWER
   _detect_restart(owner, record, event)
   update_clock(owner, record, event.clock_ms)
   if event.result is model.CallResult.OK:
-    record.call_answered = True
-    record.confirmed_ack = max(record.confirmed_ack, record.last_seen)
     _handle_run_lists(owner, record, event)
   else:
     _handle_failed_call(owner, record, event.result)
@@ -291,6 +274,7 @@
   if first_report and event.clock_ms is not None:
     record.cover_earlier_leases(event.clock_ms)
   record.runs_known = True
+  record.record_heard_ack()
   for job in crashes.settle_losses(owner, record):
     outcomes.end_job_if_finished(owner, job)
   for ended in event.ended:
