Tasks wait for a faster endpoint that would still end them in time

A task was started wherever there was room, also where its endpoint's speed alone made it late, while endpoints fast enough were about to come free. Now it isn't started on an endpoint that would end it too late as long as the fastest would end it in time with 50 ms to spare; jobs with more slack use the slow ones.

--- a/fescueturn/scheduler/decisions/placing.py
+++ b/fescueturn/scheduler/decisions/placing.py
@@ -9,6 +9,7 @@
 import bisect
 import dataclasses
 import heapq
+import math
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Iterator
@@ -21,6 +22,10 @@
 # Endpoints whose speeds differ by less than this part count as equally fast,
 # since speeds are learnt from run times whose estimates are off by 40%.
 SPEED_DIGITS = 1
+# A task waits for a faster endpoint only while that one would end it this long
+# before its objective. Twenty busy endpoints end a run every few milliseconds,
+# so that many come free in this time.
+WAIT_MARGIN_S = 0.05
 
 
 @dataclasses.dataclass(frozen=True)
@@ -32,12 +37,31 @@
     task: the task.
     step: its step.
     moved_from: the endpoint that it was moved from; "" if none.
+    max_slowness: how slow the endpoint may be.
   """
 
   service: str
   task: model.Task
   step: model.Step
   moved_from: str = ""
+  max_slowness: float = math.inf
+
+
+def max_slowness(estimate_s: float, slack_s: float, fastest: float) -> float:
+  """Returns how slow an endpoint may be for a task to start there now.
+
+  A task that would end too late there waits for a faster endpoint, while the
+  fastest would still end it in time. What has more slack uses the slow ones.
+
+  Args:
+    estimate_s: the task's estimated run time (s).
+    slack_s: by how much longer it may take, counted from now, to end in time.
+    fastest: the slowness of the fastest endpoint, busy or not.
+  """
+  spare_s = slack_s - estimate_s * (fastest - 1)
+  if spare_s <= WAIT_MARGIN_S or not estimate_s:
+    return math.inf
+  return 1 + slack_s / estimate_s
 
 
 def allows(
@@ -48,6 +72,7 @@
   return (
       record.info.service == wanted.service
       and record.fits(step.need)
+      and speed_of(record, now).slowness < wanted.max_slowness
       and (not step.requires or step.requires in record.info.labels)
       and record.usable(now)
       and not _has_most_runs(record, wanted)
@@ -200,6 +225,12 @@
     self._met_unusable.clear()
     return chosen
 
+  def fastest(self, service: str, now: float) -> float:
+    """Returns the slowness of the service's fastest warm endpoint, or 1."""
+    self._update_index(now)
+    speeds = self._groups.get((service, ""), {})
+    return min((s.slowness for s in speeds if not s.cold), default=1.0)
+
   def _first_allowed(self, wanted: Wanted, now: float, accepts):
     moved_from = None
     for record in self._in_order(wanted, now):
@@ -216,19 +247,21 @@
     """Yields the usable endpoints with enough free CPU, the best first."""
     step = wanted.step
     if step.near:
-      yield from self._in_group((wanted.service, step.near), step.need, now)
+      yield from self._in_group((wanted.service, step.near), wanted, now)
     group = (wanted.service, step.requires)
-    for record in self._in_group(group, step.need, now):
+    for record in self._in_group(group, wanted, now):
       if not step.near or step.near not in record.info.labels:
         yield record
 
   def _in_group(
-      self, group: tuple[str, str], need: model.Resources, now: float
+      self, group: tuple[str, str], wanted: Wanted, now: float
   ) -> Iterator[endpointstate.EndpointRecord]:
     classes = self._groups.get(group, {})
-    for key in sorted(classes):
-      for free, name in classes[key]:
-        if -free < need.cpu:
+    for speed in sorted(classes):
+      if speed.slowness >= wanted.max_slowness:
+        continue
+      for free, name in classes[speed]:
+        if -free < wanted.step.need.cpu:
           break
         record = self[name]
         if record.usable(now):
--- a/fescueturn/scheduler/runcontrol.py
+++ b/fescueturn/scheduler/runcontrol.py
@@ -1,5 +1,6 @@
 """Starts an owner's waiting tasks on endpoints, and stops their runs."""
 
+import math
 from collections.abc import Callable
 
 from fescueturn.scheduler import crashes
@@ -49,9 +50,23 @@
     task: ownerstate.TaskRecord,
     accepts: Callable[[endpointstate.EndpointRecord], bool] | None = None,
 ):
-  """Returns the best endpoint on which the task may start now, or None."""
+  """Returns the best endpoint on which the task may start now, or None.
+
+  Args:
+    owner: the owner.
+    job: the task's job.
+    task: the task.
+    accepts: a further condition on the endpoint; with one, it may be slow.
+  """
+  slowness = math.inf
+  if accepts is None:
+    slowness = placing.max_slowness(
+        task.estimate_s,
+        job.latest_start - owner.now,
+        owner.endpoints.fastest(job.job.service, owner.now),
+    )
   wanted = placing.Wanted(
-      job.job.service, task.task, task.step, task.moved_from
+      job.job.service, task.task, task.step, task.moved_from, slowness
   )
   if not (task.lost_endpoints or task.crashed):
     return owner.endpoints.choose(wanted, owner.now, accepts)
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -1,6 +1,7 @@
 """Tests the choice of endpoints from the index by speed and free CPU."""
 
 import dataclasses
+import math
 
 import hypothesis
 from hypothesis import strategies
@@ -9,6 +10,7 @@
 from fescueturn.scheduler import endpointstate
 from fescueturn.scheduler import model
 from fescueturn.scheduler.decisions import placing
+from tests import fleets
 
 RACKS = ("r0", "r1")
 SLOTS = 3
@@ -55,6 +57,15 @@
   return placing.Wanted("s", task, model.Step(1, need, 100, **step), moved_from)
 
 
+def set_slowness(record, slowness: float):
+  """Makes an endpoint look as fast as its runs have shown."""
+  took = endpointstate.Run(
+      model.RunId(model.Task("k", 0, 0), 1), None, None, 0.0, 1000
+  )
+  for _ in range(40):
+    record.record_done_run(took, slowness)
+
+
 def name_of(record: endpointstate.EndpointRecord | None) -> str:
   return record.info.id if record is not None else ""
 
@@ -112,6 +123,45 @@
 
 
 ENDPOINTS = 4
+
+
+def test_task_waits_for_a_faster_endpoint_that_would_still_end_it_in_time():
+  table = table_of(endpoint("e0"), endpoint("e1"))
+  set_slowness(table["e0"], 0.6)
+  set_slowness(table["e1"], 1.6)
+  add_run(table["e0"], 60000, 0)
+  assert table.fastest("s", 1.0) == 0.6, "also while it is busy"
+
+  def chosen_with(slack_s: float) -> str:
+    limit = placing.max_slowness(0.9, slack_s, table.fastest("s", 1.0))
+    task = dataclasses.replace(wanted(32000), max_slowness=limit)
+    return name_of(table.choose(task, 1.0))
+
+  assert chosen_with(0.6) == "e1", "it ends in time there"
+  assert chosen_with(0.3) == ""
+  assert chosen_with(-0.3) == ""
+  assert chosen_with(-0.32) == "e1", "it is late anywhere"
+
+
+@hypothesis.given(
+    strategies.floats(0.01, 10),
+    strategies.floats(-10, 10),
+    strategies.floats(0.2, 8),
+)
+def test_fastest_endpoint_is_never_too_slow(estimate_s, slack_s, fastest):
+  """Guards against tasks that wait although nothing faster can come free."""
+  assert placing.max_slowness(estimate_s, slack_s, fastest) > fastest
+
+
+def test_job_with_slack_runs_on_a_slow_endpoint_at_once():
+  emulation = fleets.fleet(endpoints=1)
+  for one in emulation.endpoints.values():
+    one.slowdown = 1.25
+  request = emulation.submit("a0", fleets.job("j", 2, 200), [0.2] * 2)
+  emulation.clock.run_until(2.0)
+  assert emulation.answers[request].took_s < 0.2 * 1.25 + 0.05
+
+
 NUMBERS = strategies.integers(0, ENDPOINTS - 1)
 CPU = strategies.integers(1, 8).map(lambda n: n * 8000)
 CHANGES = strategies.one_of(
@@ -200,9 +250,10 @@
     strategies.lists(CHANGES, max_size=40),
     STEPS,
     strategies.sampled_from(("", "e0")),
+    strategies.sampled_from((math.inf, 1.2, 0.9)),
 )
 def test_index_chooses_as_a_scan_of_all_endpoints_would(
-    changes, step, moved_from
+    changes, step, moved_from, max_slowness
 ):
   infos = [
       endpoint(
@@ -217,7 +268,9 @@
   for tick, (change, number, cpu) in enumerate(changes):
     now = 1.0 + 0.1 * tick
     apply_change(table, infos, change, number, cpu, now)
-    task = wanted(cpu, moved_from, **step)
+    task = dataclasses.replace(
+        wanted(cpu, moved_from, **step), max_slowness=max_slowness
+    )
     chosen = table.choose(task, now)
     scanned = placing.choose_by_scan(table.values(), task, now, lambda _: ())
     assert name_of(chosen) == name_of(scanned)
