--- a/fescueturn/scheduler/decisions/placing.py
+++ b/fescueturn/scheduler/decisions/placing.py
@@ -26,6 +26,9 @@
 # before its objective. Twenty busy endpoints end a run every few milliseconds,
 # so that many come free in this time.
 WAIT_MARGIN_S = 0.05
+# The learnt slowness of an endpoint may be off by this much, since estimates
+# are off by 40%. Endpoints of the same speed don't make each other's tasks wait.
+SLOWNESS_ERROR = 0.15
 
 
 @dataclasses.dataclass(frozen=True)
@@ -61,7 +64,7 @@
   spare_s = slack_s - estimate_s * (fastest - 1)
   if spare_s <= WAIT_MARGIN_S or not estimate_s:
     return math.inf
-  return 1 + slack_s / estimate_s
+  return 1 + slack_s / estimate_s + SLOWNESS_ERROR
 
 
 def allows(
--- a/fescueturn/scheduler/runcontrol.py
+++ b/fescueturn/scheduler/runcontrol.py
@@ -59,7 +59,8 @@
     accepts: a further condition on the endpoint; with one, it may be slow.
   """
   slowness = math.inf
-  if accepts is None:
+  # While calls are lost, run times tell little of the endpoints' speed.
+  if accepts is None and not owner.call_losses.is_lossy:
     slowness = placing.max_slowness(
         task.estimate_s,
         job.latest_start - owner.now,
