--- a/fescueturn/explain.py
+++ b/fescueturn/explain.py
@@ -35,7 +35,7 @@
         "its caller was answered '{outcome}' after {age_ms} ms: {reason}"
     ),
     _REFUSAL: (
-        "its caller was refused after {age_ms} ms: {reason}; {offers} offers,"
+        "its caller was answered '{outcome}' after {age_ms} ms: {reason}; {offers} offers,"
         " least late by {best_wait_ms} ms, told to return after {retry_after_s}"
         " s; room as reported (data centre:free/wanted tasks:wait:age): {room}"
     ),
