--- a/fescueturn/explain.py
+++ b/fescueturn/explain.py
@@ -35,9 +35,10 @@
         "its caller was answered '{outcome}' after {age_ms} ms: {reason}"
     ),
     _REFUSAL: (
-        "its caller was answered '{outcome}' after {age_ms} ms: {reason}; {offers} offers,"
-        " least late by {best_wait_ms} ms, told to return after {retry_after_s}"
-        " s; room as reported (data centre:free/wanted tasks:wait:age): {room}"
+        "its caller was answered '{outcome}' after {age_ms} ms: {reason};"
+        " {offers} offers, least late by {best_wait_ms} ms, told to return"
+        " after {retry_after_s} s; room as reported (data centre:free/wanted"
+        " tasks:wait:age): {room}"
     ),
     "job_over": "its holder finished it after {age_ms} ms: {why}",
     "kept_job_over": "stored as {state}, with fencing token {fence}",
