--- a/tests/test_shardroom.py
+++ b/tests/test_shardroom.py
@@ -1,4 +1,4 @@
-"""Room reports between the hosts of an emulated fleet, under load and failure."""
+"""Room reports between an emulated fleet's hosts, under load and failure."""
 
 import collections
 
