A holder by grant uses its inherited list at once

Cause: the store's silence was counted from the takeover, so a host that got a grant, and again when it had claimed the shard, served nothing for 0.3 s. Now the silence before counts.

--- a/fescueturn/scheduler/ownerstate.py
+++ b/fescueturn/scheduler/ownerstate.py
@@ -219,7 +219,7 @@
       previous_roster: frozenset[str] | None = None,
       evacuations: evacuation.Evacuations | None = None,
       inherited: endpointlist.KnownList | None = None,
-      claim_took_s: float = 0.0,
+      store_silent_s: float = 0.0,
   ):
     self.shard = shard
     self.fence = fence
@@ -266,8 +266,9 @@
     self.shared_list = endpointlist.SharedList()
     # This host's copy of the previous holder's list, until a list is in use.
     self.inherited = inherited
-    # How long the store took to answer this owner's claim (s).
-    self.claim_took_s = claim_took_s
+    # How long the store had left this host without an answer when it took the
+    # shard over (s).
+    self.store_silent_s = store_silent_s
     # Holders of other data centres that hosts there report as silent.
     self.holder_suspicions = suspicion.SuspicionTracker()
     self.call_losses = timeouts.CallLossRate()
--- a/fescueturn/scheduler/reducer.py
+++ b/fescueturn/scheduler/reducer.py
@@ -141,7 +141,7 @@
     return
   if owner.listed_at is not None:
     owner.inherited = None
-  elif known.usable(owner.now, waited_s + owner.claim_took_s):
+  elif known.usable(owner.now, waited_s + owner.store_silent_s):
     owner.inherited = None
     leases.use_inherited_list(owner, known)
     offers.recheck_admissions(owner)
--- a/fescueturn/scheduler/shardownership.py
+++ b/fescueturn/scheduler/shardownership.py
@@ -1,5 +1,7 @@
 """Ownership of this data centre's shards: acquire, give up, hand over."""
 
+import math
+
 from fescueturn.scheduler import coordinator
 from fescueturn.scheduler import election
 from fescueturn.scheduler import events
@@ -43,6 +45,9 @@
     return []
   if owner is not None and owner.fence >= holder.fence:
     return []
+  silent_s = candidate.last_claim_s(state.now)
+  if owner is not None and owner.by_grant:
+    silent_s += state.now - owner.taken_at
   # The earlier holder may have granted the shard to yet another host.
   keeps_jobs = owner is not None and not owner.by_grant
   if keeps_jobs and not keptjobs.has_kept_jobs(owner):
@@ -54,7 +59,7 @@
   if holder.fence <= candidate.stepped_down_fence:
     return []
   return effects_of_drop + _take_shard(
-      state, event.shard, holder.fence, event.follows
+      state, event.shard, holder.fence, event.follows, silent_s
   )
 
 
@@ -76,7 +81,9 @@
   ]
 
 
-def _take_shard(state, shard: model.Shard, fence: int, follows: int) -> list:
+def _take_shard(
+    state, shard: model.Shard, fence: int, follows: int, store_silent_s: float
+) -> list:
   # The new owner starts without endpoints: an earlier list may show endpoints
   # as ready that are draining by now, and the I/O shell fetches a fresh one as
   # soon as a shard is owned. The copy of the earlier one is used only if the
@@ -92,7 +99,7 @@
       endpoints_to_query,
       state.evacuations,
       state.coordinator.endpoint_lists.get(shard),
-      state.candidates[shard].last_claim_s(state.now),
+      store_silent_s,
   )
   state.owners[shard] = owner
   return [
@@ -117,7 +124,7 @@
 ) -> list:
   """Takes over a shard that its holder, `before`, has granted to this host."""
   effects = drop_owner(state, shard, "replaced")
-  effects += _take_shard(state, shard, grant.fence, before.fence)
+  effects += _take_shard(state, shard, grant.fence, before.fence, math.inf)
   owner = state.owners[shard]
   owner.by_grant = True
   owner.spare_fences = succession.FenceRange(grant.fence + 1, grant.limit)
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -372,10 +372,17 @@
   emulation.store_up = False
   stop_in_outage(emulation, fleets.owner_of(emulation, "a"), 6.0, end=False)
   emulation.clock.run_until(11.0)
-  (owner,) = fleets.owner_of(emulation, "a").state.owners.values()
-  assert owner.by_grant
+  holder = fleets.owner_of(emulation, "a")
+  assert holder.state.owners[SHARD].by_grant
   emulation.store_up = True
-  emulation.clock.run_until(11.5)
+  while holder.state.owners[SHARD].by_grant:
+    emulation.clock.run_until(emulation.clock.now + 0.01)
+    assert emulation.clock.now < 11.6
+  holder._next_poll_at = emulation.clock.now + 0.7  # As after a failed read.
+  request = submit(emulation, holder, "after")
+  emulation.clock.run_until(emulation.clock.now + 0.5)
+  assert outcome(emulation, request) is model.Outcome.DONE
+  emulation.clock.run_until(12.0)
   (owner,) = fleets.owner_of(emulation, "a").state.owners.values()
   assert not owner.by_grant
 
@@ -412,7 +419,8 @@
   emulation.clock.run_until(8.0)
   assert sum(len(e.running) for e in emulation.endpoints.values()) == 3
   for host in fleets.hosts_in(emulation, "a"):
-    host.partitioned_from = {"store"} if host is not first else set()
+    is_first = host is first  # No endpoint fences it off before its claim.
+    host.partitioned_from = set(emulation.endpoints) if is_first else {"store"}
   emulation.store_up = True
   fence = first.state.owners[SHARD].fence
   while first.state.owners[SHARD].fence == fence:
