--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -374,14 +374,22 @@
   emulation.clock.run_until(11.0)
   holder = fleets.owner_of(emulation, "a")
   assert holder.state.owners[SHARD].by_grant
+  holder._next_poll_at = 13.0  # It has just failed to read the list.
   emulation.store_up = True
   while holder.state.owners[SHARD].by_grant:
     emulation.clock.run_until(emulation.clock.now + 0.01)
     assert emulation.clock.now < 11.6
-  holder._next_poll_at = emulation.clock.now + 0.7  # As after a failed read.
+  emulation.clock.run_until(emulation.clock.now + 0.12)
   request = submit(emulation, holder, "after")
   emulation.clock.run_until(emulation.clock.now + 0.5)
   assert outcome(emulation, request) is model.Outcome.DONE
+  ran_in = {
+      endpoint.info.data_centre
+      for endpoint in emulation.endpoints.values()
+      for run in endpoint.starts
+      if run.task.job_id == "after"
+  }
+  assert ran_in == {"a"}
   emulation.clock.run_until(12.0)
   (owner,) = fleets.owner_of(emulation, "a").state.owners.values()
   assert not owner.by_grant
