--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -372,10 +372,25 @@
   emulation.store_up = False
   stop_in_outage(emulation, fleets.owner_of(emulation, "a"), 6.0, end=False)
   emulation.clock.run_until(11.0)
-  (owner,) = fleets.owner_of(emulation, "a").state.owners.values()
-  assert owner.by_grant
+  holder = fleets.owner_of(emulation, "a")
+  assert holder.state.owners[SHARD].by_grant
+  holder._next_poll_at = 13.0  # It has just failed to read the list.
   emulation.store_up = True
-  emulation.clock.run_until(11.5)
+  while holder.state.owners[SHARD].by_grant:
+    emulation.clock.run_until(emulation.clock.now + 0.01)
+    assert emulation.clock.now < 11.6
+  emulation.clock.run_until(emulation.clock.now + 0.12)
+  request = submit(emulation, holder, "after")
+  emulation.clock.run_until(emulation.clock.now + 0.5)
+  assert outcome(emulation, request) is model.Outcome.DONE
+  ran_in = {
+      endpoint.info.data_centre
+      for endpoint in emulation.endpoints.values()
+      for run in endpoint.starts
+      if run.task.job_id == "after"
+  }
+  assert ran_in == {"a"}
+  emulation.clock.run_until(12.0)
   (owner,) = fleets.owner_of(emulation, "a").state.owners.values()
   assert not owner.by_grant
 
@@ -412,7 +427,8 @@
   emulation.clock.run_until(8.0)
   assert sum(len(e.running) for e in emulation.endpoints.values()) == 3
   for host in fleets.hosts_in(emulation, "a"):
-    host.partitioned_from = {"store"} if host is not first else set()
+    is_first = host is first  # No endpoint fences it off before its claim.
+    host.partitioned_from = set(emulation.endpoints) if is_first else {"store"}
   emulation.store_up = True
   fence = first.state.owners[SHARD].fence
   while first.state.owners[SHARD].fence == fence:
