Index of endpoints: unchanged places are left alone

Once a second all endpoints are reported as changed, after their speeds were compared. Each was removed from the index and sorted in again.

--- a/fescueturn/scheduler/decisions/placing.py
+++ b/fescueturn/scheduler/decisions/placing.py
@@ -249,14 +249,18 @@
     while self._due and self._due[0][0] <= now:
       self._changed.add(heapq.heappop(self._due)[1])
     for name in self._changed:
+      place = _place_of(self[name], now) if name in self else None
+      is_cold = place is not None and place.order.cold
+      if place == self._places.get(name) and not is_cold:
+        continue  # A cold one's time may have been extended.
       self._remove_place(name)
-      if name in self:
-        self._add_place(name, now)
+      if place is not None:
+        self._add_place(name, place)
     self._changed.clear()
 
-  def _add_place(self, name: str, now: float):
+  def _add_place(self, name: str, place: _Place):
     record = self[name]
-    place = self._places[name] = _place_of(record, now)
+    self._places[name] = place
     if place.order.cold:
       heapq.heappush(self._due, (record.cold_until, name))
     for group in place.groups:
