--- a/fescueturn/scheduler/decisions/placing.py
+++ b/fescueturn/scheduler/decisions/placing.py
@@ -21,6 +21,8 @@
 # Endpoints whose speeds differ by less than this part count as equally fast,
 # since speeds are learnt from run times whose estimates are off by 40%.
 SPEED_DIGITS = 1
+# Free CPU of an endpoint without a free slot, which no task fits.
+_NO_SLOT = -1
 
 
 @dataclasses.dataclass(frozen=True)
@@ -134,7 +136,8 @@
   Attributes:
     groups: the services and labels under which it is found.
     order: how fast it is.
-    entry: its free CPU, negative so that the most comes first, and its id.
+    entry: its free CPU, negative so that the most comes first, and its id. One
+      without a free slot counts as having less than none.
   """
 
   groups: tuple[tuple[str, str], ...]
@@ -146,7 +149,8 @@
   service = record.info.service
   labels = ("", *dict.fromkeys(label for label in record.info.labels if label))
   groups = tuple((service, label) for label in labels)
-  entry = (-record.free.cpu, record.info.id)
+  free_cpu = record.free.cpu if record.has_free_slot else _NO_SLOT
+  entry = (-free_cpu, record.info.id)
   return _Place(groups, speed_of(record, now), entry)
 
 
--- a/fescueturn/scheduler/endpointstate.py
+++ b/fescueturn/scheduler/endpointstate.py
@@ -419,9 +419,14 @@
         for run in self.runs.values()
     )
 
+  @property
+  def has_free_slot(self) -> bool:
+    """True if it has fewer runs than it may run at once."""
+    return len(self.runs) < self.info.slots
+
   def fits(self, need: model.Resources) -> bool:
     """Returns whether the endpoint has a slot and the resources for `need`."""
-    return len(self.runs) < self.info.slots and self._free.fits(need)
+    return self.has_free_slot and self._free.fits(need)
 
   def update_clock(self, clock_ms: int | None, now: float):
     """Records the endpoint's clock from an answer, and marks it as not silent.
--- a/tests/test_review_placing.py
+++ b/tests/test_review_placing.py
@@ -3,6 +3,7 @@
 from fescueturn.scheduler import model
 from fescueturn.scheduler import ownerstate
 from fescueturn.scheduler import runpace
+from fescueturn.scheduler.decisions import placing
 from tests import test_placing
 
 
@@ -31,3 +32,24 @@
   table["a"].cold_until = 2.0
   assert table.choose(wanted, 1.5).info.id == "b"
   assert table.choose(wanted, 2.1).info.id == "a"
+
+
+def test_endpoints_without_a_free_slot_are_not_looked_at(monkeypatch):
+  table = placing.EndpointTable()
+  for number in range(100):
+    info = test_placing.endpoint(f"e{number}")
+    table[info.id] = test_placing.known_record(info)
+    for run in range(test_placing.SLOTS):
+      test_placing.add_run(table[info.id], 10, run)
+  looked_at = []
+  allows = placing.allows
+  monkeypatch.setattr(
+      placing,
+      "allows",
+      lambda record, *args: looked_at.append(record) or allows(record, *args),
+  )
+  assert table.choose(test_placing.wanted(10), 1.0) is None
+  assert not looked_at
+  record = table["e7"]
+  record.remove(next(iter(record.runs)))
+  assert table.choose(test_placing.wanted(10), 1.0) is record
