Copies of the list of endpoints stay valid while entries count down

A cold or draining endpoint's entry changes with each write (coldRemainingMs, remainingMs, clockMs). Each read of the store then gave the list another version, so that no pong confirmed the copies: they aged until the next transfer, 75 ms a listed endpoint, and beyond 10 s (134 endpoints) no copy was usable at all. The copies don't hold these fields, so they don't count as a change.

--- a/fescueturn/scheduler/endpointlist.py
+++ b/fescueturn/scheduler/endpointlist.py
@@ -56,6 +56,23 @@
     return age_s <= MAX_AGE_S and store_silent_s >= SLOW_STORE_S
 
 
+def _as_sent(endpoint: model.Endpoint) -> model.Endpoint:
+  """Returns an endpoint without what a copy of its entry can't tell.
+
+  These are its start and the times that count down from one entry to the next.
+  """
+  return model.Endpoint(
+      endpoint.id,
+      endpoint.address,
+      endpoint.service,
+      endpoint.data_centre,
+      endpoint.slots,
+      endpoint.draining,
+      endpoint.capacity,
+      endpoint.labels,
+  )
+
+
 class SharedList:
   """A holder's list of endpoints, in versions that rise with each change.
 
@@ -73,10 +90,15 @@
     return now - self._known.read_at
 
   def update(self, endpoints: tuple[model.Endpoint, ...], read_at: float):
-    """Records the list as read from the store at `read_at`."""
-    if endpoints != self._known.endpoints or not self.version:
+    """Records the list as read from the store at `read_at`.
+
+    The version stays if only such times change as the copies leave out: each
+    pong then confirms the copies.
+    """
+    sent = tuple(_as_sent(endpoint) for endpoint in endpoints)
+    if sent != self._known.endpoints or not self.version:
       self.version += 1
-    self._known = KnownList(endpoints, read_at)
+    self._known = KnownList(sent, read_at)
 
   def message_for(
       self, ping: linkmessages.Ping, now: float
