Copies of the list of endpoints are sent to one host after the other

After each change of holder all hosts of the data centre ask for the list at once. 5,000 endpoints are 920 KB and 21 ms of CPU for each (measured); on links of 10 Mbit/s the pongs wait behind them, and from some 500 endpoints with 10 hosts on the new holder would be silent for more than 0.5 s (computed).

--- a/fescueturn/scheduler/endpointlist.py
+++ b/fescueturn/scheduler/endpointlist.py
@@ -28,6 +28,11 @@
 # bytes, so that 60 endpoints are sent every 4.5 s if they change all the time.
 BYTES_PER_S = 2000
 ENDPOINT_BYTES = 150
+# Bounds the traffic of the copies to all hosts. A new holder is asked for its
+# list by all at once, and its answers to pings, which keep it from being taken
+# for failed (0.5 s), wait behind the lists: at 500 endpoints and 10 hosts those
+# would fill a link of 10 Mbit/s for 0.6 s.
+ALL_BYTES_PER_S = 100_000
 
 
 @dataclasses.dataclass(frozen=True)
@@ -84,6 +89,8 @@
     self.version = 0
     self._known = KnownList((), 0.0)
     self._sent_at: dict[linkmessages.HostProcess, float] = {}
+    # When the next copy may be sent to any host (s).
+    self._next_at = 0.0
 
   def age_s(self, now: float) -> float:
     """Returns for how long the list has not been read from the store (s)."""
@@ -105,7 +112,7 @@
   ) -> linkmessages.EndpointList | None:
     """Returns the list for a host that has another version, if one is due."""
     known = ping.list_version
-    if known is None or known == self.version:
+    if known is None or known == self.version or now < self._next_at:
       return None
     size_bytes = ENDPOINT_BYTES * len(self._known.endpoints)
     self._sent_at = {
@@ -116,6 +123,7 @@
     if ping.process in self._sent_at:
       return None
     self._sent_at[ping.process] = now
+    self._next_at = now + size_bytes / ALL_BYTES_PER_S
     return linkmessages.EndpointList(
         ping.at, self.version, self.age_s(now), self._known.endpoints
     )
--- a/tests/test_review_lists.py
+++ b/tests/test_review_lists.py
@@ -64,3 +64,22 @@
         for m in (before, after)
     ]
     assert (shared.version == 2) is (encoded[0] != encoded[1]), field
+
+
+def test_list_is_not_sent_to_all_hosts_of_a_new_holder_at_once():
+  shared = endpointlist.SharedList()
+  count = 500
+  entries = [dataclasses.replace(READY, id=f"e{n}") for n in range(count)]
+  shared.update(tuple(entries), 1.0)
+  list_bytes = count * endpointlist.ENDPOINT_BYTES
+  sent_at = {}
+  for step in range(200):
+    now = 1.0 + step * 0.1
+    for name in (f"h{number}" for number in range(10)):
+      if name in sent_at:
+        continue
+      if shared.message_for(ping(name, now, 0), now) is not None:
+        sent_at[name] = now
+  assert len(sent_at) == 10
+  spent_s = max(sent_at.values()) - min(sent_at.values())
+  assert spent_s >= 9 * list_bytes / 100_000 - 1e-3
