--- a/fescueturn/scheduler/decisions/room.py
+++ b/fescueturn/scheduler/decisions/room.py
@@ -167,7 +167,8 @@
 def _service_room(
     service: str, endpoints: list[EndpointRoom], waiting_ms: list[int]
 ) -> ServiceRoom:
-  step_cpu = max(1, max(e.cpu for e in endpoints) // STEPS)
+  # Rounded up, so that the last step holds the largest endpoint's whole CPU.
+  step_cpu = max(1, -(-max(e.cpu for e in endpoints) // STEPS))
   counts = [0] * (STEPS + 1)
   for endpoint in endpoints:
     has_room = endpoint.free_slots > 0 and endpoint.free_cpu > 0
--- a/tests/test_review_room.py
+++ b/tests/test_review_room.py
@@ -5,6 +5,7 @@
 from fescueturn.scheduler import model
 from fescueturn.scheduler import ownerroom
 from fescueturn.scheduler import ownerstate
+from fescueturn.scheduler.decisions import room
 from tests import test_placing
 
 
@@ -24,3 +25,10 @@
     owner.now = step * 0.001
     ownerroom.report(owner)
   assert abs(len(made) - reports) <= 10
+
+
+@pytest.mark.parametrize("cpu", (1, 17, 31, 63, 255, 64000, 96001))
+def test_report_shows_the_room_of_an_idle_endpoint_of_any_size(cpu):
+  idle = room.EndpointRoom("s", cpu, cpu, 1)
+  told = room.report([idle], []).of("s")
+  assert told.at_most_free(cpu) == 1
