Grants: none to hosts of an earlier version; a late pong doesn't put off the claim

A host of an earlier version closes the link on the unknown message, and the grant and half of the numbers are lost. In a rolling update such a host comes first if it alone has a holder's CPU.

A pong that the granting holder sent before it learned that its grant was taken made the new holder take the store's claim for live again, so that it claimed the shard only after that claim had expired.

--- a/fescueturn/scheduler/grants.py
+++ b/fescueturn/scheduler/grants.py
@@ -42,7 +42,9 @@
       continue
     if succession.store_answers(owner.listed_at, state.now):
       continue
-    successor = succession.choose_successor(owner.local_hosts, state.now)
+    # A host of an earlier version would close the link on this message.
+    hosts = {p: h for p, h in owner.local_hosts.items() if h.uptime_s}
+    successor = succession.choose_successor(hosts, state.now)
     if successor is not None and owner.spare_fences:
       state.granting[owner.shard] = owner
       effects += _grant(owner, successor)
--- a/fescueturn/scheduler/reducer.py
+++ b/fescueturn/scheduler/reducer.py
@@ -111,7 +111,8 @@
   elif pong is not None and event.shard in state.candidates:
     candidate = state.candidates[event.shard]
     named = candidate.holder
-    if named and event.process.boot == named.boot:
+    has_replaced_it = event.shard in state.owners  # By a grant.
+    if named and event.process.boot == named.boot and not has_replaced_it:
       election.mark_holder_alive(candidate)
     if pong.successor:
       election.name_successor(candidate, state.now)
