A holder that granted its shard and claims it again starts anew

It kept its jobs as if no other host had held the shard between its two claims; a host with its grant may have started their tasks meanwhile, which would then run twice. The numbers that it may grant are forgotten with a new claim: they are below it, so that hosts refuse them or are fenced off.

--- a/fescueturn/scheduler/keptjobs.py
+++ b/fescueturn/scheduler/keptjobs.py
@@ -13,6 +13,7 @@
 from fescueturn.scheduler import outcomes
 from fescueturn.scheduler import ownerstate
 from fescueturn.scheduler import runcontrol
+from fescueturn.scheduler import succession
 
 # Retry delay that a holder returns while it can't write to the store.
 STORE_RETRY_MS = 1000
@@ -396,6 +397,7 @@
   No other process has held the shard in between, so its jobs are kept.
   """
   owner.fence = fence
+  owner.spare_fences = succession.NO_FENCES  # Those are below the new claim.
   owner.kept_records.loaded = False
   owner.emit(keptevents.LoadKeptJobs(owner.shard, fence))
 
--- a/fescueturn/scheduler/shardownership.py
+++ b/fescueturn/scheduler/shardownership.py
@@ -43,8 +43,9 @@
     return []
   if owner is not None and owner.fence >= holder.fence:
     return []
-  # The earlier holder may have granted the shard to yet another host.
-  keeps_jobs = owner is not None and not owner.by_grant
+  # The earlier holder, or this one, may have granted the shard to yet another
+  # host, which has held it between the two claims.
+  keeps_jobs = owner is not None and not (owner.by_grant or owner.last_granted)
   if keeps_jobs and not keptjobs.has_kept_jobs(owner):
     keptjobs.replace_fence(owner, holder.fence)
     return []
--- a/tests/test_review_grants.py
+++ b/tests/test_review_grants.py
@@ -53,3 +53,33 @@
   pong = linkmessages.Pong(at=6.0)
   taker.apply(events.HolderMessageReceived(SHARD, holder.process, pong))
   assert candidate.holder_stale
+
+
+def claimed_again(holder, fence: int) -> events.HolderChanged:
+  """Returns the event of a further claim of a holder."""
+  claim = model.Holder(
+      holder.name, holder.process.boot, holder.state.me.peer, fence
+  )
+  return events.HolderChanged(SHARD, claim)
+
+
+def test_granting_holder_that_claims_again_does_not_rely_on_its_own_jobs():
+  """Another host may have held the shard and started tasks in between."""
+  emulation = fleets.fleet()
+  holder = ending_holder(emulation)
+  holder.apply(events.DrainEnding())
+  before = holder.state.owners[SHARD]
+  assert before.last_granted
+  holder.apply(claimed_again(holder, before.last_granted + 50))
+  assert holder.state.owners.get(SHARD) is not before
+
+
+def test_numbers_below_a_new_claim_are_not_granted():
+  emulation = fleets.fleet()
+  emulation.clock.run_until(4.0)
+  holder = fleets.owner_of(emulation, "a")
+  owner = holder.state.owners[SHARD]
+  assert owner.spare_fences
+  holder.apply(claimed_again(holder, owner.spare_fences.limit + 50))
+  assert holder.state.owners[SHARD] is owner
+  assert not owner.spare_fences or owner.spare_fences.first > owner.fence
