Waiting jobs don't look at all endpoints on each event

With the order of waiting jobs, each event looked at all endpoints for the usable ones, and each waiting job at all of these. The index tells whether a job's first task can start at all; only then its last one's start is forecast.

--- a/fescueturn/scheduler/runcontrol.py
+++ b/fescueturn/scheduler/runcontrol.py
@@ -28,15 +28,10 @@
   waiting = [job for job in owner.jobs.values() if job.waiting]
   if not waiting:
     return
-  usable = [r for r in owner.endpoints.values() if r.usable(owner.now)]
-  if not usable:
-    return
   startable = [job for job in waiting if _startable(owner, job)]
   for service in sorted({job.job.service for job in startable}):
     _start_in_turn(
-        owner,
-        [job for job in startable if job.job.service == service],
-        [record for record in usable if record.info.service == service],
+        owner, [job for job in startable if job.job.service == service]
     )
 
 
@@ -47,7 +42,7 @@
   return not owner.may_have_unknown_runs(job)
 
 
-def _start_in_turn(owner, jobs: list[ownerstate.JobRecord], usable):
+def _start_in_turn(owner, jobs: list[ownerstate.JobRecord]):
   """Starts tasks of one service's jobs, in the order of their urgency."""
   by_key = {job.key: job for job in jobs}
   views = [roomview.waiting_job(job) for job in jobs]
@@ -57,7 +52,7 @@
   )
   for view in order.in_turn(views, in_use, guaranteed):
     job = by_key[view.key]
-    if not _may_begin(owner, job, usable):
+    if not _may_begin(owner, job):
       continue
     for task in list(job.waiting):
       if task.previous_run is not None or crashes.blocks_start(
@@ -71,7 +66,7 @@
       in_use[job.job.priority] += 1
 
 
-def _may_begin(owner, job: ownerstate.JobRecord, usable) -> bool:
+def _may_begin(owner, job: ownerstate.JobRecord) -> bool:
   """Returns whether the tasks of a job can all start in time, if any can now.
 
   A job whose last tasks would start too late isn't begun: what it did would be
@@ -80,9 +75,15 @@
   count = len(job.waiting)
   if job.begun or job.job.kept or count == 1:
     return True
-  need = job.waiting[0].step.need
-  if not any(record.fits(need) for record in usable):
+  # The index tells this without looking at all endpoints.
+  if _choose_endpoint(owner, job, job.waiting[0]) is None:
     return False
+  need = job.waiting[0].step.need
+  usable = [
+      record
+      for record in owner.endpoints.values()
+      if record.info.service == job.job.service and record.usable(owner.now)
+  ]
   slots = roomview.slots_for(owner, usable, need)
   last_start = slots[min(count, len(slots)) - 1].free_at
   return last_start <= max(owner.now, job.latest_start)
