--- a/fescueturn/scheduler/decisions/placing.py
+++ b/fescueturn/scheduler/decisions/placing.py
@@ -29,6 +29,8 @@
 # The learnt slowness of an endpoint may be off by this much, since estimates
 # are off by 40%. Endpoints of the same speed don't make each other's tasks wait.
 SLOWNESS_ERROR = 0.15
+# Free CPU of an endpoint without a free slot, which no task fits.
+_NO_SLOT = -1
 
 
 @dataclasses.dataclass(frozen=True)
@@ -162,7 +164,8 @@
   Attributes:
     groups: the services and labels under which it is found.
     order: how fast it is.
-    entry: its free CPU, negative so that the most comes first, and its id.
+    entry: its free CPU, negative so that the most comes first, and its id. One
+      without a free slot counts as having less than none.
   """
 
   groups: tuple[tuple[str, str], ...]
@@ -174,7 +177,8 @@
   service = record.info.service
   labels = ("", *dict.fromkeys(label for label in record.info.labels if label))
   groups = tuple((service, label) for label in labels)
-  entry = (-record.free.cpu, record.info.id)
+  free_cpu = record.free.cpu if record.has_free_slot else _NO_SLOT
+  entry = (-free_cpu, record.info.id)
   return _Place(groups, speed_of(record, now), entry)
 
 
@@ -285,14 +289,18 @@
     while self._due and self._due[0][0] <= now:
       self._changed.add(heapq.heappop(self._due)[1])
     for name in self._changed:
+      place = _place_of(self[name], now) if name in self else None
+      is_cold = place is not None and place.order.cold
+      if place == self._places.get(name) and not is_cold:
+        continue  # A cold one's time may have been extended.
       self._remove_place(name)
-      if name in self:
-        self._add_place(name, now)
+      if place is not None:
+        self._add_place(name, place)
     self._changed.clear()
 
-  def _add_place(self, name: str, now: float):
+  def _add_place(self, name: str, place: _Place):
     record = self[name]
-    place = self._places[name] = _place_of(record, now)
+    self._places[name] = place
     if place.order.cold:
       heapq.heappush(self._due, (record.cold_until, name))
     for group in place.groups:
--- a/fescueturn/scheduler/endpointlist.py
+++ b/fescueturn/scheduler/endpointlist.py
@@ -28,6 +28,11 @@
 # bytes, so that 60 endpoints are sent every 4.5 s if they change all the time.
 BYTES_PER_S = 2000
 ENDPOINT_BYTES = 150
+# Bounds the traffic of the copies to all hosts. A new holder is asked for its
+# list by all at once, and its answers to pings, which keep it from being taken
+# for failed (0.5 s), wait behind the lists: at 500 endpoints and 10 hosts those
+# would fill a link of 10 Mbit/s for 0.6 s.
+ALL_BYTES_PER_S = 100_000
 
 
 @dataclasses.dataclass(frozen=True)
@@ -56,6 +61,23 @@
     return age_s <= MAX_AGE_S and store_silent_s >= SLOW_STORE_S
 
 
+def _as_sent(endpoint: model.Endpoint) -> model.Endpoint:
+  """Returns an endpoint without what a copy of its entry can't tell.
+
+  These are its start and the times that count down from one entry to the next.
+  """
+  return model.Endpoint(
+      endpoint.id,
+      endpoint.address,
+      endpoint.service,
+      endpoint.data_centre,
+      endpoint.slots,
+      endpoint.draining,
+      endpoint.capacity,
+      endpoint.labels,
+  )
+
+
 class SharedList:
   """A holder's list of endpoints, in versions that rise with each change.
 
@@ -67,23 +89,30 @@
     self.version = 0
     self._known = KnownList((), 0.0)
     self._sent_at: dict[linkmessages.HostProcess, float] = {}
+    # When the next copy may be sent to any host (s).
+    self._next_at = 0.0
 
   def age_s(self, now: float) -> float:
     """Returns for how long the list has not been read from the store (s)."""
     return now - self._known.read_at
 
   def update(self, endpoints: tuple[model.Endpoint, ...], read_at: float):
-    """Records the list as read from the store at `read_at`."""
-    if endpoints != self._known.endpoints or not self.version:
+    """Records the list as read from the store at `read_at`.
+
+    The version stays if only such times change as the copies leave out: each
+    pong then confirms the copies.
+    """
+    sent = tuple(_as_sent(endpoint) for endpoint in endpoints)
+    if sent != self._known.endpoints or not self.version:
       self.version += 1
-    self._known = KnownList(endpoints, read_at)
+    self._known = KnownList(sent, read_at)
 
   def message_for(
       self, ping: linkmessages.Ping, now: float
   ) -> linkmessages.EndpointList | None:
     """Returns the list for a host that has another version, if one is due."""
     known = ping.list_version
-    if known is None or known == self.version:
+    if known is None or known == self.version or now < self._next_at:
       return None
     size_bytes = ENDPOINT_BYTES * len(self._known.endpoints)
     self._sent_at = {
@@ -94,6 +123,7 @@
     if ping.process in self._sent_at:
       return None
     self._sent_at[ping.process] = now
+    self._next_at = now + size_bytes / ALL_BYTES_PER_S
     return linkmessages.EndpointList(
         ping.at, self.version, self.age_s(now), self._known.endpoints
     )
