--- a/fescueturn/scheduler/leases.py
+++ b/fescueturn/scheduler/leases.py
@@ -138,9 +138,12 @@
       and since_call_s < endpointstate.UNSAVED_CALL_INTERVAL_S
   ):
     return
+  superseded = record.call_pending
   record.call_number += 1
   record.call_pending = True
   record.call_sent_at = owner.now
+  if superseded:
+    record.call_lost = True  # Its answer, if any, is ignored.
   ack_number = record.next_ack()
   wait_ms = 0 if now else _call_wait_ms(owner, record)
   record.call_is_long_poll = wait_ms > 0
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -57,13 +57,9 @@
   return placing.Wanted("s", task, model.Step(1, need, 100, **step), moved_from)
 
 
-def set_slowness(record, slowness: float):
-  """Makes an endpoint look as fast as its runs have shown."""
-  took = endpointstate.Run(
-      model.RunId(model.Task("k", 0, 0), 1), None, None, 0.0, 1000
-  )
-  for _ in range(40):
-    record.record_done_run(took, slowness)
+def set_slowness(record: endpointstate.EndpointRecord, slowness: float):
+  record.speed.set_faulty(slowness)
+  record.on_change()
 
 
 def name_of(record: endpointstate.EndpointRecord | None) -> str:
--- a/tests/test_stragglers.py
+++ b/tests/test_stragglers.py
@@ -180,7 +180,8 @@
   leases.handle_endpoint_list(owner, (test_leases.ENDPOINT, *others))
   for other in others:
     owner.endpoints[other.id].runs_known = True
-  owner.now, run.percent = 0.3, 10
+  owner.now = run.progressed_at = 0.3
+  run.percent = 10
   run.state = endpointstate.RunState.RUNNING
   owner.take_effects()
   stragglers.handle_progress(owner, record, run)
