Soak: restarts under one id, short notice, stops while the store is away, bursts

Cause: the parts of hard load had no real-process soak. Change: four more series of faults, drawn with numbers of their own; checks of refusals, whole answers and fencing tokens.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -24,7 +24,7 @@
 @click.option("--seconds", default=20.0, help="How long faults begin.")
 @click.option("--seeds", default=1, help="Number of consecutive seeds.")
 @click.option("--at-once", default=1, help="Number of soaks at a time.")
-@click.option("--lossy", is_flag=True, help="Only paths that lose packets.")
+@click.option("--lossy", is_flag=True, help="Only lossy paths, and bursts.")
 @click.option("--regressions", is_flag=True, help="Run the kept seeds.")
 @click.option("--quiet", is_flag=True, help="Print the verdict only.")
 @click.option(
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -14,11 +14,14 @@
 from fescueturn import httpio
 from fescueturn import settings
 from tests import deployments
+from tests.soak import cluster as cluster_lib
 
 CALLERS = 10
 # The users' clients send a job again this long after its connection broke.
 RESEND_S = 1.3
 MAX_TRIES = 4
+# A refusal tells its caller to wait for at least this long.
+MIN_RETRY_S = 1
 POLL_S = 0.25
 # A request that was pending for longer must be answered by a stopping host.
 PENDING_S = 0.1
@@ -35,6 +38,7 @@
 
   It has one status a try, 0 for a broken connection and -1 for none. `tried`
   tells that its caller sends it no more, `abandoned` that it hangs up soon.
+  Until `refused_until` (s) every try was refused.
   """
 
   id: str
@@ -46,6 +50,8 @@
   state: str | None = None
   accepted: bool = False
   tried: bool = False
+  queue: str = deployments.PREFIX
+  refused_until: float = 0.0
 
   @property
   def refused(self) -> bool:
@@ -58,11 +64,15 @@
 
 @dataclasses.dataclass
 class Record:
-  """What all callers saw; answers to requests in flight at a SIGTERM count."""
+  """What all callers saw; answers to requests in flight at a SIGTERM count.
+
+  Refusals count once each.
+  """
 
   jobs: dict[str, Job] = dataclasses.field(default_factory=dict)
   violations: list[str] = dataclasses.field(default_factory=list)
   answered_at_stop: int = 0
+  refusals: int = 0
 
 
 class Caller:
@@ -84,6 +94,16 @@
         self._host = self._rng.choice(self._hosts)
       await self._run_job()
 
+  async def burst(self, count: int, for_s: float):
+    """Submits jobs to all hosts at a steady rate, whatever the answers."""
+    jobs = []
+    for _ in range(count):
+      self._host = self._rng.choice(self._hosts)
+      jobs.append(await curio.spawn(self._run_job, daemon=True))
+      await curio.sleep(for_s / count)
+    for job in jobs:
+      await job.join()
+
   async def _run_job(self):
     rng = self._rng
     self._count += 1
@@ -91,6 +111,7 @@
     abandoned = not kept and rng.random() < 0.05
     tasks, fails = rng.choice((1, 1, 2, 3)), rng.random() < 0.04
     job = Job(f"{self._prefix}{self._count:08x}", kept, tasks, fails, abandoned)
+    job.queue = rng.choice(cluster_lib.QUEUES)
     self._record.jobs[job.id] = job
     body, deadline_ms = self._body(job), rng.choice((1500, 3000, 5000))
     patience_s = deadline_ms / 1000 + PATIENCE_S
@@ -127,42 +148,61 @@
     )
     host, life, sent_at = self._host, self._host.life, time.monotonic()
     status, answer = await self._request(
-        host, "POST", job.id, body, headers, patience_s
+        host, "POST", job, body, headers, patience_s
     )
     pending_s = time.monotonic() - sent_at
     stopped_at = life.terminated_at
     if status == _BROKEN and not job.abandoned and pending_s > PENDING_S:
       # Only a host that was killed or paused may cut a request off.
-      if stopped_at is not None and not life.disturbed:
+      gave_up = stopped_at is None and pending_s >= patience_s
+      if not gave_up and not life.disturbed:
+        how = "running" if stopped_at is None else "stopped by SIGTERM"
         self._record.violations.append(
-            f"{host.name} process {life.number}, stopped by SIGTERM, left job"
+            f"{host.name} process {life.number}, {how}, left job"
             f" {job.id} unanswered after {pending_s:.3f} s"
         )
     elif status > 0 and stopped_at is not None and sent_at < stopped_at:
       self._record.answered_at_stop += 1
+    if status in REFUSED and set(job.statuses) <= set(REFUSED):
+      job.refused_until = time.monotonic()
     if status == 200:
-      job.state = answer["state"]
+      job.state = answer.get("state")
       job.accepted = job.kept
     elif status > 0 and status not in _EXPECTED:
       self._record.violations.append(f"job {job.id}: {host.name}: {status}")
     return status
 
   async def _request(
-      self, host, method, job_id, body=b"", headers=(), timeout_s=3.0
+      self, host, method, job, body=b"", headers=(), timeout_s=3.0
   ) -> tuple[int, dict]:
     if host.name not in self._pools:
       address = settings.Address(host.ip, host.files.callers_port)
       self._pools[host.name] = httpio.Pool(address, connect_s=1.0)
-    target = deployments.PREFIX + job_id
     try:
       response = await self._pools[host.name].request(
-          method, target, body, headers, timeout_s
+          method, job.queue + job.id, body, headers, timeout_s
       )
-      return response.status, response.json()
     except httpio.NotSentError:
       return _NOT_CONNECTED, {}
     except httpio.LostReplyError:
       return _BROKEN, {}
+    return response.status, self._read_answer(host, job, response)
+
+  def _read_answer(self, host, job: Job, response: httpio.Response) -> dict:
+    violations = self._record.violations
+    if response.status in REFUSED:
+      self._record.refusals += 1
+      retry_s = dict(response.headers).get("retry-after", "none")
+      if not retry_s.isdecimal() or int(retry_s) < MIN_RETRY_S:
+        violations.append(
+            f"job {job.id}: {host.name}: {response.status} with Retry-After"
+            f" {retry_s}"
+        )
+    try:
+      return response.json()
+    except ValueError:
+      violations.append(f"job {job.id}: {host.name}: body {response.body!r}")
+      return {}
 
   async def _follow(self, job: Job, cancels: bool):
     """Polls a kept job, or cancels it first, until it ends."""
@@ -170,7 +210,7 @@
     method = "DELETE" if cancels else "GET"
     while job.open:
       host = self._rng.choice(self._hosts)
-      status, answer = await self._request(host, method, job.id)
+      status, answer = await self._request(host, method, job)
       if status == 200:
         job.state = answer.get("state", job.state)
       elif status == 410 and method == "GET":
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -20,7 +20,9 @@
 ONE_RUN = "no task has two runs at the same time"
 NOT_AFTER_DONE = "no kept job's task starts after its end was acknowledged"
 CAPACITY = "no endpoint is over its capacity"
-REFUSED = "a job whose every try was refused never starts"
+REFUSED = "a job doesn't start while its every try is refused"
+WHOLE = "answers are whole, and refusals name a Retry-After of 1 s or more"
+TOKENS = "no two holders give an endpoint orders with one fencing token"
 DRAINING = "a draining endpoint gets no start 2 s after its report"
 KEPT = "accepted kept jobs end, and no query of them is answered 410"
 CONFIG = "the configuration never goes back in one process"
@@ -58,7 +60,9 @@
           for _, name, _, _, how, _ in history["acknowledged"]
       ),
       CAPACITY: sum(full for *_, full in starts),
-      REFUSED: sum(job.refused for job in jobs.values()),
+      REFUSED: sum(job.refused_until > 0 for job in jobs.values()),
+      WHOLE: record.refusals,
+      TOKENS: history["tokens"],
       DRAINING: _check_drains(starts, injector, violations),
       KEPT: sum(job.accepted for job in jobs.values()),
       CONFIG: sum(_check_host(host, violations) for host in hosts),
@@ -71,12 +75,13 @@
 
 
 def _check_jobs(starts, jobs: dict, violations: list[str], cut_short: bool):
-  started: dict[str, set[str]] = {}
-  for _, name, *_ in starts:
-    started.setdefault(name[:16], set()).add(name)
+  started: dict[str, list[tuple[float, str]]] = {}
+  for at, name, *_ in starts:
+    started.setdefault(name[:16], []).append((at, name))
   for job in jobs.values():
-    tasks = started.get(job.id, set())
-    if job.refused and tasks:
+    rows = started.get(job.id, [])
+    tasks = {name for _, name in rows}
+    if any(job.refused or at < job.refused_until for at, _ in rows):
       violations.append(f"job {job.id} refused ({job.statuses}) but started")
     if job.state == "succeeded" and len(tasks) != job.tasks:
       violations.append(f"job {job.id} succeeded with starts of {tasks}")
--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -21,6 +21,8 @@
 
 SLOTS = 6
 STORE = "store"
+# The prefixes of the callers' queues, by priority; 0 is the most urgent.
+QUEUES = ("/first/", deployments.PREFIX, "/last/")
 MAX_CLOCK_MS = 10_000_000
 # Time from SIGTERM to SIGKILL, as the hosts' settings files have it.
 GRACE_S = 6.0
@@ -145,6 +147,7 @@
             "address": str(address),
             "data_centre": centres[i % len(centres)],
             "clock_ms": self._rng.randrange(MAX_CLOCK_MS),
+            "listens": {},
         }
         for i, (_, address) in enumerate(servers)
     ]
@@ -157,11 +160,18 @@
       self.hosts.append(host)
       peer_port = host.files.metrics_port - 1
       servers.append((name, settings.Address(self._ip, peer_port)))
+    listens = {slot_name(i): e["listens"] for i, e in enumerate(endpoints)}
     for view, host in zip(views, self.hosts, strict=True):
-      for name, target in servers:
-        if name != host.name:
-          address = self._add_path(host.name, name, target)
-          view["addresses"][str(target)] = str(address)
+      for name, address in servers:
+        if name == host.name:
+          continue
+        target = address
+        if name in listens:
+          # An endpoint tells hosts apart by the address that they reach.
+          target = self._free_address()
+          listens[name][host.name] = str(target)
+        proxy_address = self._add_path(host.name, name, target)
+        view["addresses"][str(address)] = str(proxy_address)
     for path in self.paths.values():
       await path.start()
     await self._start_platform(views, endpoints)
@@ -213,9 +223,10 @@
     self._version += newer
     version = self._version if newer else max(1, self._version - 1)
     # Each odd version has one more queue.
-    prefixes = [deployments.PREFIX] + ["/more/"] * (version % 2)
+    prefixes = [*QUEUES, *["/more/"] * (version % 2)]
     value = deployments.config(version, prefixes)
-    for route in value["routes"]:
+    for priority, route in enumerate(value["routes"]):
+      route["priority"] = priority % len(QUEUES)
       # The callers' connections name the address in the Host header.
       route["host"] = self._ip
     await self.platform("put", key="op/config", value=value)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -28,12 +28,17 @@
 ).split()
 
 
+_STORE_TROUBLES = "store_down store_delay store_cut_down store_silence".split()
+# Jobs a second with which a burst asks for about as much as all endpoints have.
+FULL_JOBS_PER_S = 45
+
+
 @dataclasses.dataclass(frozen=True)
 class Fault:
   """One entry of a schedule, which begins `at` seconds after the start.
 
   It concerns the numbered hosts and endpoints; the amount is a share, a delay
-  (s) or a clock (ms), by kind.
+  (s), a clock (ms) or a number of jobs, by kind.
   """
 
   at: float
@@ -51,15 +56,26 @@
 
 
 def schedule(seed: int, length_s: float, lossy_only: bool) -> list[Fault]:
-  rng = random.Random(f"{seed}/faults")
   draws = [(0.8, _path_fault), (2.5, _host_fault)]
   draws += [(3.5, _slot_fault), (3.0, _store_fault)]
+  later = [(4.0, _burst)]
+  if lossy_only:
+    draws = [(2.0, _lossy)]
+  else:
+    later += [(3.0, _restart), (3.0, _leave), (5.0, _stops)]
+  faults = _series(random.Random(f"{seed}/faults"), draws, length_s)
+  # With numbers of their own, so that the kept seeds have their faults as well.
+  faults += _series(random.Random(f"{seed}/hard load"), later, length_s)
+  return sorted(faults, key=lambda fault: fault.at)
+
+
+def _series(rng, draws, length_s: float) -> list[Fault]:
   faults = []
-  for mean_s, draw in [(2.0, _lossy)] if lossy_only else draws:
+  for mean_s, draw in draws:
     at = FIRST_S
     while (at := at + rng.expovariate(1 / mean_s)) < length_s:
       faults.append(Fault(round(at, 3), *draw(rng)))
-  return sorted(faults, key=lambda fault: fault.at)
+  return faults
 
 
 def _some(rng, numbers) -> tuple[int, ...]:
@@ -100,6 +116,30 @@
   return kind, (), (rng.choice(SLOTS),), for_s, clock_ms
 
 
+def _burst(rng) -> tuple:
+  for_s = rng.uniform(0.5, 1.5)
+  jobs = int(rng.uniform(2.0, 4.0) * FULL_JOBS_PER_S * for_s)
+  return "burst", (), (), for_s, jobs
+
+
+def _restart(rng) -> tuple:
+  return "restart", (), (rng.choice(SLOTS),), rng.uniform(0.05, 1.5)
+
+
+def _leave(rng) -> tuple:
+  """An endpoint leaves at or after the end of its notice (ms)."""
+  for_s = rng.choice((0.0, rng.uniform(0.0, 2.0)))
+  return "leave", (), (rng.choice(SLOTS),), for_s, rng.randint(1700, 2000)
+
+
+def _stops(rng) -> tuple:
+  """Stops in series while the store is away, of a data centre or of all."""
+  centre = rng.choice((HOSTS[:2], HOSTS[2:], HOSTS))
+  hosts = tuple(rng.sample(centre, len(centre)))
+  kind = f"stops_{rng.choice(_STORE_TROUBLES)}"
+  return kind, hosts, (), rng.uniform(2.0, 7.0), rng.uniform(0.2, 0.6)
+
+
 def _store_fault(rng) -> tuple:
   kind = rng.choice(_STORE_KINDS)
   late = kind == "store_late"
@@ -124,12 +164,16 @@
 
 
 class Injector:
-  """Makes the faults of a schedule, and notes their times and the drains."""
+  """Makes the faults of a schedule, and notes their times and the drains.
+
+  A burst is made by `burst`, from a number of jobs and a time (s).
+  """
 
-  def __init__(self, cluster: cluster_lib.Cluster):
+  def __init__(self, cluster: cluster_lib.Cluster, burst=None):
     self.drains: list[tuple[int, str, float]] = []
     self.applied: list[tuple[Fault, float, float]] = []
     self._cluster = cluster
+    self._burst = burst
     self._busy_slots: set[int] = set()
 
   async def run(self, faults: list[Fault]):
@@ -148,6 +192,8 @@
   async def _apply(self, fault: Fault):
     begins = time.monotonic()
     make = _MAKERS.get(fault.kind, Injector._fail_paths)
+    if fault.kind.startswith("stops_"):
+      make = Injector._stop_in_series
     try:
       await make(self, fault)
     finally:
@@ -200,26 +246,49 @@
     for host in hosts:
       host.start()
 
+  async def _stop_in_series(self, fault: Fault):
+    trouble = dataclasses.replace(fault, kind=fault.kind.removeprefix("stops_"))
+    store = await curio.spawn(self._apply, trouble)
+    try:
+      for host in fault.hosts:
+        await self._signal_hosts(Fault(fault.at, "terminate", (host,)))
+      await store.join()
+    finally:
+      await store.cancel()
+
+  async def _submit_burst(self, fault: Fault):
+    await self._burst(fault.amount, fault.for_s)
+
   async def _replace_endpoint(self, fault: Fault):
-    """An endpoint drains or crashes, and comes back with a new id."""
+    """An endpoint drains, leaves, crashes or restarts, and comes back.
+
+    It then has a new id, except after a restart.
+    """
     (slot,) = fault.slots
     if slot in self._busy_slots:
       return
     self._busy_slots.add(slot)
-    down_s = fault.for_s
-    if fault.kind == "drain":
-      answer = await self._cluster.platform("drain", slot=slot)
+    down_s, ends = fault.for_s, "crash"
+    if fault.kind in ("drain", "leave"):
+      notice = {}
+      if fault.kind == "leave":
+        notice, ends = {"remainingMs": fault.amount}, "gone"
+      answer = await self._cluster.platform("drain", slot=slot, **notice)
       self.drains.append((slot, answer["id"], answer["at"]))
-      await curio.sleep(fault.for_s)
+      await curio.sleep(fault.for_s + notice.get("remainingMs", 0) / 1000)
       down_s = 0.3
     name = cluster_lib.slot_name(slot)
     paths = [p for p in self._cluster.paths.values() if p.name[1] == name]
-    await self._cluster.platform("crash", slot=slot)
+    await self._cluster.platform(ends, slot=slot)
     for path in paths:
       await path.set_fault(fault, proxy.Fault(refuse=True))
       await path.reset()
     await curio.sleep(down_s)
-    await self._cluster.platform("return", slot=slot, clock_ms=fault.amount)
+    if fault.kind == "restart":
+      await self._cluster.platform("restart", slot=slot)
+    else:
+      clock_ms = fault.amount
+      await self._cluster.platform("return", slot=slot, clock_ms=clock_ms)
     for path in paths:
       await path.set_fault(fault, None)
     self._busy_slots.discard(slot)
@@ -247,6 +316,9 @@
     **dict.fromkeys(_HOST_KINDS, Injector._signal_hosts),
     "drain": Injector._replace_endpoint,
     "crash": Injector._replace_endpoint,
+    "leave": Injector._replace_endpoint,
+    "restart": Injector._replace_endpoint,
+    "burst": Injector._submit_burst,
     "late": Injector._obey_late,
     "config": Injector._configure,
     "config_old": Injector._configure,
--- a/tests/soak/platform.py
+++ b/tests/soak/platform.py
@@ -115,13 +115,15 @@
     self._platform = platform
     self._number = number
     self._address = settings.parse_address(raw["address"])
+    self._listens = raw["listens"]
     self._data_centre = raw["data_centre"]
     self._incarnations = 0
     self.late_share = 0.0
     self.begin(raw["clock_ms"])
 
   async def start(self):
-    await httpio.Server(self._address, self._handle).start()
+    for host, address in self._listens.items():
+      await _serve(address, functools.partial(self._handle, host))
 
   def begin(self, clock_ms: int):
     self._incarnations += 1
@@ -134,6 +136,7 @@
         fakeplatform.SLOTS,
         False,
         CAPACITY,
+        born_ms=_unix_ms(),
     )
     self.endpoint = _Observed(
         platform,
@@ -152,17 +155,49 @@
   def key(self) -> str:
     return platform_endpoints.PREFIX + self.endpoint.info.id
 
-  def list(self, state: str):
+  def restart(self):
+    """Begins an incarnation with the same id; its clock starts at 0."""
+    self.endpoint.restart(_unix_ms(), -int(time.monotonic() * 1000))
+    self.list("ready")
+
+  def list(self, state: str, **more):
     entry = fakeplatform.entry(self.endpoint.info, state)
+    entry["born"] = self.endpoint.info.born_ms
+    entry["clockMs"] = self.endpoint.clock_ms
+    entry.update(more)
     self._platform.store.put(self.key, json.dumps(entry).encode())
 
-  async def _handle(self, request: httpio.Request) -> httpio.Response:
-    rng = self._platform.rng
+  async def _handle(
+      self, host: str, request: httpio.Request
+  ) -> httpio.Response:
+    rng, endpoint = self._platform.rng, self.endpoint
+    born_ms = endpoint.info.born_ms
+    self._check_token(host, request.json()["fencingToken"])
     if request.target in _ORDERS and rng.random() < self.late_share:
       await curio.sleep(rng.uniform(0.1, 3.0))
-    if self.endpoint.unreachable:
+    # What an incarnation has received ends with it.
+    if endpoint.unreachable or endpoint.info.born_ms != born_ms:
       raise ConnectionResetError("the endpoint is dead")
-    return await self._fake.handle(request)
+    response = await self._fake.handle(request)
+    if endpoint.info.born_ms != born_ms:
+      raise ConnectionResetError("the endpoint was restarted")
+    if not response.body:
+      return response
+    body = {**response.json(), "born": born_ms}
+    return httpio.json_response(response.status, body)
+
+  def _check_token(self, host: str, fence: int):
+    platform = self._platform
+    holder = platform.holders.setdefault((self._number, fence), host)
+    if holder != host:
+      platform.violations.append(
+          f"{time.monotonic():.3f} {self.endpoint.info.id}: {holder} and"
+          f" {host} order with fencing token {fence}"
+      )
+
+
+def _unix_ms() -> int:
+  return int(time.time() * 1000)
 
 
 def _task_profile(specs, task) -> endpoint_lib.TaskProfile:
@@ -184,6 +219,8 @@
     self.specs, self.running_on, self.acknowledged_done = {}, {}, set()
     self.violations: list[str] = []
     self.starts: list[tuple] = []
+    # Which host gave an endpoint orders, by slot and fencing token.
+    self.holders: dict[tuple[int, int], str] = {}
     self.acknowledged: list[tuple] = []
     self._wires: list[_Wire] = []
     self._slots: list[Slot] = []
@@ -215,16 +252,27 @@
     for wire in self._wires:
       wire.down = down
 
-  def _on_drain(self, slot: int) -> dict:
-    self._slots[slot].list("draining")
+  def _on_drain(self, slot: int, **more) -> dict:
+    self._slots[slot].list("draining", **more)
     return {"id": self._slots[slot].endpoint.info.id, "at": time.monotonic()}
 
   def _on_crash(self, slot: int):
     self._slots[slot].endpoint.crash()
 
-  def _on_return(self, slot: int, clock_ms: int):
+  def _on_gone(self, slot: int):
+    """An endpoint leaves, with all that runs there and its entry."""
+    self._on_crash(slot)
+    self._remove(slot)
+
+  def _on_restart(self, slot: int):
+    self._slots[slot].restart()
+
+  def _remove(self, slot: int):
     key = self._slots[slot].key
     self.store.transact(kvtypes.Transaction(removes=(key,)))
+
+  def _on_return(self, slot: int, clock_ms: int):
+    self._remove(slot)
     self._slots[slot].begin(clock_ms)
 
   def _on_late(self, slot: int, share: float):
@@ -235,6 +283,7 @@
 
   def _on_history(self) -> dict:
     rows = {"starts": self.starts, "acknowledged": self.acknowledged}
+    rows["tokens"] = len(self.holders)
     return {"violations": self.violations, **rows}
 
 
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -52,7 +52,8 @@
 
 async def _soak(plan, cluster, schedule, directory, echo) -> checks.Verdict:
   record = callers.Record()
-  injector = faults.Injector(cluster)
+  crowd = callers.Caller(cluster, record, plan.seed, callers.CALLERS)
+  injector = faults.Injector(cluster, crowd.burst)
   began = time.monotonic()
   stopped = curio.Event()
   supervisor = await curio.spawn(cluster.supervise)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -25,6 +25,7 @@
   verdict = curio.run(run_lib.run, plan, tmp_path, print)
   print(soak.format_verdict(plan, verdict))
   assert verdict.violations == []
+  assert verdict.tested[checks.WHOLE]
   assert sum(count > 0 for count in verdict.tested.values()) >= 6
 
 
@@ -115,13 +116,16 @@
   ids = [f"{number:016x}" for number in range(3)]
   jobs = [callers.Job(job_id, True, 1, False, False) for job_id in ids]
   jobs[0].statuses, jobs[0].tried = [429, 503], True
+  jobs[1].statuses, jobs[1].refused_until = [429, 200], 9.5
   jobs[1].state = "succeeded"
   jobs[2].state, jobs[2].accepted = "running", True
   record = callers.Record(dict(zip(ids, jobs, strict=True)), ["cut off"])
   injector = faults.Injector(None)
   injector.drains.append((0, "i-0-1", 1.0))
-  history = {"violations": ["two runs"], "acknowledged": []}
-  history["starts"] = [(9.0, f"{ids[0]}.0.0.0", 1, "i-0-1", True)]
+  history = {"violations": ["two runs"], "acknowledged": [], "tokens": 0}
+  history["starts"] = [
+      (9.0, f"{job_id}.0.0.0", 1, "i-0-1", True) for job_id in ids[:2]
+  ]
   verdict = checks.judge(history, record, injector, [host], False)
   found = "\n".join(verdict.violations)
   for words in ("two runs", "cut off", "refused", "succeeded", "not ended"):
