--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -1,5 +1,6 @@
 """The promises that a soak checks, from what callers and endpoints saw."""
 
+import collections
 import dataclasses
 import re
 
@@ -15,6 +16,7 @@
 # How long before a report a disturbance may still delay its reading.
 BEFORE_READ_S = 1.5
 LOG_FAULTS = ("event=run_duplicate", "event=reducer_failed", "Traceback")
+_TAKEN = re.compile(r"event=shard_taken data_centre=(\w+) fence=(\d+)")
 _VERSION = re.compile(r"event=config_in_force version=(\d+)")
 
 ONE_RUN = "no task has two runs at the same time"
@@ -62,7 +64,7 @@
       CAPACITY: sum(full for *_, full in starts),
       REFUSED: sum(job.refused_until > 0 for job in jobs.values()),
       WHOLE: record.refusals,
-      TOKENS: history["tokens"],
+      TOKENS: history["tokens"] + _check_tokens(hosts, violations),
       DRAINING: _check_drains(starts, injector, violations),
       KEPT: sum(job.accepted for job in jobs.values()),
       CONFIG: sum(_check_host(host, violations) for host in hosts),
@@ -112,6 +114,18 @@
   return judged
 
 
+def _check_tokens(hosts: list[cluster_lib.Host], violations) -> int:
+  """Returns how often a process became a holder, each with a token of its own."""
+  taken = collections.Counter()
+  for host in hosts:
+    log = host.files.log_file.read_text(errors="replace")
+    for text in log.split("event=started "):
+      taken.update(set(_TAKEN.findall(text)))
+  for token in [token for token, count in taken.items() if count > 1]:
+    violations.append(f"two processes took a shard with one token: {token}")
+  return taken.total()
+
+
 def _check_host(host: cluster_lib.Host, violations) -> int:
   """Checks a host; returns how often its configuration changed."""
   log = host.files.log_file.read_text(errors="replace")
--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -36,10 +36,13 @@
   return f"slot-{number}"
 
 
-def own_loopback() -> str:
-  """Returns a loopback address that no other process uses."""
+def own_loopback(number: int = 0) -> str:
+  """Returns a numbered loopback address that no other soak uses.
+
+  All have the same length.
+  """
   pid = os.getpid()
-  return f"127.{64 + (pid >> 16)}.{pid >> 8 & 255}.{pid & 255}"
+  return f"127.{100 + number}.{pid >> 8 & 255}.{pid & 255}"
 
 
 @dataclasses.dataclass
@@ -160,18 +163,7 @@
       self.hosts.append(host)
       peer_port = host.files.metrics_port - 1
       servers.append((name, settings.Address(self._ip, peer_port)))
-    listens = {slot_name(i): e["listens"] for i, e in enumerate(endpoints)}
-    for view, host in zip(views, self.hosts, strict=True):
-      for name, address in servers:
-        if name == host.name:
-          continue
-        target = address
-        if name in listens:
-          # An endpoint tells hosts apart by the address that they reach.
-          target = self._free_address()
-          listens[name][host.name] = str(target)
-        proxy_address = self._add_path(host.name, name, target)
-        view["addresses"][str(address)] = str(proxy_address)
+    self._add_host_paths(views, servers, endpoints)
     for path in self.paths.values():
       await path.start()
     await self._start_platform(views, endpoints)
@@ -181,8 +173,34 @@
     for host in self.hosts:
       await _wait_for(host.is_ready, f"{host.name} is ready")
 
-  def _add_path(self, client: str, server: str, target) -> settings.Address:
-    address = self._free_address()
+  def _add_host_paths(self, views: list, servers: list, endpoints: list):
+    """Adds the paths from hosts to endpoints and to other hosts.
+
+    An endpoint is shown at an address that differs between hosts in the IP
+    only, which the paths between hosts replace: hosts tell each other where
+    endpoints are. It tells hosts apart by the address that their path reaches.
+    """
+    listens = {slot_name(i): e["listens"] for i, e in enumerate(endpoints)}
+    ips = {h.name: own_loopback(i + 1) for i, h in enumerate(self.hosts)}
+    for view, host in zip(views, self.hosts, strict=True):
+      for name, address in servers:
+        if name == host.name:
+          continue
+        if name in listens:
+          target = self._free_address()
+          listens[name][host.name] = str(target)
+          shown = settings.Address(ips[host.name], address.port)
+          self._add_path(host.name, name, target, shown)
+        else:
+          shown = self._add_path(host.name, name, address)
+          own_texts = ips[host.name].encode(), ips[name].encode()
+          self.paths[host.name, name].texts = own_texts
+        view["addresses"][str(address)] = str(shown)
+
+  def _add_path(
+      self, client: str, server: str, target, address=None
+  ) -> settings.Address:
+    address = address or self._free_address()
     rng = random.Random(f"{self._seed}/{client}/{server}")
     path = proxy.Path((client, server), address, target, rng)
     self.paths[path.name] = path
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -56,7 +56,11 @@
 
 
 class Path:
-  """A proxy from its own address to a server's, which are its `name`."""
+  """A proxy from its own address to a server's, which are its `name`.
+
+  It replaces the first of its `texts` by the second on the way up, and the
+  second by the first on the way down.
+  """
 
   def __init__(
       self,
@@ -66,6 +70,7 @@
       rng: random.Random,
   ):
     self.name = name
+    self.texts = (b"", b"")
     self._address, self._target = address, target
     self._rng = rng
     self._faults: dict[object, Fault] = {}
@@ -185,6 +190,8 @@
         data = b""
         with contextlib.suppress(ConnectionError):
           data = await source.recv(READ_SIZE)
+        if self.texts[0]:
+          data = data.replace(*(self.texts if up else self.texts[::-1]))
         delay_s = self._delay_s(up)
         if delay_s:
           await curio.sleep(delay_s)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -29,6 +29,13 @@
   assert sum(count > 0 for count in verdict.tested.values()) >= 6
 
 
+def test_short_seeds_bring_hard_load():
+  kinds = {fault.kind for fault in faults.schedule(2, 10.0, False)}
+  assert kinds >= {"burst", "leave", "restart"}
+  assert any(kind.startswith("stops_") for kind in kinds)
+  assert "burst" in {f.kind for f in faults.schedule(1, 8.0, True)}
+
+
 def test_kept_seeds_can_be_read():
   assert len(soak.read_regressions()) > 0
 
@@ -95,6 +102,15 @@
   run_with_proxy(scenario)
 
 
+def test_texts_are_replaced_on_the_way():
+  async def scenario(path, requests, get):
+    path.texts = (b"/here", b"/away")
+    assert await get("/here/1") == 200
+    assert requests == ["/away/1"]
+
+  run_with_proxy(scenario)
+
+
 def test_one_way_cut_loses_the_answer_and_ends_the_connection():
   async def scenario(path, requests, get):
     await path.set_fault("cut", proxy.Fault(hold_down=True))
@@ -109,7 +125,10 @@
 def test_checks_find_each_broken_promise(tmp_path):
   log = tmp_path / "host.log"
   version = "event=config_in_force version="
-  log.write_text(f"event=started\n{version}2\n{version}1\nTraceback")
+  taken = "event=shard_taken data_centre=south fence=7\n"
+  log.write_text(
+      f"{taken}event=started \n{taken}{version}2\n{version}1\nTraceback"
+  )
   process = types.SimpleNamespace(poll=lambda: 1, returncode=1)
   host = cluster.Host(types.SimpleNamespace(name="h", log_file=log), "")
   host.lives.append(cluster.Life(0, process, 0.0))
@@ -130,5 +149,11 @@
   found = "\n".join(verdict.violations)
   for words in ("two runs", "cut off", "refused", "succeeded", "not ended"):
     assert words in found
-  for words in ("drains since", "configurations [2, 1]", "Traceback", "exited"):
+  for words in (
+      "drains since",
+      "one token",
+      "configurations [2, 1]",
+      "Traceback",
+      "exited",
+  ):
     assert words in found
