--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -132,10 +132,10 @@
   process = types.SimpleNamespace(poll=lambda: 1, returncode=1)
   host = cluster.Host(types.SimpleNamespace(name="h", log_file=log), "")
   host.lives.append(cluster.Life(0, process, 0.0))
-  ids = [f"{number:016x}" for number in range(3)]
+  ids = [f"{number:016x}" for number in range(4)]
   jobs = [callers.Job(job_id, True, 1, False, False) for job_id in ids]
   jobs[0].statuses, jobs[0].tried = [429, 503], True
-  jobs[1].statuses, jobs[1].refused_until = [429, 200], 9.5
+  jobs[3].statuses, jobs[3].refused_until = [429, 200], 9.5
   jobs[1].state = "succeeded"
   jobs[2].state, jobs[2].accepted = "running", True
   record = callers.Record(dict(zip(ids, jobs, strict=True)), ["cut off"])
@@ -143,10 +143,11 @@
   injector.drains.append((0, "i-0-1", 1.0))
   history = {"violations": ["two runs"], "acknowledged": [], "tokens": 0}
   history["starts"] = [
-      (9.0, f"{job_id}.0.0.0", 1, "i-0-1", True) for job_id in ids[:2]
+      (9.0, f"{job_id}.0.0.0", 1, "i-0-1", True) for job_id in ids[::3]
   ]
   verdict = checks.judge(history, record, injector, [host], False)
   found = "\n".join(verdict.violations)
+  assert found.count("but started") == 2
   for words in ("two runs", "cut off", "refused", "succeeded", "not ended"):
     assert words in found
   for words in (
