--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -25,9 +25,17 @@
   verdict = curio.run(run_lib.run, plan, tmp_path, print)
   print(soak.format_verdict(plan, verdict))
   assert verdict.violations == []
+  assert verdict.tested[checks.WHOLE]
   assert sum(count > 0 for count in verdict.tested.values()) >= 6
 
 
+def test_short_seeds_bring_hard_load():
+  kinds = {fault.kind for fault in faults.schedule(2, 10.0, False)}
+  assert kinds >= {"burst", "leave", "restart"}
+  assert any(kind.startswith("stops_") for kind in kinds)
+  assert "burst" in {f.kind for f in faults.schedule(1, 8.0, True)}
+
+
 def test_kept_seeds_can_be_read():
   assert len(soak.read_regressions()) > 0
 
@@ -94,6 +102,15 @@
   run_with_proxy(scenario)
 
 
+def test_texts_are_replaced_on_the_way():
+  async def scenario(path, requests, get):
+    path.texts = (b"/here", b"/away")
+    assert await get("/here/1") == 200
+    assert requests == ["/away/1"]
+
+  run_with_proxy(scenario)
+
+
 def test_one_way_cut_loses_the_answer_and_ends_the_connection():
   async def scenario(path, requests, get):
     await path.set_fault("cut", proxy.Fault(hold_down=True))
@@ -108,23 +125,36 @@
 def test_checks_find_each_broken_promise(tmp_path):
   log = tmp_path / "host.log"
   version = "event=config_in_force version="
-  log.write_text(f"event=started\n{version}2\n{version}1\nTraceback")
+  taken = "event=shard_taken data_centre=south fence=7\n"
+  log.write_text(
+      f"{taken}event=started \n{taken}{version}2\n{version}1\nTraceback"
+  )
   process = types.SimpleNamespace(poll=lambda: 1, returncode=1)
   host = cluster.Host(types.SimpleNamespace(name="h", log_file=log), "")
   host.lives.append(cluster.Life(0, process, 0.0))
-  ids = [f"{number:016x}" for number in range(3)]
+  ids = [f"{number:016x}" for number in range(4)]
   jobs = [callers.Job(job_id, True, 1, False, False) for job_id in ids]
   jobs[0].statuses, jobs[0].tried = [429, 503], True
+  jobs[3].statuses, jobs[3].refused_until = [429, 200], 9.5
   jobs[1].state = "succeeded"
   jobs[2].state, jobs[2].accepted = "running", True
   record = callers.Record(dict(zip(ids, jobs, strict=True)), ["cut off"])
   injector = faults.Injector(None)
   injector.drains.append((0, "i-0-1", 1.0))
-  history = {"violations": ["two runs"], "acknowledged": []}
-  history["starts"] = [(9.0, f"{ids[0]}.0.0.0", 1, "i-0-1", True)]
+  history = {"violations": ["two runs"], "acknowledged": [], "tokens": 0}
+  history["starts"] = [
+      (9.0, f"{job_id}.0.0.0", 1, "i-0-1", True) for job_id in ids[::3]
+  ]
   verdict = checks.judge(history, record, injector, [host], False)
   found = "\n".join(verdict.violations)
+  assert found.count("but started") == 2
   for words in ("two runs", "cut off", "refused", "succeeded", "not ended"):
     assert words in found
-  for words in ("drains since", "configurations [2, 1]", "Traceback", "exited"):
+  for words in (
+      "drains since",
+      "one token",
+      "configurations [2, 1]",
+      "Traceback",
+      "exited",
+  ):
     assert words in found
