--- a/fescueturn/scheduler/decisions/forecast.py
+++ b/fescueturn/scheduler/decisions/forecast.py
@@ -99,10 +99,9 @@
       job, room.total, chance, room.time_factor, room.run_times
   )
   latest_start = now - age_s + latest_begin_s(room, job)
-  waits = (
-      _wait_in_turn(room, job, latest_start, now),
-      _wait_in_guaranteed(room, job, latest_start, now),
-  )
+  waits = [_wait_in_turn(room, job, latest_start, now)]
+  if len(_guaranteed(room, job.priority)) > 1:
+    waits.append(_wait_in_guaranteed(room, job, latest_start, now))
   wait_s = min((s for s in waits if s is not None), default=None)
   if wait_s is None:
     return _NO_ENDPOINT
