--- a/fescueturn/emulator/endpoint.py
+++ b/fescueturn/emulator/endpoint.py
@@ -280,7 +280,7 @@
     self.unreachable = True
 
   def restart(self, born_ms: int, clock_offset_ms: int = 0):
-    """Starts another incarnation under the same id, which knows nothing.
+    """Starts another incarnation under the same id, without any state.
 
     Args:
       born_ms: when it starts (Unix time, ms).
--- a/fescueturn/emulator/fleet.py
+++ b/fescueturn/emulator/fleet.py
@@ -2,8 +2,8 @@
 
 Tests inject faults through its methods and attributes: a host can be killed,
 frozen or partitioned from others, a link between hosts can be reset, the store
-can be unavailable, and endpoints can misbehave. The answers to callers are collected in `answers` and violations
-of the scheduler's invariants in `broken`.
+can be unavailable, and endpoints can misbehave. The answers to callers are
+collected in `answers` and violations of the scheduler's invariants in `broken`.
 """
 
 import collections
@@ -37,7 +37,7 @@
     answer: the answer.
     took_s: the time (s) from the request to the answer.
     beside_room: True if the job was refused although the reachable endpoints
-      had room for all of its first tasks at that moment.
+      had room for all of its first tasks at the time of the answer.
   """
 
   answer: events.Answer
--- a/fescueturn/emulator/fleetstore.py
+++ b/fescueturn/emulator/fleetstore.py
@@ -12,7 +12,8 @@
 # hosts handle them late.
 MAX_WATCH_DELAY_FACTOR = 6.0
 CLAIM_LEASE_S = 1.5
-# How many other keys are written between two reports of the store's revision.
+# How many writes of other keys are assumed between two reports of the store's
+# revision; they use up revisions, which holders may grant as fencing tokens.
 OTHER_WRITES = 5
 # Time (s) after which an unanswered write is repeated.
 STORE_TIMEOUT_S = 1.0
--- a/fescueturn/emulator/load.py
+++ b/fescueturn/emulator/load.py
@@ -1,8 +1,8 @@
 """Seeded load on an emulated fleet, and a report of the answers to callers.
 
 The mix follows the users' data sheets: short jobs of many tasks (wide), short
-jobs of few tasks (narrow) and jobs of long tasks (long), in several data centres
-whose endpoints have the resources for two or three tasks each.
+jobs of few tasks (narrow) and jobs of long tasks (long), in several data
+centres whose endpoints have the resources for two or three tasks each.
 """
 
 import dataclasses
@@ -29,7 +29,7 @@
 LATE_FACTOR = 3.0
 # The upper end of the latency histogram: one minute, in microseconds.
 MAX_LATENCY_US = 60_000_000
-# How much longer the few tasks take that are far above their estimate.
+# How many times as long as usual a long task (`Plan.long_tasks`) takes.
 LONG_TASK_FACTOR = 7.0
 
 
--- a/fescueturn/explain.py
+++ b/fescueturn/explain.py
@@ -8,7 +8,8 @@
 import shlex
 from collections.abc import Iterable
 
-# Stands for a `job_answered` that refuses the job and says where room was.
+# The template's key for a `job_answered` line of a refusal, which also has the
+# room at the holders.
 _REFUSAL = "job_answered refused"
 # The description of each event; names in braces are fields of its log line.
 _TEMPLATES = {
--- a/fescueturn/lab/__init__.py
+++ b/fescueturn/lab/__init__.py
@@ -1,1 +1,1 @@
-"""Tools: the demo, benchmarks, and daemons started on the local machine."""
+"""Tools: the demo, benchmarks, and daemons started on the local host."""
--- a/fescueturn/lab/hotpath.py
+++ b/fescueturn/lab/hotpath.py
@@ -1,7 +1,7 @@
 """Benchmark of the processor time that hosts spend on a job, without I/O.
 
 It measures scheduling decisions and the writing of log lines. Its figures serve
-to compare versions on one machine; figures of different machines can't be
+to compare versions on one host; figures of different hosts can't be
 compared.
 """
 
--- a/fescueturn/lab/placingbench.py
+++ b/fescueturn/lab/placingbench.py
@@ -1,6 +1,6 @@
 """Benchmark of the choice of an endpoint, at any number of endpoints.
 
-A busy holder is played: each task that is placed takes the place of one that
+It simulates a busy holder: each task that is placed takes the place of one that
 has ended, on endpoints of different sizes and speeds that are nearly full. It
 measures the index and, for comparison, a scan of all endpoints.
 """
@@ -19,7 +19,8 @@
 SERVICE = "s"
 TASK_CPU = (25600, 38400)
 SPEEDS = (0.8, 1.0, 1.2)
-# The scan is only measured as often as this many endpoints are looked at.
+# The number of endpoints that all measured scans together look at, which bounds
+# the benchmark's time.
 SCANNED_ENDPOINTS = 500_000
 
 
--- a/fescueturn/placement.py
+++ b/fescueturn/placement.py
@@ -4,8 +4,8 @@
 with a free slot in this entry host's share. It excludes endpoints that are
 leaving, unreachable, or fail the tasks they start: an endpoint that fails fast
 would otherwise look idle and attract every task. `TaskQueue` holds the tasks
-that wait for a slot and serves the teams in turn by their weights (`shares`), so
-a burst of one team does not delay the tasks of another.
+that wait for a slot and serves the teams in turn by their weights (`shares`),
+so a burst of one team does not delay the tasks of another.
 """
 
 import collections
--- a/fescueturn/platform/role.py
+++ b/fescueturn/platform/role.py
@@ -40,15 +40,21 @@
 # The shortest time for which a stopping process serves new connections: the
 # balancer probes once a second and opens no more after two failed probes.
 ROTATION_DELAY_S = 2.3
-# How long a stopping process still accepts jobs. The last accepted ones have 2.3
-# s left to run, which is enough for 95% of the jobs, and by then the balancer has
-# had time to send new jobs to other hosts.
+# How long a stopping process still accepts jobs. The last accepted ones have
+# 2.3 s left to run, which is enough for 95% of the jobs, and by then the
+# balancer has had time to send new jobs to other hosts.
 ACCEPT_JOBS_S = 3.0
-# The process exits this long before the end of its grace period, even if jobs
-# are still open.
+# A planned stop ends in this order, counted back from the end of the grace
+# period: the process grants a shard that it still holds (1.65 s before the
+# end), it stops waiting for open jobs (0.95 s), and in what is left it answers
+# the last requests, closes its connections and exits.
+
+# How long before the end of its grace period the process stops waiting for open
+# jobs. On a busy host it may take over 0.7 s from then until it has exited.
 EXIT_MARGIN_S = 0.95
-# How long before its exit a process that could not release its shard grants it
-# to another host: three tries of 0.2 s fit.
+# How long before that (`EXIT_MARGIN_S`), not before the end of the grace
+# period, a process that could not release its shard grants it to another host.
+# Three tries of 0.2 s (`grants.RETRY_S`) fit.
 GRANT_BEFORE_EXIT_S = 0.7
 # Time to read and answer the last requests on open connections.
 FLUSH_S = 0.15
--- a/fescueturn/scheduler/coordinatorstate.py
+++ b/fescueturn/scheduler/coordinatorstate.py
@@ -60,7 +60,8 @@
     may_have_run: True once a task may have run, whether or not it still does.
     reason: why a holder declined the job outright, for the logs.
     wait_ms: the longest wait that such a holder reported (ms).
-    best_wait_ms: the shortest one; None if none reported any.
+    best_wait_ms: the shortest wait that such a holder reported (ms); None if
+      none reported any.
   """
 
   def __init__(self, request_id, key, job, now, deadline_s, trace_id):
@@ -196,7 +197,8 @@
     self.queries: dict[tuple[str, bool], JobQuery] = {}
     self.pinged_at = 0.0
     self.remote_pinged_at = 0.0
-    # Until when the holders are asked for their room, and when they last were.
+    # Until when the holders are asked for their room, and when they last were
+    # (s).
     self.room_wanted_until = 0.0
     self.room_asked_at = 0.0
     self.returns = retrydelay.Returns()
--- a/fescueturn/scheduler/decisions/__init__.py
+++ b/fescueturn/scheduler/decisions/__init__.py
@@ -1,1 +1,1 @@
-"""Decisions under load: plain functions over values, without owner or network."""
+"""Decisions under load: plain functions of values, without I/O."""
--- a/fescueturn/scheduler/decisions/admission.py
+++ b/fescueturn/scheduler/decisions/admission.py
@@ -22,11 +22,14 @@
 # The same for a kept job. Its caller doesn't wait for it, and it is run in any
 # case once it is accepted.
 CHANCE_TO_KEEP = 0.5
-# A job that has waited so long that its chance is lower than this, if it began
-# at once, isn't begun any more: its caller is told so at once.
+# A waiting job is refused once its chance, if it began now, is lower than this.
+# The time at which that happens is set when the job is accepted, and also
+# orders waiting jobs of equal urgency. Kept jobs are never refused. It is below
+# `CHANCE_TO_ACCEPT`, so that an accepted job may wait longer than forecast.
 CHANCE_TO_BEGIN = 0.75
-# A job that waits no longer than this is taken and begun whatever its chance:
-# there is free room for it, and none of those that wait can use it.
+# A job that waits no longer than this is accepted and begun whatever its
+# chance: it finds free room at once, so refusing it would leave that room
+# unused.
 FREE_ROOM_WAIT_S = 0.02
 # A step that needs more than this part of all slots is expected to run in
 # waves, and the caller's objective allows for that.
@@ -71,7 +74,7 @@
   Args:
     job: the job.
     slots: the number of slots in total.
-    wait_s: how long the job waits in all, from its arrival on.
+    wait_s: how long the job waits in all, from its arrival on (s).
     time_factor: how many times the usual time its tasks take.
     run_times: the spread of run times.
   """
@@ -90,7 +93,18 @@
     time_factor: float,
     run_times: RunTimes,
 ) -> float:
-  """Returns the longest wait (s) that leaves a chance of ending in time."""
+  """Returns the longest wait that leaves a given chance of ending in time.
+
+  Args:
+    job: the job.
+    slots: the number of slots in total.
+    chance: the chance (0 to 1).
+    time_factor: how many times the usual time its tasks take.
+    run_times: the spread of run times.
+
+  Returns:
+    Seconds from the job's arrival; at least `FREE_ROOM_WAIT_S`.
+  """
   gain_s = (job.stretch - time_factor) * critical_path_s(job, slots)
   share = 1 - chance if gain_s > 0 else chance
   wait_s = job.slo_ms / 1000 + gain_s * run_times.quantile(job.queue, share)
@@ -107,11 +121,11 @@
   """Returns when the last of `count` tasks would end, in seconds from now.
 
   Args:
-    slots: when slots become free, soonest first.
+    slots: when slots become free (s), soonest first.
     ahead: the expected run times (s) of the tasks queued before these.
     count: how many tasks are to run.
     run_s: how long each of them is expected to run.
-    now: the time.
+    now: the time (s).
 
   Returns:
     Seconds; None if there are no slots at all.
--- a/fescueturn/scheduler/decisions/forecast.py
+++ b/fescueturn/scheduler/decisions/forecast.py
@@ -8,11 +8,12 @@
 from fescueturn.scheduler.decisions import admission
 from fescueturn.scheduler.decisions import order
 
-# Retry delay that a holder without a usable endpoint returns.
+# Retry delay (s) that a holder without a usable endpoint returns.
 NO_ENDPOINT_RETRY_S = 1.0
-# Urgent jobs that are still to come are assumed to leave at least this part of
-# the room that becomes free; what was guaranteed to a job's urgency is counted
-# on its own.
+# More urgent jobs that arrive later are assumed to leave at least this part of
+# the room that becomes free. It bounds the forecast wait if their demand alone
+# fills all slots; the slots guaranteed to the job's own urgency are counted
+# separately (`_wait_in_guaranteed`).
 MIN_PART_LEFT = 0.1
 
 
@@ -59,8 +60,8 @@
   """What is expected of a job at one owner.
 
   Attributes:
-    wait_s: until when its last task would have to wait (s).
-    late_s: by how much it would wait too long; 0 if it is to be accepted.
+    wait_s: how long from now the last of its first tasks would wait (s).
+    late_s: by how much it would wait too long (s); 0 if it is to be accepted.
     chance: the chance that it ends in time.
     free_slots: how many of its tasks could start now.
     tasks_ahead: how many waiting tasks would start before its own.
--- a/fescueturn/scheduler/decisions/leaving.py
+++ b/fescueturn/scheduler/decisions/leaving.py
@@ -1,4 +1,4 @@
-"""How long an endpoint surely stays, and whether it is still cold.
+"""How long an endpoint stays at least, and whether it is still cold.
 
 An endpoint that is being emptied announces the least time that it stays, and
 everything on it ends when it leaves. One that has just started announces how
@@ -9,8 +9,8 @@
 from fescueturn.scheduler import endpointstate
 from fescueturn.scheduler import model
 
-# The assumed age of an entry that doesn't tell when it was written: the list is
-# read every 0.7 s, and the read itself may take a few hundred milliseconds.
+# The assumed age (s) of an entry without the time at which it was written: the
+# list is read every 0.7 s, and a read may take a few hundred milliseconds.
 ENTRY_AGE_S = 1.0
 # A run must end this long before its endpoint leaves, so that its end is still
 # reported: the answer to a call takes up to 20 ms.
@@ -46,7 +46,7 @@
   Args:
     record: the endpoint, with its previous entry if it has one.
     info: the entry just read.
-    now: the time.
+    now: the time (s).
   """
   if is_same_statement(record.info, info) and record.entry_recorded:
     return
--- a/fescueturn/scheduler/decisions/order.py
+++ b/fescueturn/scheduler/decisions/order.py
@@ -1,10 +1,10 @@
 """The order in which waiting jobs get room: by urgency, then by what is left.
 
-A job's urgency is its queue's priority; 0 is the most urgent. While there is too
-little room, the more urgent jobs go first, so that they wait the least. A part
-of the room is guaranteed to the less urgent ones, however many urgent jobs there
-are. A job that has begun is finished first: what it has done is lost if its
-other tasks are late.
+A job's urgency is its queue's priority; 0 is the most urgent. While there is
+too little room, the more urgent jobs go first, so that they wait the least. A
+part of the room is guaranteed to the less urgent ones, however many urgent jobs
+there are. A job that has begun is finished first: what it has done is lost if
+its other tasks are late.
 """
 
 import dataclasses
@@ -13,9 +13,8 @@
 from collections.abc import Mapping
 
 # The part of the room that is divided equally between the urgencies that have
-# jobs. It answers a load that exceeds the room with urgent jobs alone: the
-# callers of less urgent ones still get some of them served. The other part goes
-# to the most urgent.
+# jobs; the rest goes to the most urgent. Without it, urgent jobs that alone
+# exceed the room would leave nothing for the less urgent ones.
 GUARANTEED_PART = 0.6
 
 
--- a/fescueturn/scheduler/decisions/placing.py
+++ b/fescueturn/scheduler/decisions/placing.py
@@ -19,17 +19,20 @@
 from fescueturn.scheduler import model
 from fescueturn.scheduler.decisions import leaving
 
-# Endpoints whose speeds differ by less than this part count as equally fast,
-# since speeds are learnt from run times whose estimates are off by 40%.
+# Decimal digits to which slowness is rounded: endpoints that round to the same
+# value count as equally fast. Slowness is learnt from run times whose estimates
+# are off by up to 40%, so finer differences mean little.
 SPEED_DIGITS = 1
-# A task waits for a faster endpoint only while that one would end it this long
-# before its objective. Twenty busy endpoints end a run every few milliseconds,
-# so that many come free in this time.
+# A task waits for a faster endpoint only while the fastest, if it were free
+# now, would end the task more than this (s) before its objective. Twenty busy
+# endpoints end a run every few milliseconds, so many become free in this time.
 WAIT_MARGIN_S = 0.05
-# The learnt slowness of an endpoint may be off by this much, since estimates
-# are off by 40%. Endpoints of the same speed don't make each other's tasks wait.
+# Added to the slowness that a task accepts, since the learnt slowness may be
+# off by this much. Otherwise tasks would wait for endpoints that only seem
+# faster.
 SLOWNESS_ERROR = 0.15
-# Free CPU of an endpoint without a free slot, which no task fits.
+# Stands for the free CPU of an endpoint without a free slot; no task fits
+# there.
 _NO_SLOT = -1
 
 
@@ -42,7 +45,7 @@
     task: the task.
     step: its step.
     moved_from: the endpoint that it was moved from; "" if none.
-    max_slowness: how slow the endpoint may be.
+    max_slowness: the slowness that the endpoint must stay below.
   """
 
   service: str
@@ -56,7 +59,7 @@
   """Returns how slow an endpoint may be for a task to start there now.
 
   A task that would end too late there waits for a faster endpoint, while the
-  fastest would still end it in time. What has more slack uses the slow ones.
+  fastest would still end it in time. Tasks with more slack may use slower ones.
 
   Args:
     estimate_s: the task's estimated run time (s).
@@ -144,7 +147,7 @@
   Args:
     records: the endpoints.
     wanted: what the task asks of its endpoint.
-    now: the time.
+    now: the time (s).
     risk: returns what the task would put at risk on an endpoint; the least is
       the best.
   """
@@ -224,7 +227,7 @@
 
     Args:
       wanted: what the task asks of its endpoint.
-      now: the time.
+      now: the time (s).
       accepts: a further condition on the endpoint.
     """
     self._update_index(now)
--- a/fescueturn/scheduler/decisions/reservations.py
+++ b/fescueturn/scheduler/decisions/reservations.py
@@ -3,10 +3,8 @@
 A job's width is its number of tasks. A wide job has to find its slots within
 about 100 ms; without a reservation narrow jobs take each slot as soon as it is
 free. The reservation is designed for jobs of 8 tasks of 60 ms beside jobs of 2
-tasks of 200 ms on 18 slots a data centre. At 1.3 times the capacity, 34% of the
-wide jobs and 78% of the narrow ones were served in time without a reservation,
-60% and 63% with one. Of the jobs of four long tasks it was 64% without and 86%
-with one (16 seeds of the emulated load).
+tasks of 200 ms on 18 slots a data centre. It serves more of the wide jobs in
+time, at the cost of some narrow ones.
 """
 
 import dataclasses
@@ -20,17 +18,14 @@
 # 14 s after its last job.
 MIN_JOBS = 0.001
 # The slots reserved for a queue of wide jobs, in multiples of its mean demand:
-# these jobs arrive in bursts. Emulated loads of 110 and 130 jobs a second (1.1
-# and 1.3 times the capacity) earned 0.78 and 0.61 of their total value without
-# a reservation, 0.81 and 0.67 with a factor of 1.0, 0.82 and 0.71 with 1.5.
+# these jobs arrive in bursts, so the mean alone reserves too little.
 PEAK_FACTOR = 1.5
 # Upper limit of the reservation, as a part of all slots. Narrow jobs can always
-# use at least 2 of 5 slots; at 220 jobs a second (2.2 times the capacity) a
-# quarter of them are served.
+# use at least 2 of 5 slots, however high the demand of wide ones is.
 MAX_RESERVED_FRACTION = 0.6
-# The same for wider jobs that are more urgent. They go first in any case; the
-# reservation only helps bursts of them to find many slots at once, and a caller
-# who is refused beside a slot that is kept free is served worst.
+# The same for the slots reserved for wider jobs that are more urgent. They go
+# first in any case, so the reservation only has to help bursts of them to find
+# many slots at once. A higher limit would refuse jobs while slots stay unused.
 MAX_RESERVED_FOR_URGENT = 0.2
 
 
@@ -113,7 +108,8 @@
   ) -> int:
     """Returns how many slots a job must leave to queues of wider jobs.
 
-    Queues that are less urgent have no part in it: room is guaranteed to them.
+    Nothing is reserved for less urgent queues, since room is guaranteed to them
+    (`order.guaranteed_slots`).
 
     Nothing is reserved while the demand of all queues is below the capacity.
 
@@ -122,11 +118,10 @@
       tasks: the number of its tasks.
       in_use: the number of running and waiting tasks, by queue.
       total: the number of slots.
-      priority: its urgency.
+      priority: its urgency; 0 is the most urgent.
     """
     if sum(demand.mean_slots for demand in self._queues.values()) < total:
-      # There are slots for all. A reservation in this case too cost a load of
-      # 0.9 times the capacity 0.013 of its total value.
+      # There are slots for all; a reservation would only leave some unused.
       return 0
     own = self._queues.get(queue)
     width = own.width if own else tasks
--- a/fescueturn/scheduler/decisions/retrydelay.py
+++ b/fescueturn/scheduler/decisions/retrydelay.py
@@ -1,18 +1,20 @@
 """The Retry-After of jobs that are refused for lack of capacity.
 
-A refused caller is told to return when the work before it should be done: the
-shortest wait anywhere, and the callers of at least its urgency that this host
-has already told to return. Callers refused together thus return one after the
-other, and the delay grows with an overload and shrinks after it.
+A refused caller is told to return when the work before it should be done. That
+is after the shortest time in which a holder expects to accept such a job, plus
+the time to serve the callers of at least its urgency that this host has already
+told to return. Callers refused together thus return one after the other, and
+the delay grows with an overload and shrinks after it.
 """
 
 import math
 import zlib
 
-# HTTP has whole seconds, and 0 would have callers return at once.
+# Shortest delay (s): Retry-After is in whole seconds, and with 0 callers would
+# return at once.
 MIN_DELAY_S = 1
-# Longest delay. Bursts above the capacity last 4 to 9 s; a caller that is told
-# to wait longer would miss free capacity after one.
+# Longest delay (s). Bursts above the capacity last 4 to 9 s; a caller that is
+# told to wait longer would miss free capacity after one.
 MAX_DELAY_S = 8
 # Averaging time of the rate at which jobs are served: some ten of the usual
 # tasks (200 ms), short compared with a burst.
@@ -53,8 +55,9 @@
     Args:
       job_id: the job's id, which decides how a fraction is rounded.
       priority: the job's priority.
-      wait_s: the shortest expected wait for capacity anywhere.
-      now: the time.
+      wait_s: the shortest time (s) in which a holder expects to accept such a
+        job.
+      now: the time (s).
     """
     self._decay(now)
     per_s = max(MIN_SERVED_PER_S, self._served / RATE_WINDOW_S)
--- a/fescueturn/scheduler/decisions/room.py
+++ b/fescueturn/scheduler/decisions/room.py
@@ -31,7 +31,7 @@
   Attributes:
     service: the endpoint's service.
     cpu: its CPU capacity, in thousandths of a core.
-    free_cpu: its free CPU.
+    free_cpu: its free CPU, in the same unit.
     free_slots: how many more tasks it may run at once.
     remaining_ms: for each of its runs, the expected time to its end (ms).
     slowness: the ratio of run times to estimates there.
@@ -66,7 +66,8 @@
 
   Attributes:
     service: the service.
-    step_cpu: width of the steps of `endpoints_by_room`.
+    step_cpu: width of the steps of `endpoints_by_room`, in thousandths of a
+      core.
     endpoints_by_room: the number of endpoints by their free CPU; the first
       entry counts those with less than `step_cpu`, or without a free slot.
     free_slots: how many more tasks all endpoints may run, whatever their CPU.
@@ -114,11 +115,11 @@
     The runs are taken to end evenly over twice their mean remaining time.
 
     Args:
-      cpu: the CPU of one task.
+      cpu: the CPU of one task, in thousandths of a core.
       tasks: the number of tasks.
       priority: their job's priority.
-      taken: tasks that took room since the report was made.
-      taken_ms: their work (ms).
+      taken: the number of tasks offered since the report was made.
+      taken_ms: the sum of their estimated run times (ms).
     """
     free = self.at_least_free(cpu)
     ahead_ms = self.work_ahead_ms(priority)
--- a/fescueturn/scheduler/decisions/runtimes.py
+++ b/fescueturn/scheduler/decisions/runtimes.py
@@ -10,12 +10,13 @@
 import itertools
 import math
 
-# The range of the histogram. Runs beyond it are no estimates any more: ratios
-# this small are runs that end at once, those this large runs that are stuck.
+# The range of the histogram; ratios beyond it count at its ends. Such ratios
+# say nothing about estimates: smaller ones are runs that end at once, larger
+# ones runs that are stuck.
 MIN_RATIO = 0.1
 MAX_RATIO = 20.0
-# The number of buckets makes each of them 9% wide, less than what the tasks of
-# one job differ by.
+# The number of buckets. Each is 9% wide, less than the difference between the
+# tasks of one job (up to 15%).
 BUCKETS = 60
 # Declared times are assumed to be up to 40% off in either direction, evenly, so
 # that ratios are between 0.71 and 1.67 with a median of 1.
@@ -23,15 +24,16 @@
 # The number of runs from which on a queue's own spread is used alone. A share
 # of one in ten is then known to within 5%.
 ENOUGH_RUNS = 30.0
-# The time in which a run's weight is halved. A queue's callers and inputs change
-# over minutes; a queue with 3 jobs a second keeps enough runs.
+# The time (s) in which a run's weight is halved. A queue's callers and inputs
+# change over minutes, and a queue with 3 jobs a second keeps enough runs.
 HALF_LIFE_S = 30.0
-# How often the weights are halved in part; it bounds the work for each run.
+# Minimum time (s) between two decays of the counts, which bounds the work for
+# each run.
 DECAY_STEP_S = 1.0
 # A queue without a run for this long is forgotten: ten half-lives.
 IDLE_S = 300.0
-# The highest number of queues; with more, the longest idle one is forgotten. One
-# takes 4 KB.
+# The highest number of queues; with more, the longest idle one is forgotten.
+# One takes 4 KB.
 MAX_QUEUES = 512
 
 _LOG_MIN = math.log(MIN_RATIO)
--- a/fescueturn/scheduler/decisions/shardchoice.py
+++ b/fescueturn/scheduler/decisions/shardchoice.py
@@ -13,15 +13,15 @@
 from fescueturn.scheduler.decisions import room as room_lib
 
 # A report that shows no room counts for this long: a quarter of the usual tasks
-# (200 ms) end within it. Longer ones save offers, but leave jobs waiting beside
-# room that has come free.
+# (200 ms) end within it. A longer time saves offers, but leaves jobs waiting
+# while room has become free.
 FULL_REPORT_S = 0.05
 # A report that shows room counts for this long: a holder of another data centre
 # that has none of this host's jobs reports once a second.
 FREE_REPORT_S = 1.5
-# How long a holder that put a job off although its report showed room for it
-# isn't expected to start jobs of that queue at once. It may keep the room for
-# other jobs. This is the time between two reports of a holder in use.
+# A holder that puts a job off although its report showed room may be keeping
+# the room for other jobs. For this long it isn't expected to start jobs of the
+# same queue at once: the time between two reports of a holder in use.
 CONTRADICTED_S = 0.1
 
 
@@ -40,7 +40,7 @@
   Attributes:
     job_id: the job's id, which decides between shards of equal rank.
     service: the service that it needs.
-    cpu: the CPU of one task.
+    cpu: the CPU of one task, in thousandths of a core.
     tasks: the number of its first tasks.
     priority: the job's priority.
   """
@@ -60,13 +60,13 @@
     shard: the shard.
     local: True if it is in the coordinator's data centre.
     room: the room of the job's service, as last reported; None if unknown.
-    age_s: the age of that report.
-    taken: tasks that the coordinator has offered there since.
-    taken_ms: the work of these tasks.
+    age_s: the age of that report (s).
+    taken: the number of tasks that the coordinator has offered there since.
+    taken_ms: the sum of their estimated run times (ms).
     contradicted: True if the holder lately put off a job of the queue although
       its report showed room.
-    put_off_ms: the wait that the holder gave when it put this job off, if it
-      did.
+    put_off_ms: the wait (ms) that the holder gave when it put this job off;
+      None if it didn't.
   """
 
   shard: model.Shard
@@ -88,8 +88,8 @@
     immediate_only: True if the job is to be accepted only if it can start at
       once.
     why: the reason in one word, for the logs.
-    wait_ms: the expected wait there; None if unknown.
-    age_s: the age of the report that it was chosen by; None without one.
+    wait_ms: the expected wait there (ms); None if unknown.
+    age_s: the age (s) of the report that it was chosen by; None without one.
     likely: True if that report shows room to start the job at once.
   """
 
--- a/fescueturn/scheduler/decisions/slowruns.py
+++ b/fescueturn/scheduler/decisions/slowruns.py
@@ -9,9 +9,9 @@
 # The share of endpoints that are assumed to be slow for a while where none is
 # known to be.
 ASSUMED_SLOW_SHARE = 0.01
-# Runs beside a slowed one that were in time for this part of its time show that
-# the endpoint isn't slow. It is below a half, since endpoints run two or three
-# tasks and their ends leave gaps.
+# An endpoint isn't slow if other runs there were in time for at least this part
+# of a slowed run's duration. It is below a half, since endpoints run two or
+# three tasks and there are gaps between these.
 IN_TIME_OVERLAP = 0.4
 
 
@@ -21,7 +21,8 @@
 
   Attributes:
     endpoint_slow: True if its endpoint counts as slow.
-    in_time_beside: for which part of its time other runs there were in time.
+    in_time_beside: for which part of its duration other runs on the endpoint
+      were in time; above 1 if several were at once.
     siblings_slowed: True if all tasks of its step are slowed, also on endpoints
       that don't count as slow.
     slowed_jobs: how many jobs, its own among them, had runs slowed there since
--- a/fescueturn/scheduler/decisions/speeds.py
+++ b/fescueturn/scheduler/decisions/speeds.py
@@ -12,31 +12,34 @@
 import math
 from collections.abc import Iterable
 
-# How much the declared times of a queue's jobs differ from its typical error.
+# The deviations below are standard deviations of logarithms of ratios.
+
+# How much the errors of a queue's declared times differ from its typical error.
 # Errors of up to 40%, spread evenly, have this standard deviation.
 JOB_DEVIATION = 0.25
-# How much the tasks of one job differ from each other, with what their calls
-# add: up to 15%, spread evenly, and some milliseconds.
+# How much the run times of one job's tasks differ from each other: up to 15%,
+# spread evenly, and some milliseconds for their calls.
 TASK_DEVIATION = 0.12
 # How much the speeds of endpoints differ before anything is known of them.
 SPEED_DEVIATION = 0.3
 # An endpoint's speed is never known better than this, so that it is followed
 # within some ten runs when it changes.
 MIN_DEVIATION = 0.05
-# The square of the deviation that is added in a second: a speed that was known
-# to 5% is known to 20% after 20 s without a run.
+# The variance that is added in each second, since speeds change: a speed that
+# was known to 5% is known to 20% after 20 s without a run.
 DRIFT_PER_S = 0.002
-# The time in which what is known of an idle endpoint fades towards the mean.
+# Time constant (s) with which the speed of an idle endpoint returns to the
+# mean.
 FADE_S = 30.0
 # The same for an endpoint that a fault has made slow. Such faults last for
 # seconds, and it gets few runs that would show their end.
 FAULT_FADE_S = 5.0
-# A run that seems this many times slower than its endpoint has been says nothing
-# of its speed: the task is long, or a fault has begun. Errors of declarations
-# reach 1.7 and tasks of one job differ by 1.2.
+# A run that seems this many times slower than its endpoint has been is ignored
+# in the endpoint's speed: the task is long, or a fault has begun. Errors of
+# declarations reach 1.7 and tasks of one job differ by 1.2.
 OUTLIER_RATIO = 2.0
-# The deviation of a speed that a fault has just changed; the next run in time is
-# believed at once.
+# The deviation of a speed that a fault has just changed: so large that the next
+# run in time almost replaces it.
 FAULT_DEVIATION = 1.0
 # Endpoints differ by less than this many times unless one has a fault.
 FAULT_RATIO = 2.5
@@ -44,7 +47,7 @@
 # that others get the next tasks.
 SUSPECT_RATIO = 1.5
 
-# A mean factor that is off by less than this is left as it is.
+# The mean is left as it is while its logarithm is closer to 0 than this.
 MIN_SHIFT = 0.002
 
 _OUTLIER = math.log(OUTLIER_RATIO)
@@ -53,7 +56,7 @@
 class JobPace:
   """How the ended runs of one job compare to their declared time.
 
-  It holds what they tell of the error that the job's declaration has.
+  The error of the job's declaration is estimated from it.
   """
 
   def __init__(self):
@@ -161,8 +164,8 @@
 def centre(speeds: Iterable[Speed]):
   """Makes the mean factor of endpoints 1.
 
-  Runs only tell how endpoints compare with each other. Without this, all factors
-  and the typical error of declarations could drift apart.
+  Runs only tell how endpoints compare with each other. Without this, all
+  factors and the typical error of declarations could drift apart.
   """
   known = [(s, s.evidence / (1 + s.evidence)) for s in speeds if s.evidence]
   usual = [(s, weight) for s, weight in known if s.factor <= FAULT_RATIO]
--- a/fescueturn/scheduler/election.py
+++ b/fescueturn/scheduler/election.py
@@ -23,7 +23,7 @@
 # proportion to what they lack of `HOLDER_CORES`. A host with 0.516 cores waits
 # 121 ms: by then a host with enough CPU has claimed the shard (50 ms of
 # stagger, a 20 ms tick and 6 ms in the store) and its claim is known (10 to 40
-# ms on a busy host). With 48 ms both claimed in the same millisecond.
+# ms on a busy host).
 LOW_CPU_DELAY_S = 0.25
 # Minimum interval at which a claim is retried while the shard is free: three
 # times what a claim usually takes, and few calls while the store is down. It is
@@ -238,12 +238,12 @@
 
 
 def name_successor(candidate: Candidate, now: float):
-  """Handles the holder's message that this host is to follow it."""
+  """Handles the holder's message that this host is its successor."""
   candidate.named_until = now + NAMED_S
 
 
 def is_named(candidate: Candidate, now: float) -> bool:
-  """Returns whether this host claims the shard without delay once it is free."""
+  """Returns whether this host claims the shard at once when it is free."""
   return now < candidate.named_until
 
 
--- a/fescueturn/scheduler/endpointlist.py
+++ b/fescueturn/scheduler/endpointlist.py
@@ -17,9 +17,9 @@
 # A copy of this age may be used whatever the store's state: endpoints must get
 # no task later than 2 s after the store has accepted that they drain.
 SAFE_AGE_S = 1.5
-# An older copy is used once the store has left the holder without an answer
-# for this long. A store in order answers in a few ms, so that draining
-# endpoints are not learned of in time by any host.
+# An older copy is used once the store has left the holder without an answer for
+# this long. A healthy store answers in a few ms; with one this slow, no host
+# learns of draining endpoints in time anyway.
 SLOW_STORE_S = 0.3
 # Maximum age of a copy. Few endpoints begin to drain in this time, and those
 # serve on for two seconds and more.
@@ -28,10 +28,10 @@
 # bytes, so that 60 endpoints are sent every 4.5 s if they change all the time.
 BYTES_PER_S = 2000
 ENDPOINT_BYTES = 150
-# Bounds the traffic of the copies to all hosts. A new holder is asked for its
-# list by all at once, and its answers to pings, which keep it from being taken
-# for failed (0.5 s), wait behind the lists: at 500 endpoints and 10 hosts those
-# would fill a link of 10 Mbit/s for 0.6 s.
+# Bounds the traffic of the copies to all hosts. All hosts request a new
+# holder's list at once, and its answers to pings would wait behind the lists:
+# those of 500 endpoints for 10 hosts fill a link of 10 Mbit/s for 0.6 s. A
+# holder that doesn't answer for 0.5 s is taken to have failed.
 ALL_BYTES_PER_S = 100_000
 
 
@@ -62,9 +62,10 @@
 
 
 def _as_sent(endpoint: model.Endpoint) -> model.Endpoint:
-  """Returns an endpoint without what a copy of its entry can't tell.
+  """Returns an endpoint without the fields that are not copied.
 
-  These are its start and the times that count down from one entry to the next.
+  These are the time of its start and the times that count down from one entry
+  to the next, which would be out of date in a copy.
   """
   return model.Endpoint(
       endpoint.id,
@@ -99,8 +100,8 @@
   def update(self, endpoints: tuple[model.Endpoint, ...], read_at: float):
     """Records the list as read from the store at `read_at`.
 
-    The version stays if only such times change as the copies leave out: each
-    pong then confirms the copies.
+    The version doesn't change if only fields that are not copied (`_as_sent`)
+    do; each pong then confirms that the copies are still current.
     """
     sent = tuple(_as_sent(endpoint) for endpoint in endpoints)
     if sent != self._known.endpoints or not self.version:
--- a/fescueturn/scheduler/endpointstate.py
+++ b/fescueturn/scheduler/endpointstate.py
@@ -17,9 +17,9 @@
 # The longest lease that the platform allows.
 MAX_LEASE_MS = 1000
 # The length of a lease. A run may outlive its coordinator by the time in which
-# the holder detects the failure (400 ms) and one lease, and must have ended when
-# the caller retries after 1,300 ms. Leases are renewed every 300 ms, so that one
-# renewal may be lost.
+# the holder detects the failure (400 ms) and one lease, and must have ended
+# when the caller retries after 1,300 ms. Leases are renewed every 300 ms, so
+# that one renewal may be lost.
 LEASE_MS = 800
 # A lease counts as expired this long after its end on the estimated clock of
 # the endpoint, which never runs ahead of the real one.
@@ -68,13 +68,14 @@
 # An endpoint counts as slow after slowed runs of this many jobs. A single job
 # may take longer than its estimate on any endpoint.
 SLOW_JOBS = 2
-# A start request without an answer may be carried out this much later.
+# For how long after it was sent a start request without an answer may still be
+# carried out: it is at most 12 s late, and 1 s is added as a margin.
 LATE_START_S = 13.0
-# How many such requests an endpoint's record keeps, the newest ones. With 30% of
-# the calls lost, an endpoint with 20 starts a second has 78.
+# How many such requests an endpoint's record keeps, the newest ones. With 30%
+# of the calls lost, an endpoint with 20 starts a second has 78.
 LATE_STARTS = 100
-# How many of its last runs in time an endpoint remembers: those that end while
-# a slowed one goes on.
+# How many of an endpoint's last runs in time are remembered: enough for those
+# that end while a slowed one goes on.
 RUNS_IN_TIME = 8
 # A run's slowdown is not computed sooner than this, since its progress is
 # reported in whole percents.
--- a/fescueturn/scheduler/events.py
+++ b/fescueturn/scheduler/events.py
@@ -215,7 +215,11 @@
 
 @dataclasses.dataclass(frozen=True)
 class ClaimsRead:
-  """All changes of claims up to a revision of the store were reported."""
+  """All changes of claims up to a revision of the store were reported.
+
+  Attributes:
+    revision: the revision.
+  """
 
   revision: int
 
--- a/fescueturn/scheduler/grants.py
+++ b/fescueturn/scheduler/grants.py
@@ -1,11 +1,11 @@
 """Handover of a shard between two hosts while the store is away.
 
-A holder whose process is about to end, and that the store doesn't answer, grants
-its shard to another host of its data centre, which otherwise nobody there could
-claim. The fencing token of the grant is a number that the store had spent while
-the holder's claim was in place: it is higher than the holder's, and lower than
-that of any later claim, which still wins. The store isn't written; the new holder
-claims the shard there as soon as the store answers.
+A holder whose process is about to end, and that the store doesn't answer,
+grants its shard to another host of its data centre, which otherwise nobody
+there could claim. The fencing token of the grant is a number that the store had
+spent while the holder's claim was in place: it is higher than the holder's, and
+lower than that of any later claim, which still wins. The store isn't written;
+the new holder claims the shard there as soon as the store answers.
 
 `spec/succession.pml` is a model of the tokens.
 """
@@ -19,13 +19,16 @@
 from fescueturn.scheduler import shardownership
 from fescueturn.scheduler import succession
 
-# A grant that is not confirmed within this time is given to another host, or
-# once more: ten round trips to a busy host.
+# A grant that is not confirmed within this time (s) is sent again, to the same
+# host or another: ten round trips to a busy host.
 RETRY_S = 0.2
 
 
 def handle_claims_read(state, event: events.ClaimsRead):
-  """Records which numbers the store has spent while a claim was in place."""
+  """Records the fencing tokens that each owner may grant.
+
+  These are the revisions that the store has used while its claim was in place.
+  """
   for shard, owner in state.owners.items():
     holder = state.candidates[shard].holder
     if holder is None or holder.fence != owner.fence:
@@ -96,7 +99,10 @@
 
 
 def handle_grant_taken(state, event: linkmessages.GrantTaken) -> list:
-  """Tells all coordinators who has taken a granted shard over, and stops."""
+  """Reports the new holder of a granted shard to all coordinators.
+
+  This host then stops serving the shard.
+  """
   # The endpoints may have fenced it off already.
   owner = state.granting.get(event.shard)
   is_granted = (
@@ -122,7 +128,7 @@
     process: linkmessages.HostProcess,
     moved: linkmessages.HolderMoved,
 ):
-  """Turns to the host that has taken a shard over from its holder."""
+  """Records that another host has taken a shard over from its holder."""
   record = state.coordinator.holders.get(shard)
   if record is not None and record.process == process:
     change = events.HolderChanged(shard, moved.holder)
--- a/fescueturn/scheduler/keptcodec.py
+++ b/fescueturn/scheduler/keptcodec.py
@@ -61,7 +61,7 @@
         slo_ms=raw["slo_ms"],
         queue=raw["queue"],
         kept=True,
-        # A record without a priority is of a most urgent job.
+        # Priority 0, the most urgent, isn't written.
         priority=raw.get("priority", 0),
     )
   except (KeyError, TypeError, ValueError) as exc:
--- a/fescueturn/scheduler/leases.py
+++ b/fescueturn/scheduler/leases.py
@@ -242,8 +242,8 @@
 def _revoke_late_starts(owner, record):
   """Stops runs whose start request may still be carried out, late.
 
-  The earlier incarnation would have refused a second copy of the request, or one
-  whose run was stopped; this one knows of neither.
+  The earlier incarnation would have refused a second copy of the request, or
+  one whose run was stopped; this one knows of neither.
   """
   for late in record.late_starts(owner.now):
     run = record.runs.get(late.run)
--- a/fescueturn/scheduler/linkmessages.py
+++ b/fescueturn/scheduler/linkmessages.py
@@ -104,7 +104,7 @@
     suspects: holders in the coordinator's data centre from which it gets no
       messages.
     draining: True if the coordinator's host is being shut down.
-    uptime_s: how long its process has run; 0 if it doesn't say.
+    uptime_s: how long its process has run (s); 0 if it doesn't say.
     list_version: the version of the holder's list of endpoints that the
       coordinator has; 0 for none; None to request no list.
     wants_room: True to get a `RoomReported`. Coordinators of an earlier version
@@ -138,8 +138,10 @@
   Attributes:
     key: the job.
     number: the number of the declined offer.
-    wait_ms: estimated time until the holder has capacity for the job; 0 from
-      a host that does not own the shard.
+    wait_ms: if `in_time`, the estimated time until the holder has capacity for
+      the job (ms). Otherwise by how much that time is too long, or for another
+      reason than a lack of room the time after which to retry (ms). 0 from a
+      host that does not own the shard.
     in_time: True if the job would still complete in time after that wait, so
       it was declined only because the offer was `immediate_only`.
     reason: one-word reason, for the logs.
@@ -192,7 +194,7 @@
     confirmed_suspects: holders that enough hosts suspect to have failed.
     list_version: the current version of the holder's list of endpoints; 0
       while it has none.
-    list_age_s: how long ago that list was read from the store.
+    list_age_s: how long ago that list was read from the store (s).
     successor: True if the receiver should claim the shard as soon as it is
       free, because the holder is about to release it.
   """
@@ -253,7 +255,7 @@
   Attributes:
     at: the `at` of the ping that requested it.
     version: the list's version.
-    age_s: how long ago it was read from the store.
+    age_s: how long ago it was read from the store (s).
     endpoints: the endpoints.
   """
 
--- a/fescueturn/scheduler/model.py
+++ b/fescueturn/scheduler/model.py
@@ -54,17 +54,17 @@
 
 @dataclasses.dataclass(frozen=True)
 class Endpoint:
-  """One incarnation of a machine that runs tasks.
+  """One incarnation of a server that runs tasks.
 
   Attributes:
-    id: identifies the endpoint; a restarted machine may get a new one.
+    id: identifies the endpoint; a restarted server may get a new one.
     address: where the endpoint accepts requests.
     service: the pool that the endpoint belongs to.
     data_centre: the data centre that the endpoint is in.
     slots: maximum number of concurrent tasks, regardless of their resources.
     draining: True once the endpoint is being shut down; it gets no new tasks.
     capacity: the endpoint's total resources.
-    labels: the machine's kind and rack, matched by `Step.requires` and
+    labels: the server's kind and rack, matched by `Step.requires` and
       `Step.near`.
     born_ms: when this incarnation started (Unix time, ms), which tells apart
       those with one id; 0 if it isn't known.
@@ -239,7 +239,7 @@
   # The endpoint is unhealthy and rejected the call without executing it.
   BUSY = "busy"
   REJECTED = "rejected"
-  # Another incarnation of the machine answered; the one called has ended.
+  # Another incarnation of the server answered; the one called has ended.
   GONE = "gone"
   # The connection failed, so the call certainly had no effect.
   NOT_SENT = "not_sent"
--- a/fescueturn/scheduler/ownerroom.py
+++ b/fescueturn/scheduler/ownerroom.py
@@ -7,9 +7,9 @@
 # A report is used again for this long: the time of a few offers, short compared
 # with the shortest tasks (60 ms).
 REUSE_S = 0.01
-# It is used longer where there are many endpoints: a report takes 15 us for each
-# of them, and may take up to a quarter of the holder's time. From 167 endpoints
-# on, this is longer than `REUSE_S`.
+# It is used longer where there are many endpoints: a report takes 15 us for
+# each of them, and may take up to a quarter of the holder's time. From 167
+# endpoints on, this is longer than `REUSE_S`.
 REUSE_S_PER_ENDPOINT = 6e-5
 
 
--- a/fescueturn/scheduler/ownerstate.py
+++ b/fescueturn/scheduler/ownerstate.py
@@ -92,7 +92,7 @@
     tasks: its tasks by name.
     waiting: its tasks that can start now.
     unfinished: how many tasks of each step are not done.
-    paces: what the ended runs of each step tell of its declared time.
+    paces: for each step, how its ended runs compare to its declared time.
     resumed: True if a previous holder had it, or it was submitted before.
     begun: True once the start of a run was requested.
     offer_number: the number of the latest offer of it.
@@ -271,7 +271,7 @@
     self.granted_at = -math.inf
     # True if it holds the shard by a grant, without a claim in the store.
     self.by_grant = False
-    # Coordinators that understand who has taken the shard over.
+    # Coordinators whose version understands `HolderMoved`.
     self.knows_moves: set[linkmessages.HostProcess] = set()
     # True once it was logged that a planned stop can't release the shard yet.
     self.release_put_off = False
@@ -303,7 +303,7 @@
     self.pause_grace_until = now
     self.taken_at = now
     self.counters: collections.Counter[str] = collections.Counter()
-    # What became of the jobs of each queue.
+    # By queue, how many of its jobs were accepted, declined and so on.
     self.queue_counters: dict[str, collections.Counter[str]] = {}
     self.effects: list[events.Effect] = []
 
@@ -375,7 +375,12 @@
     return in_use
 
   def count_job(self, job: model.Job, what: str):
-    """Counts what became of a job of its queue."""
+    """Adds one to a counter of the job's queue.
+
+    Args:
+      job: the job.
+      what: the counter's name: what happened to the job.
+    """
     counters = self.queue_counters.setdefault(job.queue, collections.Counter())
     counters[what] += 1
 
--- a/fescueturn/scheduler/roomview.py
+++ b/fescueturn/scheduler/roomview.py
@@ -11,8 +11,8 @@
 from fescueturn.scheduler.decisions import forecast
 from fescueturn.scheduler.decisions import order
 
-# A run that has taken longer than its estimate is expected to end within this
-# part of the estimate: most of these end within another third of it.
+# A run is expected to go on for at least this part of its estimate, even if it
+# has taken longer than the estimate: most of these end within another third.
 OVERDUE_PART = 0.2
 
 
--- a/fescueturn/scheduler/runanswers.py
+++ b/fescueturn/scheduler/runanswers.py
@@ -111,7 +111,7 @@
 
 
 def _log_failed_stop(owner, record, run, result: model.CallResult):
-  """Logs the first failed stop request of a run; it is retried until answered."""
+  """Logs a run's first failed stop request; it is retried until answered."""
   owner.counters[f"stop_{result.value}"] += 1
   run.stop_failures += 1
   if run.stop_failures > 1:
--- a/fescueturn/scheduler/runcontrol.py
+++ b/fescueturn/scheduler/runcontrol.py
@@ -18,8 +18,7 @@
 # How many times a start request is sent to the same endpoint before its run is
 # stopped. With 30% of the requests lost, three are lost one time in forty.
 # Stopping the run after the first loss and starting it elsewhere takes three
-# calls that must all be answered. That served 61% of an emulated load in time;
-# sending up to three times served 76%.
+# calls that must all be answered, which succeeds less often.
 MAX_SENDS = 3
 
 
@@ -107,7 +106,8 @@
     owner: the owner.
     job: the task's job.
     task: the task.
-    accepts: a further condition on the endpoint; with one, it may be slow.
+    accepts: a further condition on the endpoint; with one, the task doesn't
+      wait for a faster endpoint.
   """
   slowness = math.inf
   # While calls are lost, run times tell little of the endpoints' speed.
@@ -228,7 +228,7 @@
 
 
 def stop_possible_run(owner, record, run: endpointstate.Run):
-  """Stops a run that may have begun, or may begin when a request arrives late."""
+  """Stops a run that may have begun, or may begin by a late request."""
   if run.state is endpointstate.RunState.ORDERED:
     run.state = endpointstate.RunState.UNSURE
   stop_run(owner, record, run)
--- a/fescueturn/scheduler/runpace.py
+++ b/fescueturn/scheduler/runpace.py
@@ -2,8 +2,8 @@
 
 Both the progress of a run and its end are compared to what was declared, to the
 other tasks of its job and to the other runs on its endpoint. That gives the
-spread of its queue (`owner.run_times`), the speed of its endpoint, and endpoints
-that are slow for a while.
+spread of its queue (`owner.run_times`), the speed of its endpoint, and
+endpoints that are slow for a while.
 """
 
 import collections
@@ -18,9 +18,10 @@
 # Progress counts once this part of a run's work was done since it last counted.
 # It is reported in whole percents, so its time is then known to 5%.
 MIN_SHARE = 0.2
-# How often the speeds of all endpoints are compared: four times a second, as a new
-# holder's change with each run; less often with over 500 endpoints, so that it
-# takes at most 3% of a core (12 us an endpoint).
+# Minimum interval at which the speeds of all endpoints are compared. It is
+# short since a new holder's figures change with each run. With over 500
+# endpoints it grows with their number, so that comparing them (12 us an
+# endpoint) takes at most 3% of a core.
 COMPARE_PERIOD_S = 0.25
 COMPARE_PERIOD_S_PER_ENDPOINT = 0.0005
 
@@ -44,7 +45,7 @@
 
 
 def _job_and_task(owner, run: endpointstate.Run):
-  """Returns the job and task whose current run this is; None if there is none."""
+  """Returns the job and task whose current run this is; None without one."""
   job = owner.by_id.get(run.id.task.job_id)
   task = job.tasks.get(run.id.task) if job else None
   return (job, task) if task is not None and task.run == run.id else None
@@ -121,8 +122,8 @@
 ):
   """Takes the end of a run into account, before its task is updated.
 
-  A run that was stopped counts by its progress. Without these, only the short
-  ones of the tasks whose callers stop waiting would count.
+  A run that was stopped counts by its progress. Callers stop waiting for long
+  tasks first, so without these runs short tasks would be overrepresented.
   """
   found = _job_and_task(owner, run)
   took_s = _time_of_ended_run(owner, run, how)
@@ -138,7 +139,7 @@
     _observe_speed(owner, record, run, error, variance, 1.0)
     _record_pace(owner, record, run, math.exp(ratio - max(0.0, error)))
   if task.moved_from == record.info.id:
-    return  # The next run of the task tells more.
+    return  # The next run of the task is counted instead.
   queue = job.job.queue
   if how is model.RunOutcome.DONE:
     typical = math.log(owner.run_times.quantile(queue, 0.5))
@@ -206,7 +207,8 @@
 def _siblings_slowed(owner, job, task: ownerstate.TaskRecord) -> bool:
   """Returns whether all other tasks of its step are slowed, as far as known.
 
-  Only those on other endpoints that don't count as slow tell something.
+  Unfinished tasks on the same endpoint are ignored, and at least one of the
+  slowed ones must run on an endpoint that doesn't count as slow.
   """
   slowed = False
   for other in job.tasks.values():
@@ -230,7 +232,7 @@
 
 
 def _record_slow_run(owner, record, run: endpointstate.Run, times: float):
-  """Records a slowed run, unless its endpoint is surely not the cause."""
+  """Records a slowed run, unless its endpoint is certainly not the cause."""
   slowed = _describe(owner, record, run)
   if slowed is None or not slowruns.counts_against_endpoint(slowed):
     return
--- a/fescueturn/scheduler/shardownership.py
+++ b/fescueturn/scheduler/shardownership.py
@@ -65,7 +65,10 @@
 
 
 def _handle_release_reported(state, candidate: election.Candidate) -> list:
-  """Gives up a released shard, unless the next claim will take its time."""
+  """Gives up a released shard, unless this host drains and the store is slow.
+
+  With a slow store it serves on until the next claim is reported.
+  """
   if not state.draining:
     return drop_owner(state, candidate.shard, "roomier_host")
   took_s = state.now - candidate.released_at
--- a/fescueturn/scheduler/shardroom.py
+++ b/fescueturn/scheduler/shardroom.py
@@ -15,7 +15,7 @@
     at: when it was sent (s).
     service: the service that its tasks need.
     tasks: the number of its first tasks.
-    work_ms: their work (ms).
+    work_ms: the sum of their estimated run times (ms).
   """
 
   at: float
@@ -29,8 +29,8 @@
 
   Attributes:
     report: the last report; None if there was none.
-    sent_at: when the message was sent that it answers (s). The report includes
-      all offers that were sent before.
+    sent_at: when the message that the report answers was sent (s). The report
+      includes all offers that were sent before.
   """
 
   def __init__(self):
@@ -71,7 +71,7 @@
     Args:
       job: the job.
       was_likely: True if the report showed room to start it at once.
-      now: the time.
+      now: the time (s).
     """
     self._offers.pop(job.id, None)
     if was_likely:
@@ -111,7 +111,7 @@
     }
 
   def _forget_old(self, now: float):
-    """Drops what counts for nothing any more, which bounds the state."""
+    """Drops offers and times that are out of date, which bounds the state."""
     oldest = now - shardchoice.FREE_REPORT_S
     self._offers = {k: o for k, o in self._offers.items() if o.at > oldest}
     self._contradicted_until = {
--- a/fescueturn/scheduler/stragglers.py
+++ b/fescueturn/scheduler/stragglers.py
@@ -4,13 +4,10 @@
 runs end.
 
 Each lease call reports how much of a run is done, from which its end is
-predicted. This guards against endpoints that are slow for a while, for example
-one in six that is eight times as slow for 6 s. Such an endpoint is detected
-within 0.3 s by the progress of its runs, but only after seconds by their ends;
-a run of 0.9 s that is restarted elsewhere after 0.3 s still ends in time. In an
-emulated load with a sixth of the endpoints 5 or 8 times as slow for half of the
-time, this raised the share of jobs in time from 0.948 to 0.966 (long tasks) and
-from 0.883 to 0.898 (short tasks).
+predicted. This guards against endpoints that are several times slower for some
+seconds. Progress shows such an endpoint within 0.3 s, ends of runs only after
+seconds. A run of 0.9 s that is restarted elsewhere after 0.3 s still ends in
+time.
 """
 
 from fescueturn.scheduler import endpointstate
--- a/fescueturn/scheduler/succession.py
+++ b/fescueturn/scheduler/succession.py
@@ -2,7 +2,7 @@
 
 A claim that is released while the store is away, or while no other host of the
 data centre could take the shard over, leaves a data centre without a holder
-beside sound endpoints. Such a holder goes on serving until a successor can
+although its endpoints work. Such a holder goes on serving until a successor can
 claim the shard, at the latest until its process ends.
 """
 
@@ -34,7 +34,7 @@
     pinged_at: when the ping arrived (s).
     can_hold: whether the host has the CPU of a holder and isn't draining.
     draining: whether the host is being shut down.
-    uptime_s: since when its process runs (s); 0 if it doesn't say.
+    uptime_s: for how long its process has run (s); 0 if it doesn't say.
   """
 
   pinged_at: float
--- a/fescueturn/shares.py
+++ b/fescueturn/shares.py
@@ -5,17 +5,17 @@
 below that of the last turn, so a name that was idle, or that could use no room,
 has no lead.
 
-The wait for a turn is bounded. While a name of weight w could use room, and its
-last turn cost c, each other name of weight v gets room of at most v * c / w and
-its most costly turn.
+The wait for a turn is bounded. While a name of weight w waits whose last turn
+cost c, each other name of weight v gets at most v * c / w of room, plus the
+cost of its most costly turn.
 """
 
 import math
 from collections.abc import Callable
 
 DEFAULT_WEIGHT = 1.0
-# The range of weights: 10,000 to 1 bounds how long the lightest one waits, by
-# the bound above.
+# The range of weights. Their ratio, 10,000 to 1, limits how long the lightest
+# name waits, by the bound above.
 MIN_WEIGHT = 0.01
 MAX_WEIGHT = 100.0
 # Names that are idle are dropped once there are this many, and when the number
