--- a/fescueturn/lab/placingbench.py
+++ b/fescueturn/lab/placingbench.py
@@ -17,7 +17,9 @@
 from fescueturn.scheduler.decisions import placing
 
 SERVICE = "s"
+# The least and the most CPU of a task, in thousandths of a core.
 TASK_CPU = (25600, 38400)
+# The speed factors of the endpoints; above 1 is slower.
 SPEEDS = (0.8, 1.0, 1.2)
 # The number of endpoints that all measured scans together look at, which bounds
 # the benchmark's time.
--- a/fescueturn/scheduler/decisions/admission.py
+++ b/fescueturn/scheduler/decisions/admission.py
@@ -124,7 +124,7 @@
     slots: when slots become free (s), soonest first.
     ahead: the expected run times (s) of the tasks queued before these.
     count: how many tasks are to run.
-    run_s: how long each of them is expected to run.
+    run_s: how long each of them is expected to run (s).
     now: the time (s).
 
   Returns:
--- a/fescueturn/scheduler/decisions/placing.py
+++ b/fescueturn/scheduler/decisions/placing.py
@@ -63,7 +63,8 @@
 
   Args:
     estimate_s: the task's estimated run time (s).
-    slack_s: by how much longer it may take, counted from now, to end in time.
+    slack_s: by how much longer than its estimate it may take, if it starts now,
+      to end in time (s).
     fastest: the slowness of the fastest endpoint, busy or not.
   """
   spare_s = slack_s - estimate_s * (fastest - 1)
--- a/fescueturn/scheduler/decisions/room.py
+++ b/fescueturn/scheduler/decisions/room.py
@@ -87,11 +87,11 @@
   slowness_percent: int = 100
 
   def at_least_free(self, cpu: int) -> int:
-    """Returns how many tasks of `cpu` surely fit by CPU."""
+    """Returns the least number of tasks of `cpu` that fit now by their CPU."""
     return self._count(cpu, extra_cpu=0)
 
   def at_most_free(self, cpu: int) -> int:
-    """Returns the most tasks of `cpu` that can fit now."""
+    """Returns the greatest number of tasks of `cpu` that may fit now."""
     return self._count(cpu, extra_cpu=self.step_cpu - 1)
 
   def _count(self, cpu: int, extra_cpu: int) -> int:
@@ -112,7 +112,8 @@
   ) -> int:
     """Returns how long the last of `tasks` tasks would wait (ms).
 
-    The runs are taken to end evenly over twice their mean remaining time.
+    The ends of the runs are assumed to be spread evenly over twice their mean
+    remaining time.
 
     Args:
       cpu: the CPU of one task, in thousandths of a core.
--- a/fescueturn/scheduler/decisions/speeds.py
+++ b/fescueturn/scheduler/decisions/speeds.py
@@ -86,7 +86,7 @@
   def __init__(self, now: float):
     self._at = now
     self._log_factor = 0.0
-    # Kept beside its logarithm, as it is read for each placement.
+    # Stored as well as its logarithm, since it is read for each placement.
     self._factor = 1.0
     self._variance = SPEED_DEVIATION**2
     # Runs that this rests on, in shares of their work.
--- a/fescueturn/scheduler/endpointstate.py
+++ b/fescueturn/scheduler/endpointstate.py
@@ -62,8 +62,8 @@
 # its runs. A lost start request is carried out at most 12 s late.
 FORGET_S = 15.0
 # A run that takes more than this many times its estimate is slowed, by its
-# endpoint or because its task is long. Estimates are off by 40% at most and
-# endpoints differ by a quarter, which makes 2.1 times in all.
+# endpoint or because its task is long. Estimates are too low by 40% at most,
+# which makes 1.67 times, and endpoints differ by a quarter: 2.1 times in all.
 SLOW_RATIO = 2.5
 # An endpoint counts as slow after slowed runs of this many jobs. A single job
 # may take longer than its estimate on any endpoint.
--- a/fescueturn/scheduler/model.py
+++ b/fescueturn/scheduler/model.py
@@ -68,11 +68,11 @@
       `Step.near`.
     born_ms: when this incarnation started (Unix time, ms), which tells apart
       those with one id; 0 if it isn't known.
-    stays_ms: the least time that it stays from when it wrote its entry; None
-      if it hasn't announced that it leaves.
-    cold_ms: how much longer it is slow after its start, from when it wrote its
-      entry.
-    clock_ms: its clock when it wrote its entry; None if that isn't known.
+    stays_ms: the least time (ms) that it stays, counted from when it wrote its
+      entry; None if it hasn't announced that it leaves.
+    cold_ms: for how much longer it is slow after its start (ms), counted from
+      when it wrote its entry.
+    clock_ms: its clock (ms) when it wrote its entry; None if that isn't known.
   """
 
   id: str
--- a/fescueturn/scheduler/offers.py
+++ b/fescueturn/scheduler/offers.py
@@ -157,7 +157,7 @@
     owner: the owner.
     offer: the job.
     reason: why, in one word.
-    wait_ms: the retry delay to return.
+    wait_ms: the retry delay to return (ms).
     **inputs: further values behind the decision, for the log.
   """
   owner.count_job(offer.job, f"declined_{reason}")
