Benchmark of choosing an endpoint sets speeds as they are kept now

Cause: an endpoint's slowness became read-only with learnt speeds, and the benchmark assigned to it (tests/test_hotpath.py failed on the merged code).

--- a/fescueturn/lab/placingbench.py
+++ b/fescueturn/lab/placingbench.py
@@ -115,7 +115,7 @@
     )
     record = endpointstate.EndpointRecord(info, 0.0)
     record.runs_known = True
-    record.slowness = rng.choice(SPEEDS) * rng.uniform(0.9, 1.1)
+    record.speed.set_faulty(rng.choice(SPEEDS) * rng.uniform(0.9, 1.1))
     table[info.id] = record
   return table
 
