Take part A out: order by urgency and admission by chance cost more than they gain

Change: forecast, admission, reservations, offers and the order of waiting tasks are as before; with the part go its own tests (test_order, test_offers, test_review_waiting, the bounds on late jobs under a multiple of the load).

--- a/fescueturn/scheduler/offers.py
+++ b/fescueturn/scheduler/offers.py
@@ -4,15 +4,14 @@
 
 from fescueturn.scheduler import endpointstate
 from fescueturn.scheduler import events
+from fescueturn.scheduler import forecast as forecast_lib
 from fescueturn.scheduler import leases
 from fescueturn.scheduler import linkmessages
 from fescueturn.scheduler import model
 from fescueturn.scheduler import outcomes
 from fescueturn.scheduler import ownerroom
 from fescueturn.scheduler import ownerstate
-from fescueturn.scheduler import roomview
 from fescueturn.scheduler import runcontrol
-from fescueturn.scheduler.decisions import forecast as forecast_lib
 
 # Retry delay that a holder in an evacuated data centre returns. An evacuation
 # lasts minutes, and the job is offered to other data centres in the meantime.
@@ -42,7 +41,6 @@
     return
   record = add_job(owner, offer)
   owner.counters["accepted"] += 1
-  owner.count_job(offer.job, "accepted")
   owner.send_to_coordinator(
       offer.key.process, linkmessages.Accepted(offer.key, offer.number)
   )
@@ -52,16 +50,14 @@
 
 def admit(owner: ownerstate.Owner, offer: linkmessages.Offered) -> bool:
   """Returns whether to accept a job; declines it if it would end too late."""
-  if offer.number <= 1 and not offer.resumed:
-    owner.count_job(offer.job, "asked")
   if owner.evacuated and not offer.resumed:
     owner.counters["declined"] += 1
     decline(owner, offer, "evacuated", EVACUATED_RETRY_MS)
     return False
-  _record_demand(owner, offer)
+  forecast_lib.record_demand(owner, offer)
   if offer.resumed or (owner.awaiting_endpoints and not owner.endpoints):
     return True
-  forecast = _forecast(owner, offer)
+  forecast = forecast_lib.forecast(owner, offer)
   must_wait = forecast.wait_s > IMMEDIATE_START_S
   if forecast.late_s or (offer.immediate_only and must_wait):
     _decline_by_forecast(owner, offer, forecast)
@@ -69,27 +65,6 @@
   return True
 
 
-def _record_demand(owner: ownerstate.Owner, offer: linkmessages.Offered):
-  """Adds a job to the demand if this holder is the first to be offered it."""
-  if offer.number > 1 or offer.resumed:
-    return
-  job = offer.job
-  work_s = sum(step.count * step.estimate_ms for step in job.steps) / 1000
-  owner.demand.add(job.queue, job.task_count, work_s, owner.now, job.priority)
-
-
-def _forecast(
-    owner: ownerstate.Owner, offer: linkmessages.Offered
-) -> forecast_lib.Forecast:
-  return forecast_lib.forecast(
-      roomview.room_for(owner, offer.job),
-      offer.job,
-      offer.age_s,
-      offer.remaining_s,
-      owner.now,
-  )
-
-
 def recheck_admissions(owner: ownerstate.Owner):
   """Hands back jobs that can't be done in time by the listed endpoints.
 
@@ -101,7 +76,7 @@
   for job in unstarted:
     del owner.jobs[job.key]
   for job in unstarted:
-    forecast = _forecast(owner, job.offer(owner.now))
+    forecast = forecast_lib.forecast(owner, job.offer(owner.now))
     owner.jobs[job.key] = job
     if forecast.late_s:
       outcomes.hand_back(owner, job)
@@ -115,18 +90,12 @@
       1, int(1000 * (forecast.wait_s if in_time else forecast.late_s))
   )
   owner.counters["put_off" if in_time else "declined"] += 1
-  owner.count_job(offer.job, "put_off" if in_time else "declined_no_room")
   owner.emit(
       events.log(
           "job_put_off" if in_time else "job_declined",
           job=offer.job.id,
           coordinator=offer.key.process.host,
-          queue=offer.job.queue,
-          priority=offer.job.priority,
           wait_ms=wait_ms,
-          chance=round(forecast.chance, 2),
-          free_slots=forecast.free_slots,
-          tasks_ahead=forecast.tasks_ahead,
           waiting_jobs=sum(bool(j.waiting) for j in owner.jobs.values()),
           kept_for_wider=forecast.reserved_slots,
           fence=owner.fence,
@@ -157,18 +126,15 @@
     owner: the owner.
     offer: the job.
     reason: why, in one word.
-    wait_ms: the retry delay to return (ms).
+    wait_ms: the retry delay to return.
     **inputs: further values behind the decision, for the log.
   """
-  owner.count_job(offer.job, f"declined_{reason}")
   owner.emit(
       events.log(
           "job_declined",
           job=offer.job.id,
           coordinator=offer.key.process.host,
           why=reason,
-          queue=offer.job.queue,
-          priority=offer.job.priority,
           wait_ms=wait_ms,
           **inputs,
           fence=owner.fence,
@@ -184,11 +150,9 @@
     owner: ownerstate.Owner, offer: linkmessages.Offered
 ) -> ownerstate.JobRecord:
   """Adds an accepted job to the owner's jobs; returns its record."""
-  room = roomview.room_for(owner, offer.job)
-  latest_start = (
-      owner.now - offer.age_s + forecast_lib.latest_begin_s(room, offer.job)
+  record = ownerstate.JobRecord(
+      offer, owner.now, forecast_lib.latest_start(owner, offer)
   )
-  record = ownerstate.JobRecord(offer, owner.now, latest_start)
   owner.jobs[offer.key] = record
   owner.by_id[offer.job.id] = record
   return record
--- a/fescueturn/scheduler/outcomes.py
+++ b/fescueturn/scheduler/outcomes.py
@@ -276,11 +276,7 @@
 
 
 def end_job(
-    owner,
-    job: ownerstate.JobRecord,
-    outcome: model.Outcome | None,
-    reason: str,
-    **inputs,
+    owner, job: ownerstate.JobRecord, outcome: model.Outcome | None, reason: str
 ):
   """Ends a job: stops its runs and reports its outcome.
 
@@ -292,7 +288,6 @@
     job: the job.
     outcome: how it ended; None if it is handed back to its coordinator.
     reason: the reason, for the log and the coordinator.
-    **inputs: further values behind the decision, for the log.
   """
   unfinished_fields = (
       _unfinished_fields(owner, job)
@@ -306,7 +301,6 @@
     if task.run is not None:
       runcontrol.stop_task(owner, task)
   owner.counters[f"job_{reason}"] += 1
-  owner.count_job(job.job, reason)
   if outcome is not model.Outcome.DONE:
     owner.emit(
         events.log(
@@ -314,11 +308,8 @@
             job=job.job.id,
             coordinator=job.key.process.host,
             why=reason,
-            queue=job.job.queue,
-            priority=job.job.priority,
             begun=job.begun,
             age_ms=int((owner.now - job.arrived) * 1000),
-            **inputs,
             **unfinished_fields,
         )
     )
--- a/fescueturn/scheduler/owner.py
+++ b/fescueturn/scheduler/owner.py
@@ -13,7 +13,6 @@
 from fescueturn.scheduler import model
 from fescueturn.scheduler import outcomes
 from fescueturn.scheduler import ownerstate
-from fescueturn.scheduler import roomview
 from fescueturn.scheduler import runcontrol
 from fescueturn.scheduler import runpace
 from fescueturn.scheduler import stragglers
@@ -83,25 +82,7 @@
       outcome = model.Outcome.UNKNOWN if job.begun else model.Outcome.NOT_RUN
       outcomes.end_job(owner, job, outcome, "deadline")
     elif not (job.begun or job.job.kept) and job.latest_start < owner.now:
-      _drop(owner, job)
-
-
-def _drop(owner, job: ownerstate.JobRecord):
-  """Ends a job that has not begun and would hardly end in time any more."""
-  free = sum(
-      record.fits(job.waiting[0].step.need)
-      for record in owner.endpoints.values()
-      if record.info.service == job.job.service and record.usable(owner.now)
-  )
-  outcomes.end_job(
-      owner,
-      job,
-      model.Outcome.NOT_RUN,
-      "no_room_in_time",
-      chance=round(roomview.chance_now(owner, job), 2),
-      free_endpoints=free,
-      waiting_jobs=sum(bool(j.waiting) for j in owner.jobs.values()),
-  )
+      outcomes.end_job(owner, job, model.Outcome.NOT_RUN, "no_room_in_time")
 
 
 def hand_back_jobs(owner: ownerstate.Owner):
--- a/fescueturn/scheduler/ownerstate.py
+++ b/fescueturn/scheduler/ownerstate.py
@@ -13,12 +13,12 @@
 from fescueturn.scheduler import keptrecords
 from fescueturn.scheduler import linkmessages
 from fescueturn.scheduler import model
+from fescueturn.scheduler import reservations
 from fescueturn.scheduler import roster
 from fescueturn.scheduler import succession
 from fescueturn.scheduler import suspicion
 from fescueturn.scheduler import timeouts
 from fescueturn.scheduler.decisions import placing
-from fescueturn.scheduler.decisions import reservations
 from fescueturn.scheduler.decisions import room
 from fescueturn.scheduler.decisions import runtimes
 from fescueturn.scheduler.decisions import speeds
@@ -88,11 +88,11 @@
     arrived: when it reached its coordinator, on this host's clock (s).
     deadline: when its caller stops waiting (s).
     latest_start: when its first tasks should start to meet the objective (s);
-      the jobs of one urgency are started in this order.
+      jobs are started in this order.
     tasks: its tasks by name.
     waiting: its tasks that can start now.
     unfinished: how many tasks of each step are not done.
-    paces: for each step, how its ended runs compare to its declared time.
+    paces: what the ended runs of each step tell of its declared time.
     resumed: True if a previous holder had it, or it was submitted before.
     begun: True once the start of a run was requested.
     offer_number: the number of the latest offer of it.
@@ -135,11 +135,6 @@
         for task in self.tasks.values()
     )
 
-  @property
-  def active_tasks(self) -> int:
-    """How many of its tasks have a run that may be active."""
-    return sum(t.state is TaskState.ACTIVE for t in self.tasks.values())
-
   @property
   def started(self) -> bool:
     """True when one of its tasks is active or done."""
@@ -271,7 +266,7 @@
     self.granted_at = -math.inf
     # True if it holds the shard by a grant, without a claim in the store.
     self.by_grant = False
-    # Coordinators whose version understands `HolderMoved`.
+    # Coordinators that understand who has taken the shard over.
     self.knows_moves: set[linkmessages.HostProcess] = set()
     # True once it was logged that a planned stop can't release the shard yet.
     self.release_put_off = False
@@ -303,8 +298,6 @@
     self.pause_grace_until = now
     self.taken_at = now
     self.counters: collections.Counter[str] = collections.Counter()
-    # By queue, how many of its jobs were accepted, declined and so on.
-    self.queue_counters: dict[str, collections.Counter[str]] = {}
     self.effects: list[events.Effect] = []
 
   @property
@@ -366,24 +359,6 @@
         for size, count in counts.items()
     )
 
-  def slots_in_use(self, service: str) -> collections.Counter[int]:
-    """Returns how many tasks of each urgency occupy room of a service."""
-    in_use: collections.Counter[int] = collections.Counter()
-    for job in self.jobs.values():
-      if job.begun and job.job.service == service:
-        in_use[job.job.priority] += job.active_tasks
-    return in_use
-
-  def count_job(self, job: model.Job, what: str):
-    """Adds one to a counter of the job's queue.
-
-    Args:
-      job: the job.
-      what: the counter's name: what happened to the job.
-    """
-    counters = self.queue_counters.setdefault(job.queue, collections.Counter())
-    counters[what] += 1
-
   def endpoint_reported(self, endpoint: str):
     """Records that an endpoint has listed its runs, or no longer exists."""
     if self.unreported is not None:
@@ -416,11 +391,6 @@
         else None,
         "jobs": len(self.jobs),
         "waiting_tasks": sum(len(j.waiting) for j in self.jobs.values()),
-        "urgencies": self._urgencies(),
-        "queues": {
-            queue: dict(counters)
-            for queue, counters in sorted(self.queue_counters.items())
-        },
         "coordinators": {
             p.host: round(self.now - at, 3)
             for p, at in self.last_contact.items()
@@ -434,18 +404,6 @@
         "counters": dict(self.counters),
     }
 
-  def _urgencies(self) -> dict[int, dict[str, int]]:
-    """Returns the waiting and active tasks of each urgency."""
-    tasks: dict[int, dict[str, int]] = {}
-    for job in self.jobs.values():
-      counts = tasks.setdefault(
-          job.job.priority, {"jobs": 0, "waiting": 0, "active": 0}
-      )
-      counts["jobs"] += 1
-      counts["waiting"] += len(job.waiting)
-      counts["active"] += job.active_tasks
-    return tasks
-
 
 def endpoint_log(event: str, record: endpointstate.EndpointRecord, **fields):
   """Returns a log line about an endpoint."""
--- a/fescueturn/scheduler/decisions/reservations.py
+++ b/fescueturn/scheduler/reservations.py
@@ -3,13 +3,14 @@
 A job's width is its number of tasks. A wide job has to find its slots within
 about 100 ms; without a reservation narrow jobs take each slot as soon as it is
 free. The reservation is designed for jobs of 8 tasks of 60 ms beside jobs of 2
-tasks of 200 ms on 18 slots a data centre. It serves more of the wide jobs in
-time, at the cost of some narrow ones.
+tasks of 200 ms on 18 slots a data centre. At 1.3 times the capacity, 34% of the
+wide jobs and 78% of the narrow ones were served in time without a reservation,
+60% and 63% with one. Of the jobs of four long tasks it was 64% without and 86%
+with one (16 seeds of the emulated load).
 """
 
 import dataclasses
 import math
-from collections.abc import Mapping
 
 # Averaging time of a queue's demand: long compared with the run times of its
 # jobs (60 ms to 1 s), short compared with a burst of 4 s.
@@ -18,15 +19,14 @@
 # 14 s after its last job.
 MIN_JOBS = 0.001
 # The slots reserved for a queue of wide jobs, in multiples of its mean demand:
-# these jobs arrive in bursts, so the mean alone reserves too little.
+# these jobs arrive in bursts. Emulated loads of 110 and 130 jobs a second (1.1
+# and 1.3 times the capacity) earned 0.78 and 0.61 of their total value without
+# a reservation, 0.81 and 0.67 with a factor of 1.0, 0.82 and 0.71 with 1.5.
 PEAK_FACTOR = 1.5
 # Upper limit of the reservation, as a part of all slots. Narrow jobs can always
-# use at least 2 of 5 slots, however high the demand of wide ones is.
+# use at least 2 of 5 slots; at 220 jobs a second (2.2 times the capacity) a
+# quarter of them are served.
 MAX_RESERVED_FRACTION = 0.6
-# The same for the slots reserved for wider jobs that are more urgent. They go
-# first in any case, so the reservation only has to help bursts of them to find
-# many slots at once. A higher limit would refuse jobs while slots stay unused.
-MAX_RESERVED_FOR_URGENT = 0.2
 
 
 @dataclasses.dataclass
@@ -37,13 +37,11 @@
     jobs: the number of jobs.
     tasks: the number of tasks.
     work_s: the run time of all tasks (s).
-    priority: the queue's urgency; 0 is the most urgent.
   """
 
   jobs: float = 0.0
   tasks: float = 0.0
   work_s: float = 0.0
-  priority: int = 0
 
   @property
   def width(self) -> float:
@@ -69,14 +67,7 @@
     self._queues: dict[str, _QueueDemand] = {}
     self._at = 0.0
 
-  def add(
-      self,
-      queue: str,
-      tasks: int,
-      work_s: float,
-      now: float,
-      priority: int = 0,
-  ):
+  def add(self, queue: str, tasks: int, work_s: float, now: float):
     """Adds a job of `tasks` tasks that run for `work_s` in all."""
     factor = math.exp(-max(0.0, now - self._at) / WINDOW_S)
     self._at = now
@@ -85,32 +76,15 @@
       if other.jobs < MIN_JOBS:
         del self._queues[name]
     demand = self._queues.setdefault(queue, _QueueDemand())
-    demand.priority = priority
     demand.jobs += 1
     demand.tasks += tasks
     demand.work_s += work_s
 
-  def more_urgent_slots(self, priority: int) -> float:
-    """Returns how many slots the demand of more urgent queues would occupy."""
-    return sum(
-        demand.mean_slots
-        for demand in self._queues.values()
-        if demand.priority < priority
-    )
-
   def reserved_for_wider(
-      self,
-      queue: str,
-      tasks: int,
-      in_use: Mapping[str, int],
-      total: int,
-      priority: int = 0,
+      self, queue: str, tasks: int, in_use: dict[str, int], total: int
   ) -> int:
     """Returns how many slots a job must leave to queues of wider jobs.
 
-    Nothing is reserved for less urgent queues, since room is guaranteed to them
-    (`order.guaranteed_slots`).
-
     Nothing is reserved while the demand of all queues is below the capacity.
 
     Args:
@@ -118,32 +92,16 @@
       tasks: the number of its tasks.
       in_use: the number of running and waiting tasks, by queue.
       total: the number of slots.
-      priority: its urgency; 0 is the most urgent.
     """
     if sum(demand.mean_slots for demand in self._queues.values()) < total:
-      # There are slots for all; a reservation would only leave some unused.
+      # There are slots for all. A reservation in this case too cost a load of
+      # 0.9 times the capacity 0.013 of its total value.
       return 0
     own = self._queues.get(queue)
     width = own.width if own else tasks
-    wider = [
-        (other, demand)
+    reserved = sum(
+        max(0.0, PEAK_FACTOR * demand.mean_slots - in_use.get(other, 0))
         for other, demand in self._queues.items()
         if demand.width > width
-    ]
-    equal = sum(
-        _lacking_slots(demand, in_use.get(other, 0))
-        for other, demand in wider
-        if demand.priority == priority
     )
-    urgent = sum(
-        _lacking_slots(demand, in_use.get(other, 0))
-        for other, demand in wider
-        if demand.priority < priority
-    )
-    reserved = equal + min(urgent, MAX_RESERVED_FOR_URGENT * total)
     return int(min(reserved, MAX_RESERVED_FRACTION * total))
-
-
-def _lacking_slots(demand: _QueueDemand, in_use: int) -> float:
-  """Returns how many slots a queue lacks at the peak of its demand."""
-  return max(0.0, PEAK_FACTOR * demand.mean_slots - in_use)
--- a/fescueturn/scheduler/runcontrol.py
+++ b/fescueturn/scheduler/runcontrol.py
@@ -8,9 +8,6 @@
 from fescueturn.scheduler import events
 from fescueturn.scheduler import model
 from fescueturn.scheduler import ownerstate
-from fescueturn.scheduler import roomview
-from fescueturn.scheduler.decisions import admission
-from fescueturn.scheduler.decisions import order
 from fescueturn.scheduler.decisions import placing
 
 # No task of a job is started with less than this left until the job's deadline.
@@ -18,7 +15,8 @@
 # How many times a start request is sent to the same endpoint before its run is
 # stopped. With 30% of the requests lost, three are lost one time in forty.
 # Stopping the run after the first loss and starting it elsewhere takes three
-# calls that must all be answered, which succeeds less often.
+# calls that must all be answered. That served 61% of an emulated load in time;
+# sending up to three times served 76%.
 MAX_SENDS = 3
 
 
@@ -29,31 +27,11 @@
   waiting = [job for job in owner.jobs.values() if job.waiting]
   if not waiting:
     return
-  startable = [job for job in waiting if _startable(owner, job)]
-  for service in sorted({job.job.service for job in startable}):
-    _start_in_turn(
-        owner, [job for job in startable if job.job.service == service]
-    )
-
-
-def _startable(owner, job: ownerstate.JobRecord) -> bool:
-  """Returns whether tasks of the job may be started now."""
-  if job.deadline - owner.now < MIN_TIME_LEFT_S or job.returning:
-    return False
-  return not owner.may_have_unknown_runs(job)
-
-
-def _start_in_turn(owner, jobs: list[ownerstate.JobRecord]):
-  """Starts tasks of one service's jobs, in the order of their urgency."""
-  by_key = {job.key: job for job in jobs}
-  views = [roomview.waiting_job(job) for job in jobs]
-  in_use = owner.slots_in_use(jobs[0].job.service)
-  guaranteed = order.guaranteed_slots(
-      {*in_use, *(view.priority for view in views)}, sum(in_use.values())
-  )
-  for view in order.in_turn(views, in_use, guaranteed):
-    job = by_key[view.key]
-    if not _may_begin(owner, job):
+  waiting.sort(key=lambda job: job.latest_start)
+  for job in waiting:
+    if job.deadline - owner.now < MIN_TIME_LEFT_S:
+      continue
+    if job.returning or owner.may_have_unknown_runs(job):
       continue
     for task in list(job.waiting):
       if task.previous_run is not None or crashes.blocks_start(
@@ -64,34 +42,6 @@
       if record is None:
         break
       _start_task(owner, job, task, record)
-      in_use[job.job.priority] += 1
-
-
-def _may_begin(owner, job: ownerstate.JobRecord) -> bool:
-  """Returns whether the tasks of a job can all start in time, if any can now.
-
-  A job whose last tasks would start too late isn't begun: what it did would be
-  of little use to its caller.
-  """
-  count = len(job.waiting)
-  if job.begun or job.job.kept or count == 1:
-    return True
-  # The index tells this without looking at all endpoints.
-  if _choose_endpoint(owner, job, job.waiting[0]) is None:
-    return False
-  need = job.waiting[0].step.need
-  usable = [
-      record
-      for record in owner.endpoints.values()
-      if record.info.service == job.job.service and record.usable(owner.now)
-  ]
-  slots = roomview.slots_for(owner, usable, need)
-  run_s = max(task.estimate_s for task in job.waiting)
-  times = [slot.free_at for slot in slots]
-  finish_s = admission.expected_finish_s(times, (), count, run_s, owner.now)
-  waves = -(-count // len(times))
-  last_start = owner.now + finish_s - run_s * waves
-  return last_start <= max(owner.now, job.latest_start)
 
 
 def _choose_endpoint(
@@ -106,8 +56,7 @@
     owner: the owner.
     job: the task's job.
     task: the task.
-    accepts: a further condition on the endpoint; with one, the task doesn't
-      wait for a faster endpoint.
+    accepts: a further condition on the endpoint; with one, it may be slow.
   """
   slowness = math.inf
   # While calls are lost, run times tell little of the endpoints' speed.
@@ -228,7 +177,7 @@
 
 
 def stop_possible_run(owner, record, run: endpointstate.Run):
-  """Stops a run that may have begun, or may begin by a late request."""
+  """Stops a run that may have begun, or may begin when a request arrives late."""
   if run.state is endpointstate.RunState.ORDERED:
     run.state = endpointstate.RunState.UNSURE
   stop_run(owner, record, run)
--- a/tests/test_reservations.py
+++ b/tests/test_reservations.py
@@ -1,4 +1,4 @@
-from fescueturn.scheduler.decisions import reservations
+from fescueturn.scheduler import reservations
 
 TOTAL = 18
 
