--- a/fescueturn/scheduler/decisions/retrydelay.py
+++ b/fescueturn/scheduler/decisions/retrydelay.py
@@ -10,6 +10,8 @@
 import math
 import zlib
 
+from fescueturn.scheduler.decisions import room
+
 # Shortest delay (s): Retry-After is in whole seconds, and with 0 callers would
 # return at once.
 MIN_DELAY_S = 1
@@ -25,14 +27,12 @@
 # serves on the users' data sheets. A host that has just started has served
 # nothing yet, and its callers find room again within a second or two.
 MIN_SERVED_PER_S = 10.0
-# Priorities that are told apart; the last includes all that are less urgent.
-PRIORITIES = 4
 
 
 class Returns:
   """The rate of served jobs, and the callers that were told to return.
 
-  It holds at most `PRIORITIES` counts for each `STEP_S` of `MAX_DELAY_S`, is
+  It holds at most `room.PRIORITIES` counts for each `STEP_S` of `MAX_DELAY_S`, is
   kept in memory only, and needs no copy: without it the delays of a host's
   first refusals are short.
   """
@@ -61,13 +61,13 @@
     """
     self._decay(now)
     per_s = max(MIN_SERVED_PER_S, self._served / RATE_WINDOW_S)
-    level = min(priority, PRIORITIES - 1)
+    level = min(priority, room.PRIORITIES - 1)
     ahead = sum(sum(row[: level + 1]) for row in self._due.values())
     exact_s = max(MIN_DELAY_S, wait_s + ahead / per_s)
     fraction = zlib.crc32(job_id.encode()) / 2**32
     delay_s = min(MAX_DELAY_S, math.floor(exact_s + fraction))
     step = int((now + delay_s) / STEP_S)
-    self._due.setdefault(step, [0] * PRIORITIES)[level] += 1
+    self._due.setdefault(step, [0] * room.PRIORITIES)[level] += 1
     return delay_s
 
   def _decay(self, now: float):
