Kept jobs end at a holder that may have been replaced across a partition

What callers saw: a task of a kept job on two endpoints at the same time, each time a holder was cut off together with an endpoint from the store and a host of its data centre (a non-idempotent fuel release runs twice).

Cause: a holder takes the store's silence for an outage, in which it has to serve on, and renews the leases of kept jobs' runs without limit. The next holder can't reach that endpoint and starts the task 1.5 s after its claim. Best-effort jobs end with their coordinator; kept ones have no such guard.

Evidence: the test's hosts, logged: cut at 6.10 s, claim of a0 at 6.54, second start at 8.06 while a1 renews until 12 s. With the stop of z's run at 7.04 s its end is listed at 7.07, which rules out that z keeps runs beyond a lease.

Fix: a holder without an answer of the store for 1.0 s while a host of its data centre is silent stops its kept jobs' runs, starts none, and extends no lease of an endpoint that still has one, until the store has reported all claims. That is before the next holder's first start: claim 0.45 s after the cut, start 1.95 s.

--- a/fescueturn/scheduler/endpointstate.py
+++ b/fescueturn/scheduler/endpointstate.py
@@ -222,6 +222,8 @@
     call_is_long_poll: True if it may wait for a run to end.
     lease_end_ms: the latest end that its lease may have, on the endpoint's
       clock.
+    must_lapse: True while one of its runs must end, even if its stop is lost,
+      so that its lease may not be extended.
     next_call_at: when a failed lease call may be retried (s).
     excluded_until: until when it gets no new tasks (s).
     ejections: how often it was ejected without a successful run in between.
@@ -257,6 +259,7 @@
     self.call_sent_at = now
     self.call_is_long_poll = False
     self.lease_end_ms = 0
+    self._must_lapse = False
     self.next_call_at = now
     # Failed lease calls before the first one that was answered.
     self._failed_first_calls = 0
@@ -296,6 +299,17 @@
     self._runs_known = known
     self.on_change()
 
+  @property
+  def must_lapse(self) -> bool:
+    """True while its lease may not be extended."""
+    return self._must_lapse
+
+  @must_lapse.setter
+  def must_lapse(self, must_lapse: bool):
+    if must_lapse != self._must_lapse:
+      self._must_lapse = must_lapse
+      self.on_change()
+
   @property
   def free(self) -> model.Resources:
     """The resources that no run takes up."""
@@ -415,6 +429,7 @@
         self.runs_known
         and self.listed
         and not self.restart_listed
+        and not self.must_lapse
         and not self.info.draining
         and self.excluded_until <= now
         and self.silent_since is None
--- a/fescueturn/scheduler/leases.py
+++ b/fescueturn/scheduler/leases.py
@@ -44,6 +44,7 @@
 ):
   """Applies the platform's list; asks new endpoints which runs they have."""
   owner.listed_at = owner.now
+  owner.store_answered_at = owner.now
   own_endpoints = {
       e.id: e for e in listed if e.data_centre == owner.shard.data_centre
   }
@@ -178,10 +179,10 @@
   The lease of a silent endpoint is left to expire, so that its tasks can be run
   elsewhere. So is the lease of an endpoint whose runs are all to be stopped, or
   belong to jobs that are not known here yet, since their coordinator may be
-  dead.
+  dead, and that of an endpoint with a run that must end.
   """
   has_wanted_run = any(run.wanted for run in record.runs.values())
-  if not has_wanted_run or record.silent_since is not None:
+  if not has_wanted_run or record.silent_since is not None or record.must_lapse:
     return None
   return record.extend_lease(owner.now)
 
--- a/fescueturn/scheduler/owner.py
+++ b/fescueturn/scheduler/owner.py
@@ -15,6 +15,7 @@
 from fescueturn.scheduler import ownerstate
 from fescueturn.scheduler import runcontrol
 from fescueturn.scheduler import runpace
+from fescueturn.scheduler import selffencing
 from fescueturn.scheduler import stragglers
 
 # How long a run found at an endpoint after a takeover may go without a known
@@ -39,6 +40,7 @@
   if owner.now >= owner.pause_grace_until:
     _end_jobs_of_silent_coordinators(owner)
   _end_overdue_jobs(owner)
+  selffencing.tick(owner)
   hand_back_jobs(owner)
   for record in list(owner.endpoints.values()):
     _check_endpoint(owner, record)
--- a/fescueturn/scheduler/ownerstate.py
+++ b/fescueturn/scheduler/ownerstate.py
@@ -257,6 +257,10 @@
     self.successors: dict[linkmessages.HostProcess, float] = {}
     # The other hosts of the data centre that have pinged this owner.
     self.local_hosts: dict[linkmessages.HostProcess, succession.LocalHost] = {}
+    # When each host that may claim the shard was last heard.
+    self.claimants = succession.Claimants()
+    # True while another host may hold the shard, so that no kept job runs.
+    self.self_fenced = False
     # The host that is to claim the shard once this one releases it.
     self.successor: linkmessages.HostProcess | None = None
     # Numbers that it may grant as fencing tokens, the highest that it has
@@ -282,6 +286,8 @@
     self.call_losses = timeouts.CallLossRate()
     # When the endpoint list was last received.
     self.listed_at: float | None = None
+    # When the store last answered (s).
+    self.store_answered_at = now
     self.early_results: dict[model.Task, EarlyResult] = {}
     # Endpoints lost while running tasks that may or may not have crashed.
     self.suspected_crashes: dict[str, SuspectedCrash] = {}
@@ -336,6 +342,14 @@
     since = self.first_contacts.get(job.key.process, self.taken_at)
     return self.now - since <= RECOVERY_TIMEOUT_S
 
+  def must_hold_back(self, job: JobRecord) -> bool:
+    """Returns whether no task of a job may be started now."""
+    return (
+        job.returning
+        or (job.job.kept and self.self_fenced)
+        or self.may_have_unknown_runs(job)
+    )
+
   @property
   def awaiting_endpoints(self) -> bool:
     """True until an endpoint has answered this new holder, for a short time."""
@@ -385,6 +399,7 @@
         "settled": self.recovered,
         "successor": self.successor.host if self.successor else None,
         "by_grant": self.by_grant,
+        "self_fenced": self.self_fenced,
         "spare_fences": [self.spare_fences.first, self.spare_fences.limit],
         "list_age_s": round(self.shared_list.age_s(self.now), 3)
         if self.shared_list.version
--- a/fescueturn/scheduler/reducer.py
+++ b/fescueturn/scheduler/reducer.py
@@ -23,6 +23,7 @@
 from fescueturn.scheduler import roster
 from fescueturn.scheduler import runanswers
 from fescueturn.scheduler import runcontrol
+from fescueturn.scheduler import selffencing
 from fescueturn.scheduler import shardownership
 from fescueturn.scheduler import state as state_lib
 from fescueturn.scheduler import succession
@@ -196,6 +197,7 @@
         state.now, event.can_hold, event.draining, event.uptime_s
     )
     succession.record(owner.local_hosts, event.process, host)
+    owner.claimants.record(event.process.host, state.now)
   owner.holder_suspicions.report(event.process, event.suspects, state.now)
   owner.send_to_coordinator(event.process, _pong(owner, event))
   endpoint_list = owner.shared_list.message_for(event, state.now)
@@ -336,6 +338,9 @@
 
 def _on_claims_read(state, event: events.ClaimsRead):
   grants.handle_claims_read(state, event)
+  for owner in state.owners.values():
+    owner.store_answered_at = owner.now
+    selffencing.handle_claims_read(owner)
 
 
 def _on_grant_taken(state, event: linkmessages.GrantTaken) -> list:
--- a/fescueturn/scheduler/runcontrol.py
+++ b/fescueturn/scheduler/runcontrol.py
@@ -31,7 +31,7 @@
   for job in waiting:
     if job.deadline - owner.now < MIN_TIME_LEFT_S:
       continue
-    if job.returning or owner.may_have_unknown_runs(job):
+    if owner.must_hold_back(job):
       continue
     for task in list(job.waiting):
       if task.previous_run is not None or crashes.blocks_start(
@@ -155,6 +155,8 @@
     return False
   if run.sends >= MAX_SENDS or record.silent_since is not None:
     return False
+  if record.must_lapse:
+    return False
   run.sends += 1
   run.sent_at = owner.now
   run.deadline_ms = record.extend_lease(owner.now)
--- /dev/null
+++ b/fescueturn/scheduler/selffencing.py
@@ -0,0 +1,75 @@
+"""Self-fencing: a holder that may have been replaced stops its kept jobs.
+
+A holder that the store doesn't answer keeps its shard, as the store may be away
+for all hosts. But if a host of its data centre has fallen silent as well, that
+host may be on the store's side of a network partition. It then claims the shard
+and starts the tasks of kept jobs, which it reads from the store, and can't
+fence off the endpoints on the other side. Best-effort jobs need no such guard,
+as their coordinator offers them to one holder at a time.
+"""
+
+from fescueturn.scheduler import endpointstate
+from fescueturn.scheduler import events
+from fescueturn.scheduler import ownerstate
+from fescueturn.scheduler import runcontrol
+
+# The store counts as silent after this long. Hosts may claim the shard 0.45 s
+# after they last heard from its holder, and start tasks of kept jobs
+# `ownerstate.RECOVERY_TIMEOUT_S` later. Leases of the earlier holder's runs
+# must have ended by then, even if no stop reaches them; they last for 0.84 s.
+# The list of endpoints alone is read every 0.7 s.
+STORE_SILENT_S = 1.0
+
+
+def may_be_replaced(owner: ownerstate.Owner) -> bool:
+  """Returns whether another host may hold the shard unknown to this one."""
+  if owner.now - owner.store_answered_at <= STORE_SILENT_S:
+    owner.claimants.forget_gone(owner.now)
+    return False
+  return bool(owner.claimants.silent(owner.now))
+
+
+def tick(owner: ownerstate.Owner):
+  """Stops the runs of kept jobs while the holder may have been replaced."""
+  if not owner.self_fenced:
+    if not may_be_replaced(owner):
+      return
+    owner.self_fenced = True
+    owner.counters["self_fenced"] += 1
+    silent = ",".join(owner.claimants.silent(owner.now))
+    owner.emit(_log(owner, "self_fenced", silent=silent))
+  for record in owner.endpoints.values():
+    kept_runs = _kept_runs(owner, record)
+    record.must_lapse = bool(kept_runs)
+    for run in kept_runs:
+      if run.wanted:
+        runcontrol.stop_possible_run(owner, record, run)
+
+
+def handle_claims_read(owner: ownerstate.Owner):
+  """Resumes kept jobs once the store has reported all claims up to now."""
+  if not owner.self_fenced or may_be_replaced(owner):
+    return
+  owner.self_fenced = False
+  for record in owner.endpoints.values():
+    record.must_lapse = False
+  owner.emit(_log(owner, "self_fence_ended"))
+
+
+def _kept_runs(
+    owner, record: endpointstate.EndpointRecord
+) -> list[endpointstate.Run]:
+  return [
+      run
+      for run in record.runs.values()
+      if (job := owner.by_id.get(run.id.task.job_id)) and job.job.kept
+  ]
+
+
+def _log(owner, event: str, **fields) -> events.Log:
+  return events.log(
+      event,
+      data_centre=owner.shard.data_centre,
+      fence=owner.fence,
+      **fields,
+  )
--- a/fescueturn/scheduler/succession.py
+++ b/fescueturn/scheduler/succession.py
@@ -14,6 +14,9 @@
 # Maximum age of a host's last ping for it to count as alive: two and a half
 # idle ping periods (0.19 s), the timeout by which hosts judge a holder.
 ALIVE_S = 0.5
+# A host that a holder has not heard from for this long, at last while the store
+# answered, is gone. A host that loses power is back within seconds.
+GONE_S = 10.0
 # Minimum uptime of a successor that has others to compare with: by then it has
 # read the claims and the configuration from the store.
 MIN_UPTIME_S = 1.0
@@ -71,6 +74,33 @@
 NO_FENCES = FenceRange(1, 0)
 
 
+class Claimants:
+  """The other hosts of a data centre, as its holder hears from them.
+
+  Each of them may claim the shard, unless it hasn't been heard from for so long
+  that it is taken to be gone.
+  """
+
+  def __init__(self):
+    self._heard_at: dict[str, float] = {}
+
+  def record(self, host: str, now: float):
+    """Records a host's ping."""
+    self._heard_at[host] = now
+
+  def forget_gone(self, now: float):
+    """Forgets the hosts that are gone; called while the store answers."""
+    self._heard_at = {
+        host: at for host, at in self._heard_at.items() if now - at < GONE_S
+    }
+
+  def silent(self, now: float) -> list[str]:
+    """Returns the hosts that are not heard from any more."""
+    return sorted(
+        host for host, at in self._heard_at.items() if now - at >= ALIVE_S
+    )
+
+
 def record(
     hosts: dict[linkmessages.HostProcess, LocalHost],
     process: linkmessages.HostProcess,
--- /dev/null
+++ b/tests/test_selffencing.py
@@ -0,0 +1,112 @@
+"""Kept jobs of a holder that is cut off from the store, in an emulated fleet.
+
+Guards against two runs of a kept job's task at the same time: one that the
+cut-off holder keeps, and one that the next holder starts.
+"""
+
+import pytest
+
+from fescueturn.emulator import endpointcalls
+from fescueturn.scheduler import events
+from fescueturn.scheduler import model
+from tests import fleets
+from tests import test_kept_jobs
+from tests import test_new_holder
+from tests import test_succession
+
+# Moments in the period of 0.7 s in which a holder reads the store.
+CUT_TIMES = (6.1, 6.25, 6.4, 6.55, 6.7)
+
+
+def fleet_with_kept_job(run_ms: int = 9000, seed: int = 0):
+  """Returns a fleet, the holder of a, and its kept job that runs on z."""
+  emulation = fleets.fleet(seed=seed)
+  emulation.add_endpoint("z", "a", cpu=200000)
+  emulation.clock.run_until(6.0)
+  holder = fleets.owner_of(emulation, "a")
+  kept_job = test_kept_jobs.job("k", 1, run_ms)
+  test_kept_jobs.submit(emulation, holder.name, kept_job)
+  emulation.clock.run_until(6.1)
+  assert emulation.endpoints["z"].running
+  return emulation, holder
+
+
+def starts_of(emulation, job_id: str) -> list[model.RunId]:
+  return [
+      run
+      for endpoint in emulation.endpoints.values()
+      for run in endpoint.starts
+      if run.task.job_id == job_id
+  ]
+
+
+@pytest.mark.parametrize("cut_at", CUT_TIMES)
+@pytest.mark.parametrize("others", [0, 1])
+def test_kept_job_runs_once_across_a_partition_of_its_data_centre(
+    others, cut_at
+):
+  """Of three hosts, one or two are cut off with the holder's endpoint."""
+  emulation, holder = fleet_with_kept_job()
+  emulation.clock.run_until(cut_at)
+  local = [h.name for h in fleets.hosts_in(emulation, "a") if h is not holder]
+  side = {holder.name, "z", *local[:others]}
+  test_new_holder.cut_off_rack(emulation, side)
+  emulation.clock.run_until(cut_at + 4.0)
+  assert len(starts_of(emulation, "k")) == 2
+  for host in emulation.hosts.values():
+    host.partitioned_from.clear()
+  emulation.clock.run_until(cut_at + 16.0)
+  assert emulation.broken == []
+  assert emulation.kept_store.states["k"] is model.KeptJobState.DONE
+
+
+def test_kept_job_goes_on_while_a_whole_data_centre_is_cut_off():
+  emulation, _ = fleet_with_kept_job(3000)
+  test_succession.cut_off(emulation, "a")
+  emulation.clock.run_until(9.5)
+  assert not test_succession.lines(emulation, "self_fenced")
+  assert len(starts_of(emulation, "k")) == 1
+  test_succession.cut_off(emulation, "a", restored=True)
+  emulation.clock.run_until(12.0)
+  assert emulation.kept_store.states["k"] is model.KeptJobState.DONE
+  assert len(starts_of(emulation, "k")) == 1
+
+
+def test_kept_job_goes_on_while_the_store_answers_although_a_host_is_lost():
+  emulation, holder = fleet_with_kept_job(3000)
+  emulation.kill(fleets.other_host(emulation, holder).name)
+  emulation.clock.run_until(10.0)
+  assert emulation.kept_store.states["k"] is model.KeptJobState.DONE
+  assert len(starts_of(emulation, "k")) == 1
+
+
+def test_kept_job_resumes_when_the_store_is_back_and_a_host_was_lost():
+  emulation, holder = fleet_with_kept_job(3000)
+  emulation.store_up = False
+  emulation.kill(fleets.other_host(emulation, holder).name)
+  emulation.clock.run_until(9.0)
+  assert not emulation.endpoints["z"].running
+  emulation.store_up = True
+  emulation.clock.run_until(16.0)
+  assert len(test_succession.lines(emulation, "self_fence_ended")) == 1
+  assert emulation.broken == []
+  assert emulation.kept_store.states["k"] is model.KeptJobState.DONE
+
+
+@pytest.mark.parametrize("cut_at", CUT_TIMES)
+def test_best_effort_jobs_do_not_prolong_a_kept_run_whose_stop_is_lost(
+    monkeypatch, cut_at
+):
+  """All runs at an endpoint share its lease."""
+  emulation, holder = fleet_with_kept_job()
+  emulation.clock.run_until(cut_at)
+  handlers = endpointcalls.EFFECT_HANDLERS
+  monkeypatch.setitem(handlers, events.StopRun, lambda *_: None)
+  test_new_holder.cut_off_rack(emulation, {holder.name, "z"})
+  for number in range(30):
+    emulation.clock.run_until(cut_at + 0.2 * number)
+    job = fleets.job(f"j{number}", 1, 300)
+    emulation.submit(holder.name, job, [0.3])
+  emulation.clock.run_until(cut_at + 7.0)
+  assert emulation.broken == []
+  assert len(emulation.acknowledged_done) >= 15
