A claim that is to replace another succeeds when that one is gone

Cause: a holder that stops deletes its claim and tells its named successor, whose watch reports the deletion some ms later. The successor claims at once, to replace the claim that is gone; the compare fails (outcome=taken), it waits 0.3 s, and a host with too little CPU wins and serves for 3 s.

Evidence: logs of: a-2 claims with replaces=4 at 3.081 s, taken, although the next claim that wins is a-10's at 3.228 s; the same on kr-central-b at 28.31 s. Ruled out: a quicker host, a slow store (6 ms).

Fix: if the store answers that there is no claim, the shard is claimed as free. Another host's claim still wins, and the last fencing token is compared as before.

--- a/fescueturn/emulator/fleetstore.py
+++ b/fescueturn/emulator/fleetstore.py
@@ -71,13 +71,17 @@
       host.apply(events.HolderChanged(shard, holder))
 
   def claim(self, host, effect: events.ClaimShard):
-    """Executes a claim; it fails if the shard's claim has changed meanwhile."""
+    """Executes a claim; it fails if another host has claimed the shard."""
     delay_s = self._fleet.store_delay_s
 
-    def arrive():
+    def arrive(replaces: int):
       current = self._claims.get(effect.shard)
       fence = current.fence if current else 0
-      if self.can_reach_store(host) and fence == effect.replaces:
+      if self.can_reach_store(host) and replaces and not fence:
+        # The store tells that the claim to be replaced is gone.
+        self._fleet.clock.after(2 * delay_s, lambda: arrive(0))
+        return
+      if self.can_reach_store(host) and fence == replaces:
         self._revision += 1
         process = host.process
         holder = model.Holder(
@@ -95,7 +99,7 @@
       answered = events.ClaimAnswered(effect.shard)
       self._fleet.clock.after(delay_s, lambda: host.apply(answered))
 
-    self._fleet.clock.after(delay_s, arrive)
+    self._fleet.clock.after(delay_s, lambda: arrive(effect.replaces))
 
   def _watch_lease(self, shard, holder: model.Holder, host: hosts.EmulatedHost):
     """Deletes a claim whose holder has not renewed its lease in time."""
@@ -131,7 +135,9 @@
       delay_s = self._fleet.store_delay_s * self._fleet.rng.uniform(
           1.0, MAX_WATCH_DELAY_FACTOR
       )
-      self._fleet.clock.after(delay_s, lambda: host.apply(changed))
+      self._fleet.clock.after(
+          delay_s + host.watch_lag_s, lambda: host.apply(changed)
+      )
     else:
       self._behind.add(host.name)
       self._fleet.clock.after(0.2, lambda: self.read_claims(host))
--- a/fescueturn/emulator/hosts.py
+++ b/fescueturn/emulator/hosts.py
@@ -26,6 +26,7 @@
     clock_lag_s: by how much its clock is behind, as it was suspended (s).
     partitioned_from: hosts and endpoints that it can't reach; "store" stands
       for the store.
+    watch_lag_s: by how much later than usual it is notified of claims (s).
     log: the log lines that its reducer has written.
   """
 
@@ -50,6 +51,7 @@
     self.frozen = False
     self.clock_lag_s = 0.0
     self.partitioned_from: set[str] = set()
+    self.watch_lag_s = 0.0
     self.log: list[events.Log] = []
     self._fleet = fleet
     self._deferred: list[events.Event] = []
--- a/fescueturn/platform/claims.py
+++ b/fescueturn/platform/claims.py
@@ -4,6 +4,7 @@
 of its write is its holder's fencing token.
 """
 
+import dataclasses
 from collections.abc import Awaitable
 from collections.abc import Callable
 
@@ -141,6 +142,10 @@
     The fencing token of the shard's last claim stays in the store after that
     claim is removed, as the revision of a key that is written along with it.
 
+    A claim that was to be replaced may have been removed already: a holder
+    tells the other hosts that it stood down, and they may hear of it before the
+    store reports that its claim is gone. The shard is then free.
+
     Returns:
       The fencing tokens of the new claim and of the previous one.
     """
@@ -150,10 +155,13 @@
     except kvtypes.ConflictError as exc:
       claim = exc.items.get(claim_key(effect.shard))
       last_claim = exc.items.get(_last_claim_key(effect.shard))
-      if (claim.revision if claim else 0) != effect.replaces:
+      if claim is not None and claim.revision != effect.replaces:
         raise
-      # Another host has held the shard since this host last read its claim.
+      # Another host may have held the shard since this host last read its
+      # claim.
       follows = last_claim.revision if last_claim else 0
+      replaces = claim.revision if claim else 0
+      effect = dataclasses.replace(effect, replaces=replaces)
       return await self._transact_claim(effect, follows), follows
 
   async def _transact_claim(
--- a/fescueturn/scheduler/events.py
+++ b/fescueturn/scheduler/events.py
@@ -362,7 +362,8 @@
 
   Attributes:
     shard: the shard to claim.
-    replaces: the revision of the existing claim to replace; 0 for none.
+    replaces: the revision of the existing claim to replace; 0 for none. The
+      shard is claimed as well if that claim is gone.
     follows: the shard's last known fencing token; 0 for none.
   """
 
--- a/tests/test_platform_claims.py
+++ b/tests/test_platform_claims.py
@@ -10,6 +10,7 @@
 from fescueturn.platform import store
 from fescueturn.platform import storebackoff
 from fescueturn.scheduler import events
+from fescueturn.scheduler import linkmessages
 from fescueturn.scheduler import model
 
 SHARD = model.Shard("north", 2)
@@ -99,3 +100,49 @@
   )
   timed_out_s = max(client.waits_ms) / 1000 + store.WATCH_SLACK_S
   assert timed_out_s + storebackoff.RETRY_MAX_S < convergence_s
+
+
+class ClaimStore:
+  """A store with the keys of one shard; applies transactions to them."""
+
+  def __init__(self, revisions: dict[str, int]):
+    self.revisions = revisions
+    self.revision = 20
+
+  async def grant(self, ttl_ms):
+    del ttl_ms
+    return 1
+
+  async def transact(self, wanted: kvtypes.Transaction) -> int:
+    found = {key: self.revisions.get(key, 0) for key in wanted.expected}
+    if found != wanted.expected:
+      items = [kvtypes.Item(k, r, b"") for k, r in found.items() if r]
+      raise kvtypes.ConflictError("expected", tuple(items))
+    self.revision += 1
+    for key in (*wanted.puts, *wanted.lasting):
+      self.revisions[key] = self.revision
+    return self.revision
+
+
+@pytest.mark.parametrize(
+    ("claim", "last", "won"),
+    [
+        (4, 4, True),
+        (0, 4, True),  # Released; this host has not heard of it yet.
+        (0, 9, True),  # Another host has held the shard since.
+        (9, 9, False),  # Another host holds the shard.
+    ],
+)
+def test_claim_to_be_replaced_counts_as_free_once_it_is_gone(claim, last, won):
+  """A successor that hears of a release early must not lose its claim."""
+  last_claim = claims._last_claim_key(SHARD)
+  held = {KEY: claim} if claim else {}
+  client = ClaimStore({**held, last_claim: last})
+  peer = settings.Address("10.0.0.1", 7720)
+  mine = claims.Claims(client, linkmessages.HostProcess("h", "b"), peer)
+  change = curio.run(mine.claim, events.ClaimShard(SHARD, 4, 4))
+  if not won:
+    assert change is None and client.revision == 20
+    return
+  assert (change.holder.fence, change.follows) == (21, last)
+  assert client.revisions == {KEY: 21, last_claim: 21}
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -471,3 +471,27 @@
     used += range(granted.first, granted.limit + 1)
   used += range(rest.first, rest.limit + 1)
   assert sorted(used) == list(range(first, first + count))
+
+
+@pytest.mark.parametrize("lag_s", [0.0, 0.02, 0.2, 0.6])
+@pytest.mark.parametrize("seed", range(3))
+def test_named_successor_wins_whatever_it_hears_first(seed, lag_s):
+  """The holder's word that it stood down may come before the store's report."""
+  emulation = fleets.fleet(seed=seed)
+  emulation.clock.run_until(4.0)
+  earlier = fleets.owner_of(emulation, "a")
+  for host in fleets.hosts_in(emulation, "a"):
+    host.watch_lag_s = lag_s
+  earlier.watch_lag_s = 0.0
+  earlier.apply(events.DrainStarted())
+  (owner,) = earlier.state.owners.values()
+  named = owner.successor
+  stopped_at = emulation.clock.now
+  while not any(
+      h.state.owners
+      for h in fleets.hosts_in(emulation, "a")
+      if h is not earlier
+  ):
+    emulation.clock.run_until(emulation.clock.now + 0.001)
+  assert emulation.clock.now - stopped_at < 0.1
+  assert fleets.owner_of(emulation, "a").process == named
