Own lines say what keeps a host busy, once a second

What operators saw: up to 660 lines of curio at each change of holder (62 at the next holder in 0.8 s), none of which names what was slow.

Cause: curio says of each timeout that it notices late that it does; the event that had kept the loop busy is known to nobody.

--- a/fescueturn/logs.py
+++ b/fescueturn/logs.py
@@ -48,10 +48,49 @@
     return True
 
 
+class LateTimeouts:
+  """Timeouts that curio noticed late, since the last report.
+
+  A task that waited with a timeout continues late when the event loop is busy.
+  curio says so for each one, up to a hundred times per second on a host short
+  of CPU.
+  """
+
+  # The logger that curio uses for them, with the task and the delay (s).
+  LOGGER = "curio.time"
+
+  def __init__(self):
+    self._counts: collections.Counter[str] = collections.Counter()
+    self._worst_s = 0.0
+
+  def record(self, task, late_s: float):
+    """Records a timeout of a curio task that was noticed late."""
+    self._counts[task.name.removesuffix(".<locals>.run")] += 1
+    self._worst_s = max(self._worst_s, late_s)
+
+  def report(self):
+    """Logs the timeouts recorded since the last call, if any."""
+    if not self._counts:
+      return
+    logger.info(
+        "event=timeouts_late count={} worst_ms={:.0f} by_task={}",
+        self._counts.total(),
+        1000 * self._worst_s,
+        ",".join(f"{k}:{n}" for k, n in sorted(self._counts.items())),
+    )
+    self._counts.clear()
+    self._worst_s = 0.0
+
+
 class BoundedSink:
-  """A loguru sink that writes to a file descriptor without blocking."""
+  """A loguru sink that writes to a file descriptor without blocking.
+
+  Attributes:
+    late_timeouts: what curio says of late timeouts, reported once per second.
+  """
 
   def __init__(self, fd: int, now: Callable[[], float] = time.monotonic):
+    self.late_timeouts = LateTimeouts()
     self._fd = fd
     self._now = now
     self._normal_bucket = _TokenBucket(now())
@@ -82,11 +121,14 @@
     self._flush()
 
   def tick(self, now: float):
-    """Writes buffered lines and, once per second, the count of dropped ones."""
+    """Writes buffered lines and, once per second, what has been counted."""
     self._flush()
-    if not self._dropped or now - self._reported_at < REPORT_PERIOD_S:
+    if now - self._reported_at < REPORT_PERIOD_S:
       return
     self._reported_at = now
+    self.late_timeouts.report()
+    if not self._dropped:
+      return
     counts = ",".join(f"{k}:{n}" for k, n in sorted(self._dropped.items()))
     line = f"event=log_left_out lines={self.dropped_lines} by_event={counts}\n"
     if len(self._buffer) < MAX_BUFFER_BYTES:
@@ -113,12 +155,20 @@
 class _LibraryLogHandler(logging.Handler):
   """Passes libraries' log records to loguru, as one rate-limited line each.
 
-  Records below ERROR become INFO: curio warns of each timeout that it notices
-  late, up to a hundred times per second on a host short of CPU.
+  Records below ERROR become INFO. Late timeouts are only counted if there is
+  something that reports them.
   """
 
+  def __init__(self, late_timeouts: LateTimeouts | None = None):
+    super().__init__()
+    self._late_timeouts = late_timeouts
+
   def emit(self, record: logging.LogRecord):
     """Logs one record through loguru."""
+    is_late_timeout = record.name == LateTimeouts.LOGGER and record.args
+    if self._late_timeouts is not None and is_late_timeout:
+      self._late_timeouts.record(*record.args)
+      return
     text = json.dumps(record.getMessage())
     severe = record.levelno >= logging.ERROR
     logger.log(
@@ -141,15 +191,27 @@
     The sink, whose `tick` must be called regularly.
   """
   sink = BoundedSink(sys.stdout.fileno())
-  replace_sink(sink.write, process_name, level)
+  replace_sink(sink.write, process_name, level, sink.late_timeouts)
   return sink
 
 
-def replace_sink(sink, process_name: str, level: str):
-  """Makes `sink` the only log sink; lines are tagged with `process_name`."""
+def replace_sink(
+    sink,
+    process_name: str,
+    level: str,
+    late_timeouts: LateTimeouts | None = None,
+):
+  """Makes `sink` the only log sink; lines are tagged with `process_name`.
+
+  Args:
+    sink: the sink.
+    process_name: the process's name.
+    level: the lowest level that is logged.
+    late_timeouts: counts late timeouts; None to log each of them.
+  """
   logger.remove()
   logger.configure(extra={"proc": process_name})
   logger.add(
       sink, level=level, format=LINE_FORMAT, backtrace=False, diagnose=False
   )
-  logging.root.handlers = [_LibraryLogHandler()]
+  logging.root.handlers = [_LibraryLogHandler(late_timeouts)]
--- a/fescueturn/scheduler/host.py
+++ b/fescueturn/scheduler/host.py
@@ -24,6 +24,7 @@
 from fescueturn.scheduler import linkmessages
 from fescueturn.scheduler import model
 from fescueturn.scheduler import reducer
+from fescueturn.scheduler import slowevents
 from fescueturn.scheduler import state as state_lib
 
 # Tick period of the scheduler's timer (s): timeouts, which are 60 ms and more,
@@ -111,6 +112,7 @@
     self._effects: collections.deque[events.Effect] = collections.deque()
     self._executing = False
     self._failed = False
+    self._slow_events = slowevents.SlowEvents(clock.now)
     self._effect_handlers = {
         events.StartRun: self._in_background(ports.start),
         events.StopRun: self._in_background(ports.stop),
@@ -149,8 +151,9 @@
 
   async def apply(self, event: events.Event):
     """Passes one event to the reducer and executes its effects."""
+    began_at = self._timer.now()
     try:
-      effects = reducer.reduce(self._state, event, self._timer.now())
+      effects = reducer.reduce(self._state, event, began_at)
     except Exception:
       # The state may be partly changed, so that nothing in it can be trusted.
       self._failed = True
@@ -161,6 +164,7 @@
           json.dumps(stack),
       )
       raise
+    self._slow_events.record(event, began_at)
     self._effects += effects
     if self._executing:
       return  # The task that executes effects now executes these as well.
@@ -280,6 +284,9 @@
   async def _tick(self, now: float):
     del now
     await self.apply(events.Tick())
+    slow = self._slow_events.take_report()
+    if slow is not None:
+      await write_log(slow)
 
   def _in_background(self, call):
     async def run(effect):
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -1,6 +1,7 @@
 import logging
 import os
 
+import curio
 from loguru import logger
 
 from fescueturn import logs
@@ -71,3 +72,31 @@
   logging.getLogger("curio.time").warning("took %s\nlonger", 3)
   (line,) = read_all(reader)
   assert 'event=library_said library=curio.time said="took 3\\nlonger"' in line
+
+
+def test_late_timeouts_are_counted_by_task_in_one_line_a_second(monkeypatch):
+  """Guards against dozens of lines a second that name no cause."""
+  clock = [100.0]
+  reader, sink = sink_on_pipe(clock)
+  library = logging.getLogger(logs.LateTimeouts.LOGGER)
+  handler = logs._LibraryLogHandler(sink.late_timeouts)
+  monkeypatch.setattr(library, "handlers", [handler])
+  monkeypatch.setattr(library, "propagate", False)
+
+  async def call():
+    for late_s in (0.002, 0.047, 0.011):
+      task = await curio.current_task()
+      library.warning("%r. Badness delta=%r.", task, late_s)
+
+  curio.run(call)
+  sink.tick(clock[0])
+  assert read_all(reader) == []
+  for _ in range(2):
+    clock[0] += 1.0
+    sink.tick(clock[0])
+  (line,) = read_all(reader)
+  name = "test_late_timeouts_are_counted_by_task_in_one_line_a_second"
+  assert line == (
+      "event=timeouts_late count=3 worst_ms=47"
+      f" by_task={name}.<locals>.call:3"
+  )
