--- a/fescueturn/scheduler/handover.py
+++ b/fescueturn/scheduler/handover.py
@@ -15,11 +15,6 @@
 MIN_TENURE_S = 3.0
 # Maximum age of the successor's last ping: three ping periods, so it is up now.
 SUCCESSOR_TIMEOUT_S = 0.3
-# The longest time in which a store may answer that is prompt enough for the
-# release of the claim and the successor's claim; it usually takes 6 ms. With a
-# slower one the shard is better served by a host with too little CPU than left
-# between two holders.
-PROMPT_STORE_S = 0.1
 # How long the releasing host doesn't claim the shard itself. If the store
 # missed the release, the host retries it after this time.
 YIELD_S = 1.0
@@ -52,5 +47,9 @@
 
 
 def _store_is_prompt(owner: ownerstate.Owner) -> bool:
+  """Returns whether the store will answer the successor's claim soon.
+
+  Otherwise the shard is better left with a host with too little CPU.
+  """
   answers = succession.store_answers(owner.listed_at, owner.now)
-  return answers and owner.list_took_s <= PROMPT_STORE_S
+  return answers and owner.list_took_s <= succession.PROMPT_ANSWER_S
--- a/fescueturn/scheduler/shardownership.py
+++ b/fescueturn/scheduler/shardownership.py
@@ -71,7 +71,7 @@
   The store may turn slow or be cut off before it answers the successor's claim.
   """
   took_s = state.now - candidate.released_at
-  if took_s <= succession.PROMPT_RELEASE_S:
+  if took_s <= succession.PROMPT_ANSWER_S:
     return []
   return [
       events.log(
--- a/fescueturn/scheduler/succession.py
+++ b/fescueturn/scheduler/succession.py
@@ -23,10 +23,8 @@
 # Maximum age of the last list of endpoints from the store: one of the last two
 # reads succeeded, so that the release and the next claim will, too.
 MAX_LIST_AGE_S = 1.5
-# A release that the store reports within this time shows a store that answers
-# the successor's claim as promptly; the releasing holder stops serving at that
-# report. With a slower store it serves until the successor's claim is reported.
-PROMPT_RELEASE_S = 0.1
+# A store that takes longer than this to answer is slow; it usually takes 6 ms.
+PROMPT_ANSWER_S = 0.1
 
 
 @dataclasses.dataclass(frozen=True)
