--- a/fescueturn/logs.py
+++ b/fescueturn/logs.py
@@ -165,9 +165,12 @@
 
   def emit(self, record: logging.LogRecord):
     """Logs one record through loguru."""
-    is_late_timeout = record.name == LateTimeouts.LOGGER and record.args
+    is_late_timeout = (
+        record.name == LateTimeouts.LOGGER and len(record.args) == 2
+    )
     if self._late_timeouts is not None and is_late_timeout:
-      self._late_timeouts.record(*record.args)
+      task, late_s = record.args
+      self._late_timeouts.record(task, late_s)
       return
     text = json.dumps(record.getMessage())
     severe = record.levelno >= logging.ERROR
--- a/fescueturn/scheduler/shardownership.py
+++ b/fescueturn/scheduler/shardownership.py
@@ -28,10 +28,10 @@
       candidate, event.holder, state.now, event.unreadable_revision
   )
   holder = candidate.holder
-  if holder is None and event.shard in state.owners:
-    if state.now < candidate.yield_until:
-      return _handle_release_reported(state, candidate)
   if holder is None:
+    is_owner = event.shard in state.owners
+    if is_owner and state.now < candidate.yield_until:
+      return _log_slow_release(state, candidate)
     return []
   is_mine = (
       linkmessages.HostProcess(holder.host, holder.boot) == state.me.process
@@ -65,10 +65,11 @@
   )
 
 
-def _handle_release_reported(state, candidate: election.Candidate) -> list:
-  """Keeps a released shard until the next claim is reported.
+def _log_slow_release(state, candidate: election.Candidate) -> list:
+  """Logs that the store took long to report a release.
 
-  The store may turn slow or be cut off before it answers the successor's claim.
+  The releasing host serves the shard until the next claim is reported, as the
+  store may turn slow or be cut off before it answers that claim.
   """
   took_s = state.now - candidate.released_at
   if took_s <= succession.PROMPT_ANSWER_S:
