Self-fencing of a holder that hasn't read the kept jobs' records, or heard all hosts

Cause: it doesn't know yet which of the runs that it finds are kept jobs', and best-effort runs at the same endpoint prolonged their lease; nor which hosts there are to fall silent.

Evidence: the new test failed: claim 6.27 s, cut 6.33 s, the next holder starts the task at 9.60 s beside the run on z; the first part of the fix alone left it failing, with no host in the holder's list of those heard.

--- a/fescueturn/scheduler/selffencing.py
+++ b/fescueturn/scheduler/selffencing.py
@@ -19,6 +19,10 @@
 # must have ended by then, even if no stop reaches them; they last for 0.84 s.
 # The list of endpoints alone is read every 0.7 s.
 STORE_SILENT_S = 1.0
+# By then every host of the data centre has pinged a new holder: it hears of it
+# within 50 ms and pings it every 0.19 s.
+ALL_HEARD_S = 1.0
+_ACTIVE = (endpointstate.RunState.ORDERED, endpointstate.RunState.RUNNING)
 
 
 def may_be_replaced(owner: ownerstate.Owner) -> bool:
@@ -26,6 +30,9 @@
   if owner.now - owner.store_answered_at <= STORE_SILENT_S:
     owner.claimants.forget_gone(owner.now)
     return False
+  # The store fell silent before it was known which hosts may claim the shard.
+  if owner.store_answered_at - owner.taken_at < ALL_HEARD_S:
+    return True
   return bool(owner.claimants.silent(owner.now))
 
 
@@ -39,10 +46,10 @@
     silent = ",".join(owner.claimants.silent(owner.now))
     owner.emit(_log(owner, "self_fenced", silent=silent))
   for record in owner.endpoints.values():
-    kept_runs = _kept_runs(owner, record)
+    kept_runs = [r for r in record.runs.values() if _may_be_kept(owner, r)]
     record.must_lapse = bool(kept_runs)
     for run in kept_runs:
-      if run.wanted:
+      if run.state in _ACTIVE:
         runcontrol.stop_possible_run(owner, record, run)
 
 
@@ -56,14 +63,12 @@
   owner.emit(_log(owner, "self_fence_ended"))
 
 
-def _kept_runs(
-    owner, record: endpointstate.EndpointRecord
-) -> list[endpointstate.Run]:
-  return [
-      run
-      for run in record.runs.values()
-      if (job := owner.by_id.get(run.id.task.job_id)) and job.job.kept
-  ]
+def _may_be_kept(owner, run: endpointstate.Run) -> bool:
+  """Returns whether a run may be a kept job's, whose records may be unread."""
+  job = owner.by_id.get(run.id.task.job_id)
+  if job is None:
+    return not owner.kept_records.loaded
+  return job.job.kept
 
 
 def _log(owner, event: str, **fields) -> events.Log:
--- a/tests/test_selffencing.py
+++ b/tests/test_selffencing.py
@@ -110,3 +110,25 @@
   emulation.clock.run_until(cut_at + 7.0)
   assert emulation.broken == []
   assert len(emulation.acknowledged_done) >= 15
+
+
+def test_runs_of_unread_kept_jobs_are_not_prolonged_by_best_effort_jobs():
+  """A new holder that loses the store can't tell which runs are kept jobs'."""
+  emulation, earlier = fleet_with_kept_job()
+  local = [h for h in fleets.hosts_in(emulation, "a") if h is not earlier]
+  for number in range(24):
+    host = local[number % 2]
+    emulation.submit(host.name, fleets.job(f"j{number}", 1, 6000), [6.0], 8.0)
+  emulation.clock.run_until(6.2)
+  assert len(emulation.endpoints["z"].running) > 2
+  emulation.kept_load_delay_s = 30.0
+  emulation.kill(earlier.name)
+  while not any(h.state.owners for h in local):
+    emulation.clock.run_until(emulation.clock.now + 0.005)
+  holder = fleets.owner_of(emulation, "a")
+  emulation.clock.run_until(emulation.clock.now + 0.05)
+  cut_at = emulation.clock.now
+  test_new_holder.cut_off_rack(emulation, {holder.name, "z"})
+  emulation.kept_load_delay_s = 0.01
+  emulation.clock.run_until(cut_at + 6.0)
+  assert emulation.broken == []
