Holders of the shard count as hosts that may claim it; a soak of partitions

What callers could see: a task of a kept job started again by a holder that was cut off, after the next one had it done.

Cause: self-fencing waits for a host that it misses, but knew only hosts that had pinged this very holder. The holder before had been cut off at the takeover and never did; it came back as this one was cut off, and claimed the shard.

Fix: the hosts that may claim are kept beside the election, not by holder, and include each holder of the shard; one counts as gone after 30 s in place of 10, as cuts may last. The new mode of the soak cuts a host and an endpoint of its data centre off from all others; the schedules of the other modes are unchanged.

--- a/fescueturn/scheduler/election.py
+++ b/fescueturn/scheduler/election.py
@@ -11,6 +11,7 @@
 
 from fescueturn.scheduler import events
 from fescueturn.scheduler import model
+from fescueturn.scheduler import succession
 
 # Upper bound of a host's fixed delay before it claims a free shard. Staggered
 # hosts of a data centre rarely collide: the round trip to the store takes 4 to
@@ -86,6 +87,7 @@
       holder has named it as its successor (s).
     released_at: when this host, as the holder, last asked the store to delete
       its claim (s).
+    claimants: the other hosts that may claim the shard.
   """
 
   def __init__(
@@ -108,6 +110,7 @@
     self.claim_took_s = 0.0
     self.named_until = 0.0
     self.released_at = 0.0
+    self.claimants = succession.Claimants()
     host_hash = zlib.crc32(
         f"{host}/{shard.data_centre}/{shard.number}".encode()
     )
--- a/fescueturn/scheduler/ownerstate.py
+++ b/fescueturn/scheduler/ownerstate.py
@@ -228,6 +228,7 @@
       evacuations: evacuation.Evacuations | None = None,
       inherited: endpointlist.KnownList | None = None,
       store_silent_s: float = 0.0,
+      claimants: succession.Claimants | None = None,
   ):
     self.shard = shard
     self.fence = fence
@@ -255,8 +256,8 @@
     self.first_contacts: dict[linkmessages.HostProcess, float] = {}
     # The other hosts of the data centre that have pinged this owner.
     self.local_hosts: dict[linkmessages.HostProcess, succession.LocalHost] = {}
-    # When each host that may claim the shard was last heard.
-    self.claimants = succession.Claimants()
+    # The other hosts that may claim the shard.
+    self.claimants = claimants or succession.Claimants()
     # True while another host may hold the shard, so that no kept job runs.
     self.self_fenced = False
     # The host that is to claim the shard once this one releases it.
--- a/fescueturn/scheduler/shardownership.py
+++ b/fescueturn/scheduler/shardownership.py
@@ -33,6 +33,8 @@
     if is_owner and state.now < candidate.yield_until:
       return _log_slow_release(state, candidate)
     return []
+  if holder.host != state.me.process.host:
+    candidate.claimants.record(holder.host, state.now)
   is_mine = (
       linkmessages.HostProcess(holder.host, holder.boot) == state.me.process
   )
@@ -102,6 +104,7 @@
       state.evacuations,
       state.coordinator.endpoint_lists.get(shard),
       store_silent_s,
+      state.candidates[shard].claimants,
   )
   state.owners[shard] = owner
   return [
--- a/fescueturn/scheduler/succession.py
+++ b/fescueturn/scheduler/succession.py
@@ -15,8 +15,9 @@
 # idle ping periods (0.19 s), the timeout by which hosts judge a holder.
 ALIVE_S = 0.5
 # A host that a holder has not heard from for this long, at last while the store
-# answered, is gone. A host that loses power is back within seconds.
-GONE_S = 10.0
+# answered, is gone. A host that loses power is back within seconds; one that is
+# cut off may be so for longer.
+GONE_S = 30.0
 # Minimum uptime of a successor that has others to compare with: by then it has
 # read the claims and the configuration from the store.
 MIN_UPTIME_S = 1.0
@@ -73,17 +74,18 @@
 
 
 class Claimants:
-  """The other hosts of a data centre, as its holder hears from them.
+  """The other hosts of a data centre, as one of them knows them.
 
-  Each of them may claim the shard, unless it hasn't been heard from for so long
-  that it is taken to be gone.
+  They are those that have held the shard or pinged this host as its holder.
+  Each may claim the shard, unless it hasn't been heard from for so long that it
+  is taken to be gone.
   """
 
   def __init__(self):
     self._heard_at: dict[str, float] = {}
 
   def record(self, host: str, now: float):
-    """Records a host's ping."""
+    """Records that a host has pinged this one or holds the shard."""
     self._heard_at[host] = now
 
   def forget_gone(self, now: float):
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -25,6 +25,7 @@
 @click.option("--seeds", default=1, help="Number of consecutive seeds.")
 @click.option("--at-once", default=1, help="Number of soaks at a time.")
 @click.option("--lossy", is_flag=True, help="Only lossy paths, and bursts.")
+@click.option("--partitions", is_flag=True, help="Only partitions, and kills.")
 @click.option("--regressions", is_flag=True, help="Run the kept seeds.")
 @click.option("--quiet", is_flag=True, help="Print the verdict only.")
 @click.option(
@@ -33,13 +34,17 @@
     type=click.Path(path_type=pathlib.Path),
     help="Where the folders of failed seeds go.",
 )
-def main(seed, seconds, seeds, at_once, lossy, regressions, quiet, keep):
+def main(
+    seed, seconds, seeds, at_once, lossy, partitions, regressions, quiet, keep
+):
   """Soaks the real programs and prints which promises held."""
   signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(128 + number))
   if seed is None:
     seed = random.SystemRandom().randrange(1_000_000)
   numbers = range(seed, seed + seeds)
-  plans = [run_lib.Plan(number, seconds, lossy) for number in numbers]
+  plans = [
+      run_lib.Plan(number, seconds, lossy, partitions) for number in numbers
+  ]
   if regressions:
     plans = read_regressions()
   if len(plans) == 1:
@@ -53,7 +58,8 @@
   for line in REGRESSIONS.read_text().splitlines():
     if line and not line.startswith("#"):
       seed, seconds, mode, *_ = line.split()
-      plans.append(run_lib.Plan(int(seed), float(seconds), mode == "lossy"))
+      modes = mode == "lossy", mode == "partitions"
+      plans.append(run_lib.Plan(int(seed), float(seconds), *modes))
   return plans
 
 
@@ -68,7 +74,7 @@
   finally:
     if failed:
       keep.mkdir(parents=True, exist_ok=True)
-      kept = keep / f"{plan.seed}{'-lossy' * plan.lossy_only}"
+      kept = keep / "-".join([str(plan.seed), *_modes(plan)])
       shutil.rmtree(kept, ignore_errors=True)
       shutil.move(directory, kept)
       click.echo(f"kept {kept}")
@@ -77,6 +83,11 @@
   return int(failed)
 
 
+def _modes(plan: run_lib.Plan) -> list[str]:
+  modes = {"lossy": plan.lossy_only, "partitions": plan.partitions}
+  return [mode for mode, is_chosen in modes.items() if is_chosen]
+
+
 def format_verdict(plan: run_lib.Plan, verdict: checks.Verdict) -> str:
   lines = [f"seed {plan.seed}: {'FAILED' if verdict.violations else 'passed'}"]
   for promise, count in verdict.tested.items():
@@ -90,7 +101,8 @@
   def run(plan):
     command = [sys.executable, "-m", "tests.soak", "--quiet"]
     command += ["--seed", str(plan.seed), "--seconds", str(plan.seconds)]
-    command += ["--keep", str(keep.resolve()), *["--lossy"] * plan.lossy_only]
+    command += ["--keep", str(keep.resolve())]
+    command += [f"--{mode}" for mode in _modes(plan)]
     return subprocess.run(command, cwd=deployments.ROOT, check=False).returncode
 
   with futures.ThreadPoolExecutor(at_once) as pool:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -29,6 +29,7 @@
 
 
 _STORE_TROUBLES = "store_down store_delay store_cut_down store_silence".split()
+PARTITION = "store_partition"
 # Jobs a second with which a burst asks for about as much as all endpoints have.
 FULL_JOBS_PER_S = 45
 
@@ -55,12 +56,16 @@
     return disturbs or self.kind == "store_down"
 
 
-def schedule(seed: int, length_s: float, lossy_only: bool) -> list[Fault]:
+def schedule(
+    seed: int, length_s: float, lossy_only: bool, partitions: bool = False
+) -> list[Fault]:
   draws = [(0.8, _path_fault), (2.5, _host_fault)]
   draws += [(3.5, _slot_fault), (3.0, _store_fault)]
   later = [(4.0, _burst)]
   if lossy_only:
     draws = [(2.0, _lossy)]
+  elif partitions:
+    draws = [(2.5, _partition), (6.0, _host_fault)]
   else:
     later += [(3.0, _restart), (3.0, _leave), (5.0, _stops)]
   faults = _series(random.Random(f"{seed}/faults"), draws, length_s)
@@ -90,6 +95,13 @@
   return "lossy", hosts, slots, rng.uniform(1.0, 5.0), rng.uniform(0.1, 0.4)
 
 
+def _partition(rng) -> tuple:
+  """A host and an endpoint of its data centre are cut off from all others."""
+  host = rng.choice(HOSTS)
+  near = [slot for slot in SLOTS if slot % 2 == host // 2]
+  return PARTITION, (host,), (rng.choice(near),), rng.uniform(1.0, 6.0)
+
+
 def _path_fault(rng) -> tuple:
   if rng.random() < 0.4:
     return _lossy(rng)
@@ -227,6 +239,20 @@
     for path in chosen:
       await path.set_fault(fault, None)
 
+  async def _partition(self, fault: Fault):
+    hosts = {self._cluster.hosts[number].name for number in fault.hosts}
+    side = hosts | {cluster_lib.slot_name(number) for number in fault.slots}
+    chosen = [
+        path
+        for path in self._cluster.paths.values()
+        if len(side & set(path.name)) == 1
+    ]
+    for path in chosen:
+      await path.set_fault(fault, _on_path("silence", 0.0))
+    await curio.sleep(fault.for_s)
+    for path in chosen:
+      await path.set_fault(fault, None)
+
   async def _signal_hosts(self, fault: Fault):
     hosts = [self._cluster.hosts[number] for number in fault.hosts]
     for number, step in enumerate(fault.kind.split("_")):
@@ -323,4 +349,5 @@
     "config": Injector._configure,
     "config_old": Injector._configure,
     "store_down": Injector._stop_store,
+    PARTITION: Injector._partition,
 }
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -29,6 +29,7 @@
   seed: int
   seconds: float
   lossy_only: bool = False
+  partitions: bool = False
 
 
 async def run(plan: Plan, directory: pathlib.Path, echo) -> checks.Verdict:
@@ -36,7 +37,9 @@
 
   Each line of progress goes to `echo`.
   """
-  schedule = faults.schedule(plan.seed, plan.seconds, plan.lossy_only)
+  schedule = faults.schedule(
+      plan.seed, plan.seconds, plan.lossy_only, plan.partitions
+  )
   _write(directory / "schedule.json", [plan, *schedule])
   cluster = cluster_lib.Cluster(directory, plan.seed)
   try:
--- a/tests/test_selffencing.py
+++ b/tests/test_selffencing.py
@@ -132,3 +132,26 @@
   emulation.kept_load_delay_s = 0.01
   emulation.clock.run_until(cut_at + 6.0)
   assert emulation.broken == []
+
+
+def test_earlier_holder_that_comes_back_counts_as_a_host_that_may_claim():
+  """It was cut off when the next one took over, and so never pinged that."""
+  emulation = fleets.fleet(hosts=2)
+  emulation.add_endpoint("z", "a", cpu=200000)
+  emulation.clock.run_until(6.0)
+  earlier = fleets.owner_of(emulation, "a")
+  holder = fleets.other_host(emulation, earlier)
+  test_new_holder.cut_off_rack(emulation, {earlier.name})
+  emulation.clock.run_until(11.0)
+  assert holder.state.owners
+  test_kept_jobs.submit(
+      emulation, holder.name, test_kept_jobs.job("k", 1, 9000)
+  )
+  emulation.clock.run_until(11.1)
+  assert emulation.endpoints["z"].running
+  for host in emulation.hosts.values():
+    host.partitioned_from.clear()
+  test_new_holder.cut_off_rack(emulation, {holder.name, "z"})
+  emulation.clock.run_until(17.0)
+  assert len(starts_of(emulation, "k")) == 2
+  assert emulation.broken == []
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -19,7 +19,12 @@
 
 
 @pytest.mark.parametrize(
-    "plan", (run_lib.Plan(1, 8.0, lossy_only=True), run_lib.Plan(2, 10.0))
+    "plan",
+    (
+        run_lib.Plan(1, 8.0, lossy_only=True),
+        run_lib.Plan(2, 10.0),
+        run_lib.Plan(3, 10.0, partitions=True),
+    ),
 )
 def test_promises_hold_while_faults_are_injected(plan, tmp_path):
   verdict = curio.run(run_lib.run, plan, tmp_path, print)
