--- a/fescueturn/scheduler/decisions/shardchoice.py
+++ b/fescueturn/scheduler/decisions/shardchoice.py
@@ -12,13 +12,10 @@
 from fescueturn.scheduler import model
 from fescueturn.scheduler.decisions import room as room_lib
 
-# A report that shows no room counts at least this long: a quarter of the usual
-# tasks (200 ms) end within it. A longer time saves offers, but leaves jobs
-# waiting while room has become free.
+# A report that shows no room counts for this long: a quarter of the usual tasks
+# (200 ms) end within it. A longer time saves offers, but leaves jobs waiting
+# while room has become free.
 FULL_REPORT_S = 0.05
-# It counts longer if it shows a longer wait, for this part of that wait:
-# estimated run times are up to 40% off.
-FULL_REPORT_WAIT_FRACTION = 0.5
 # A report that shows room counts for this long: a holder of another data centre
 # that has none of this host's jobs reports once a second.
 FREE_REPORT_S = 1.5
@@ -137,14 +134,7 @@
   queued = room.work_ahead_ms(demand.priority) > 0
   if free >= demand.tasks and not queued and not view.contradicted:
     return Chance.LIKELY
-  is_current = view.age_s <= _full_report_s(demand, view)
-  return Chance.NONE if is_current else Chance.UNKNOWN
-
-
-def _full_report_s(demand: Demand, view: ShardView) -> float:
-  """Returns how long a report counts that shows no room for a job (s)."""
-  wait_s = (expected_wait_ms(demand, view) or 0) / 1000
-  return max(FULL_REPORT_S, FULL_REPORT_WAIT_FRACTION * wait_s)
+  return Chance.NONE if view.age_s <= FULL_REPORT_S else Chance.UNKNOWN
 
 
 def expected_wait_ms(demand: Demand, view: ShardView) -> int | None:
--- a/tests/test_shardchoice.py
+++ b/tests/test_shardchoice.py
@@ -54,19 +54,6 @@
   assert chance(DEMAND, view(B, 9, 5.0)) is shardchoice.Chance.UNKNOWN
 
 
-def test_report_of_a_long_wait_rules_a_holder_out_for_half_of_that_wait():
-  """A holder known to be full for a while must not be asked in vain."""
-  busy = room_for(0, waiting_ms=4800)
-  wait_s = shardchoice.expected_wait_ms(DEMAND, view(B, room=busy)) / 1000
-  assert wait_s > 4 * shardchoice.FULL_REPORT_S
-  chance = shardchoice.chance_at_once
-  for age_s, expected in (
-      (0.4 * wait_s, shardchoice.Chance.NONE),
-      (0.6 * wait_s, shardchoice.Chance.UNKNOWN),
-  ):
-    assert chance(DEMAND, view(B, room=busy, age_s=age_s)) is expected
-
-
 def test_holder_that_put_off_a_job_despite_its_room_is_passed_over():
   views = [view(LOCAL, 0), view(B, 20, contradicted=True), view(C, 5)]
   assert shardchoice.choose(DEMAND, views).shard == C
