--- a/fescueturn/emulator/endpoint.py
+++ b/fescueturn/emulator/endpoint.py
@@ -80,6 +80,7 @@
     clock_rate: how fast its own clock runs, in seconds per second.
     superseded: True if a new incarnation of the endpoint has its address.
     on_crash: called after a task has crashed the endpoint.
+    on_start: called with each run that is started.
     starts: the runs that were started, in order.
     stops: the number of stop orders that were accepted.
   """
@@ -120,6 +121,7 @@
     self.clock_rate = 1.0
     self.superseded = False
     self.on_crash: Callable[[EmulatedEndpoint], None] = lambda endpoint: None
+    self.on_start: Callable[[model.RunId], None] = lambda run: None
     self.starts: list[model.RunId] = []
     self.stops = 0
     self._clock = clock
@@ -187,6 +189,7 @@
     ends_at = now + (1e9 if self.hanging else profile.run_s * self.slowdown)
     self._runs[run_id] = _Run(run_id, profile.need, now, ends_at, how)
     self.starts.append(run_id)
+    self.on_start(run_id)
     self._check_invariants(run_id)
     self._clock.at(ends_at, lambda: self._finish_run(run_id, how))
     if profile.crash_after_s is not None:
--- a/fescueturn/emulator/fleet.py
+++ b/fescueturn/emulator/fleet.py
@@ -18,6 +18,7 @@
 from fescueturn.emulator import fleetstore
 from fescueturn.emulator import hosts
 from fescueturn.emulator import keptstore
+from fescueturn.emulator import refusedjobs
 from fescueturn.scheduler import election
 from fescueturn.scheduler import events
 from fescueturn.scheduler import keptevents
@@ -90,6 +91,7 @@
     self.acknowledged_done: set[model.Task] = set()
     self._submitted_at: dict[int, float] = {}
     self._submitted_jobs: dict[int, model.Job] = {}
+    self._refused_jobs = refusedjobs.RefusedJobs(self.broken)
     self._store = fleetstore.FleetStore(self)
     self._calls = endpointcalls.EndpointCalls(self)
     self.restart_delay_s = 3.0
@@ -141,6 +143,7 @@
         self.acknowledged_done,
     )
     endpoint.on_crash = self._schedule_restart
+    endpoint.on_start = self._refused_jobs.record_start
     self.endpoints[name] = endpoint
     return endpoint
 
@@ -200,6 +203,7 @@
     request = self._requests
     self._submitted_at[request] = self.clock.now
     self._submitted_jobs[request] = job
+    self._refused_jobs.record_submission(job.id)
     self.hosts[host].apply(events.JobArrived(request, job, deadline_s))
     return request
 
@@ -343,6 +347,9 @@
     del host
     took_s = self.clock.now - self._submitted_at[effect.request_id]
     refused = effect.outcome is model.Outcome.NOT_RUN
+    job = self._submitted_jobs.get(effect.request_id)
+    if job is not None:
+      self._refused_jobs.record_answer(job.id, effect.outcome)
     self.answers[effect.request_id] = CallerAnswer(
         effect, took_s, refused and self._has_room(effect.request_id)
     )
