The end of a job names the offer that it answers

What callers saw: a job refused as not run (429), whose tasks ran all the same. Cause: JobEnded was the only answer to an offer without its number. A holder that had stood still gave a queued job up, while its coordinator, hearing it again, offered the job anew; the end of the earlier offer was taken for that of the last one, which the holder accepted and started. Why it works: an end without a result that names an earlier offer ends nothing, as the last offer gets its own answer; a result is delivered and the last offer withdrawn. A holder accepts an offer before it ends the job, so an end without a number, from an earlier version, counts for an earlier offer while the last one is unanswered.

--- a/fescueturn/explain.py
+++ b/fescueturn/explain.py
@@ -42,6 +42,10 @@
         " tasks:wait:age): {room}"
     ),
     "job_over": "its holder finished it after {age_ms} ms: {why}",
+    "job_end_outdated": (
+        "its holder had ended it as '{outcome}' ({reason}) before it got the"
+        " last offer"
+    ),
     "kept_job_over": "stored as {state}, with fencing token {fence}",
     "state_told": "its state was reported to a caller: {state}",
     "cancel_asked": (
--- a/fescueturn/scheduler/coordinator.py
+++ b/fescueturn/scheduler/coordinator.py
@@ -43,6 +43,11 @@
 # How long before its caller's deadline an unfinished job is answered: the time
 # of a round trip to the caller and of a tick on a slow host.
 ANSWER_MARGIN_S = 0.03
+_OUTCOMES_WITH_RESULT = (
+    model.Outcome.DONE,
+    model.Outcome.FAILED,
+    model.Outcome.CANCELLED,
+)
 
 
 def handle_job(state: coordinatorstate.Coordinator, event: events.JobArrived):
@@ -256,9 +261,34 @@
 def _job_ended(
     state, record: coordinatorstate.JobRecord, message: linkmessages.JobEnded
 ):
+  if _ended_before_offer(record, message):
+    state.emit(
+        events.log(
+            "job_end_outdated",
+            job=record.job.id,
+            request=record.trace_id,
+            outcome=message.outcome.value,
+            reason=message.reason,
+            ended_offer=message.number,
+            offer=record.offer_count,
+        )
+    )
+    if message.outcome not in _OUTCOMES_WITH_RESULT:
+      return  # The last offer may be accepted, and its tasks run.
+    jobdispatch.withdraw(state, record)
   jobdispatch.answer(state, record, message.outcome, message.reason)
 
 
+def _ended_before_offer(
+    record: coordinatorstate.JobRecord, message: linkmessages.JobEnded
+) -> bool:
+  """Returns whether the holder ended the job before it got the last offer."""
+  if message.number:
+    return message.number != record.offer_count
+  # A holder accepts an offer before it ends the job.
+  return record.phase is coordinatorstate.Phase.OFFERED
+
+
 _MESSAGE_HANDLERS = {
     linkmessages.Accepted: _offer_accepted,
     linkmessages.Declined: _offer_declined,
--- a/fescueturn/scheduler/linkcodec.py
+++ b/fescueturn/scheduler/linkcodec.py
@@ -208,6 +208,7 @@
 
 def _encode_ended(out, message: linkmessages.JobEnded):
   out.jobId = message.key.job_id
+  out.number = message.number
   group = out.init("ended")
   group.outcome = _OUTCOME_NAMES[message.outcome]
   group.reason = message.reason
@@ -462,6 +463,7 @@
       linkmessages.JobKey(coordinator, message.jobId),
       _OUTCOMES[str(message.ended.outcome)],
       message.ended.reason,
+      message.number,
   )
 
 
--- a/fescueturn/scheduler/linkmessages.py
+++ b/fescueturn/scheduler/linkmessages.py
@@ -158,11 +158,20 @@
 
 @dataclasses.dataclass(frozen=True)
 class JobEnded:
-  """The holder reports the job's final outcome."""
+  """The holder reports the job's final outcome.
+
+  Attributes:
+    key: the job.
+    outcome: how it ended.
+    reason: why, in one word.
+    number: the number of the last offer of the job that the holder got; 0 from
+      a holder of an earlier version.
+  """
 
   key: JobKey
   outcome: model.Outcome
   reason: str = ""
+  number: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/fescueturn/scheduler/outcomes.py
+++ b/fescueturn/scheduler/outcomes.py
@@ -317,5 +317,6 @@
     owner.kept_records.unsaved_states[job.job.id] = _KEPT_STATES[outcome]
   elif outcome is not None:
     owner.send_to_coordinator(
-        job.key.process, linkmessages.JobEnded(job.key, outcome, reason)
+        job.key.process,
+        linkmessages.JobEnded(job.key, outcome, reason, job.offer_number),
     )
--- a/tests/test_linkcodec.py
+++ b/tests/test_linkcodec.py
@@ -76,6 +76,7 @@
         for s in model.KeptJobState
     ),
     *(linkmessages.JobEnded(KEY, o, "why") for o in model.Outcome),
+    linkmessages.JobEnded(KEY, model.Outcome.NOT_RUN, "why", 7),
 ]
 
 ROOM = room.RoomReport(
--- a/tests/test_refused_jobs.py
+++ b/tests/test_refused_jobs.py
@@ -5,6 +5,8 @@
 import pytest
 
 from fescueturn.scheduler import events
+from fescueturn.scheduler import jobdispatch
+from fescueturn.scheduler import linkmessages
 from fescueturn.scheduler import model
 from tests import fleets
 
@@ -81,3 +83,57 @@
   )
   assert outcomes[model.Outcome.NOT_RUN] > 50
   assert emulation.broken == []
+
+
+def offer_twice(emulation):
+  """Offers a job twice to its holder, which answers neither offer."""
+  owner = fleets.owner_of(emulation, "a")
+  host = fleets.other_host(emulation, owner)
+  host.partitioned_from.add(owner.name)
+  request = emulation.submit(host.name, fleets.job("j", 2, 200), [0.2] * 2)
+  (record,) = host.state.coordinator.jobs.values()
+  jobdispatch.offer(host.state.coordinator, record, record.shard, resumed=True)
+  return host, record, request
+
+
+def end_job(host, record, outcome: model.Outcome, number: int):
+  """Delivers a holder's message that the job has ended."""
+  message = linkmessages.JobEnded(record.key, outcome, "why", number)
+  host.apply(
+      events.HolderMessageReceived(record.shard, record.process, message)
+  )
+
+
+@pytest.mark.parametrize(
+    "outcome", [model.Outcome.NOT_RUN, model.Outcome.UNKNOWN]
+)
+@pytest.mark.parametrize("number", [0, 1])
+def test_end_of_an_earlier_offer_without_a_result_ends_no_job(number, outcome):
+  emulation = fleets.fleet()
+  host, record, request = offer_twice(emulation)
+  end_job(host, record, outcome, number)
+  assert request not in emulation.answers
+  end_job(host, record, outcome, 2)
+  assert emulation.answers[request].answer.outcome is outcome
+
+
+def test_end_without_a_number_ends_an_accepted_job():
+  """A holder of an earlier version numbers no ends."""
+  emulation = fleets.fleet()
+  host, record, request = offer_twice(emulation)
+  accepted = linkmessages.Accepted(record.key, 2)
+  host.apply(
+      events.HolderMessageReceived(record.shard, record.process, accepted)
+  )
+  end_job(host, record, model.Outcome.NOT_RUN, 0)
+  assert emulation.answers[request].answer.outcome is model.Outcome.NOT_RUN
+
+
+@pytest.mark.parametrize("number", [0, 1])
+def test_result_of_an_earlier_offer_is_delivered_and_the_last_withdrawn(number):
+  emulation = fleets.fleet()
+  host, record, request = offer_twice(emulation)
+  end_job(host, record, model.Outcome.DONE, number)
+  assert emulation.answers[request].answer.outcome is model.Outcome.DONE
+  (withdrawal,) = host.state.coordinator.withdrawals.values()
+  assert withdrawal.message.key == record.key
