A holder's line for each job that it takes up again

Cause: job_begun is written only for a job that has not begun, so a task that a holder started for a job offered once more left no line; a run of a job whose caller had its answer could not be told from any other.

--- a/fescueturn/explain.py
+++ b/fescueturn/explain.py
@@ -42,6 +42,11 @@
         " tasks:wait:age): {room}"
     ),
     "job_over": "its holder finished it after {age_ms} ms: {why}",
+    "job_resumed": (
+        "accepted with offer {offer} as a job that may have run before, with"
+        " fencing token {fence}: {waiting} tasks wait, {at_work} run,"
+        " {stopping} are being stopped"
+    ),
     "job_end_outdated": (
         "its holder had ended it as '{outcome}' ({reason}) before it got the"
         " last offer"
--- a/fescueturn/scheduler/offers.py
+++ b/fescueturn/scheduler/offers.py
@@ -45,9 +45,30 @@
       offer.key.process, linkmessages.Accepted(offer.key, offer.number)
   )
   adopt_existing_runs(owner, record)
+  if offer.resumed:
+    owner.emit(_resumed_log(owner, offer, record))
   runcontrol.start_waiting_tasks(owner)
 
 
+def _resumed_log(
+    owner, offer: linkmessages.Offered, job: ownerstate.JobRecord
+) -> events.Log:
+  """Returns the log line of an accepted job that may have run before."""
+  tasks = job.tasks.values()
+  return events.log(
+      "job_resumed",
+      job=job.job.id,
+      coordinator=job.key.process.host,
+      offer=offer.number,
+      fence=owner.fence,
+      waiting=len(job.waiting),
+      at_work=sum(task.run is not None for task in tasks),
+      stopping=sum(task.previous_run is not None for task in tasks),
+      age_ms=int((owner.now - job.arrived) * 1000),
+      left_ms=int((job.deadline - owner.now) * 1000),
+  )
+
+
 def admit(owner: ownerstate.Owner, offer: linkmessages.Offered) -> bool:
   """Returns whether to accept a job; declines it if it would end too late."""
   if owner.evacuated and not offer.resumed:
--- a/tests/test_linkcodec.py
+++ b/tests/test_linkcodec.py
@@ -76,7 +76,6 @@
         for s in model.KeptJobState
     ),
     *(linkmessages.JobEnded(KEY, o, "why") for o in model.Outcome),
-    linkmessages.JobEnded(KEY, model.Outcome.NOT_RUN, "why", 7),
 ]
 
 ROOM = room.RoomReport(
@@ -104,6 +103,7 @@
     linkmessages.RoomReported(ROOM, 12.5),
     linkmessages.RoomReported(room.RoomReport(), 0.0),
     linkmessages.Declined(KEY, 4, 95, in_time=True, room=ROOM),
+    linkmessages.JobEnded(KEY, model.Outcome.NOT_RUN, "why", 7),
 ]
 
 
--- a/tests/test_refused_jobs.py
+++ b/tests/test_refused_jobs.py
@@ -63,6 +63,12 @@
   emulation.clock.run_until(6.0)
   assert request in emulation.answers
   assert emulation.broken == []
+  lines = [
+      dict(line.fields) for line in holder.log if line.event == "job_resumed"
+  ]
+  assert [
+      (line["job"], line["offer"]) for line in lines if line["job"] == "j"
+  ] == [("j", 5)]
 
 
 @pytest.mark.parametrize("seed", range(4))
