Offers are numbered per coordinator, not per job

What callers would see: a job that is sent again to the same host is refused as not run (429) or given up (504) by the answer to its first submission, while the holder runs it; or it runs in two data centres at once. A job that is submitted again at its coordinator has the same key, and its offers were numbered from 1 again, so JobEnded, Declined and Returned of the first submission were taken for those of the next. It takes a coordinator that stands still and then reads its callers' connections before its links. Why it works: a number of an offer comes again after 65,535 others of the process, long after its answers. Holders echo the number as before, so builds can be mixed. tests/test_scheduler_fleet.py reads the number under its new name (offer_number); its checks are unchanged.

--- a/fescueturn/scheduler/coordinator.py
+++ b/fescueturn/scheduler/coordinator.py
@@ -207,7 +207,7 @@
     # The job is stored and no longer depends on this coordinator.
     jobdispatch.answer(state, record, model.Outcome.KEPT, "stored")
     return
-  if message.number != record.offer_count:
+  if message.number != record.offer_number:
     return
   record.phase = coordinatorstate.Phase.ACCEPTED
   record.may_be_running = True
@@ -217,7 +217,7 @@
 def _offer_declined(
     state, record: coordinatorstate.JobRecord, message: linkmessages.Declined
 ):
-  if message.number != record.offer_count:
+  if message.number != record.offer_number:
     # A later offer to the same holder may have been accepted.
     return
   room = state.holders[record.shard].room
@@ -249,7 +249,7 @@
     state, record: coordinatorstate.JobRecord, message: linkmessages.Returned
 ):
   """Offers a job that its holder handed back to other data centres."""
-  if message.number != record.offer_count:
+  if message.number != record.offer_number:
     return  # A later offer to the same holder is under way.
   record.may_have_run = record.may_have_run or message.may_have_run
   record.may_be_running = False
@@ -270,7 +270,7 @@
             outcome=message.outcome.value,
             reason=message.reason,
             ended_offer=message.number,
-            offer=record.offer_count,
+            offer=record.offer_number,
         )
     )
     if message.outcome not in _OUTCOMES_WITH_RESULT:
@@ -284,7 +284,7 @@
 ) -> bool:
   """Returns whether the holder ended the job before it got the last offer."""
   if message.number:
-    return message.number != record.offer_count
+    return message.number != record.offer_number
   # A holder accepts an offer before it ends the job.
   return record.phase is coordinatorstate.Phase.OFFERED
 
--- a/fescueturn/scheduler/coordinatorstate.py
+++ b/fescueturn/scheduler/coordinatorstate.py
@@ -50,6 +50,9 @@
     shard: the shard to whose holder the job was last offered, if any.
     process: that holder's process.
     offer_count: how often the job was offered.
+    offer_number: the number of its last offer among those of this process, as
+      late answers to a job's earlier submission have the same key; 0 before
+      the first.
     offered_at: when it was last offered (s).
     choice: why it was offered there; None if it had to be that shard.
     orphaned_at: when its holder was lost (s).
@@ -75,6 +78,7 @@
     self.shard: model.Shard | None = None
     self.process: linkmessages.HostProcess | None = None
     self.offer_count = 0
+    self.offer_number = 0
     self.offered_at = 0.0
     self.choice: shardchoice.Choice | None = None
     self.orphaned_at = 0.0
@@ -194,6 +198,7 @@
     # Withdrawals by their numbers.
     self.withdrawals: dict[int, Withdrawal] = {}
     self.last_withdrawal = 0
+    self.last_offer = 0
     self.queries: dict[tuple[str, bool], JobQuery] = {}
     self.pinged_at = 0.0
     self.remote_pinged_at = 0.0
--- a/fescueturn/scheduler/jobdispatch.py
+++ b/fescueturn/scheduler/jobdispatch.py
@@ -29,8 +29,8 @@
 # offer. No offer arrives later than this: a connection fails when data stays
 # unacknowledged for 1.5 s.
 MAX_OFFER_DELAY_S = 2.0
-# The largest number of a withdrawal that a message can hold.
-_MAX_WITHDRAWAL = 2**16 - 1
+# The largest number of an offer or a withdrawal that a message can hold.
+_MAX_NUMBER = 2**16 - 1
 _EVACUATED = "evacuated"
 
 
@@ -151,6 +151,8 @@
   record.process = holder.process
   record.phase = coordinatorstate.Phase.OFFERED
   record.offer_count += 1
+  state.last_offer = state.last_offer % _MAX_NUMBER + 1
+  record.offer_number = state.last_offer
   record.offered_at = state.now
   record.choice = choice
   holder.room.record_offer(record.job, state.now)
@@ -170,7 +172,7 @@
           state.now - record.arrived,
           record.deadline - state.now,
           resumed,
-          record.offer_count,
+          record.offer_number,
           immediate_only,
       ),
   )
@@ -192,7 +194,7 @@
       holder=holder.holder.host,
       fence=holder.holder.fence,
       holder_heard_ms_ago=int((state.now - holder.last_contact_at) * 1000),
-      offer=record.offer_count,
+      offer=record.offer_number,
       chosen=choice.why if choice else "same_shard",
       expected_wait_ms=refusals.or_unknown(choice and choice.wait_ms),
       room_ms_ago=refusals.age_ms(choice and choice.age_s),
@@ -274,7 +276,7 @@
   holder = state.holders.get(record.shard) if record.shard else None
   if holder is None or holder.process != record.process:
     return
-  number = state.last_withdrawal % _MAX_WITHDRAWAL + 1
+  number = state.last_withdrawal % _MAX_NUMBER + 1
   state.last_withdrawal = number
   message = linkmessages.Withdrawn(record.shard, record.key, number)
   state.withdrawals[number] = coordinatorstate.Withdrawal(
--- /dev/null
+++ b/tests/test_crossed_offers.py
@@ -0,0 +1,82 @@
+"""Offers, their answers and withdrawals that cross between two hosts."""
+
+from fescueturn.scheduler import model
+from tests import fleets
+from tests import test_refused_jobs as refused_jobs
+
+# How long after a broken connection a caller sends its job again.
+RETURN_S = 1.3
+
+
+def wake_and_submit_again(emulation, host, request: int, job, run_s) -> int:
+  """Resumes a host that reads its callers' connections before its links."""
+  host.frozen = False
+  emulation.disconnect_caller(host.name, request)
+  again = emulation.submit(host.name, job, run_s, 4.0)
+  host.thaw()
+  return again
+
+
+def test_end_of_an_earlier_submission_does_not_end_the_next():
+  emulation = fleets.fleet()
+  owner = fleets.owner_of(emulation, "a")
+  host = fleets.other_host(emulation, owner)
+  job = fleets.job("j", 2, 2000)
+  request = emulation.submit(host.name, job, [2.0] * 2, 4.0)
+  emulation.clock.run_until(1.2)
+  host.frozen = True
+  emulation.clock.run_until(1.2 + RETURN_S)
+  again = wake_and_submit_again(emulation, host, request, job, [2.0] * 2)
+  emulation.clock.run_until(6.5)
+  assert emulation.answers[again].answer.outcome is model.Outcome.DONE
+  assert emulation.broken == []
+
+
+def test_refusal_of_an_earlier_submission_does_not_refuse_the_next():
+  emulation = fleets.fleet()
+  for data_centre in ("b", "c"):
+    emulation.evacuate(data_centre)
+  owner = fleets.owner_of(emulation, "a")
+  host = fleets.other_host(emulation, owner)
+  refused_jobs.fill(emulation, "a", declared_s=0.3, run_s=1.8)
+  emulation.clock.run_until(1.1)
+  # Its decline tells that the holder is full, so the next is queued at once.
+  emulation.submit(host.name, fleets.job("k", 2, 500, 600), [0.5] * 2, 4.0)
+  emulation.clock.run_until(1.11)
+  job = fleets.job("j", 2, 500, 600)
+  request = emulation.submit(host.name, job, [0.5] * 2, 4.0)
+  emulation.clock.run_until(1.15)
+  (shard_owner,) = owner.state.owners.values()
+  emulation.clock.run_until(shard_owner.by_id["j"].latest_start - 0.1)
+  host.frozen = True
+  emulation.clock.run_until(emulation.clock.now + RETURN_S)
+  again = wake_and_submit_again(emulation, host, request, job, [0.5] * 2)
+  emulation.clock.run_until(emulation.clock.now + 2.0)
+  assert emulation.answers[again].answer.outcome is model.Outcome.DONE
+  assert emulation.broken == []
+
+
+def test_decline_of_an_earlier_submission_does_not_move_the_next():
+  emulation = fleets.fleet()
+  owner = fleets.owner_of(emulation, "a")
+  host = fleets.other_host(emulation, owner)
+  refused_jobs.fill(emulation, "a", declared_s=1.0, run_s=1.0)
+  emulation.clock.run_until(1.2)
+  job = fleets.job("j", 2, 500, 900)
+  request = emulation.submit(host.name, job, [0.5] * 2, 4.0)
+  host.frozen = True
+  emulation.clock.run_until(1.2 + RETURN_S)
+  wake_and_submit_again(emulation, host, request, job, [0.5] * 2)
+  emulation.clock.run_until(6.0)
+  assert emulation.broken == []
+
+
+def test_offer_numbers_stay_within_the_range_of_their_field():
+  emulation = fleets.fleet()
+  owner = fleets.owner_of(emulation, "a")
+  host = fleets.other_host(emulation, owner)
+  host.state.coordinator.last_offer = 2**16 - 1
+  request = emulation.submit(host.name, fleets.job("j", 2, 200), [0.2] * 2)
+  assert host.state.coordinator.jobs["j"].offer_number == 1
+  emulation.clock.run_until(2.0)
+  assert emulation.answers[request].answer.outcome is model.Outcome.DONE
--- a/tests/test_scheduler_fleet.py
+++ b/tests/test_scheduler_fleet.py
@@ -272,7 +272,7 @@
   host = fleets.other_host(emulation, owner)
   request = emulation.submit(host.name, fleets.job("j", 2, 200), [0.2] * 2)
   record = host.state.coordinator.jobs["j"]
-  record.offer_count += 1  # As if the job had been offered again meanwhile.
+  record.offer_number += 1  # As if the job had been offered again meanwhile.
   late = linkmessages.Declined(record.key, 1, 100)
   host.apply(
       events.HolderMessageReceived(model.Shard("a"), owner.process, late)
@@ -337,7 +337,7 @@
   emulation.hosts["a8"] = host
   record.declined_by.update((model.Shard("b"), model.Shard("c")))
   host.apply(events.HolderChanged(shard, after))
-  decline = linkmessages.Declined(record.key, record.offer_count, 100)
+  decline = linkmessages.Declined(record.key, record.offer_number, 100)
   host.apply(
       events.HolderMessageReceived(
           shard, linkmessages.HostProcess("a8", "a8.boot"), decline
