A job that ran before it was handed back is not refused

What callers would see: a job refused as not run (429), some of whose tasks have run. Cause: a holder in an evacuated data centre hands a begun job back (Returned, may have run), and it is offered elsewhere as one that hasn't begun. If the next holder gives it up unbegun, that holder's not_run is true of itself only, and was passed on to the caller. unserved_outcome knew may_have_run, the end of a job didn't. Evidence: emulated fleet, first try: a job of two steps is handed back by a after its first, queued by c, "job_over why=no_room_in_time begun=False", "job_answered not_run"; the emulator's check: "job j was refused as not run, and runs". Why it works: not_run of a job that may have run elsewhere is answered as unknown (504).

--- a/fescueturn/scheduler/coordinator.py
+++ b/fescueturn/scheduler/coordinator.py
@@ -276,7 +276,10 @@
     if message.outcome not in _OUTCOMES_WITH_RESULT:
       return  # The last offer may be accepted, and its tasks run.
     jobdispatch.withdraw(state, record)
-  jobdispatch.answer(state, record, message.outcome, message.reason)
+  outcome = message.outcome
+  if outcome is model.Outcome.NOT_RUN and record.may_have_run:
+    outcome = model.Outcome.UNKNOWN  # At the holder that handed it back.
+  jobdispatch.answer(state, record, outcome, message.reason)
 
 
 def _ended_before_offer(
--- a/tests/test_crossed_offers.py
+++ b/tests/test_crossed_offers.py
@@ -80,3 +80,21 @@
   assert host.state.coordinator.jobs["j"].offer_number == 1
   emulation.clock.run_until(2.0)
   assert emulation.answers[request].answer.outcome is model.Outcome.DONE
+
+
+def test_job_that_ran_before_it_was_handed_back_is_not_refused():
+  emulation = fleets.fleet()
+  for data_centre in ("b", "c"):
+    refused_jobs.fill(emulation, data_centre, declared_s=0.3, run_s=1.3)
+  emulation.clock.run_until(1.1)
+  steps = (
+      model.Step(1, fleets.NEED, 100),
+      model.Step(1, fleets.NEED, 300, after=(0,)),
+  )
+  job = model.Job("j", "s", "spec", steps, 3, 1.6, 600)
+  request = emulation.submit("a0", job, [0.1, 0.3], 4.0)
+  emulation.clock.run_until(1.15)
+  emulation.evacuate("a")
+  emulation.clock.run_until(4.0)
+  assert emulation.answers[request].answer.outcome is model.Outcome.UNKNOWN
+  assert emulation.broken == []
