An unnumbered end doesn't end the unanswered offer of a silent holder

What callers would see, while hosts of the version before JobEnded.number run beside new ones: a job refused as not run (429) that its holder then starts. Cause: an end without a number counted for an earlier offer only in the phase OFFERED. A holder that stands still again before it reads the last offer makes the job ORPHANED; its end of the earlier offer was then taken for that of the last one. Evidence: test at the reducer, which failed before; not played on a fleet, as the emulator has no hosts of two versions. Why it works: such an end counts only if the last offer was accepted, whatever the phase. A second test holds that the end of an accepted job of a silent holder still counts.

--- a/fescueturn/scheduler/coordinator.py
+++ b/fescueturn/scheduler/coordinator.py
@@ -210,6 +210,7 @@
   if message.number != record.offer_number:
     return
   record.phase = coordinatorstate.Phase.ACCEPTED
+  record.accepted_offer = message.number
   record.may_be_running = True
   record.orphaned_at = 0.0
 
@@ -289,7 +290,7 @@
   if message.number:
     return message.number != record.offer_number
   # A holder accepts an offer before it ends the job.
-  return record.phase is coordinatorstate.Phase.OFFERED
+  return record.accepted_offer != record.offer_number
 
 
 _MESSAGE_HANDLERS = {
--- a/fescueturn/scheduler/coordinatorstate.py
+++ b/fescueturn/scheduler/coordinatorstate.py
@@ -53,6 +53,8 @@
     offer_number: the number of its last offer among those of this process, as
       late answers to a job's earlier submission have the same key; 0 before
       the first.
+    accepted_offer: the number of the last offer that was accepted; 0 if none
+      was.
     offered_at: when it was last offered (s).
     choice: why it was offered there; None if it had to be that shard.
     orphaned_at: when its holder was lost (s).
@@ -79,6 +81,7 @@
     self.process: linkmessages.HostProcess | None = None
     self.offer_count = 0
     self.offer_number = 0
+    self.accepted_offer = 0
     self.offered_at = 0.0
     self.choice: shardchoice.Choice | None = None
     self.orphaned_at = 0.0
--- a/tests/test_crossed_offers.py
+++ b/tests/test_crossed_offers.py
@@ -1,5 +1,7 @@
 """Offers, their answers and withdrawals that cross between two hosts."""
 
+from fescueturn.scheduler import events
+from fescueturn.scheduler import linkmessages
 from fescueturn.scheduler import model
 from tests import fleets
 from tests import test_refused_jobs as refused_jobs
@@ -98,3 +100,27 @@
   emulation.clock.run_until(4.0)
   assert emulation.answers[request].answer.outcome is model.Outcome.UNKNOWN
   assert emulation.broken == []
+
+
+def test_unnumbered_end_does_not_end_the_unanswered_offer_of_a_silent_holder():
+  """A holder of an earlier version numbers no ends."""
+  emulation = fleets.fleet()
+  host, record, request = refused_jobs.offer_twice(emulation)
+  lost = events.LinkLost(record.shard, record.process, refused=False)
+  host.apply(lost)
+  refused_jobs.end_job(host, record, model.Outcome.NOT_RUN, 0)
+  assert request not in emulation.answers
+
+
+def test_unnumbered_end_ends_a_job_that_a_silent_holder_accepted():
+  """A holder of an earlier version numbers no ends."""
+  emulation = fleets.fleet()
+  host, record, request = refused_jobs.offer_twice(emulation)
+  accepted = linkmessages.Accepted(record.key, 2)
+  lost = events.LinkLost(record.shard, record.process, refused=False)
+  host.apply(
+      events.HolderMessageReceived(record.shard, record.process, accepted)
+  )
+  host.apply(lost)
+  refused_jobs.end_job(host, record, model.Outcome.NOT_RUN, 0)
+  assert emulation.answers[request].answer.outcome is model.Outcome.NOT_RUN
