Model of offers that cross their ends and withdrawals

spec/offers.pml: one best-effort job that is submitted twice under one key, up to five offers, a holder that is taken for lost and heard again at any moment, link resets, and a caller that leaves. When the coordinator ends or moves the job because of an answer, the holder has no copy and gets none; no copy starts whose caller has its answer, unless its withdrawal is under way. The old rule (the end of a job has no number) is the mutant NO_NUMBER, the numbering by job PER_JOB. Not in the model: times (how long withdrawals are repeated), several holders, hosts of two versions.

--- a/tests/test_spec.py
+++ b/tests/test_spec.py
@@ -18,6 +18,8 @@
 MORE_STARTS = "((starts<5)||sound)"
 ONE_ENDPOINT = "]==255)"
 ONE_TOKEN = "((user[granted[me]]==0)||(user[granted[me]]==(me+1)))"
+NO_COPY = "( !(has)&&(coming==0))"
+WANTED = "(open||withdrawing)"
 SERVED = "((serving[0]||serving[1])||serving[2])"
 STARTS_TWICE = "assertion violated (starts<=1)"
 
@@ -50,6 +52,7 @@
         ("losses.pml", []),
         ("starts.pml", []),
         ("succession.pml", []),
+        ("offers.pml", []),
     ],
 )
 def test_protocol_holds(tmp_path, spec, defines):
@@ -95,6 +98,11 @@
         ("succession.pml", "-DREREAD", ONE_TOKEN),
         ("succession.pml", "-DDROP_RELEASED", SERVED),
         ("succession.pml", "-DNO_HOST", SERVED),
+        ("offers.pml", "-DNO_NUMBER", NO_COPY),
+        ("offers.pml", "-DPER_JOB", NO_COPY),
+        ("offers.pml", "-DKEEP", WANTED),
+        ("offers.pml", "-DONCE", WANTED),
+        ("offers.pml", "-DOLD_LINK", WANTED),
         ("settings.pml", "-DNO_CAS", "base_of[revision]==(revision-1)"),
         ("settings.pml", "-DNO_MONOTONIC", "applied[h]>=highest[h]"),
     ],
