--- a/fescueturn/scheduler/jobdispatch.py
+++ b/fescueturn/scheduler/jobdispatch.py
@@ -26,11 +26,12 @@
 # evacuations one by one, after minutes.
 EVACUATED_RETRY_AFTER_S = 5
 # A holder ends a job at its caller's deadline, counted from the arrival of the
-# offer. No offer arrives later than this: a connection fails when data stays
-# unacknowledged for 1.5 s.
-MAX_OFFER_DELAY_S = 2.0
-# The largest number of a withdrawal that a message can hold.
-_MAX_WITHDRAWAL = 2**16 - 1
+# offer. No offer is read later than this: a connection fails when data stays
+# unacknowledged for 1.5 s, and a host may stand still for 3 s before it reads
+# what has arrived.
+MAX_OFFER_DELAY_S = 5.0
+# The largest number of an offer or a withdrawal that a message can hold.
+_MAX_NUMBER = 2**16 - 1
 _EVACUATED = "evacuated"
 
 
@@ -151,6 +152,8 @@
   record.process = holder.process
   record.phase = coordinatorstate.Phase.OFFERED
   record.offer_count += 1
+  state.last_offer = state.last_offer % _MAX_NUMBER + 1
+  record.offer_number = state.last_offer
   record.offered_at = state.now
   record.choice = choice
   holder.room.record_offer(record.job, state.now)
@@ -170,7 +173,7 @@
           state.now - record.arrived,
           record.deadline - state.now,
           resumed,
-          record.offer_count,
+          record.offer_number,
           immediate_only,
       ),
   )
@@ -192,7 +195,7 @@
       holder=holder.holder.host,
       fence=holder.holder.fence,
       holder_heard_ms_ago=int((state.now - holder.last_contact_at) * 1000),
-      offer=record.offer_count,
+      offer=record.offer_number,
       chosen=choice.why if choice else "same_shard",
       expected_wait_ms=refusals.or_unknown(choice and choice.wait_ms),
       room_ms_ago=refusals.age_ms(choice and choice.age_s),
@@ -274,7 +277,7 @@
   holder = state.holders.get(record.shard) if record.shard else None
   if holder is None or holder.process != record.process:
     return
-  number = state.last_withdrawal % _MAX_WITHDRAWAL + 1
+  number = state.last_withdrawal % _MAX_NUMBER + 1
   state.last_withdrawal = number
   message = linkmessages.Withdrawn(record.shard, record.key, number)
   state.withdrawals[number] = coordinatorstate.Withdrawal(
