Offers say whether the job was offered before

What callers would have seen: wide jobs served late or refused under overload, since no room is kept for them. Cause: the demand of a queue was counted at the offers with number 1; numbers are per coordinator now, so nothing was counted any more. Why it works: the offer itself says that it is a repeated one; hosts of the build before don't, so that during an upgrade a job may count at several holders.

--- a/fescueturn/scheduler/forecast.py
+++ b/fescueturn/scheduler/forecast.py
@@ -14,7 +14,7 @@
 
 def record_demand(owner: ownerstate.Owner, offer: linkmessages.Offered):
   """Adds a job to the demand if this holder is the first to be offered it."""
-  if offer.number > 1 or offer.resumed:
+  if offer.repeated or offer.resumed:
     return
   job = offer.job
   work_s = sum(step.count * step.estimate_ms for step in job.steps) / 1000
--- a/fescueturn/scheduler/jobdispatch.py
+++ b/fescueturn/scheduler/jobdispatch.py
@@ -175,6 +175,7 @@
           resumed,
           record.offer_number,
           immediate_only,
+          repeated=record.offer_count > 1,
       ),
   )
 
--- a/fescueturn/scheduler/link.capnp
+++ b/fescueturn/scheduler/link.capnp
@@ -108,6 +108,8 @@
       resumed @9 :Bool;
       # True to decline the job if one of its tasks would have to wait.
       atOnce @17 :Bool;
+      # True if the job was offered before, to any holder.
+      repeated @53 :Bool;
     }
     withdrawn @10 :Void;
     pong :group {
--- a/fescueturn/scheduler/linkmessages.py
+++ b/fescueturn/scheduler/linkmessages.py
@@ -47,6 +47,7 @@
       was submitted again.
     immediate_only: True if the holder should accept the job only if none of
       its tasks has to wait for capacity.
+    repeated: True if the job was offered before, to any holder.
   """
 
   shard: model.Shard
@@ -57,6 +58,7 @@
   resumed: bool = False
   number: int = 0
   immediate_only: bool = False
+  repeated: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
--- a/fescueturn/scheduler/reservations.py
+++ b/fescueturn/scheduler/reservations.py
@@ -80,6 +80,12 @@
     demand.tasks += tasks
     demand.work_s += work_s
 
+  def jobs_of(self, queue: str, now: float) -> float:
+    """Returns the decayed number of a queue's jobs."""
+    demand = self._queues.get(queue)
+    factor = math.exp(-max(0.0, now - self._at) / WINDOW_S)
+    return demand.jobs * factor if demand else 0.0
+
   def reserved_for_wider(
       self, queue: str, tasks: int, in_use: dict[str, int], total: int
   ) -> int:
--- a/tests/test_linkcodec.py
+++ b/tests/test_linkcodec.py
@@ -104,6 +104,7 @@
     linkmessages.RoomReported(room.RoomReport(), 0.0),
     linkmessages.Declined(KEY, 4, 95, in_time=True, room=ROOM),
     linkmessages.JobEnded(KEY, model.Outcome.NOT_RUN, "why", 7),
+    linkmessages.Offered(SHARD, KEY, JOB, 0.25, 1.5, number=9, repeated=True),
 ]
 
 
