A query of a moved kept job goes to its new holder, and only that one answers

What callers would see: a cancellation of a kept job that has moved out of an evacuated data centre stays without an answer, or is answered as unknown (504), though the job's new holder would carry it out. Queries of one job at a host are joined, and a later one, with the shard that the store names by now, was joined to the earlier one and sent to that one's shard; and a reply was taken for that to the query whichever holder it came from: the earlier one replies that it doesn't know the job. Evidence: emulated fleet, two tests, both failed before (no answer; unknown).

--- a/fescueturn/scheduler/coordinator.py
+++ b/fescueturn/scheduler/coordinator.py
@@ -111,7 +111,7 @@
     holder.room.update(message.report, message.at)
     return
   if isinstance(message, keptevents.KeptJobReply):
-    jobqueries.handle_state_report(state, message)
+    jobqueries.handle_state_report(state, event.shard, message)
     return
   if isinstance(message, linkmessages.Withdrawn):
     state.withdrawals.pop(message.number, None)
--- a/fescueturn/scheduler/coordinatorstate.py
+++ b/fescueturn/scheduler/coordinatorstate.py
@@ -114,7 +114,7 @@
 
   Attributes:
     job_id: the job.
-    shard: the shard whose holder is queried.
+    shard: the shard whose holder is queried, as last read from the store.
     cancel: True to cancel the job, False to get its state.
     requests: by request, until when its caller waits (s).
     last_sent_at: when the query was last sent to the holder (s).
--- a/fescueturn/scheduler/jobqueries.py
+++ b/fescueturn/scheduler/jobqueries.py
@@ -35,6 +35,7 @@
   if query is None:
     query = coordinatorstate.JobQuery(event.job_id, event.shard, event.cancel)
     state.queries[key] = query
+  query.shard = event.shard  # The job may have moved since the last request.
   timeout_s = event.deadline_s
   if not event.cancel:
     timeout_s = min(timeout_s, STATE_QUERY_TIMEOUT_S)
@@ -63,12 +64,16 @@
 
 
 def handle_state_report(
-    state: coordinatorstate.Coordinator, message: keptevents.KeptJobReply
+    state: coordinatorstate.Coordinator,
+    shard: model.Shard,
+    message: keptevents.KeptJobReply,
 ):
   """Handles a holder's reply: answers the callers that wait for it."""
-  query = state.queries.pop((message.job_id, message.cancel), None)
-  if query is None:
+  key = (message.job_id, message.cancel)
+  query = state.queries.get(key)
+  if query is None or query.shard != shard:
     return
+  del state.queries[key]
   outcome = model.Outcome.UNKNOWN
   if message.state is not None:
     outcome = _OUTCOMES[message.state]
--- a/tests/test_evacuation_kept.py
+++ b/tests/test_evacuation_kept.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from fescueturn.scheduler import events
 from fescueturn.scheduler import keptevents
 from fescueturn.scheduler import keptrecords
 from fescueturn.scheduler import model
@@ -119,3 +120,51 @@
   # five.
   assert 3 + 5 * len(write.changes) <= 32
   assert len(write.changes) == 5
+
+
+def move_long_job(emulation) -> str:
+  """Has a kept job moved out of data centre a; returns where it is then."""
+  steps = (
+      model.Step(2, fleets.NEED, 200),
+      model.Step(3, fleets.NEED, 3000, (0,)),
+  )
+  job = model.Job("j", "s", "spec", steps, 3, 1.6, 60, "q", True)
+  emulation.submit("a0", job, [0.2] * 2 + [3.0] * 3, 3.0)
+  emulation.clock.run_until(1.1)
+  emulation.evacuate("a")
+  emulation.clock.run_until(3.0)
+  (data_centre,) = [
+      owner.shard.data_centre
+      for host in emulation.hosts.values()
+      for owner in host.state.owners.values()
+      if "j" in owner.by_id
+  ]
+  return data_centre
+
+
+def test_cancellation_of_a_moved_job_isnt_sent_to_its_earlier_holder_only():
+  emulation = fleets.fleet()
+  emulation.hosts["c0"].partitioned_from.update(
+      host.name for host in fleets.hosts_in(emulation, "a")
+  )
+  # Its caller sends it again when the job has moved.
+  emulation.query_kept_job("c0", "j", "a", cancel=True, deadline_s=9.0)
+  moved_to = move_long_job(emulation)
+  assert moved_to != "a"
+  again = emulation.query_kept_job("c0", "j", moved_to, cancel=True)
+  emulation.clock.run_until(4.5)
+  assert test_kept_jobs.outcome(emulation, again) is model.Outcome.CANCELLED
+
+
+def test_reply_of_the_earlier_holder_doesnt_answer_for_a_moved_job():
+  emulation = fleets.fleet()
+  moved_to = move_long_job(emulation)
+  host = emulation.hosts["c0"]
+  shard = model.Shard("a")
+  process = host.state.coordinator.holders[shard].process
+  request = emulation.query_kept_job("c0", "j", moved_to, cancel=True)
+  late = keptevents.KeptJobReply("j", True, None)
+  host.apply(events.HolderMessageReceived(shard, process, late))
+  assert request not in emulation.answers
+  emulation.clock.run_until(4.0)
+  assert test_kept_jobs.outcome(emulation, request) is model.Outcome.CANCELLED
