An owner that missed another holder doesn't go on with its jobs

What callers could see: two runs of a task, or a refusal of one that another holder ran. Cause: a host that claims the shard while it still owns it keeps its jobs, as no other process has held the shard in between. It was taken for granted: a host that was cut off while another one claimed and released the shard learns only from the answer to its claim (follows) that there was one, and disregarded that. Evidence: test at the reducer, which failed before: the owner of fence N that is told of its claim N+2, following N+1, went on with its jobs. No run of a fleet or of processes shows two runs by this; the endpoints' fences usually stop such an owner first. Why it works: the owner is dropped and taken anew, so that its coordinators offer its jobs again and it asks its endpoints for their runs. If the watch reports the claim first, that doesn't say what it follows (0), and the jobs are kept as before: open, by reading only.

--- a/fescueturn/scheduler/shardownership.py
+++ b/fescueturn/scheduler/shardownership.py
@@ -54,6 +54,9 @@
   # The earlier holder, or this one, may have granted the shard to yet another
   # host, which has held it between the two claims.
   keeps_jobs = owner is not None and not (owner.by_grant or owner.last_granted)
+  # 0 if the watch reports the claim, which doesn't tell what it follows.
+  if keeps_jobs and event.follows not in (0, owner.fence):
+    keeps_jobs = False  # That host's runs are not known here.
   if keeps_jobs and not keptjobs.has_kept_jobs(owner):
     keptjobs.replace_fence(owner, holder.fence)
     return []
--- a/tests/test_new_holder.py
+++ b/tests/test_new_holder.py
@@ -1,5 +1,7 @@
 """A new holder that has not received its endpoints' answers yet."""
 
+import dataclasses
+
 import pytest
 
 from fescueturn.emulator import endpointcalls
@@ -220,3 +222,23 @@
     endpoint.order_delay_s = 0.0
   emulation.clock.run_until(sent_at + 1.0)
   assert emulation.broken == []
+
+
+@pytest.mark.parametrize(("between", "keeps_jobs"), [(0, True), (1, False)])
+def test_owner_that_missed_another_holder_doesnt_go_on_with_its_jobs(
+    between, keeps_jobs
+):
+  """It was cut off while another host claimed the shard and released it."""
+  emulation = fleets.fleet()
+  host = fleets.owner_of(emulation, "a")
+  emulation.submit(host.name, fleets.job("j", 2, 900), [0.9] * 2)
+  emulation.clock.run_until(1.2)
+  shard = model.Shard("a")
+  before = host.state.candidates[shard].holder
+  follows = before.fence + between
+  claim = dataclasses.replace(before, fence=follows + 1)
+  host.apply(events.HolderChanged(shard, None))
+  host.apply(events.HolderChanged(shard, claim, follows=follows))
+  owner = host.state.owners[shard]
+  assert owner.fence == claim.fence
+  assert any(job.started for job in owner.jobs.values()) is keeps_jobs
