A predicate of self-fencing no longer forgets hosts

What callers saw: nothing; behaviour is the same. Cause: `may_be_replaced` also dropped the hosts that are gone, so that asking twice, or from a new place, would have changed when they are forgotten. Why it works: `tick` and `handle_claims_read`, its only callers, drop them at the same moments: just before they ask, and only while the store answers. The predicate doesn't look at the hosts then. The first new test failed before (the predicate had dropped the host); the second pins that none is dropped while the store is silent, and passed before.

--- a/fescueturn/scheduler/selffencing.py
+++ b/fescueturn/scheduler/selffencing.py
@@ -27,8 +27,7 @@
 
 def may_be_replaced(owner: ownerstate.Owner) -> bool:
   """Returns whether another host may hold the shard unknown to this one."""
-  if owner.now - owner.store_answered_at <= STORE_SILENT_S:
-    owner.claimants.forget_gone(owner.now)
+  if _store_answers(owner):
     return False
   # The store fell silent before it was known which hosts may claim the shard.
   if owner.store_answered_at - owner.taken_at < ALL_HEARD_S:
@@ -39,6 +38,7 @@
 def tick(owner: ownerstate.Owner):
   """Stops the runs of kept jobs while the holder may have been replaced."""
   if not owner.self_fenced:
+    _forget_gone_claimants(owner)
     if not may_be_replaced(owner):
       return
     owner.self_fenced = True
@@ -55,7 +55,10 @@
 
 def handle_claims_read(owner: ownerstate.Owner):
   """Resumes kept jobs once the store has reported all claims up to now."""
-  if not owner.self_fenced or may_be_replaced(owner):
+  if not owner.self_fenced:
+    return
+  _forget_gone_claimants(owner)
+  if may_be_replaced(owner):
     return
   owner.self_fenced = False
   for record in owner.endpoints.values():
@@ -63,6 +66,15 @@
   owner.emit(_log(owner, "self_fence_ended"))
 
 
+def _store_answers(owner) -> bool:
+  return owner.now - owner.store_answered_at <= STORE_SILENT_S
+
+
+def _forget_gone_claimants(owner):
+  if _store_answers(owner):
+    owner.claimants.forget_gone(owner.now)
+
+
 def _may_be_kept(owner, run: endpointstate.Run) -> bool:
   """Returns whether a run may be a kept job's, whose records may be unread."""
   job = owner.by_id.get(run.id.task.job_id)
--- a/tests/test_selffencing.py
+++ b/tests/test_selffencing.py
@@ -9,6 +9,9 @@
 from fescueturn.emulator import endpointcalls
 from fescueturn.scheduler import events
 from fescueturn.scheduler import model
+from fescueturn.scheduler import ownerstate
+from fescueturn.scheduler import selffencing
+from fescueturn.scheduler import succession
 from tests import fleets
 from tests import test_kept_jobs
 from tests import test_new_holder
@@ -155,3 +158,22 @@
   emulation.clock.run_until(17.0)
   assert len(starts_of(emulation, "k")) == 2
   assert emulation.broken == []
+
+
+def test_only_a_tick_forgets_hosts_that_are_gone():
+  owner = ownerstate.Owner(model.Shard("a", 0), 1, 0.0)
+  owner.claimants.record("h", 0.0)
+  owner.now = owner.store_answered_at = succession.GONE_S
+  assert not selffencing.may_be_replaced(owner)
+  assert owner.claimants.silent(owner.now) == ["h"]
+  selffencing.tick(owner)
+  assert owner.claimants.silent(owner.now) == []
+
+
+def test_a_tick_forgets_no_host_while_the_store_is_silent():
+  owner = ownerstate.Owner(model.Shard("a", 0), 1, 0.0)
+  owner.claimants.record("h", 0.0)
+  owner.now = succession.GONE_S
+  selffencing.tick(owner)
+  assert owner.claimants.silent(owner.now) == ["h"]
+  assert owner.self_fenced
