One property says which runs no stop was requested for

What callers saw: nothing; behaviour is the same. Cause: `selffencing._ACTIVE` repeated the states inside `Run.wanted`, so that a new state would have had to be added at both places. Why it works: both use `Run.active`, with the same two states; `wanted` adds, as before, that the job is known. No test is new: tests/test_selffencing.py covers both uses.

--- a/fescueturn/scheduler/endpointstate.py
+++ b/fescueturn/scheduler/endpointstate.py
@@ -146,11 +146,15 @@
     """True if its start request was sent again, as the first got no answer."""
     return self.sends > 1
 
+  @property
+  def active(self) -> bool:
+    """True if its start was requested or it runs, and no stop was requested."""
+    return self.state in (RunState.ORDERED, RunState.RUNNING)
+
   @property
   def wanted(self) -> bool:
     """True if its job is known and its stop has not been requested."""
-    states = (RunState.ORDERED, RunState.RUNNING)
-    return self.need is not None and self.state in states
+    return self.need is not None and self.active
 
   def expected_end(self, slowness: float) -> float:
     """Returns when the run will probably end (s)."""
--- a/fescueturn/scheduler/selffencing.py
+++ b/fescueturn/scheduler/selffencing.py
@@ -22,7 +22,6 @@
 # By then every host of the data centre has pinged a new holder: it hears of it
 # within 50 ms and pings it every 0.19 s.
 ALL_HEARD_S = 1.0
-_ACTIVE = (endpointstate.RunState.ORDERED, endpointstate.RunState.RUNNING)
 
 
 def may_be_replaced(owner: ownerstate.Owner) -> bool:
@@ -49,7 +48,7 @@
     kept_runs = [r for r in record.runs.values() if _may_be_kept(owner, r)]
     record.must_lapse = bool(kept_runs)
     for run in kept_runs:
-      if run.state in _ACTIVE:
+      if run.active:
         runcontrol.stop_possible_run(owner, record, run)
 
 
