--- a/fescueturn/lab/placingbench.py
+++ b/fescueturn/lab/placingbench.py
@@ -12,6 +12,7 @@
 from collections.abc import Callable
 
 from fescueturn import settings
+from fescueturn.scheduler import endpointruns
 from fescueturn.scheduler import endpointstate
 from fescueturn.scheduler import model
 from fescueturn.scheduler.decisions import placing
@@ -57,8 +58,8 @@
     if record is None:
       return False
     run = model.RunId(wanted.task, 1)
-    state = endpointstate.RunState.RUNNING
-    record.add(endpointstate.Run(run, wanted.step.need, state, 0.0, 100))
+    state = endpointruns.RunState.RUNNING
+    record.add(endpointruns.Run(run, wanted.step.need, state, 0.0, 100))
     running.append((record, run))
     return True
 
--- a/fescueturn/scheduler/crashes.py
+++ b/fescueturn/scheduler/crashes.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterable
 
 from fescueturn import settings
-from fescueturn.scheduler import endpointstate
+from fescueturn.scheduler import endpointruns
 from fescueturn.scheduler import events
 from fescueturn.scheduler import keptrecords
 from fescueturn.scheduler import model
@@ -33,7 +33,7 @@
 RECENT_CRASH_S = 15.0
 
 
-def record_loss(owner: ownerstate.Owner, record, run: endpointstate.Run):
+def record_loss(owner: ownerstate.Owner, record, run: endpointruns.Run):
   """Counts an endpoint as lost by the task whose current run was there.
 
   A draining endpoint ends its runs as planned and is not counted.
--- a/fescueturn/scheduler/decisions/leaving.py
+++ b/fescueturn/scheduler/decisions/leaving.py
@@ -6,6 +6,7 @@
 entry, which is some time before the entry is read.
 """
 
+from fescueturn.scheduler import endpointruns
 from fescueturn.scheduler import endpointstate
 from fescueturn.scheduler import model
 
@@ -32,7 +33,7 @@
     record: endpointstate.EndpointRecord, info: model.Endpoint, now: float
 ) -> float:
   """Returns the greatest age (s) that an entry just read may have."""
-  clock_ms = record.latest_clock_ms(now)
+  clock_ms = record.lease.latest_clock_ms(now)
   if clock_ms is None or info.clock_ms is None or clock_ms < info.clock_ms:
     return ENTRY_AGE_S
   return (clock_ms - info.clock_ms) / 1000
@@ -64,7 +65,7 @@
 
 
 def ends_too_late(
-    record: endpointstate.EndpointRecord, run: endpointstate.Run, now: float
+    record: endpointstate.EndpointRecord, run: endpointruns.Run, now: float
 ) -> bool:
   """Returns whether a run will probably not end before its endpoint leaves."""
   if record.leaves_at is None or run.need is None:
@@ -73,7 +74,7 @@
   return end + REPORT_S > record.leaves_at and end - now > STOP_S
 
 
-def predicted_end(run: endpointstate.Run, slowness: float) -> float:
+def predicted_end(run: endpointruns.Run, slowness: float) -> float:
   """Returns when a run will end (s), from its last progress or its estimate.
 
   The progress counts at the time it was reported, since it is reported only
--- a/fescueturn/scheduler/decisions/placing.py
+++ b/fescueturn/scheduler/decisions/placing.py
@@ -285,7 +285,7 @@
   def _take_out(self, name: str, now: float):
     """Takes an endpoint out of the index until it may be usable again."""
     self._remove_place(name)
-    excluded_until = self[name].excluded_until
+    excluded_until = self[name].exclusion.until
     if excluded_until > now:
       heapq.heappush(self._due, (excluded_until, name))
 
--- a/fescueturn/scheduler/decisions/speeds.py
+++ b/fescueturn/scheduler/decisions/speeds.py
@@ -6,7 +6,7 @@
 siblings on other endpoints and, without any, to its queue's typical run.
 
 All figures are logarithms of ratios. A single long task isn't taken for a slow
-endpoint: what is far too slow doesn't count here (see `endpointstate`).
+endpoint: what is far too slow doesn't count here (see `endpointruns`).
 """
 
 import math
--- a/fescueturn/scheduler/endpointstate.py
+++ b/fescueturn/scheduler/endpointstate.py
@@ -5,49 +5,18 @@
 later, and endpoints don't enforce their capacity themselves.
 """
 
-import collections
-import dataclasses
-import enum
-import math
 from collections.abc import Callable
 
+from fescueturn.scheduler import endpointends
+from fescueturn.scheduler import endpointhealth
+from fescueturn.scheduler import endpointlease
+from fescueturn.scheduler import endpointruns
 from fescueturn.scheduler import model
 from fescueturn.scheduler.decisions import speeds
 
-# The longest lease that the platform allows.
-MAX_LEASE_MS = 1000
-# The length of a lease. A run may outlive its coordinator by the time in which
-# the holder detects the failure (400 ms) and one lease, and must have ended
-# when the caller retries after 1,300 ms. Leases are renewed every 300 ms, so
-# that one renewal may be lost.
-LEASE_MS = 800
-# A lease counts as expired this long after its end on the estimated clock of
-# the endpoint, which never runs ahead of the real one.
-LEASE_EXPIRY_MARGIN_MS = 40
-# The lowest rate of an endpoint's clock: it may be 2% slow.
-MIN_CLOCK_RATE = 0.98
 # The longest time without a call to an endpoint. The estimate of its clock is
 # then 200 ms behind, and a lease that is requested by it 600 ms long.
 IDLE_CALL_PERIOD_S = 10.0
-# A run is stuck once it has made no progress for this many times its estimate.
-# Estimates are off by 40% at most, and a run on a slow endpoint still makes
-# progress.
-STUCK_FACTOR = 3.0
-# No run counts as stuck sooner than this. Progress is reported with each lease
-# call, at least every 300 ms, and one such call may be lost (150 ms).
-STUCK_MIN_S = 0.5
-# An endpoint is ejected after failed runs of this many jobs without a
-# successful run. One run in 500 fails by its own fault and a bad job fails on
-# every endpoint, so three such jobs mean that the endpoint is at fault.
-FAILED_JOBS_TO_EJECT = 3
-# How long an endpoint stays ejected. The time doubles while failures go on,
-# since endpoint failures last 4 to 7 s.
-EJECT_MIN_S = 1.0
-EJECT_MAX_S = 8.0
-# An endpoint that refuses a request or can't be reached gets no tasks for this
-# long. That is the time of five usual tasks, and short compared to such a
-# failure.
-BACK_OFF_S = 0.25
 # A failed lease call is retried after this, about six times within a lease.
 CALL_RETRY_S = 0.15
 # The longest pause between calls to an endpoint that has never answered. Its
@@ -61,143 +30,10 @@
 # An unlisted endpoint that has been silent for this long is forgotten with all
 # its runs. A lost start request is carried out at most 12 s late.
 FORGET_S = 15.0
-# A run that takes more than this many times its estimate is slowed, by its
-# endpoint or because its task is long. Estimates are too low by 40% at most,
-# which makes 1.67 times, and endpoints differ by a quarter: 2.1 times in all.
-SLOW_RATIO = 2.5
-# An endpoint counts as slow after slowed runs of this many jobs. A single job
-# may take longer than its estimate on any endpoint.
-SLOW_JOBS = 2
-# For how long after it was sent a start request without an answer may still be
-# carried out: it is at most 12 s late, and 1 s is added as a margin.
-LATE_START_S = 13.0
-# How many such requests an endpoint's record keeps, the newest ones. With 30%
-# of the calls lost, an endpoint with 20 starts a second has 78.
-LATE_STARTS = 100
-# How many of an endpoint's last runs in time are remembered: enough for those
-# that end while a slowed one goes on.
-RUNS_IN_TIME = 8
-# A run's slowdown is not computed sooner than this, since its progress is
-# reported in whole percents.
-PROGRESS_MIN_S = 0.05
-
-
-class RunState(enum.Enum):
-  """The state of a run, as far as the owner knows."""
-
-  # A start request was sent; there is no answer yet.
-  ORDERED = "ordered"
-  # The answer to the start request was lost: it may run now, later or never.
-  UNSURE = "unsure"
-  RUNNING = "running"
-  STOPPING = "stopping"
-
-
-class Run:
-  """One run at an endpoint, as its owner sees it.
 
-  Attributes:
-    id: the task and attempt.
-    need: the resources it takes; None for a run whose job is not known yet.
-    state: its state, as far as the owner knows.
-    started_at: when its start was requested, or when it was found there (s).
-    estimate_ms: how long it is expected to take.
-    listed_from_call: number of the first lease call whose answer lists the run
-      or its end; 0 while a start or stop request is unanswered.
-    percent: how much of it is done, as last listed.
-    progressed_at: when `percent` last rose (s).
-    deadline_ms: the end of the lease that its start request carried.
-    sent_at: when its start request was last sent (s).
-    sends: how often its start request was sent.
-    stop_sent_at: when an unanswered stop request was last sent (s), if any.
-    stop_failures: how many of its stop requests failed.
-    duplicate_logged: True once it was logged that its task has another run.
-    abandoned: True once its lease has expired and its task may run elsewhere.
-    adopted: True if it was found at its endpoint, so that its start is unknown.
-    observed_share: the part of its work that has counted for its endpoint's
-      speed.
-    observed_at: when that part was done (s).
-    in_time_until: until when its progress has shown no slowdown (s).
-  """
-
-  def __init__(self, run_id, need, state, now, estimate_ms=0, deadline_ms=0):
-    self.id: model.RunId = run_id
-    self.need: model.Resources | None = need
-    self.state: RunState = state
-    self.started_at: float = now
-    self.estimate_ms: int = estimate_ms
-    self.listed_from_call = 0
-    self.percent = 0
-    self.progressed_at: float = now
-    self.deadline_ms: int = deadline_ms
-    self.sent_at: float = now
-    self.sends = 1
-    self.stop_sent_at: float | None = None
-    self.stop_failures = 0
-    self.duplicate_logged = False
-    self.abandoned = False
-    self.adopted = False
-    self.observed_share = 0.0
-    self.observed_at: float = now
-    self.in_time_until: float = now
-
-  @property
-  def was_resent(self) -> bool:
-    """True if its start request was sent again, as the first got no answer."""
-    return self.sends > 1
-
-  @property
-  def active(self) -> bool:
-    """True if its start was requested or it runs, and no stop was requested."""
-    return self.state in (RunState.ORDERED, RunState.RUNNING)
-
-  @property
-  def wanted(self) -> bool:
-    """True if its job is known and its stop has not been requested."""
-    return self.need is not None and self.active
-
-  def expected_end(self, slowness: float) -> float:
-    """Returns when the run will probably end (s)."""
-    return self.started_at + self.estimate_ms * slowness / 1000
-
-  def predicted_duration_s(self, now: float) -> float | None:
-    """Returns its total time predicted from its progress; None if unknown."""
-    took_s = now - self.started_at
-    if self.need is None or not self.percent or took_s < PROGRESS_MIN_S:
-      return None
-    return took_s * 100 / self.percent
-
-  def observed_slowdown(self, now: float) -> float:
-    """Returns the ratio of predicted to estimated time; 0 if not slowed."""
-    total_s = self.predicted_duration_s(now)
-    if total_s is None or not self.estimate_ms:
-      return 0.0
-    ratio = total_s * 1000 / self.estimate_ms
-    return ratio if ratio > SLOW_RATIO else 0.0
-
-  def stuck(self, now: float) -> bool:
-    """Returns whether the run makes no progress."""
-    limit_s = max(STUCK_MIN_S, STUCK_FACTOR * self.estimate_ms / 1000)
-    return (
-        self.state is RunState.RUNNING
-        and self.need is not None
-        and now - self.progressed_at > limit_s
-    )
-
-
-@dataclasses.dataclass(frozen=True)
-class LateStart:
-  """A start request that got no answer.
-
-  Attributes:
-    run: the run.
-    need: the resources that it would take.
-    sent_at: when the request was sent (s).
-  """
-
-  run: model.RunId
-  need: model.Resources
-  sent_at: float
+# Names that `leases` and `offers` use.
+Run = endpointruns.Run
+RunState = endpointruns.RunState
 
 
 class EndpointRecord:
@@ -209,30 +45,20 @@
       time, ms); 0 if it isn't known.
     listed: True while the platform lists it.
     runs: its runs, of which some may not have started.
-    last_end_number: the highest sequence number of an ended run that it has
-      listed.
-    unsaved_ends: numbers of ended runs that must be in the store before it may
-      forget them.
-    last_sent_ack: the number up to which it was last allowed to forget ended
-      runs.
-    call_ack: the number in the last lease call; 0 if it had none.
-    last_heard_ack: the highest such number in a call that it answered.
+    ended: its ended runs, and which of them it may forget.
     call_lost: True once a lease call got no answer, until one gets one.
-    last_saved_end: the highest number of an ended run that was written to the
-      store.
     call_number: the number of the last lease call.
     call_pending: True while that call has no answer.
     call_sent_at: when it was sent (s).
     call_is_long_poll: True if it may wait for a run to end.
-    lease_end_ms: the latest end that its lease may have, on the endpoint's
-      clock.
+    lease: its lease, and the estimate of its clock.
     must_lapse: True while one of its runs must end, even if its stop is lost,
       so that its lease may not be extended.
     next_call_at: when a failed lease call may be retried (s).
-    excluded_until: until when it gets no new tasks (s).
-    ejections: how often it was ejected without a successful run in between.
-    failed_jobs: jobs whose runs have failed there since the last success.
+    exclusion: until when it gets no new tasks, and why.
     speed: how fast work is done there.
+    slow_evidence: what its runs tell of whether it is slow.
+    unanswered_starts: its start requests that got no answer.
     silent_since: since when it has been silent (s); None if it answers.
     suspected_since: since when it has been probed after a lost call (s); None
       if it isn't.
@@ -250,37 +76,22 @@
     self.born_ms = info.born_ms
     self.listed = True
     self._runs_known = False
-    self.runs: dict[model.RunId, Run] = {}
-    self.last_end_number = 0
-    self.unsaved_ends: set[int] = set()
-    self.last_sent_ack = 0
-    self.call_ack = 0
-    self.last_heard_ack = 0
+    self.runs: dict[model.RunId, endpointruns.Run] = {}
+    self.ended = endpointends.EndedRuns()
     self.call_lost = False
-    self.last_saved_end = 0
     self.call_number = 0
     self.call_pending = False
     self.call_sent_at = now
     self.call_is_long_poll = False
-    self.lease_end_ms = 0
+    self.lease = endpointlease.Lease()
     self._must_lapse = False
     self.next_call_at = now
     # Failed lease calls before the first one that was answered.
     self._failed_first_calls = 0
-    self.excluded_until = 0.0
-    self.ejections = 0
-    self.failed_jobs: set[str] = set()
+    self.exclusion = endpointhealth.Exclusion()
     self.speed = speeds.Speed(now)
-    # Jobs with slowed runs here since a run last ended in time.
-    self._slow_jobs: set[str] = set()
-    # When the last runs in time began and ended (s).
-    self._in_time: collections.deque[tuple[float, float]] = collections.deque(
-        maxlen=RUNS_IN_TIME
-    )
-    # Start requests without an answer, and when they were sent (s).
-    self._late_starts: collections.deque[LateStart] = collections.deque(
-        maxlen=LATE_STARTS
-    )
+    self.slow_evidence = endpointhealth.SlowEvidence()
+    self.unanswered_starts = endpointruns.LateStarts()
     self.silent_since: float | None = None
     self.suspected_since: float | None = None
     self.calls_unanswered = 0
@@ -289,8 +100,6 @@
     self.cold_until = 0.0
     self.entry_recorded = False
     self.on_change: Callable[[], None] = lambda: None
-    self._clock_ms: int | None = None
-    self._clock_at = now
     self._free = info.capacity
 
   @property
@@ -332,53 +141,35 @@
   @property
   def slow(self) -> bool:
     """True if it is slow for a while, so that its runs are moved."""
-    return self.speed.factor > SLOW_RATIO
-
-  def slowed_jobs(self, run: Run) -> int:
-    """Returns how many jobs had slowed runs since one was in time.
+    return self.speed.factor > endpointruns.SLOW_RATIO
 
-    Args:
-      run: a slowed run, whose job is counted too.
-    """
-    return len(self._slow_jobs | {run.id.task.job_id})
+  @property
+  def unsaved_ends(self) -> set[int]:
+    """Numbers of ended runs that must be in the store before it forgets them."""
+    return self.ended.unsaved
 
   @property
-  def ack_number(self) -> int:
-    """The number up to which the endpoint may forget ended runs."""
-    return (
-        min(self.unsaved_ends) - 1
-        if self.unsaved_ends
-        else self.last_end_number
-    )
+  def last_end_number(self) -> int:
+    """The highest number of an ended run that it has listed."""
+    return self.ended.last_number
+
+  @last_end_number.setter
+  def last_end_number(self, number: int):
+    self.ended.last_number = number
 
   @property
   def has_unsent_ack(self) -> bool:
     """True if ended runs that were saved haven't been acknowledged yet."""
-    told = self.last_heard_ack if self.born_ms else self.last_sent_ack
-    return self.last_saved_end > told
+    return self.ended.has_unsent_ack(bool(self.born_ms))
 
   def next_ack(self) -> int:
-    """Returns up to which number the next call allows it to forget ended runs.
-
-    It is 0 where the number may be taken for one of another incarnation, whose
-    ends would then be forgotten unseen: once the endpoint has heard the number,
-    and after a call without an answer.
-    """
+    """Returns up to which number the next call lets it forget ended runs."""
     may_be_restarted = self.call_lost or self.restart_listed
-    heard = self.ack_number <= self.last_heard_ack
-    self.call_ack = 0
-    if not (self.born_ms and (heard or may_be_restarted)):
-      self.call_ack = self.last_sent_ack = self.ack_number
-    return self.call_ack
+    return self.ended.next_ack(bool(self.born_ms), may_be_restarted)
 
   def record_heard_ack(self):
     """Records that the last lease call was answered."""
-    self.last_heard_ack = max(self.last_heard_ack, self.call_ack)
-
-  def record_saved_end(self, number: int):
-    """Records that an ended run is in the store."""
-    self.unsaved_ends.discard(number)
-    self.last_saved_end = max(self.last_saved_end, number)
+    self.ended.record_heard_ack()
 
   def update(self, info: model.Endpoint):
     """Applies what the platform lists of the endpoint now."""
@@ -386,13 +177,9 @@
     self.listed = True
     self._update_free()
 
-  def record_late_start(self, run: Run):
-    """Records that the start request of a run got no answer."""
-    self._late_starts.append(LateStart(run.id, run.need, run.sent_at))
-
-  def late_starts(self, now: float) -> list["LateStart"]:
+  def late_starts(self, now: float) -> list[endpointruns.LateStart]:
     """Returns the start requests that may still be carried out late."""
-    return [s for s in self._late_starts if now - s.sent_at < LATE_START_S]
+    return self.unanswered_starts.recent(now)
 
   @property
   def restart_listed(self) -> bool:
@@ -411,19 +198,11 @@
     """
     self.born_ms = born_ms
     self.runs_known = False
-    self.last_end_number = 0
-    self.unsaved_ends.clear()
-    self.last_sent_ack = 0
-    self.call_ack = 0
-    self.last_heard_ack = 0
-    self.last_saved_end = 0
-    self.lease_end_ms = 0
-    self._clock_ms = None
-    self.ejections = 0
-    self.failed_jobs.clear()
+    self.ended = endpointends.EndedRuns()
+    self.lease = endpointlease.Lease()
+    self.exclusion.clear_failures()
     self.speed = speeds.Speed(now)
-    self._slow_jobs.clear()
-    self._in_time.clear()
+    self.slow_evidence = endpointhealth.SlowEvidence()
 
   def usable(self, now: float) -> bool:
     """Returns whether the endpoint may get new tasks."""
@@ -435,7 +214,7 @@
         and not self.restart_listed
         and not self.must_lapse
         and not self.info.draining
-        and self.excluded_until <= now
+        and self.exclusion.until <= now
         and self.silent_since is None
         and self.suspected_since is None
     )
@@ -452,7 +231,7 @@
   def awaits_stop_result(self) -> bool:
     """True while the next lease call is to show whether a run was stopped."""
     return any(
-        run.state is RunState.STOPPING
+        run.state is endpointruns.RunState.STOPPING
         and run.listed_from_call > self.call_number
         for run in self.runs.values()
     )
@@ -475,8 +254,7 @@
     """
     if clock_ms is None:
       return
-    self._clock_ms = clock_ms
-    self._clock_at = now
+    self.lease.record_clock(clock_ms, now)
     self.last_answer_at = now
     if self.silent_since is not None or self.suspected_since is not None:
       self.on_change()
@@ -484,74 +262,37 @@
     self.suspected_since = None
     self.calls_unanswered = 0
 
-  def clock_ms(self, now: float) -> int | None:
-    """Returns the endpoint's clock, estimated from below; None if unknown."""
-    if self._clock_ms is None:
-      return None
-    elapsed_ms = (now - self._clock_at) * 1000
-    return self._clock_ms + int(elapsed_ms * MIN_CLOCK_RATE)
-
-  def latest_clock_ms(self, now: float) -> int | None:
-    """Returns the endpoint's clock, estimated from above; None if unknown."""
-    if self._clock_ms is None:
-      return None
-    elapsed_ms = (now - self._clock_at) * 1000
-    return self._clock_ms + math.ceil(elapsed_ms * (2 - MIN_CLOCK_RATE))
-
   def clock_gain_ms(self, clock_ms: int | None, now: float) -> float:
     """Returns by how much an answer's clock exceeds any that is possible."""
-    if clock_ms is None or self._clock_ms is None:
-      return 0.0
-    elapsed_ms = (now - self._clock_at) * 1000
-    return clock_ms - self._clock_ms - elapsed_ms * (2 - MIN_CLOCK_RATE)
-
-  def is_idle(self, now: float) -> bool:
-    """Returns whether it is to be called because its last answer is old."""
-    return now - self.last_answer_at > IDLE_CALL_PERIOD_S
-
-  def leases_expired(self, now: float) -> bool:
-    """Returns whether the endpoint's lease has surely expired."""
-    clock = self.clock_ms(now)
-    return (
-        clock is not None and clock > self.lease_end_ms + LEASE_EXPIRY_MARGIN_MS
-    )
+    return self.lease.clock_gain_ms(clock_ms, now)
 
   def cover_earlier_leases(self, clock_ms: int):
-    """Takes into account that earlier holders may have extended the lease.
-
-    Args:
-      clock_ms: the endpoint's clock when it answered this holder's first call;
-        it has refused the calls of earlier holders since.
-    """
-    self.lease_end_ms = max(self.lease_end_ms, clock_ms + MAX_LEASE_MS)
+    """Takes into account that earlier holders may have extended the lease."""
+    self.lease.cover_earlier(clock_ms)
 
   def extend_lease(self, now: float) -> int | None:
-    """Extends the lease by its full length from now.
+    """Extends the lease from now; returns its end, as `Lease.extend` does."""
+    return self.lease.extend(now)
 
-    Returns:
-      The end of the lease on the endpoint's clock, to be requested from the
-      endpoint; None if the clock is unknown.
-    """
-    clock = self.clock_ms(now)
-    if clock is None:
-      return None
-    end = clock + LEASE_MS
-    self.lease_end_ms = max(self.lease_end_ms, end)
-    return end
-
-  def add(self, run: Run):
+  def is_idle(self, now: float) -> bool:
+    """Returns whether it is to be called because its last answer is old."""
+    return now - self.last_answer_at > IDLE_CALL_PERIOD_S
+
+  def add(self, run: endpointruns.Run):
     """Adds a run whose start was requested, or that was found there."""
     self.runs[run.id] = run
     self._update_free()
 
-  def adopt(self, run: Run, need: model.Resources, estimate_ms: int):
+  def adopt(
+      self, run: endpointruns.Run, need: model.Resources, estimate_ms: int
+  ):
     """Sets the need and estimate of a run that was found there."""
     run.need = need
     run.estimate_ms = estimate_ms
     run.adopted = True
     self._update_free()
 
-  def remove(self, run_id: model.RunId) -> Run | None:
+  def remove(self, run_id: model.RunId) -> endpointruns.Run | None:
     """Removes a run and frees its resources; returns it if it was there."""
     run = self.runs.pop(run_id, None)
     if run is not None:
@@ -574,11 +315,11 @@
 
   def back_off(self, now: float):
     """Excludes the endpoint from new tasks for the backoff time."""
-    self.exclude_until(now + BACK_OFF_S)
+    self.exclusion.back_off(now)
 
   def exclude_until(self, until: float):
     """Excludes the endpoint from new tasks until a time (s)."""
-    self.excluded_until = max(self.excluded_until, until)
+    self.exclusion.exclude_until(until)
 
   def delay_next_call(self, now: float):
     """Delays the next lease call after a failed one.
@@ -601,53 +342,14 @@
         and now - self.silent_since > FORGET_S
     )
 
-  def record_failed_run(self, job_id: str, now: float) -> bool:
-    """Records a failed run; returns whether that ejects the endpoint."""
-    self.failed_jobs.add(job_id)
-    if len(self.failed_jobs) < FAILED_JOBS_TO_EJECT:
-      return False
-    self.eject(now)
-    # One more failed job after the ejection ejects it again.
-    self.failed_jobs.pop()
-    return True
-
-  def eject(self, now: float):
-    """Excludes the endpoint from new tasks, for longer with each ejection."""
-    pause_s = min(EJECT_MAX_S, EJECT_MIN_S * 2**self.ejections)
-    self.excluded_until = max(self.excluded_until, now + pause_s)
-    self.ejections += 1
-
-  def record_done_run(self):
-    """Records a successful run: the endpoint isn't failing."""
-    self.failed_jobs.clear()
-    self.ejections = 0
-
-  def record_run_in_time(self, run: Run, now: float):
-    """Records a run that took no longer than expected."""
-    self._slow_jobs.clear()
-    self._in_time.append((run.started_at, now))
-
-  def share_in_time(self, run: Run, now: float) -> float:
-    """Returns for which part of a run's time others there were in time."""
-    spans = list(self._in_time)
-    spans += [
-        (other.started_at, other.in_time_until)
-        for other in self.runs.values()
-        if other is not run
-    ]
-    covered_s = sum(
-        max(0.0, end - max(start, run.started_at)) for start, end in spans
-    )
-    return covered_s / max(PROGRESS_MIN_S, now - run.started_at)
-
-  def suspect(self, run: Run):
+  def suspect(self, run: endpointruns.Run):
     """Counts the endpoint as somewhat slower at the first slowed run."""
-    if not self._slow_jobs:
+    if not self.slow_evidence.jobs:
       self.speed.suspect()
       self.on_change()
-    self._slow_jobs.add(run.id.task.job_id)
+    self.slow_evidence.add(run)
 
-  def record_slow_run(self, run: Run, times: float) -> bool:
+  def record_slow_run(self, run: endpointruns.Run, times: float) -> bool:
     """Records a run that its endpoint has probably slowed.
 
     Args:
@@ -657,8 +359,9 @@
     Returns:
       Whether the endpoint counts as slow from now on, and didn't before.
     """
-    self._slow_jobs.add(run.id.task.job_id)
-    if len(self._slow_jobs) < SLOW_JOBS or self.speed_factor > times:
+    self.slow_evidence.add(run)
+    enough_jobs = len(self.slow_evidence.jobs) >= endpointhealth.SLOW_JOBS
+    if not enough_jobs or self.speed_factor > times:
       return False
     newly_slow = not self.slow
     self.speed.set_faulty(times)
@@ -677,12 +380,12 @@
         "cold_s": round(max(0.0, self.cold_until - now), 3),
         "runs": {
             state.value: sum(r.state is state for r in self.runs.values())
-            for state in RunState
+            for state in endpointruns.RunState
         },
         "free_cpu": self._free.cpu,
         "slowness": round(self.speed_factor, 2),
         "speed_evidence": round(self.speed.evidence, 1),
-        "out_for_s": round(max(0.0, self.excluded_until - now), 3),
+        "out_for_s": round(max(0.0, self.exclusion.until - now), 3),
         "silent_s": round(now - self.silent_since, 3)
         if self.silent_since is not None
         else 0,
--- a/fescueturn/scheduler/hostmetrics.py
+++ b/fescueturn/scheduler/hostmetrics.py
@@ -223,4 +223,4 @@
     return "silent"
   if record.info.draining or not record.listed:
     return "draining"
-  return "left_out" if record.excluded_until > now else "usable"
+  return "left_out" if record.exclusion.until > now else "usable"
--- a/fescueturn/scheduler/keptjobs.py
+++ b/fescueturn/scheduler/keptjobs.py
@@ -237,8 +237,8 @@
   for endpoint, number in results:
     record = owner.endpoints.get(endpoint)
     if record is not None and number != keptrecords.ENDPOINT_LOST:
-      record.record_saved_end(number)
-      if not record.unsaved_ends:
+      record.ended.record_saved(number)
+      if not record.ended.unsaved:
         leases.renew_lease(owner, record)
 
 
--- a/fescueturn/scheduler/outcomes.py
+++ b/fescueturn/scheduler/outcomes.py
@@ -5,7 +5,7 @@
 """
 
 from fescueturn.scheduler import crashes
-from fescueturn.scheduler import endpointstate
+from fescueturn.scheduler import endpointruns
 from fescueturn.scheduler import events
 from fescueturn.scheduler import linkmessages
 from fescueturn.scheduler import model
@@ -21,7 +21,7 @@
 
 
 def finish_run(
-    owner, record, run: endpointstate.Run, how: model.RunOutcome, reason: str
+    owner, record, run: endpointruns.Run, how: model.RunOutcome, reason: str
 ):
   """Handles a run that surely ended: frees its resources, updates its task.
 
@@ -35,8 +35,8 @@
   runpace.handle_end(owner, record, run, how)
   record.remove(run.id)
   if how is model.RunOutcome.DONE:
-    record.record_done_run()
-  elif how is model.RunOutcome.FAILED and record.record_failed_run(
+    record.exclusion.clear_failures()
+  elif how is model.RunOutcome.FAILED and record.exclusion.record_failed_run(
       run.id.task.job_id, owner.now
   ):
     owner.counters["ejected"] += 1
@@ -44,7 +44,7 @@
         ownerstate.endpoint_log(
             "endpoint_ejected",
             record,
-            for_s=round(record.excluded_until - owner.now, 2),
+            for_s=round(record.exclusion.until - owner.now, 2),
         )
     )
   job = owner.by_id.get(run.id.task.job_id)
@@ -157,7 +157,7 @@
     ends_by_job = kept_records.early_results
   else:
     return
-  record.unsaved_ends.add(ended.number)
+  record.ended.unsaved.add(ended.number)
   ends = ends_by_job.setdefault(job_id, set())
   ends.add((record.info.id, ended.number))
 
@@ -226,7 +226,7 @@
   )
 
 
-def requeue_lost_task(owner, record, run: endpointstate.Run):
+def requeue_lost_task(owner, record, run: endpointruns.Run):
   """Queues a task again whose run surely ended because its lease expired.
 
   The run still counts against the endpoint's capacity: a start request without
@@ -244,8 +244,8 @@
   )
   crashes.record_loss(owner, record, run)
   run.abandoned = True
-  if run.state is not endpointstate.RunState.STOPPING:
-    run.state = endpointstate.RunState.UNSURE
+  if run.state is not endpointruns.RunState.STOPPING:
+    run.state = endpointruns.RunState.UNSURE
     runcontrol.stop_run(owner, record, run)
   _update_task_after_run(owner, job, task, model.RunOutcome.LOST)
 
--- a/fescueturn/scheduler/owner.py
+++ b/fescueturn/scheduler/owner.py
@@ -6,6 +6,7 @@
 import zlib
 
 from fescueturn.scheduler import crashes
+from fescueturn.scheduler import endpointruns
 from fescueturn.scheduler import endpointstate
 from fescueturn.scheduler import events
 from fescueturn.scheduler import keptjobs
@@ -23,7 +24,7 @@
 # store's watch within about 10 ms and offers its jobs immediately.
 ADOPT_WAIT_S = 0.25
 # Heartbeat timeout of a coordinator, after which its jobs' runs are stopped. It
-# sends a ping every 100 ms. `endpointstate.LEASE_MS` explains how this timeout
+# sends a ping every 100 ms. `endpointlease.LEASE_MS` explains how this timeout
 # and the lease add up.
 COORDINATOR_TIMEOUT_S = 0.35
 # Retry interval of an unanswered stop, short because the task can't run again
@@ -142,18 +143,18 @@
     leases.renew_lease(owner, record)
 
 
-def _check_run(owner, record, run: endpointstate.Run):
+def _check_run(owner, record, run: endpointruns.Run):
   unwanted = (
       run.need is None
       and owner.kept_records.loaded
-      and run.state is endpointstate.RunState.RUNNING
+      and run.state is endpointruns.RunState.RUNNING
       and owner.now - run.started_at > ADOPT_WAIT_S
   )
   if unwanted or run.stuck(owner.now):
     why = "unwanted" if unwanted else "stuck"
     owner.counters[f"run_{why}"] += 1
     if not unwanted:
-      record.eject(owner.now)
+      record.exclusion.eject(owner.now)
     age_ms = int((owner.now - run.started_at) * 1000)
     owner.emit(
         ownerstate.run_log(
@@ -169,5 +170,5 @@
   )
   if retry_due:
     runcontrol.stop_run(owner, record, run)
-  if silent and not run.abandoned and record.leases_expired(owner.now):
+  if silent and not run.abandoned and record.lease.expired(owner.now):
     outcomes.requeue_lost_task(owner, record, run)
--- a/fescueturn/scheduler/ownerstate.py
+++ b/fescueturn/scheduler/ownerstate.py
@@ -7,6 +7,7 @@
 
 from fescueturn import settings
 from fescueturn.scheduler import endpointlist
+from fescueturn.scheduler import endpointruns
 from fescueturn.scheduler import endpointstate
 from fescueturn.scheduler import evacuation
 from fescueturn.scheduler import events
@@ -432,7 +433,7 @@
   )
 
 
-def run_log(event: str, record, run: endpointstate.Run, **fields):
+def run_log(event: str, record, run: endpointruns.Run, **fields):
   """Returns a log line about a run."""
   task = run.id.task
   return events.log(
--- a/fescueturn/scheduler/runanswers.py
+++ b/fescueturn/scheduler/runanswers.py
@@ -4,7 +4,7 @@
 retry. Its run ends only by what the endpoint lists, or with its lease.
 """
 
-from fescueturn.scheduler import endpointstate
+from fescueturn.scheduler import endpointruns
 from fescueturn.scheduler import events
 from fescueturn.scheduler import leases
 from fescueturn.scheduler import model
@@ -28,16 +28,16 @@
   runcontrol.start_waiting_tasks(owner)
 
 
-def _confirm_start(owner, record, run: endpointstate.Run):
+def _confirm_start(owner, record, run: endpointruns.Run):
   """Marks a run as started: the next lease call lists it or its end."""
-  if run.state is endpointstate.RunState.ORDERED:
-    run.state = endpointstate.RunState.RUNNING
+  if run.state is endpointruns.RunState.ORDERED:
+    run.state = endpointruns.RunState.RUNNING
   run.listed_from_call = run.listed_from_call or record.call_number + 1
   leases.renew_lease(owner, record)
 
 
 def _handle_failed_start(
-    owner, record, run: endpointstate.Run, result: model.CallResult
+    owner, record, run: endpointruns.Run, result: model.CallResult
 ):
   owner.counters[f"start_{result.value}"] += 1
   owner.emit(
@@ -63,16 +63,16 @@
     return
   if result is model.CallResult.NO_ANSWER:
     leases.handle_lost_request(owner, record, run.sent_at)
-    record.record_late_start(run)
-    is_listed = run.state is endpointstate.RunState.RUNNING
+    record.unanswered_starts.record(run)
+    is_listed = run.state is endpointruns.RunState.RUNNING
     if not (is_listed or runcontrol.resend_start(owner, record, run)):
       runcontrol.stop_possible_run(owner, record, run)
     return
   if result is model.CallResult.NOT_SENT:
     leases.mark_silent(owner, record)
   elif result is not model.CallResult.LATE:
-    record.back_off(owner.now)
-  if run.state is not endpointstate.RunState.ORDERED:
+    record.exclusion.back_off(owner.now)
+  if run.state is not endpointruns.RunState.ORDERED:
     return
   if run.was_resent:
     # An earlier request may still be carried out.
@@ -91,7 +91,7 @@
   if event.result is model.CallResult.OK:
     if run is not None:
       # The next call lists it as running or ended, or doesn't list it at all.
-      run.state = endpointstate.RunState.STOPPING
+      run.state = endpointruns.RunState.STOPPING
       run.listed_from_call = record.call_number + 1
       run.stop_sent_at = None
     leases.renew_lease(owner, record, now=True)
--- a/fescueturn/scheduler/runcontrol.py
+++ b/fescueturn/scheduler/runcontrol.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 from fescueturn.scheduler import crashes
+from fescueturn.scheduler import endpointruns
 from fescueturn.scheduler import endpointstate
 from fescueturn.scheduler import events
 from fescueturn.scheduler import model
@@ -97,7 +98,7 @@
   """
 
   def accepts(other: endpointstate.EndpointRecord) -> bool:
-    return other is not record and other.slowness < endpointstate.SLOW_RATIO
+    return other is not record and other.slowness < endpointruns.SLOW_RATIO
 
   return _choose_endpoint(owner, job, task, accepts) is not None
 
@@ -108,10 +109,10 @@
   deadline_ms = record.extend_lease(owner.now)
   task.attempt += 1
   run_id = model.RunId(task.task, task.attempt)
-  run = endpointstate.Run(
+  run = endpointruns.Run(
       run_id,
       task.step.need,
-      endpointstate.RunState.ORDERED,
+      endpointruns.RunState.ORDERED,
       owner.now,
       task.step.estimate_ms,
       deadline_ms,
@@ -141,7 +142,7 @@
   )
 
 
-def resend_start(owner, record, run: endpointstate.Run) -> bool:
+def resend_start(owner, record, run: endpointruns.Run) -> bool:
   """Sends a start request that got no answer again, if that is allowed.
 
   Start requests are idempotent: an endpoint starts a run only once.
@@ -150,7 +151,7 @@
     Whether the request was sent.
   """
   job = owner.by_id.get(run.id.task.job_id)
-  wanted = job is not None and run.state is endpointstate.RunState.ORDERED
+  wanted = job is not None and run.state is endpointruns.RunState.ORDERED
   if not wanted or job.returning or not owner.may_start:
     return False
   if run.sends >= MAX_SENDS or record.silent_since is not None:
@@ -168,20 +169,20 @@
   return True
 
 
-def stop_run(owner, record, run: endpointstate.Run):
+def stop_run(owner, record, run: endpointruns.Run):
   """Asks an endpoint to stop a run; the run's end frees its resources."""
-  if run.state is not endpointstate.RunState.UNSURE:
-    run.state = endpointstate.RunState.STOPPING
+  if run.state is not endpointruns.RunState.UNSURE:
+    run.state = endpointruns.RunState.STOPPING
   run.listed_from_call = 0
   run.stop_sent_at = owner.now
   owner.counters["stops"] += 1
   owner.emit(events.StopRun(record.info, run.id, owner.fence))
 
 
-def stop_possible_run(owner, record, run: endpointstate.Run):
+def stop_possible_run(owner, record, run: endpointruns.Run):
   """Stops a run that may have begun, or may begin when a request arrives late."""
-  if run.state is endpointstate.RunState.ORDERED:
-    run.state = endpointstate.RunState.UNSURE
+  if run.state is endpointruns.RunState.ORDERED:
+    run.state = endpointruns.RunState.UNSURE
   stop_run(owner, record, run)
 
 
@@ -189,5 +190,5 @@
   """Stops the run of a task, unless it is stopping already."""
   record = owner.endpoints.get(task.endpoint)
   run = record.runs.get(task.run) if record else None
-  if run is not None and run.state is not endpointstate.RunState.STOPPING:
+  if run is not None and run.state is not endpointruns.RunState.STOPPING:
     stop_run(owner, record, run)
--- a/fescueturn/scheduler/runpace.py
+++ b/fescueturn/scheduler/runpace.py
@@ -9,6 +9,7 @@
 import collections
 import math
 
+from fescueturn.scheduler import endpointruns
 from fescueturn.scheduler import endpointstate
 from fescueturn.scheduler import model
 from fescueturn.scheduler import ownerstate
@@ -44,7 +45,7 @@
     record.on_change()
 
 
-def _job_and_task(owner, run: endpointstate.Run):
+def _job_and_task(owner, run: endpointruns.Run):
   """Returns the job and task whose current run this is; None without one."""
   job = owner.by_id.get(run.id.task.job_id)
   task = job.tasks.get(run.id.task) if job else None
@@ -57,13 +58,13 @@
   return bool(near) and near not in record.info.labels
 
 
-def runs_away(owner, record, run: endpointstate.Run) -> bool:
+def runs_away(owner, record, run: endpointruns.Run) -> bool:
   """Returns whether the task of a run runs far from its data."""
   found = _job_and_task(owner, run)
   return found is not None and _is_away(record, found[1])
 
 
-def _is_comparable(owner, record, run: endpointstate.Run, task) -> bool:
+def _is_comparable(owner, record, run: endpointruns.Run, task) -> bool:
   """Returns whether the time of a run depends on its task and endpoint only."""
   start_known = not (run.adopted or run.was_resent)
   return (
@@ -80,7 +81,7 @@
   return job.paces[task.task.step].error(typical)
 
 
-def slowdown(owner: ownerstate.Owner, run: endpointstate.Run) -> float:
+def slowdown(owner: ownerstate.Owner, run: endpointruns.Run) -> float:
   """Returns how many times its expected time a run takes; 0 if not slowed.
 
   A declaration that is too long doesn't lower what is expected.
@@ -90,13 +91,13 @@
     return 0.0
   error, _ = _declared_error(owner, *found)
   ratio = run.observed_slowdown(owner.now) / math.exp(max(0.0, error))
-  return ratio if ratio > endpointstate.SLOW_RATIO else 0.0
+  return ratio if ratio > endpointruns.SLOW_RATIO else 0.0
 
 
 def handle_progress(
     owner: ownerstate.Owner,
     record: endpointstate.EndpointRecord,
-    run: endpointstate.Run,
+    run: endpointruns.Run,
 ):
   """Takes the progress of a run into account."""
   found = _job_and_task(owner, run)
@@ -108,7 +109,7 @@
   if predicted_s is None:
     return
   ratio = predicted_s * 1000 / run.estimate_ms / math.exp(max(0.0, error))
-  if ratio <= endpointstate.SLOW_RATIO:
+  if ratio <= endpointruns.SLOW_RATIO:
     run.in_time_until = owner.now
   else:
     _record_slow_run(owner, record, run, ratio)
@@ -117,7 +118,7 @@
 def handle_end(
     owner: ownerstate.Owner,
     record: endpointstate.EndpointRecord,
-    run: endpointstate.Run,
+    run: endpointruns.Run,
     how: model.RunOutcome,
 ):
   """Takes the end of a run into account, before its task is updated.
@@ -148,7 +149,7 @@
 
 
 def _time_of_ended_run(
-    owner, run: endpointstate.Run, how: model.RunOutcome
+    owner, run: endpointruns.Run, how: model.RunOutcome
 ) -> float | None:
   """Returns how long a run took, or would have taken (s); None if unknown."""
   if how is model.RunOutcome.DONE:
@@ -158,10 +159,10 @@
   return None
 
 
-def _record_pace(owner, record, run: endpointstate.Run, times: float):
+def _record_pace(owner, record, run: endpointruns.Run, times: float):
   """Records whether a run that is done was in time on its endpoint."""
-  if times <= endpointstate.SLOW_RATIO:
-    record.record_run_in_time(run, owner.now)
+  if times <= endpointruns.SLOW_RATIO:
+    record.slow_evidence.record_in_time(run, owner.now)
   else:
     _record_slow_run(owner, record, run, times)
 
@@ -179,26 +180,26 @@
   record.on_change()
 
 
-def endpoint_is_cause(owner, record, run: endpointstate.Run) -> bool:
+def endpoint_is_cause(owner, record, run: endpointruns.Run) -> bool:
   """Returns whether its endpoint is the probable cause of a slowed run."""
   slowed = _describe(owner, record, run)
   return slowed is not None and slowruns.endpoint_is_cause(slowed)
 
 
 def _describe(
-    owner, record, run: endpointstate.Run
+    owner, record, run: endpointruns.Run
 ) -> slowruns.SlowedRun | None:
   """Returns what is known about a slowed run; None if its job is unknown."""
   found = _job_and_task(owner, run)
   if found is None:
     return None
   job, task = found
-  below = owner.run_times.share_below(job.job.queue, endpointstate.SLOW_RATIO)
+  below = owner.run_times.share_below(job.job.queue, endpointruns.SLOW_RATIO)
   return slowruns.SlowedRun(
       record.slow,
-      record.share_in_time(run, owner.now),
+      record.slow_evidence.share_in_time(run, record.runs.values(), owner.now),
       _siblings_slowed(owner, job, task),
-      record.slowed_jobs(run),
+      record.slow_evidence.slowed_jobs(run),
       1 - below,
       _slow_share(owner),
   )
@@ -231,7 +232,7 @@
   return slow / max(1, len(owner.endpoints))
 
 
-def _record_slow_run(owner, record, run: endpointstate.Run, times: float):
+def _record_slow_run(owner, record, run: endpointruns.Run, times: float):
   """Records a slowed run, unless its endpoint is certainly not the cause."""
   slowed = _describe(owner, record, run)
   if slowed is None or not slowruns.counts_against_endpoint(slowed):
--- a/fescueturn/scheduler/selffencing.py
+++ b/fescueturn/scheduler/selffencing.py
@@ -8,7 +8,7 @@
 as their coordinator offers them to one holder at a time.
 """
 
-from fescueturn.scheduler import endpointstate
+from fescueturn.scheduler import endpointruns
 from fescueturn.scheduler import events
 from fescueturn.scheduler import ownerstate
 from fescueturn.scheduler import runcontrol
@@ -74,7 +74,7 @@
     owner.claimants.forget_gone(owner.now)
 
 
-def _may_be_kept(owner, run: endpointstate.Run) -> bool:
+def _may_be_kept(owner, run: endpointruns.Run) -> bool:
   """Returns whether a run may be a kept job's, whose records may be unread."""
   job = owner.by_id.get(run.id.task.job_id)
   if job is None:
--- a/fescueturn/scheduler/stragglers.py
+++ b/fescueturn/scheduler/stragglers.py
@@ -10,6 +10,7 @@
 time.
 """
 
+from fescueturn.scheduler import endpointruns
 from fescueturn.scheduler import endpointstate
 from fescueturn.scheduler import ownerstate
 from fescueturn.scheduler import runcontrol
@@ -27,14 +28,14 @@
 def handle_progress(
     owner: ownerstate.Owner,
     record: endpointstate.EndpointRecord,
-    run: endpointstate.Run,
+    run: endpointruns.Run,
 ):
   """Handles progress of a run: it may be moved away from a slow endpoint.
 
   A long task isn't moved: it takes as long elsewhere. Nor is one that is slowed
   by being far from its data, unless there is room near it.
   """
-  if run.state is not endpointstate.RunState.RUNNING:
+  if run.state is not endpointruns.RunState.RUNNING:
     return
   if not runpace.slowdown(owner, run):
     return
@@ -46,7 +47,7 @@
     _move_if_faster(owner, record, run)
 
 
-def _near_endpoint_has_room(owner, run: endpointstate.Run) -> bool:
+def _near_endpoint_has_room(owner, run: endpointruns.Run) -> bool:
   """Returns whether a task that runs far from its data could start near it."""
   step = owner.by_id[run.id.task.job_id].tasks[run.id.task].step
   return any(
@@ -69,20 +70,20 @@
   if record.leaves_at is None:
     return
   for run in list(record.runs.values()):
-    if run.state is endpointstate.RunState.RUNNING and leaving.ends_too_late(
+    if run.state is endpointruns.RunState.RUNNING and leaving.ends_too_late(
         record, run, owner.now
     ):
       _move(owner, record, run, "leaving")
 
 
-def _move_if_faster(owner, record, run: endpointstate.Run):
+def _move_if_faster(owner, record, run: endpointruns.Run):
   """Stops a run that would end sooner if it was restarted elsewhere."""
   left_s = leaving.predicted_end(run, record.slowness) - owner.now
   if left_s >= MOVE_GAIN * run.estimate_ms / 1000 + MOVE_S:
     _move(owner, record, run, "slow")
 
 
-def _move(owner, record, run: endpointstate.Run, why: str):
+def _move(owner, record, run: endpointruns.Run, why: str):
   """Stops a run whose task can start elsewhere now; a task is moved once."""
   job = owner.by_id.get(run.id.task.job_id)
   task = job.tasks.get(run.id.task) if job else None
--- a/tests/test_endpointstate.py
+++ b/tests/test_endpointstate.py
@@ -6,6 +6,7 @@
 from hypothesis import strategies
 
 from fescueturn import settings
+from fescueturn.scheduler import endpointruns
 from fescueturn.scheduler import endpointstate
 from fescueturn.scheduler import model
 
@@ -19,10 +20,10 @@
   return model.Endpoint("e", address, "s", "a", SLOTS, False, capacity)
 
 
-def run(number: int, need=NEED) -> endpointstate.Run:
+def run(number: int, need=NEED) -> endpointruns.Run:
   task = model.Task("j", 0, number)
-  return endpointstate.Run(
-      model.RunId(task, 1), need, endpointstate.RunState.ORDERED, 0.0, 100
+  return endpointruns.Run(
+      model.RunId(task, 1), need, endpointruns.RunState.ORDERED, 0.0, 100
   )
 
 
@@ -91,7 +92,7 @@
       cpu_by_run.pop(ended)
     elif runs:
       states = {
-          "stop": endpointstate.RunState.STOPPING,
-          "unsure": endpointstate.RunState.UNSURE,
+          "stop": endpointruns.RunState.STOPPING,
+          "unsure": endpointruns.RunState.UNSURE,
       }
       runs[amount % len(runs)].state = states[action]
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from fescueturn.scheduler import endpointstate
+from fescueturn.scheduler import endpointruns
 from fescueturn.scheduler import model
 from fescueturn.scheduler.decisions import leaving
 from tests import fleets
@@ -102,10 +102,10 @@
 
 def test_run_without_known_progress_is_judged_by_its_estimate():
   record = test_placing.known_record(entry())
-  run = endpointstate.Run(
+  run = endpointruns.Run(
       model.RunId(model.Task("j", 0, 0), 1),
       fleets.NEED,
-      endpointstate.RunState.RUNNING,
+      endpointruns.RunState.RUNNING,
       1.0,
       900,
   )
--- a/tests/test_new_holder.py
+++ b/tests/test_new_holder.py
@@ -3,7 +3,7 @@
 import pytest
 
 from fescueturn.emulator import endpointcalls
-from fescueturn.scheduler import endpointstate
+from fescueturn.scheduler import endpointruns
 from fescueturn.scheduler import events
 from fescueturn.scheduler import model
 from tests import fleets
@@ -56,7 +56,7 @@
       for name, record in owner.endpoints.items()
       for run in record.runs.values()
       if run.id.task.job_id == job_id
-      and run.state is endpointstate.RunState.ORDERED
+      and run.state is endpointruns.RunState.ORDERED
   ]
   return runs[0] if runs else None
 
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -7,6 +7,8 @@
 from hypothesis import strategies
 
 from fescueturn import settings
+from fescueturn.scheduler import endpointhealth
+from fescueturn.scheduler import endpointruns
 from fescueturn.scheduler import endpointstate
 from fescueturn.scheduler import model
 from fescueturn.scheduler.decisions import placing
@@ -47,8 +49,8 @@
 def add_run(record, cpu: int, number: int, mem_mb: int = 64):
   run = model.RunId(model.Task(f"j{number % 3}", 0, number), 1)
   need = model.Resources(cpu, mem_mb, 0)
-  state = endpointstate.RunState.RUNNING
-  record.add(endpointstate.Run(run, need, state, 0.0, 100))
+  state = endpointruns.RunState.RUNNING
+  record.add(endpointruns.Run(run, need, state, 0.0, 100))
 
 
 def wanted(cpu: int, moved_from: str = "", **step) -> placing.Wanted:
@@ -86,9 +88,9 @@
 
 def test_endpoint_is_chosen_again_once_its_exclusion_is_over():
   table = table_of(endpoint("e0"))
-  table["e0"].back_off(1.0)
+  table["e0"].exclusion.back_off(1.0)
   assert table.choose(wanted(32000), 1.1) is None
-  later = 1.0 + endpointstate.BACK_OFF_S
+  later = 1.0 + endpointhealth.BACK_OFF_S
   assert name_of(table.choose(wanted(32000), later)) == "e0"
 
 
@@ -217,9 +219,9 @@
   elif change == "answer":
     record.update_clock(int(now * 1000), now)
   elif change == "back_off":
-    record.back_off(now)
+    record.exclusion.back_off(now)
   elif change == "eject":
-    record.eject(now)
+    record.exclusion.eject(now)
   elif change == "drain":
     draining = not record.info.draining
     record.update(dataclasses.replace(record.info, draining=draining))
@@ -237,7 +239,7 @@
   elif change == "slow":
     for job in ("k", "l"):
       run = model.RunId(model.Task(job, 0, 0), 1)
-      record.record_slow_run(endpointstate.Run(run, None, None, now), 3.0)
+      record.record_slow_run(endpointruns.Run(run, None, None, now), 3.0)
 
 
 @hypothesis.settings(max_examples=400, deadline=None)
--- a/tests/test_restarted_endpoints.py
+++ b/tests/test_restarted_endpoints.py
@@ -84,14 +84,14 @@
   owner = test_leases.new_owner()
   record = known_endpoint(owner)
   run = started_run(owner, record)
-  record.last_end_number = 70
+  record.ended.last_number = 70
   answer(owner, record, 0.1, RESTARTED.born_ms, 20)
   (next_run,) = record.runs
   ended = model.EndedRun(1, next_run, model.RunOutcome.DONE)
   answer(owner, record, 0.2, RESTARTED.born_ms, 120, ended=(ended,))
   outcomes = test_leases.job_outcomes(owner.take_effects())
   assert outcomes == [model.Outcome.DONE]
-  assert (record.last_end_number, run.id.attempt) == (1, 1)
+  assert (record.ended.last_number, run.id.attempt) == (1, 1)
 
 
 def test_run_that_the_new_incarnation_has_is_not_started_again():
@@ -146,17 +146,17 @@
   answer(owner, record, 0.2, BORN.born_ms, 900_200, running=(found,))
   assert not record.runs
   assert record.born_ms == RESTARTED.born_ms
-  assert record.clock_ms(0.2) < 1000
+  assert record.lease.clock_ms(0.2) < 1000
 
 
 def test_speed_and_failures_are_forgotten():
   owner = test_leases.new_owner()
   record = known_endpoint(owner)
   record.speed.set_faulty(6.0)
-  record.failed_jobs.update(("j", "k"))
+  record.exclusion.failed_jobs.update(("j", "k"))
   answer(owner, record, 0.1, RESTARTED.born_ms, 20)
   assert record.speed_factor == 1.0
-  assert not record.slow and not record.failed_jobs
+  assert not record.slow and not record.exclusion.failed_jobs
 
 
 def test_end_to_be_stored_does_not_acknowledge_one_of_the_new_incarnation():
@@ -166,7 +166,7 @@
   kept_records = owner.kept_records
   kept_records.mark_loaded(keptevents.KeptJobsLoaded(test_leases.SHARD, 7))
   kept_records.unsaved_results["k"] = {(BORN.id, 1), ("other", 1)}
-  record.unsaved_ends.add(1)
+  record.ended.unsaved.add(1)
   answer(owner, record, 0.1, RESTARTED.born_ms, 20)
   assert kept_records.unsaved_results == {"k": {("other", 1)}}
   assert not record.has_unsent_ack
@@ -238,14 +238,14 @@
   """Guards against ends of a new incarnation that are forgotten unseen."""
   owner = test_leases.new_owner()
   record = known_endpoint(owner)
-  record.last_end_number = 40
+  record.ended.last_number = 40
   owner.take_effects()
   leases.renew_lease(owner, record)
   answer(owner, record, 0.1, BORN.born_ms, 900_100)
   leases.renew_lease(owner, record)
   answer(owner, record, 0.2, BORN.born_ms, 900_200)
   assert acks(owner.take_effects()) == [40, 0]
-  record.last_end_number = 41
+  record.ended.last_number = 41
   leases.renew_lease(owner, record)
   test_leases.answer(owner, record, 0.3, model.CallResult.NO_ANSWER)
   assert acks(owner.take_effects()) == [41, 0]
@@ -259,7 +259,7 @@
 def test_endpoint_without_a_known_start_hears_the_number_in_each_call():
   owner = test_leases.new_owner()
   record = test_leases.known_endpoint(owner)
-  record.last_end_number = 40
+  record.ended.last_number = 40
   owner.take_effects()
   for now in (0.1, 0.2):
     leases.renew_lease(owner, record)
--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -61,7 +61,7 @@
   owner = ownerstate.Owner(test_leases.SHARD, 7, 0.0)
   first = dataclasses.replace(test_leases.ENDPOINT, id="i-0")
   leases.handle_endpoint_list(owner, (first,))
-  assert owner.endpoints["i-0"].excluded_until <= owner.now
+  assert owner.endpoints["i-0"].exclusion.until <= owner.now
   assert roster_update(owner).endpoints == ("i-0",)
   owner.now = 10.0
   return owner
@@ -108,7 +108,7 @@
   owner = owner_with_roster()
   leases.handle_endpoint_list(owner, (test_leases.ENDPOINT,))
   record = owner.endpoints["i-1"]
-  assert record.excluded_until == owner.now + roster.JOIN_DELAY_S
+  assert record.exclusion.until == owner.now + roster.JOIN_DELAY_S
   assert roster.JOIN_DELAY_S > roster.MAX_AGE_S
   assert "i-1" in roster_update(owner).endpoints
 
@@ -122,7 +122,7 @@
   assert "i-1" in roster_update(owner).endpoints
   owner.now += roster.REMOVED_RETENTION_S - 1
   leases.handle_endpoint_list(owner, (test_leases.ENDPOINT,))
-  assert owner.endpoints["i-1"].excluded_until <= owner.now
+  assert owner.endpoints["i-1"].exclusion.until <= owner.now
 
 
 def test_drained_endpoint_is_not_in_the_roster():
--- a/tests/test_runanswers.py
+++ b/tests/test_runanswers.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from fescueturn.scheduler import endpointstate
+from fescueturn.scheduler import endpointruns
 from fescueturn.scheduler import events
 from fescueturn.scheduler import leases
 from fescueturn.scheduler import linkmessages
@@ -37,7 +37,7 @@
   effects = test_leases.lose_start_request(owner, run, 0.1)
   assert not any(isinstance(e, events.StartRun) for e in effects)
   assert any(isinstance(e, events.StopRun) for e in effects)
-  assert run.state is endpointstate.RunState.UNSURE
+  assert run.state is endpointruns.RunState.UNSURE
   assert not record.fits(model.Resources(64000, 1, 0)), "keeps its resources"
 
 
@@ -130,7 +130,7 @@
   owner = test_leases.new_owner()
   record = test_leases.known_endpoint(owner)
   run = test_leases.start_job(owner, record)
-  record.exclude_until(10.0)
+  record.exclusion.exclude_until(10.0)
   start_answered(owner, run, result)
   assert not record.runs
   (job,) = owner.jobs.values()
@@ -159,7 +159,7 @@
   test_leases.answer(owner, record, 0.03, running=(model.ActiveRun(run.id, 1),))
   owner.take_effects()
   start_answered(owner, run, result)
-  assert run.state is endpointstate.RunState.RUNNING
+  assert run.state is endpointruns.RunState.RUNNING
   assert not stop_requests(owner.take_effects())
 
 
@@ -223,5 +223,5 @@
       owner, record, 0.02, running=(model.ActiveRun(run.id, 10),)
   )
   effects = test_leases.lose_start_request(owner, run, 0.025)
-  assert run.state is endpointstate.RunState.RUNNING
+  assert run.state is endpointruns.RunState.RUNNING
   assert not stop_requests(effects)
--- a/tests/test_stragglers.py
+++ b/tests/test_stragglers.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from fescueturn.scheduler import endpointruns
 from fescueturn.scheduler import endpointstate
 from fescueturn.scheduler import events
 from fescueturn.scheduler import leases
@@ -18,8 +19,8 @@
   record.runs_known = True
   for name in jobs:
     run = model.RunId(model.Task(name, 0, 0), 1)
-    state = endpointstate.RunState.RUNNING
-    record.add(endpointstate.Run(run, fleets.NEED, state, 0.0, 900))
+    state = endpointruns.RunState.RUNNING
+    record.add(endpointruns.Run(run, fleets.NEED, state, 0.0, 900))
   return record
 
 
@@ -182,7 +183,7 @@
     owner.endpoints[other.id].runs_known = True
   owner.now = run.progressed_at = 0.3
   run.percent = 10
-  run.state = endpointstate.RunState.RUNNING
+  run.state = endpointruns.RunState.RUNNING
   owner.take_effects()
   stragglers.handle_progress(owner, record, run)
   moved = [e for e in owner.take_effects() if isinstance(e, events.StopRun)]
