An endpoint's speed factor has one name

What callers saw: nothing; behaviour is the same, as is `slowness` in the dump. Cause: `EndpointRecord.slowness` was an alias of `speed_factor`, and its callers used either. All use `speed_factor`. `placing.Speed.slowness` (rounded, beside whether the endpoint is cold) and `room.EndpointRoom.slowness` (what a report averages) are values of their own and stay.

--- a/fescueturn/scheduler/admission.py
+++ b/fescueturn/scheduler/admission.py
@@ -83,7 +83,7 @@
   for record in records:
     times += [now] * _available_at(record, need)
     for run in record.runs.values():
-      end = run.expected_end(record.slowness)
+      end = run.expected_end(record.speed_factor)
       soon = now + OVERDUE_FRACTION * run.estimate_ms / 1000
       times.append(max(end, soon))
   times.sort()
--- a/fescueturn/scheduler/decisions/placing.py
+++ b/fescueturn/scheduler/decisions/placing.py
@@ -114,7 +114,7 @@
 
 def speed_of(record: endpointstate.EndpointRecord, now: float) -> Speed:
   """Returns how fast an endpoint is."""
-  slowness = round(record.slowness, SPEED_DIGITS)
+  slowness = round(record.speed_factor, SPEED_DIGITS)
   return Speed(leaving.is_cold(record, now), slowness)
 
 
--- a/fescueturn/scheduler/endpointruns.py
+++ b/fescueturn/scheduler/endpointruns.py
@@ -102,9 +102,9 @@
     """True if its job is known and its stop has not been requested."""
     return self.need is not None and self.active
 
-  def expected_end(self, slowness: float) -> float:
+  def expected_end(self, speed_factor: float) -> float:
     """Returns when the run will probably end (s)."""
-    return self.started_at + self.estimate_ms * slowness / 1000
+    return self.started_at + self.estimate_ms * speed_factor / 1000
 
   def predicted_duration_s(self, now: float) -> float | None:
     """Returns its total time predicted from its progress; None if unknown."""
--- a/fescueturn/scheduler/endpointstate.py
+++ b/fescueturn/scheduler/endpointstate.py
@@ -133,11 +133,6 @@
     """Time that work takes there against a mean endpoint; above 1 is slower."""
     return self.speed.factor
 
-  @property
-  def slowness(self) -> float:
-    """The speed factor."""
-    return self.speed.factor
-
   @property
   def slow(self) -> bool:
     """True if it is slow for a while, so that its runs are moved."""
--- a/fescueturn/scheduler/ownerroom.py
+++ b/fescueturn/scheduler/ownerroom.py
@@ -51,8 +51,8 @@
       record.free.cpu,
       record.info.slots - len(record.runs),
       tuple(
-          max(0, int(1000 * (r.expected_end(record.slowness) - owner.now)))
+          max(0, int(1000 * (r.expected_end(record.speed_factor) - owner.now)))
           for r in runs
       ),
-      record.slowness,
+      record.speed_factor,
   )
--- a/fescueturn/scheduler/runcontrol.py
+++ b/fescueturn/scheduler/runcontrol.py
@@ -98,7 +98,7 @@
   """
 
   def accepts(other: endpointstate.EndpointRecord) -> bool:
-    return other is not record and other.slowness < endpointruns.SLOW_RATIO
+    return other is not record and other.speed_factor < endpointruns.SLOW_RATIO
 
   return _choose_endpoint(owner, job, task, accepts) is not None
 
--- a/tests/test_stragglers.py
+++ b/tests/test_stragglers.py
@@ -38,9 +38,9 @@
   first, second = record.runs.values()
   assert not record.record_slow_run(first, 8.0)
   assert not record.record_slow_run(first, 8.0)
-  assert record.slowness == 1.0
+  assert record.speed_factor == 1.0
   assert record.record_slow_run(second, 6.0)
-  assert record.slowness == 6.0
+  assert record.speed_factor == 6.0
   assert not record.usable(0.3), "gets no tasks while it has runs"
 
 
