Both ends that are expected of a run are methods of the run

What callers saw: nothing; behaviour is the same. Cause: the end by a run's progress lay in decisions/leaving.py, apart from the end by its estimate, though endpoints that are slow need it as well. `Run.predicted_end` (by progress) stands beside `Run.expected_end` (by estimate). They stay two: admission and the room reports go by estimates, also of runs that are late, and moves by progress; one function would change who is admitted or moved. ownerroom and admission only put a floor under the latter.

--- a/fescueturn/scheduler/decisions/leaving.py
+++ b/fescueturn/scheduler/decisions/leaving.py
@@ -70,17 +70,5 @@
   """Returns whether a run will probably not end before its endpoint leaves."""
   if record.leaves_at is None or run.need is None:
     return False
-  end = predicted_end(run, record.speed_factor)
+  end = run.predicted_end(record.speed_factor)
   return end + REPORT_S > record.leaves_at and end - now > STOP_S
-
-
-def predicted_end(run: endpointruns.Run, speed_factor: float) -> float:
-  """Returns when a run will end (s), from its last progress or its estimate.
-
-  The progress counts at the time it was reported, since it is reported only
-  with each lease call.
-  """
-  took_s = run.predicted_duration_s(run.progressed_at)
-  if took_s is None:
-    return run.expected_end(speed_factor)
-  return run.started_at + took_s
--- a/fescueturn/scheduler/endpointruns.py
+++ b/fescueturn/scheduler/endpointruns.py
@@ -103,9 +103,20 @@
     return self.need is not None and self.active
 
   def expected_end(self, speed_factor: float) -> float:
-    """Returns when the run will probably end (s)."""
+    """Returns when the run ends by its estimate (s), whatever its progress."""
     return self.started_at + self.estimate_ms * speed_factor / 1000
 
+  def predicted_end(self, speed_factor: float) -> float:
+    """Returns when the run will end (s), by its last progress or its estimate.
+
+    The progress counts at the time it was reported, since it is reported only
+    with each lease call.
+    """
+    took_s = self.predicted_duration_s(self.progressed_at)
+    if took_s is None:
+      return self.expected_end(speed_factor)
+    return self.started_at + took_s
+
   def predicted_duration_s(self, now: float) -> float | None:
     """Returns its total time predicted from its progress; None if unknown."""
     took_s = now - self.started_at
--- a/fescueturn/scheduler/endpointstate.py
+++ b/fescueturn/scheduler/endpointstate.py
@@ -140,7 +140,7 @@
 
   @property
   def unsaved_ends(self) -> set[int]:
-    """Numbers of ended runs that must be in the store before it forgets them."""
+    """Numbers of ended runs that must be stored before it forgets them."""
     return self.ended.unsaved
 
   @property
--- a/fescueturn/scheduler/stragglers.py
+++ b/fescueturn/scheduler/stragglers.py
@@ -78,7 +78,7 @@
 
 def _move_if_faster(owner, record, run: endpointruns.Run):
   """Stops a run that would end sooner if it was restarted elsewhere."""
-  left_s = leaving.predicted_end(run, record.speed_factor) - owner.now
+  left_s = run.predicted_end(record.speed_factor) - owner.now
   if left_s >= MOVE_GAIN * run.estimate_ms / 1000 + MOVE_S:
     _move(owner, record, run, "slow")
 
@@ -93,7 +93,7 @@
       owner, job, task, record
   ):
     return
-  left_s = leaving.predicted_end(run, record.speed_factor) - owner.now
+  left_s = run.predicted_end(record.speed_factor) - owner.now
   task.moved_from = record.info.id
   owner.counters["run_moved"] += 1
   owner.counters[f"run_moved_{why}"] += 1
