The developers' page names the scheduler's modules, and a test holds it to that

What callers saw: nothing. The new test in tests/test_layout.py asks that the scheduler's rows name every module and no other; it fails with the page from before the split, and when a module is missing. The other checks there are as they were.

--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -5,6 +5,9 @@
 
 import ast
 import pathlib
+import re
+
+import pytest
 
 PACKAGE = pathlib.Path(__file__).resolve().parent.parent / "fescueturn"
 # The layers, each with the others that it may import besides the base modules,
@@ -66,3 +69,11 @@
       continue
     text = path.read_text()
     assert not [name for name in platform_names if name in text], path
+
+
+@pytest.mark.parametrize("folder", ["scheduler", "scheduler/decisions"])
+def test_developers_page_names_every_module_of_the_scheduler(folder):
+  page = (PACKAGE.parent / "docs" / "DEVELOPERS.md").read_text()
+  (row,) = re.findall(rf"^\| `{folder}/` \|.*$", page, re.MULTILINE)
+  modules = {path.stem for path in (PACKAGE / folder).glob("*.py")}
+  assert set(re.findall(r"`(\w+)`", row)) == modules - {"__init__"}
