--- a/fescueturn/scheduler/selffencing.py
+++ b/fescueturn/scheduler/selffencing.py
@@ -8,7 +8,7 @@
 as their coordinator offers them to one holder at a time.
 """
 
-from fescueturn.scheduler import endpointstate
+from fescueturn.scheduler import endpointruns
 from fescueturn.scheduler import events
 from fescueturn.scheduler import ownerstate
 from fescueturn.scheduler import runcontrol
@@ -22,13 +22,11 @@
 # By then every host of the data centre has pinged a new holder: it hears of it
 # within 50 ms and pings it every 0.19 s.
 ALL_HEARD_S = 1.0
-_ACTIVE = (endpointstate.RunState.ORDERED, endpointstate.RunState.RUNNING)
 
 
 def may_be_replaced(owner: ownerstate.Owner) -> bool:
   """Returns whether another host may hold the shard unknown to this one."""
-  if owner.now - owner.store_answered_at <= STORE_SILENT_S:
-    owner.claimants.forget_gone(owner.now)
+  if _store_answers(owner):
     return False
   # The store fell silent before it was known which hosts may claim the shard.
   if owner.store_answered_at - owner.taken_at < ALL_HEARD_S:
@@ -39,6 +37,7 @@
 def tick(owner: ownerstate.Owner):
   """Stops the runs of kept jobs while the holder may have been replaced."""
   if not owner.self_fenced:
+    _forget_gone_claimants(owner)
     if not may_be_replaced(owner):
       return
     owner.self_fenced = True
@@ -49,13 +48,16 @@
     kept_runs = [r for r in record.runs.values() if _may_be_kept(owner, r)]
     record.must_lapse = bool(kept_runs)
     for run in kept_runs:
-      if run.state in _ACTIVE:
+      if run.active:
         runcontrol.stop_possible_run(owner, record, run)
 
 
 def handle_claims_read(owner: ownerstate.Owner):
   """Resumes kept jobs once the store has reported all claims up to now."""
-  if not owner.self_fenced or may_be_replaced(owner):
+  if not owner.self_fenced:
+    return
+  _forget_gone_claimants(owner)
+  if may_be_replaced(owner):
     return
   owner.self_fenced = False
   for record in owner.endpoints.values():
@@ -63,7 +65,16 @@
   owner.emit(_log(owner, "self_fence_ended"))
 
 
-def _may_be_kept(owner, run: endpointstate.Run) -> bool:
+def _store_answers(owner) -> bool:
+  return owner.now - owner.store_answered_at <= STORE_SILENT_S
+
+
+def _forget_gone_claimants(owner):
+  if _store_answers(owner):
+    owner.claimants.forget_gone(owner.now)
+
+
+def _may_be_kept(owner, run: endpointruns.Run) -> bool:
   """Returns whether a run may be a kept job's, whose records may be unread."""
   job = owner.by_id.get(run.id.task.job_id)
   if job is None:
