Emulator: one-way cuts, stalled links, and wakes that read in any order

Three things that hosts of the platform meet and the emulator could not play: packets that pass one way only (deaf_to), a dead path on which TCP holds messages back and delivers them late (stall_link), and a host that wakes and reads its connections in an order that the events did not come in, with ticks in between (thaw with an rng). No emulation uses them yet; what existed behaves as before.

--- a/fescueturn/emulator/endpointcalls.py
+++ b/fescueturn/emulator/endpointcalls.py
@@ -61,7 +61,8 @@
     call = _Call()
 
     def end(result, clock_ms=None):
-      if not call.over:
+      lost = clock_ms is not None and name in host.deaf_to
+      if not (call.over or lost):
         call.over = True
         host.apply(answer_type(name, run, result, clock_ms, effect.fence))
 
@@ -123,7 +124,7 @@
         fail(model.CallResult.NO_ANSWER)
 
     def answer(result: events.LeaseAnswered):
-      if not endpoint.unreachable and self._fleet.can_reach(host, name):
+      if not endpoint.unreachable and self._fleet.hears(host, name):
         self._clock.after(self._path_delay_s(endpoint), lambda: end(result))
 
     lost = self._rng.random() < endpoint.loss_rate
--- a/fescueturn/emulator/fleet.py
+++ b/fescueturn/emulator/fleet.py
@@ -101,6 +101,8 @@
     self._link_resets: collections.Counter[tuple[str, str]] = (
         collections.Counter()
     )
+    # Until when packets between two hosts are held back (s).
+    self._stalled_until: dict[tuple[str, str], float] = {}
     self._requests = 0
     self._default_profile: (
         Callable[[model.Task], endpoint_lib.TaskProfile] | None
@@ -255,6 +257,12 @@
       if record.holder.host == holder:
         host.apply(events.LinkLost(shard, record.process, refused=False))
 
+  def stall_link(self, coordinator: str, holder: str, seconds: float):
+    """Holds back what two hosts send each other as TCP does on a dead path."""
+    until = self.clock.now + seconds
+    for link in ((coordinator, holder), (holder, coordinator)):
+      self._stalled_until[link] = until
+
   def drain(self, name: str, drained: bool = True):
     """Lists an endpoint as draining, or as ready again."""
     endpoint = self.endpoints[name]
@@ -300,11 +308,15 @@
         other is None or host.name not in other.partitioned_from
     )
 
+  def hears(self, host: hosts.EmulatedHost, name: str) -> bool:
+    """Returns whether packets of a host or endpoint reach a host."""
+    return self.can_reach(host, name) and name not in host.deaf_to
+
   def _send_to_holder(self, host, effect: events.SendToHolder):
     other = self.hosts[effect.holder.host]
     process = linkmessages.HostProcess(effect.holder.host, effect.holder.boot)
     delay_s = _delay_s(host, other)
-    if not self.can_reach(host, other.name):
+    if not self.hears(other, host.name):
       return
     if not other.up:
       lost = events.LinkLost(effect.shard, process, refused=True)
@@ -314,7 +326,7 @@
 
   def _send_to_coordinator(self, host, effect: events.SendToCoordinator):
     other = self.hosts[effect.process.host]
-    if other.process != effect.process or not self.can_reach(host, other.name):
+    if other.process != effect.process or not self.hears(other, host.name):
       return
     # A message from the known holder's host is attributed to that holder, even
     # if the host has been restarted since.
@@ -341,7 +353,8 @@
       if self._link_resets[link] == resets:
         receiver.apply(event)
 
-    self.clock.after(delay_s, arrive)
+    until = self._stalled_until.get(link, 0.0)
+    self.clock.at(max(self.clock.now, until) + delay_s, arrive)
 
   def _answer(self, host, effect: events.Answer):
     del host
--- a/fescueturn/emulator/hosts.py
+++ b/fescueturn/emulator/hosts.py
@@ -1,5 +1,7 @@
 """An emulated host: the real reducer, driven by a virtual timer."""
 
+import random
+
 from fescueturn import settings
 from fescueturn.scheduler import events
 from fescueturn.scheduler import linkmessages
@@ -13,6 +15,35 @@
 ENDED_JOB_TTL_S = 120.0
 
 
+def _connection(event: events.Event):
+  """Returns what identifies the connection on which an event arrived."""
+  if isinstance(event, linkmessages.Offered | linkmessages.Withdrawn):
+    return event.key.process
+  if isinstance(event, linkmessages.Ping):
+    return event.process
+  if isinstance(event, events.HolderMessageReceived):
+    return event.shard, event.process
+  if isinstance(event, events.JobArrived | events.CallerGone):
+    return event.request_id
+  return type(event)
+
+
+def _read_order(
+    deferred: list[events.Event], rng: random.Random
+) -> list[events.Event]:
+  by_connection: dict[object, list[events.Event]] = {}
+  for event in deferred:
+    by_connection.setdefault(_connection(event), []).append(event)
+  ticks = rng.choice((0, 1, 3))
+  by_connection[events.Tick] = [events.Tick()] * ticks
+  connections = [
+      connection for connection, queued in by_connection.items() for _ in queued
+  ]
+  rng.shuffle(connections)
+  queues = {c: iter(queued) for c, queued in by_connection.items()}
+  return [next(queues[connection]) for connection in connections]
+
+
 class EmulatedHost:
   """One host: a reducer whose effects the fleet executes.
 
@@ -26,6 +57,8 @@
     clock_lag_s: by how much its clock is behind, as it was suspended (s).
     partitioned_from: hosts and endpoints that it can't reach; "store" stands
       for the store.
+    deaf_to: hosts and endpoints whose packets don't reach it, while its own
+      reach them.
     watch_lag_s: by how much later than usual it is notified of claims (s).
     log: the log lines that its reducer has written.
   """
@@ -51,6 +84,7 @@
     self.frozen = False
     self.clock_lag_s = 0.0
     self.partitioned_from: set[str] = set()
+    self.deaf_to: set[str] = set()
     self.watch_lag_s = 0.0
     self.log: list[events.Log] = []
     self._fleet = fleet
@@ -73,11 +107,16 @@
     for effect in reducer.reduce(self.state, event, now):
       self._fleet.execute(self, effect)
 
-  def thaw(self):
-    """Resumes a frozen host and applies the deferred events."""
+  def thaw(self, rng: random.Random | None = None):
+    """Resumes a frozen host and applies the deferred events.
+
+    Args:
+      rng: if given, the connections are read in a random order, each of them
+        from its start, and the timer ticks at random times in between.
+    """
     self.frozen = False
     deferred, self._deferred = self._deferred, []
-    for event in deferred:
+    for event in _read_order(deferred, rng) if rng else deferred:
       self.apply(event)
 
   def tick(self):
