What a holder reads late counts from when it was sent

What callers saw: a task of a best-effort job with two runs at once. Its coordinator was killed, or its link stalled, while the holder stood still; the caller came back elsewhere 1.3 s later, and the holder started the tasks again.

Cause: a holder counted a coordinator as heard from when it read a ping or an offer. One that wakes reads the pings of its pause, and one whose link was stalled the messages that TCP held back, maybe of a dead coordinator: it then started tasks and renewed leases for another 0.35 s. Even without old pings, a lease call's answer started tasks after the 50 ms of grace before a tick found the coordinator silent. The class: an old message is taken for a sign of life.

Fix: the age of pings and offers by the coordinator's steady clock, against the fastest message so far. No task starts and no lease is extended for a coordinator that sent nothing for 0.35 s. An offer carries the clock as pings do (the field was there, unused); without it a message counts from its reading, as before. A coordinator whose host was suspended, so that its clock is behind, counts as heard again with its second ping. A lease that a long poll has left out is extended as soon as the coordinator is heard.

--- a/fescueturn/scheduler/endpointstate.py
+++ b/fescueturn/scheduler/endpointstate.py
@@ -220,6 +220,7 @@
     call_pending: True while that call has no answer.
     call_sent_at: when it was sent (s).
     call_is_long_poll: True if it may wait for a run to end.
+    call_extends: True if it extends the lease.
     lease_end_ms: the latest end that its lease may have, on the endpoint's
       clock.
     must_lapse: True while one of its runs must end, even if its stop is lost,
@@ -258,6 +259,7 @@
     self.call_pending = False
     self.call_sent_at = now
     self.call_is_long_poll = False
+    self.call_extends = False
     self.lease_end_ms = 0
     self._must_lapse = False
     self.next_call_at = now
--- a/fescueturn/scheduler/jobdispatch.py
+++ b/fescueturn/scheduler/jobdispatch.py
@@ -172,6 +172,7 @@
           resumed,
           record.offer_count,
           immediate_only,
+          state.now,
       ),
   )
 
--- a/fescueturn/scheduler/leases.py
+++ b/fescueturn/scheduler/leases.py
@@ -148,12 +148,14 @@
   ack_number = record.next_ack()
   wait_ms = 0 if now else _call_wait_ms(owner, record)
   record.call_is_long_poll = wait_ms > 0
+  deadline_ms = _new_lease_end(owner, record)
+  record.call_extends = deadline_ms is not None
   owner.emit(
       events.RenewLease(
           record.info,
           record.call_number,
           ack_number,
-          _new_lease_end(owner, record),
+          deadline_ms,
           wait_ms,
           owner.fence,
       )
@@ -178,13 +180,31 @@
 
   The lease of a silent endpoint is left to expire, so that its tasks can be run
   elsewhere. So is the lease of an endpoint whose runs are all to be stopped, or
-  belong to jobs that are not known here yet, since their coordinator may be
-  dead, and that of an endpoint with a run that must end.
+  belong to jobs that are not known here yet or whose coordinator is silent,
+  since it may be dead, and that of an endpoint with a run that must end.
   """
-  has_wanted_run = any(run.wanted for run in record.runs.values())
-  if not has_wanted_run or record.silent_since is not None or record.must_lapse:
-    return None
-  return record.extend_lease(owner.now)
+  return record.extend_lease(owner.now) if _extends(owner, record) else None
+
+
+def _extends(owner, record) -> bool:
+  if record.silent_since is not None or record.must_lapse:
+    return False
+  return any(
+      run.wanted and not _lacks_coordinator(owner, run)
+      for run in record.runs.values()
+  )
+
+
+def _lacks_coordinator(owner, run: endpointstate.Run) -> bool:
+  job = owner.by_id.get(run.id.task.job_id)
+  return job is not None and owner.lacks_coordinator(job)
+
+
+def extend_lease_left_out(owner: ownerstate.Owner, record):
+  """Extends a lease that the long poll under way has left to expire."""
+  left_out = record.call_is_long_poll and not record.call_extends
+  if left_out and _extends(owner, record):
+    renew_lease(owner, record, now=True)
 
 
 def handle_lease_answer(owner: ownerstate.Owner, event: events.LeaseAnswered):
--- a/fescueturn/scheduler/link.capnp
+++ b/fescueturn/scheduler/link.capnp
@@ -75,7 +75,7 @@
   shard @1 :UInt16;
   jobId @2 :Text;
   number @16 :UInt16;
-  # In a ping, the sender's clock in seconds; the pong echoes it.
+  # In a ping or an offer, the sender's clock in seconds; the pong echoes it.
   at @24 :Float64;
   # Version of the holder's roster: in a ping, the version that the sender has;
   # in a pong, the current version.
--- a/fescueturn/scheduler/linkcodec.py
+++ b/fescueturn/scheduler/linkcodec.py
@@ -101,6 +101,7 @@
 def _encode_offered(out, message: linkmessages.Offered):
   out.jobId = message.key.job_id
   out.number = message.number
+  out.at = message.at
   group = out.init("offered")
   group.ageS = message.age_s
   group.leftS = max(0.0, message.remaining_s)
@@ -332,6 +333,7 @@
       group.resumed,
       message.number,
       group.atOnce,
+      message.at,
   )
 
 
--- a/fescueturn/scheduler/linkmessages.py
+++ b/fescueturn/scheduler/linkmessages.py
@@ -46,6 +46,7 @@
     number: distinguishes the offers of one job.
     immediate_only: True if the holder should accept the job only if none of
       its tasks has to wait for capacity.
+    at: the coordinator's clock (s) at sending; 0 if it doesn't say.
   """
 
   shard: model.Shard
@@ -56,6 +57,7 @@
   resumed: bool = False
   number: int = 0
   immediate_only: bool = False
+  at: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/fescueturn/scheduler/owner.py
+++ b/fescueturn/scheduler/owner.py
@@ -22,10 +22,6 @@
 # job before it is stopped. A coordinator learns of the new holder through the
 # store's watch within about 10 ms and offers its jobs immediately.
 ADOPT_WAIT_S = 0.25
-# Heartbeat timeout of a coordinator, after which its jobs' runs are stopped. It
-# sends a ping every 100 ms. `endpointstate.LEASE_MS` explains how this timeout
-# and the lease add up.
-COORDINATOR_TIMEOUT_S = 0.35
 # Retry interval of an unanswered stop, short because the task can't run again
 # until the stop is confirmed. An endpoint that answers no calls at all is
 # retried less often.
@@ -59,11 +55,7 @@
 
 
 def _end_jobs_of_silent_coordinators(owner):
-  silent = [
-      process
-      for process, at in owner.last_contact.items()
-      if owner.now - at > COORDINATOR_TIMEOUT_S
-  ]
+  silent = [p for p in owner.last_contact if owner.is_silent(p)]
   for process in silent:
     del owner.last_contact[process]
     orphaned = [
@@ -134,11 +126,9 @@
       or record.has_unsent_ack
       or record.is_idle(owner.now)
   )
-  if (
-      wants_call
-      and not record.call_pending
-      and (record.next_call_at <= owner.now)
-  ):
+  if record.call_pending:
+    leases.extend_lease_left_out(owner, record)
+  elif wants_call and record.next_call_at <= owner.now:
     leases.renew_lease(owner, record)
 
 
--- a/fescueturn/scheduler/ownerstate.py
+++ b/fescueturn/scheduler/ownerstate.py
@@ -12,6 +12,7 @@
 from fescueturn.scheduler import events
 from fescueturn.scheduler import keptrecords
 from fescueturn.scheduler import linkmessages
+from fescueturn.scheduler import messageage
 from fescueturn.scheduler import model
 from fescueturn.scheduler import reservations
 from fescueturn.scheduler import roster
@@ -23,6 +24,10 @@
 from fescueturn.scheduler.decisions import runtimes
 from fescueturn.scheduler.decisions import speeds
 
+# Heartbeat timeout of a coordinator, after which its jobs' runs are stopped. It
+# sends a ping every 100 ms. `endpointstate.LEASE_MS` explains how this timeout
+# and the lease add up.
+COORDINATOR_TIMEOUT_S = 0.35
 # For this long a new holder accepts jobs before it knows what its endpoints are
 # running. The endpoint list takes 6 ms to arrive from the store and the
 # endpoints' answers take 2 ms, or 30 ms on a busy host.
@@ -251,7 +256,11 @@
     self._sizes: dict[str, collections.Counter[_EndpointSize]] = {}
     self.jobs: dict[linkmessages.JobKey, JobRecord] = {}
     self.by_id: dict[str, JobRecord] = {}
+    # When each coordinator sent its last message (s).
     self.last_contact: dict[linkmessages.HostProcess, float] = {}
+    self._message_ages: dict[
+        linkmessages.HostProcess, messageage.MessageAges
+    ] = {}
     # When each coordinator first sent a message to this owner (s).
     self.first_contacts: dict[linkmessages.HostProcess, float] = {}
     # The other hosts of the data centre that have pinged this owner.
@@ -325,11 +334,31 @@
       return True
     return self.now - self.taken_at > RECOVERY_TIMEOUT_S
 
-  def record_contact(self, process: linkmessages.HostProcess):
-    """Records that a coordinator has sent a message."""
-    self.last_contact[process] = self.now
+  def record_contact(
+      self, process: linkmessages.HostProcess, sent_at: float = 0.0
+  ):
+    """Records that a coordinator has sent a message.
+
+    Args:
+      process: the coordinator.
+      sent_at: when it did, on its own clock (s); 0 if it doesn't say.
+    """
+    age_s = 0.0
+    if sent_at:
+      ages = self._message_ages.setdefault(process, messageage.MessageAges())
+      age_s = ages.record(sent_at, self.now)
+    self.last_contact[process] = self.now - age_s
     self.first_contacts.setdefault(process, self.now)
 
+  def is_silent(self, process: linkmessages.HostProcess) -> bool:
+    """Returns whether a coordinator has sent nothing for too long."""
+    contact_at = self.last_contact.get(process)
+    return contact_at is None or self.now - contact_at > COORDINATOR_TIMEOUT_S
+
+  def lacks_coordinator(self, job: JobRecord) -> bool:
+    """Returns whether a job may run only if its silent coordinator speaks."""
+    return not job.job.kept and self.is_silent(job.key.process)
+
   def may_have_unknown_runs(self, job: JobRecord) -> bool:
     """Returns whether a job may have runs that are not known here.
 
@@ -347,6 +376,7 @@
     """Returns whether no task of a job may be started now."""
     return (
         job.returning
+        or self.lacks_coordinator(job)
         or (job.job.kept and self.self_fenced)
         or self.may_have_unknown_runs(job)
     )
--- /dev/null
+++ b/tests/test_late_messages.py
@@ -0,0 +1,144 @@
+"""Messages that a host reads late: it stood still, or its link was stalled.
+
+A caller sends its job again 1.3 s after its connection broke. By then no run of
+the first submission may be active, whatever old messages are still read.
+"""
+
+import pytest
+
+from fescueturn.scheduler import messageage
+from fescueturn.scheduler import model
+from tests import fleets
+
+RETURN_S = 1.3
+
+
+def submit_long_job(emulation):
+  """Submits a job that runs for seconds; returns it, its host and its holder."""
+  owner = fleets.owner_of(emulation, "a")
+  coordinator = fleets.other_host(emulation, owner)
+  job = fleets.job("long", 2, 3000)
+  emulation.submit(coordinator.name, job, [3.0] * 2, 6.0)
+  emulation.clock.run_until(emulation.clock.now + 0.2)
+  return job, coordinator, owner
+
+
+def return_elsewhere(emulation, job, at: float):
+  """Sends a job again, to a host of another data centre."""
+  run_s = [job.steps[0].estimate_ms / 1000] * job.steps[0].count
+  emulation.clock.at(at, lambda: emulation.submit("b0", job, run_s, 6.0))
+
+
+@pytest.mark.parametrize("store_up", [True, False])
+@pytest.mark.parametrize("frozen_s", [1.4, 2.0, 2.9])
+@pytest.mark.parametrize("killed_after_s", [0.01, 0.15, 0.4, 1.0])
+def test_holder_that_wakes_starts_no_task_for_old_pings_of_a_dead_coordinator(
+    killed_after_s, frozen_s, store_up
+):
+  emulation = fleets.fleet()
+  job, coordinator, owner = submit_long_job(emulation)
+  emulation.store_up = store_up
+  start = emulation.clock.now
+  owner.frozen = True
+  emulation.clock.at(start + frozen_s, owner.thaw)
+  emulation.clock.run_until(start + killed_after_s)
+  emulation.kill(coordinator.name)
+  return_elsewhere(emulation, job, emulation.clock.now + RETURN_S)
+  emulation.clock.run_until(start + 5.0)
+  assert emulation.broken == []
+
+
+@pytest.mark.parametrize("cut_after_s", [0.02, 0.3])
+@pytest.mark.parametrize("frozen_s", [0.3, 0.5, 0.6, 0.7])
+def test_holder_that_wakes_renews_no_lease_for_a_dead_coordinator(
+    frozen_s, cut_after_s
+):
+  """No stop reaches the runs, which must end with their lease."""
+  emulation = fleets.fleet()
+  job, coordinator, owner = submit_long_job(emulation)
+  start = emulation.clock.now
+  owner.frozen = True
+  emulation.clock.at(start + frozen_s, owner.thaw)
+  at_work = [e.info.id for e in emulation.endpoints.values() if e.running]
+  emulation.clock.at(
+      start + frozen_s + cut_after_s,
+      lambda: owner.partitioned_from.update(at_work),
+  )
+  emulation.clock.run_until(start + 0.05)
+  emulation.kill(coordinator.name)
+  return_elsewhere(emulation, job, emulation.clock.now + RETURN_S)
+  emulation.clock.run_until(start + 5.0)
+  assert emulation.broken == []
+
+
+@pytest.mark.parametrize("frozen_s", [0.3, 0.5])
+def test_runs_of_live_coordinators_survive_a_pause_of_their_holder(frozen_s):
+  emulation = fleets.fleet()
+  _, coordinator, owner = submit_long_job(emulation)
+  started = sum(len(e.starts) for e in emulation.endpoints.values())
+  owner.frozen = True
+  emulation.clock.run_until(emulation.clock.now + frozen_s)
+  owner.thaw()
+  emulation.clock.run_until(6.0)
+  (answer,) = emulation.answers.values()
+  assert answer.answer.outcome is model.Outcome.DONE
+  assert sum(len(e.starts) for e in emulation.endpoints.values()) == started
+  assert coordinator.state.coordinator.jobs == {}
+
+
+@pytest.mark.parametrize(
+    ("stalled_s", "killed_after_s"), [(1.45, 0.05), (1.4, 0.02), (1.5, 0.15)]
+)
+def test_offer_of_a_dead_coordinator_on_a_stalled_link_starts_no_task(
+    stalled_s, killed_after_s
+):
+  emulation = fleets.fleet()
+  emulation.clock.run_until(3.0)
+  owner = fleets.owner_of(emulation, "a")
+  coordinator = fleets.other_host(emulation, owner)
+  emulation.stall_link(coordinator.name, owner.name, stalled_s)
+  job = fleets.job("j", 2, 900)
+  emulation.submit(coordinator.name, job, [0.9] * 2, 3.0)
+  emulation.clock.run_until(3.0 + killed_after_s)
+  emulation.kill(coordinator.name)
+  return_elsewhere(emulation, job, emulation.clock.now + RETURN_S)
+  emulation.clock.run_until(8.0)
+  assert emulation.broken == []
+
+
+PING_S = 0.1
+# The clock of the sender shows this much more than that of the reader (s).
+CLOCK_AHEAD_S = 1000.0
+
+
+def record_pings(ages, until: float, delay_s: float = 0.0):
+  """Reads a sender's pings up to a time, each when it is due; returns the ages."""
+  count = round(until / PING_S)
+  return [
+      ages.record(CLOCK_AHEAD_S + PING_S * n, PING_S * n + delay_s)
+      for n in range(1, count + 1)
+  ]
+
+
+def test_messages_read_at_once_have_no_age():
+  assert record_pings(messageage.MessageAges(), 1.0) == pytest.approx(
+      [0.0] * 10
+  )
+
+
+def test_messages_read_together_have_the_ages_at_which_they_were_sent():
+  ages = messageage.MessageAges()
+  record_pings(ages, 1.0)
+  read = [
+      ages.record(CLOCK_AHEAD_S + 1.0 + PING_S * n, 2.0) for n in range(1, 6)
+  ]
+  assert read == pytest.approx([0.9, 0.8, 0.7, 0.6, 0.5])
+
+
+def test_second_message_after_its_sender_was_suspended_has_no_age():
+  ages = messageage.MessageAges()
+  record_pings(ages, 1.0)
+  first = ages.record(CLOCK_AHEAD_S + 1.1, 3.1)
+  second = ages.record(CLOCK_AHEAD_S + 1.2, 3.2)
+  third = ages.record(CLOCK_AHEAD_S + 1.3, 3.3)
+  assert (first, second, third) == pytest.approx((2.0, 0.0, 0.0))
--- a/tests/test_linkcodec.py
+++ b/tests/test_linkcodec.py
@@ -58,6 +58,7 @@
     linkmessages.Returned(KEY, 4, True),
     linkmessages.Returned(KEY, 5, False),
     linkmessages.Offered(SHARD, KEY, JOB, 0.25, 1.5, True, 7),
+    linkmessages.Offered(SHARD, KEY, JOB, 0.25, 1.5, at=12.5),
     linkmessages.Offered(SHARD, KEY, JOB, 0.25, 1.5, False, 8, True),
     linkmessages.Withdrawn(SHARD, KEY),
     linkmessages.Pong(),
