A coordinator that wakes reads which callers have left before it offers

What callers saw: two runs of a task after a host stood still for up to 3 s. The caller sent its job to that host, closed the connection and sent the job elsewhere 1.3 s later; the host woke, read the request first and offered it, and read the end of the connection a moment later. The task ran for some 30 ms until its withdrawal.

Cause: the request and its end wait in the socket, and the job was offered between reading the one and the other.

Fix: after a pause of the process nothing is offered for 20 ms; jobs are held meanwhile and offered at the next tick, orphaned ones with the holder's next message. A test holds that they are. A suspended host whose clock doesn't count the time isn't covered: it sees no pause.

--- a/fescueturn/scheduler/coordinator.py
+++ b/fescueturn/scheduler/coordinator.py
@@ -172,8 +172,25 @@
   )
 
 
+def handle_pause(state: coordinatorstate.Coordinator, seconds: float):
+  """Handles a pause of this process: holders were not silent meanwhile."""
+  state.offers_paused_until = state.now + coordinatorstate.PAUSE_GRACE_S
+  for holder in state.holders.values():
+    holder.last_contact_at += seconds
+
+
+def _resume_offers(state: coordinatorstate.Coordinator):
+  """Offers the jobs that a pause of this process has held up."""
+  if state.offers_paused_until is None or state.offers_paused:
+    return
+  state.offers_paused_until = None
+  offer_held_jobs(state)
+
+
 def _offer_orphans(state, shard: model.Shard):
   """Offers orphaned jobs of the shard to its holder, which is alive."""
+  if state.offers_paused:
+    return  # The holder's next message is answered with the offers.
   for record in list(state.jobs.values()):
     if (
         record.shard == shard
@@ -186,7 +203,10 @@
   """Offers the shard's holder the held jobs and those of an earlier holder."""
   for record in list(state.jobs.values()):
     if record.phase is coordinatorstate.Phase.HELD:
-      jobdispatch.offer(state, record, shard, resumed=False)
+      if not state.offers_paused:
+        jobdispatch.offer(state, record, shard, resumed=False)
+    elif record.shard == shard and state.offers_paused:
+      _orphan(state, record)
     elif record.shard == shard:
       # The earlier holder may have accepted an offer that it didn't answer.
       record.may_be_running = True
@@ -194,7 +214,7 @@
 
 
 def offer_held_jobs(state: coordinatorstate.Coordinator):
-  """Offers held jobs, since the evacuation of a data centre may have ended."""
+  """Offers held jobs anew, since another shard may accept them now."""
   for record in list(state.jobs.values()):
     if record.phase is coordinatorstate.Phase.HELD:
       jobdispatch.offer_next(state, record)
@@ -420,11 +440,13 @@
   _ping(state)
   jobqueries.tick(state)
   _update_unserved_since(state)
+  _resume_offers(state)
   for record in list(state.jobs.values()):
     if state.now > record.deadline - ANSWER_MARGIN_S:
       jobdispatch.give_up(state, record, "deadline")
     elif record.phase is coordinatorstate.Phase.HELD:
-      if state.now - record.arrived > HELD_TIMEOUT_S:
+      is_overdue = state.now - record.arrived > HELD_TIMEOUT_S
+      if is_overdue and not state.offers_paused:
         jobdispatch.answer(
             state, record, jobdispatch.unserved_outcome(record), "no_holder"
         )
--- a/fescueturn/scheduler/coordinatorstate.py
+++ b/fescueturn/scheduler/coordinatorstate.py
@@ -34,6 +34,10 @@
 # hosts. This is longer than most changes of holder take (0.1 to 0.8 s) and
 # short compared with a network partition of 5 s.
 UNSERVED_S = 1.0
+# After a pause of this process no job is offered for this long, in which it
+# reads some hundred requests that arrived meanwhile, and which of their callers
+# have disconnected since and may have sent their jobs elsewhere.
+PAUSE_GRACE_S = 0.02
 
 
 class JobRecord:
@@ -188,6 +192,9 @@
     self.endpoint_lists: dict[model.Shard, endpointlist.KnownList] = {}
     # Since when no holder can be offered a job (s); None while one can.
     self.unserved_since: float | None = None
+    # Until when no job is offered after a pause of this process (s); None if
+    # jobs are.
+    self.offers_paused_until: float | None = None
     self.holders: dict[model.Shard, HolderRecord] = {}
     self.jobs: dict[str, JobRecord] = {}
     self.by_request: dict[int, JobRecord] = {}
@@ -211,6 +218,12 @@
     since = self.unserved_since
     return since is None or self.now - since < UNSERVED_S
 
+  @property
+  def offers_paused(self) -> bool:
+    """True while disconnects that arrived during a pause may be unread."""
+    until = self.offers_paused_until
+    return until is not None and self.now < until
+
   @property
   def has_timeout_soon(self) -> bool:
     """True while a timeout is due sooner than the idle tick period allows."""
--- a/fescueturn/scheduler/jobdispatch.py
+++ b/fescueturn/scheduler/jobdispatch.py
@@ -62,6 +62,9 @@
   data centre's first; each accepts it only if it can. Then it is offered to the
   holder with the shortest wait, to be queued there.
   """
+  if state.offers_paused:
+    record.phase = coordinatorstate.Phase.HELD
+    return
   demand = shardroom.demand(record.job)
   choice = shardchoice.choose(demand, _shard_views(state, record))
   if choice is not None:
--- a/fescueturn/scheduler/reducer.py
+++ b/fescueturn/scheduler/reducer.py
@@ -302,8 +302,7 @@
     return
   for owner in state.owners.values():
     leases.handle_pause(owner)
-  for holder in state.coordinator.holders.values():
-    holder.last_contact_at += state.now - last
+  coordinator.handle_pause(state.coordinator, state.now - last)
 
 
 def _on_evacuations_changed(state, event: events.EvacuationsChanged) -> list:
--- a/tests/test_late_messages.py
+++ b/tests/test_late_messages.py
@@ -106,6 +106,39 @@
   assert emulation.broken == []
 
 
+@pytest.mark.parametrize("frozen_s", [1.7, 2.0, 2.4])
+def test_host_that_wakes_offers_no_job_whose_caller_has_disconnected(frozen_s):
+  """The request and its end arrived while the host stood still."""
+  emulation = fleets.fleet()
+  start = emulation.clock.now
+  owner = fleets.owner_of(emulation, "c")
+  coordinator = fleets.other_host(emulation, owner)
+  coordinator.frozen = True
+  emulation.clock.at(start + frozen_s, coordinator.thaw)
+  job = fleets.job("j", 2, 900)
+  request = emulation.submit(coordinator.name, job, [0.9] * 2, 3.0)
+  emulation.clock.run_until(start + 0.3)
+  emulation.disconnect_caller(coordinator.name, request)
+  return_elsewhere(emulation, job, emulation.clock.now + RETURN_S)
+  emulation.clock.run_until(start + 5.0)
+  assert emulation.broken == []
+
+
+def test_host_that_wakes_offers_the_jobs_that_arrived_meanwhile():
+  emulation = fleets.fleet()
+  start = emulation.clock.now
+  coordinator = fleets.other_host(emulation, fleets.owner_of(emulation, "c"))
+  coordinator.frozen = True
+  request = emulation.submit(
+      coordinator.name, fleets.job("j", 2, 200), [0.2] * 2, 3.0
+  )
+  emulation.clock.run_until(start + 1.0)
+  coordinator.thaw()
+  emulation.clock.run_until(start + 1.5)
+  answer = emulation.answers[request]
+  assert answer.answer.outcome is model.Outcome.DONE
+
+
 PING_S = 0.1
 # The clock of the sender shows this much more than that of the reader (s).
 CLOCK_AHEAD_S = 1000.0
