A suspended holder hears its coordinators again before it serves them

What callers saw: two runs of a task at once. The holder's host was suspended, so that its steady clock didn't count the time, and the coordinator was killed meanwhile; the holder woke, took old pings for fresh ones and started the tasks, or renewed their leases, while the caller's second submission ran elsewhere.

Cause: a pause was noticed by a gap between ticks, or by an endpoint's clock that gained 1 s. Below 1 s, and until an endpoint's answer came, nothing showed it; and even then the old pings counted from their reading.

Fix: a coordinator's clock that gains 0.2 s on the holder's shows a suspension. Then, as with the endpoint's clock, the holder starts nothing for 50 ms and asks its endpoints; and it starts tasks and renews leases only for coordinators that it has read a message of after that. A false alarm (the messages before were read late) costs one ping period in which no task starts, and ends no job.

--- a/fescueturn/scheduler/leases.py
+++ b/fescueturn/scheduler/leases.py
@@ -37,6 +37,9 @@
 # answer is read at most half a second late, and a holder that stood still for a
 # second is not replaced, with its tasks started again, within that second.
 SUSPENDED_MIN_MS = 1000
+# The same for a coordinator's clock. If a message was only read late before,
+# tasks wait for the next pings and nothing worse follows.
+SUSPENDED_MIN_S = 0.2
 
 
 def handle_endpoint_list(
@@ -282,6 +285,27 @@
     renew_lease(owner, record, now=True)
 
 
+def _handle_suspension(owner: ownerstate.Owner):
+  """Handles a pause that this host's clock doesn't show.
+
+  Nor does it show how old the messages are that are read after it.
+  """
+  handle_pause(owner)
+  owner.hear_again_from = owner.pause_grace_until
+
+
+def record_contact(owner: ownerstate.Owner, process, sent_at: float):
+  """Records a coordinator's message, which may show a suspension of this host.
+
+  Args:
+    owner: the owner.
+    process: the coordinator.
+    sent_at: when it was sent, on its clock (s); 0 if it doesn't say.
+  """
+  if owner.record_contact(process, sent_at) > SUSPENDED_MIN_S:
+    _handle_suspension(owner)
+
+
 def update_clock(owner, record, clock_ms: int | None):
   """Records an endpoint's clock, which may show that this host was suspended.
 
@@ -290,7 +314,7 @@
   gain_ms = record.clock_gain_ms(clock_ms, owner.now)
   record.update_clock(clock_ms, owner.now)
   if gain_ms > SUSPENDED_MIN_MS:
-    handle_pause(owner)
+    _handle_suspension(owner)
 
 
 def _handle_run_lists(owner, record, event: events.LeaseAnswered):
--- a/fescueturn/scheduler/messageage.py
+++ b/fescueturn/scheduler/messageage.py
@@ -14,11 +14,19 @@
 
 
 class MessageAges:
-  """The ages of the messages of one host, as they are read."""
+  """The ages of the messages of one host, as they are read.
+
+  Attributes:
+    clock_gain_s: what the sender's clock has gained on the own one at the last
+      message, which shows that this host was suspended (s).
+  """
 
   def __init__(self):
+    self.clock_gain_s = 0.0
     # The lowest difference between the clocks at which one was read (s).
     self._base: float | None = None
+    # The same before the first of the messages that were waiting together (s).
+    self._base_before = 0.0
     self._read_at = 0.0
     self._age_s = 0.0
 
@@ -34,10 +42,14 @@
       now: the time on this host's clock (s).
     """
     difference = now - sent_at
-    if self._base is None or difference < self._base:
+    if self._base is None:
       self._base = difference
-    age_s = difference - self._base
     is_single = now - self._read_at >= BURST_S
+    if is_single:
+      self._base_before = self._base
+    self.clock_gain_s = max(0.0, self._base_before - difference)
+    self._base = min(self._base, difference)
+    age_s = difference - self._base
     if is_single and abs(age_s - self._age_s) < JITTER_S:
       self._base, age_s = difference, 0.0
     self._read_at, self._age_s = now, age_s
--- a/fescueturn/scheduler/offers.py
+++ b/fescueturn/scheduler/offers.py
@@ -23,7 +23,7 @@
 
 def handle_offer(owner: ownerstate.Owner, offer: linkmessages.Offered):
   """Accepts or declines a job that ends when its caller stops waiting."""
-  owner.record_contact(offer.key.process, offer.at)
+  leases.record_contact(owner, offer.key.process, offer.at)
   known = owner.jobs.get(offer.key)
   if known is not None:
     known.offer_number = offer.number
--- a/fescueturn/scheduler/ownerstate.py
+++ b/fescueturn/scheduler/ownerstate.py
@@ -258,6 +258,11 @@
     self.by_id: dict[str, JobRecord] = {}
     # When each coordinator sent its last message (s).
     self.last_contact: dict[linkmessages.HostProcess, float] = {}
+    # When each coordinator's last message was read (s).
+    self._last_read: dict[linkmessages.HostProcess, float] = {}
+    # Coordinators of whom nothing was read since may be dead: this host was
+    # suspended before (s).
+    self.hear_again_from = now
     self._message_ages: dict[
         linkmessages.HostProcess, messageage.MessageAges
     ] = {}
@@ -336,19 +341,24 @@
 
   def record_contact(
       self, process: linkmessages.HostProcess, sent_at: float = 0.0
-  ):
+  ) -> float:
     """Records that a coordinator has sent a message.
 
     Args:
       process: the coordinator.
       sent_at: when it did, on its own clock (s); 0 if it doesn't say.
+
+    Returns:
+      What its clock has gained on this host's (s).
     """
-    age_s = 0.0
+    age_s = gain_s = 0.0
     if sent_at:
       ages = self._message_ages.setdefault(process, messageage.MessageAges())
-      age_s = ages.record(sent_at, self.now)
+      age_s, gain_s = ages.record(sent_at, self.now), ages.clock_gain_s
     self.last_contact[process] = self.now - age_s
+    self._last_read[process] = self.now
     self.first_contacts.setdefault(process, self.now)
+    return gain_s
 
   def is_silent(self, process: linkmessages.HostProcess) -> bool:
     """Returns whether a coordinator has sent nothing for too long."""
@@ -356,8 +366,10 @@
     return contact_at is None or self.now - contact_at > COORDINATOR_TIMEOUT_S
 
   def lacks_coordinator(self, job: JobRecord) -> bool:
-    """Returns whether a job may run only if its silent coordinator speaks."""
-    return not job.job.kept and self.is_silent(job.key.process)
+    """Returns whether a job may run only if its coordinator speaks again."""
+    process = job.key.process
+    is_unheard = self._last_read.get(process, self.now) < self.hear_again_from
+    return not job.job.kept and (is_unheard or self.is_silent(process))
 
   def may_have_unknown_runs(self, job: JobRecord) -> bool:
     """Returns whether a job may have runs that are not known here.
--- a/fescueturn/scheduler/reducer.py
+++ b/fescueturn/scheduler/reducer.py
@@ -186,7 +186,7 @@
   owner = state.owners.get(event.shard)
   if owner is None:
     return [_not_holding_reply(event.process, event.shard)]
-  owner.record_contact(event.process, event.at)
+  leases.record_contact(owner, event.process, event.at)
   if event.uptime_s:
     owner.knows_moves.add(event.process)
   is_local = event.roster is not None
--- a/tests/test_late_messages.py
+++ b/tests/test_late_messages.py
@@ -29,6 +29,17 @@
   emulation.clock.at(at, lambda: emulation.submit("b0", job, run_s, 6.0))
 
 
+def suspend(emulation, host, seconds: float):
+  """Suspends a host now, whose clock doesn't count the time."""
+  host.frozen = True
+
+  def wake():
+    host.clock_lag_s += seconds
+    host.thaw()
+
+  emulation.clock.after(seconds, wake)
+
+
 @pytest.mark.parametrize("store_up", [True, False])
 @pytest.mark.parametrize("frozen_s", [1.4, 2.0, 2.9])
 @pytest.mark.parametrize("killed_after_s", [0.01, 0.15, 0.4, 1.0])
@@ -71,6 +82,53 @@
   assert emulation.broken == []
 
 
+@pytest.mark.parametrize("store_up", [True, False])
+@pytest.mark.parametrize("suspended_s", [0.7, 1.2, 1.4, 2.0])
+@pytest.mark.parametrize("killed_after_s", [0.01, 0.15, 0.4])
+def test_holder_whose_clock_shows_no_pause_serves_no_dead_coordinator(
+    killed_after_s, suspended_s, store_up
+):
+  emulation = fleets.fleet()
+  job, coordinator, owner = submit_long_job(emulation)
+  emulation.store_up = store_up
+  start = emulation.clock.now
+  suspend(emulation, owner, suspended_s)
+  emulation.clock.run_until(start + killed_after_s)
+  emulation.kill(coordinator.name)
+  return_elsewhere(emulation, job, emulation.clock.now + RETURN_S)
+  emulation.clock.run_until(start + 5.0)
+  assert emulation.broken == []
+
+
+@pytest.mark.parametrize("cut_after_s", [0.02, 0.3])
+def test_suspended_holder_renews_no_lease_for_a_dead_coordinator(cut_after_s):
+  """No stop reaches the runs, which must end with their lease."""
+  emulation = fleets.fleet()
+  job, coordinator, owner = submit_long_job(emulation)
+  start = emulation.clock.now
+  suspend(emulation, owner, 0.7)
+  at_work = [e.info.id for e in emulation.endpoints.values() if e.running]
+  emulation.clock.at(
+      start + 0.7 + cut_after_s,
+      lambda: owner.partitioned_from.update(at_work),
+  )
+  emulation.clock.run_until(start + 0.05)
+  emulation.kill(coordinator.name)
+  return_elsewhere(emulation, job, emulation.clock.now + RETURN_S)
+  emulation.clock.run_until(start + 5.0)
+  assert emulation.broken == []
+
+
+def test_suspended_holder_serves_its_live_coordinators_on():
+  emulation = fleets.fleet()
+  _, _, owner = submit_long_job(emulation)
+  suspend(emulation, owner, 0.6)
+  emulation.clock.run_until(6.0)
+  (answer,) = emulation.answers.values()
+  assert answer.answer.outcome is model.Outcome.DONE
+  assert not any(o.jobs for o in owner.state.owners.values())
+
+
 @pytest.mark.parametrize("frozen_s", [0.3, 0.5])
 def test_runs_of_live_coordinators_survive_a_pause_of_their_holder(frozen_s):
   emulation = fleets.fleet()
@@ -175,3 +233,15 @@
   second = ages.record(CLOCK_AHEAD_S + 1.2, 3.2)
   third = ages.record(CLOCK_AHEAD_S + 1.3, 3.3)
   assert (first, second, third) == pytest.approx((2.0, 0.0, 0.0))
+
+
+def test_gain_of_the_senders_clock_shows_that_this_host_was_suspended():
+  ages = messageage.MessageAges()
+  record_pings(ages, 1.0)
+  gains = []
+  for number in range(11, 16):
+    ages.record(CLOCK_AHEAD_S + PING_S * number, 1.05)
+    gains.append(ages.clock_gain_s)
+  assert gains == pytest.approx([0.05, 0.15, 0.25, 0.35, 0.45])
+  ages.record(CLOCK_AHEAD_S + PING_S * 16, 1.15)
+  assert ages.clock_gain_s == pytest.approx(0.0)
