A coordinator first heard of right after a pause is heard again before it is served

Cause: the age of a message is told against the coordinator's earlier ones. The first one counts as fresh, even if it waited for seconds in the socket.

Fix: coordinators whose messages of unknown age were read within the 50 ms after a pause are served once a later message is read. Suspensions use the same set.

--- a/fescueturn/scheduler/leases.py
+++ b/fescueturn/scheduler/leases.py
@@ -291,7 +291,7 @@
   Nor does it show how old the messages are that are read after it.
   """
   handle_pause(owner)
-  owner.hear_again_from = owner.pause_grace_until
+  owner.hear_all_again()
 
 
 def record_contact(owner: ownerstate.Owner, process, sent_at: float):
--- a/fescueturn/scheduler/ownerstate.py
+++ b/fescueturn/scheduler/ownerstate.py
@@ -258,11 +258,9 @@
     self.by_id: dict[str, JobRecord] = {}
     # When each coordinator sent its last message (s).
     self.last_contact: dict[linkmessages.HostProcess, float] = {}
-    # When each coordinator's last message was read (s).
-    self._last_read: dict[linkmessages.HostProcess, float] = {}
-    # Coordinators of whom nothing was read since may be dead: this host was
-    # suspended before (s).
-    self.hear_again_from = now
+    # Coordinators that may be dead: it isn't known when the messages were sent
+    # that were read right after a pause.
+    self._unproven: set[linkmessages.HostProcess] = set()
     self._message_ages: dict[
         linkmessages.HostProcess, messageage.MessageAges
     ] = {}
@@ -352,14 +350,21 @@
       What its clock has gained on this host's (s).
     """
     age_s = gain_s = 0.0
+    if self.now >= self.pause_grace_until:
+      self._unproven.discard(process)
+    elif process not in self._message_ages:
+      self._unproven.add(process)
     if sent_at:
       ages = self._message_ages.setdefault(process, messageage.MessageAges())
       age_s, gain_s = ages.record(sent_at, self.now), ages.clock_gain_s
     self.last_contact[process] = self.now - age_s
-    self._last_read[process] = self.now
     self.first_contacts.setdefault(process, self.now)
     return gain_s
 
+  def hear_all_again(self):
+    """Serves no coordinator until it speaks after the current pause."""
+    self._unproven.update(self.last_contact)
+
   def is_silent(self, process: linkmessages.HostProcess) -> bool:
     """Returns whether a coordinator has sent nothing for too long."""
     contact_at = self.last_contact.get(process)
@@ -368,8 +373,8 @@
   def lacks_coordinator(self, job: JobRecord) -> bool:
     """Returns whether a job may run only if its coordinator speaks again."""
     process = job.key.process
-    is_unheard = self._last_read.get(process, self.now) < self.hear_again_from
-    return not job.job.kept and (is_unheard or self.is_silent(process))
+    is_missed = process in self._unproven or self.is_silent(process)
+    return is_missed and not job.job.kept
 
   def may_have_unknown_runs(self, job: JobRecord) -> bool:
     """Returns whether a job may have runs that are not known here.
--- a/tests/test_late_messages.py
+++ b/tests/test_late_messages.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from fescueturn.scheduler import events
 from fescueturn.scheduler import messageage
 from fescueturn.scheduler import model
 from tests import fleets
@@ -82,6 +83,31 @@
   assert emulation.broken == []
 
 
+@pytest.mark.parametrize("frozen_s", [1.4, 1.9])
+def test_holder_that_wakes_serves_no_dead_coordinator_it_never_heard_before(
+    frozen_s,
+):
+  emulation = fleets.fleet()
+  emulation.clock.run_until(4.0)
+  emulation.store_up = False
+  owner = fleets.owner_of(emulation, "a")
+  start = emulation.clock.now
+  owner.frozen = True
+  emulation.clock.at(start + frozen_s, owner.thaw)
+  emulation.kill("a2" if owner.name != "a2" else "a1")
+  coordinator = emulation.add_host("a3", "a")
+  shard = model.Shard("a")
+  holder = emulation.hosts["b0"].state.coordinator.holders[shard].holder
+  coordinator.apply(events.HolderChanged(shard, holder))
+  job = fleets.job("long", 2, 3000)
+  emulation.submit(coordinator.name, job, [3.0] * 2, 6.0)
+  emulation.clock.run_until(start + 0.05)
+  emulation.kill(coordinator.name)
+  return_elsewhere(emulation, job, emulation.clock.now + RETURN_S)
+  emulation.clock.run_until(start + 5.0)
+  assert emulation.broken == []
+
+
 @pytest.mark.parametrize("store_up", [True, False])
 @pytest.mark.parametrize("suspended_s", [0.7, 1.2, 1.4, 2.0])
 @pytest.mark.parametrize("killed_after_s", [0.01, 0.15, 0.4])
