An earlier submission's repeated offer doesn't end the newer one

What callers saw: a job sent again through another host ended as unknown (504) while it ran. The host of the first submission, cut off from the holder meanwhile and not told that its caller had left, offered the job again.

Cause: a holder took any offer of a known job from another host for the newer submission, and ended the one it had.

Evidence: a directed test; before, the newer submission was answered unknown, sent_again.

Fix: an offer names its submission's age. A coordinator that was suspended tells too small an age and is treated as before.

--- a/fescueturn/scheduler/offers.py
+++ b/fescueturn/scheduler/offers.py
@@ -19,6 +19,10 @@
 # A job that starts within this time counts as starting immediately. Asking
 # another data centre takes a round trip of 1 to 2 ms and may find it full, too.
 IMMEDIATE_START_S = 0.005
+# An offer is of an earlier submission if that arrived this much before the one
+# that is known. Callers send a job again after 1.3 s; the ages of the two are
+# told by two clocks, and an offer may be read some 0.3 s late.
+EARLIER_SUBMISSION_S = 0.65
 
 
 def handle_offer(owner: ownerstate.Owner, offer: linkmessages.Offered):
@@ -32,6 +36,9 @@
     )
     return
   earlier = owner.by_id.get(offer.job.id)
+  if earlier is not None and _is_of_earlier_submission(owner, offer, earlier):
+    _end_earlier_submission(owner, offer)
+    return
   if earlier is not None:
     # The caller resubmitted the job through another host: this ends the first
     # submission.
@@ -48,6 +55,33 @@
   runcontrol.start_waiting_tasks(owner)
 
 
+def _is_of_earlier_submission(
+    owner, offer: linkmessages.Offered, known: ownerstate.JobRecord
+) -> bool:
+  """Returns whether a job was submitted before its known submission."""
+  arrived = owner.now - offer.age_s
+  return known.arrived - arrived > EARLIER_SUBMISSION_S
+
+
+def _end_earlier_submission(owner, offer: linkmessages.Offered):
+  """Ends a submission whose caller has sent the job to another host since."""
+  owner.emit(
+      events.log(
+          "offer_outdated",
+          job=offer.job.id,
+          coordinator=offer.key.process.host,
+          age_ms=int(1000 * offer.age_s),
+          fence=owner.fence,
+      )
+  )
+  owner.send_to_coordinator(
+      offer.key.process,
+      linkmessages.JobEnded(
+          offer.key, model.Outcome.UNKNOWN, "sent_again", offer.number
+      ),
+  )
+
+
 def admit(owner: ownerstate.Owner, offer: linkmessages.Offered) -> bool:
   """Returns whether to accept a job; declines it if it would end too late."""
   if owner.evacuated and not offer.resumed:
--- a/tests/test_withdrawals.py
+++ b/tests/test_withdrawals.py
@@ -164,3 +164,21 @@
   owner.thaw()
   emulation.clock.run_until(emulation.clock.now + 1.0)
   assert emulation.broken == []
+
+
+def test_repeated_offer_of_an_earlier_submission_does_not_end_the_newer_one():
+  emulation = fleets.fleet()
+  owner = fleets.owner_of(emulation, "a")
+  first, second = (h for h in fleets.hosts_in(emulation, "a") if h is not owner)
+  job = fleets.job("j", 2, 900)
+  earlier = emulation.submit(first.name, job, [0.9] * 2, 5.0)
+  emulation.clock.run_until(1.1)
+  first.partitioned_from.add(owner.name)
+  emulation.clock.run_until(1.1 + RETURN_S)
+  newer = emulation.submit(second.name, job, [0.9] * 2, 5.0)
+  emulation.clock.run_until(1.3 + RETURN_S)
+  first.partitioned_from.clear()
+  emulation.clock.run_until(5.0)
+  outcomes = [emulation.answers[r].answer.outcome for r in (earlier, newer)]
+  assert outcomes == [model.Outcome.UNKNOWN, model.Outcome.DONE]
+  assert emulation.broken == []
