A job sent again to its host before the withdrawal gets the new deadline

What callers saw: a job sent again to the same host at once, whose withdrawal was lost with its link, ended as unknown (504) at the first submission's deadline.

Cause: the holder knew the job by its host and id, took the offer for a repetition and kept the first deadline.

Evidence: a directed test, which failed before (unknown, deadline).

Fix: each offer sets the submission's arrival and deadline; those of a repeated offer are the same.

--- a/fescueturn/scheduler/offers.py
+++ b/fescueturn/scheduler/offers.py
@@ -31,6 +31,9 @@
   known = owner.jobs.get(offer.key)
   if known is not None:
     known.offer_number = offer.number
+    # It may be a new submission through the same host, whose caller waits longer.
+    known.arrived = owner.now - offer.age_s
+    known.deadline = owner.now + offer.remaining_s
     owner.send_to_coordinator(
         offer.key.process, linkmessages.Accepted(offer.key, offer.number)
     )
--- a/tests/test_withdrawals.py
+++ b/tests/test_withdrawals.py
@@ -182,3 +182,19 @@
   outcomes = [emulation.answers[r].answer.outcome for r in (earlier, newer)]
   assert outcomes == [model.Outcome.UNKNOWN, model.Outcome.DONE]
   assert emulation.broken == []
+
+
+def test_job_sent_again_to_its_host_before_the_withdrawal_gets_the_new_deadline():
+  emulation = fleets.fleet()
+  owner = fleets.owner_of(emulation, "a")
+  first = fleets.other_host(emulation, owner)
+  job = fleets.job("j", 2, 900)
+  request = emulation.submit(first.name, job, [1.2] * 2, 1.0)
+  emulation.clock.run_until(1.5)
+  first.partitioned_from.add(owner.name)
+  emulation.disconnect_caller(first.name, request)
+  first.partitioned_from.clear()
+  again = emulation.submit(first.name, job, [1.2] * 2, 5.0)
+  emulation.clock.run_until(4.0)
+  assert emulation.answers[again].answer.outcome is model.Outcome.DONE
+  assert emulation.broken == []
