--- a/tests/test_linkcodec.py
+++ b/tests/test_linkcodec.py
@@ -58,7 +58,6 @@
     linkmessages.Returned(KEY, 4, True),
     linkmessages.Returned(KEY, 5, False),
     linkmessages.Offered(SHARD, KEY, JOB, 0.25, 1.5, True, 7),
-    linkmessages.Offered(SHARD, KEY, JOB, 0.25, 1.5, at=12.5),
     linkmessages.Offered(SHARD, KEY, JOB, 0.25, 1.5, False, 8, True),
     linkmessages.Withdrawn(SHARD, KEY),
     linkmessages.Pong(),
@@ -91,6 +90,7 @@
 
 # Messages that the previous build neither sends nor expects.
 NEW_MESSAGES = [
+    linkmessages.Offered(SHARD, KEY, JOB, 0.25, 1.5, at=12.5),
     linkcodec.Hello(PROCESS, 3),
     linkmessages.Withdrawn(SHARD, KEY, 65535),
     linkmessages.Ping(
