--- a/fescueturn/scheduler/endpointstate.py
+++ b/fescueturn/scheduler/endpointstate.py
@@ -51,6 +51,7 @@
     call_pending: True while that call has no answer.
     call_sent_at: when it was sent (s).
     call_is_long_poll: True if it may wait for a run to end.
+    call_extends: True if it extends the lease.
     lease: its lease, and the estimate of its clock.
     must_lapse: True while one of its runs must end, even if its stop is lost,
       so that its lease may not be extended.
@@ -83,6 +84,7 @@
     self.call_pending = False
     self.call_sent_at = now
     self.call_is_long_poll = False
+    self.call_extends = False
     self.lease = endpointlease.Lease()
     self._must_lapse = False
     self.next_call_at = now
--- a/fescueturn/scheduler/leases.py
+++ b/fescueturn/scheduler/leases.py
@@ -37,6 +37,9 @@
 # answer is read at most half a second late, and a holder that stood still for a
 # second is not replaced, with its tasks started again, within that second.
 SUSPENDED_MIN_MS = 1000
+# The same for a coordinator's clock. If a message was only read late before,
+# tasks wait for the next pings and nothing worse follows.
+SUSPENDED_MIN_S = 0.2
 
 
 def handle_endpoint_list(
@@ -148,12 +151,14 @@
   ack_number = record.next_ack()
   wait_ms = 0 if now else _call_wait_ms(owner, record)
   record.call_is_long_poll = wait_ms > 0
+  deadline_ms = _new_lease_end(owner, record)
+  record.call_extends = deadline_ms is not None
   owner.emit(
       events.RenewLease(
           record.info,
           record.call_number,
           ack_number,
-          _new_lease_end(owner, record),
+          deadline_ms,
           wait_ms,
           owner.fence,
       )
@@ -178,13 +183,31 @@
 
   The lease of a silent endpoint is left to expire, so that its tasks can be run
   elsewhere. So is the lease of an endpoint whose runs are all to be stopped, or
-  belong to jobs that are not known here yet, since their coordinator may be
-  dead, and that of an endpoint with a run that must end.
+  belong to jobs that are not known here yet or whose coordinator is silent,
+  since it may be dead, and that of an endpoint with a run that must end.
   """
-  has_wanted_run = any(run.wanted for run in record.runs.values())
-  if not has_wanted_run or record.silent_since is not None or record.must_lapse:
-    return None
-  return record.extend_lease(owner.now)
+  return record.extend_lease(owner.now) if _extends(owner, record) else None
+
+
+def _extends(owner, record) -> bool:
+  if record.silent_since is not None or record.must_lapse:
+    return False
+  return any(
+      run.wanted and not _lacks_coordinator(owner, run)
+      for run in record.runs.values()
+  )
+
+
+def _lacks_coordinator(owner, run: endpointstate.Run) -> bool:
+  job = owner.by_id.get(run.id.task.job_id)
+  return job is not None and owner.lacks_coordinator(job)
+
+
+def extend_lease_left_out(owner: ownerstate.Owner, record):
+  """Extends a lease that the long poll under way has left to expire."""
+  left_out = record.call_is_long_poll and not record.call_extends
+  if left_out and _extends(owner, record):
+    renew_lease(owner, record, now=True)
 
 
 def handle_lease_answer(owner: ownerstate.Owner, event: events.LeaseAnswered):
@@ -262,6 +285,27 @@
     renew_lease(owner, record, now=True)
 
 
+def _handle_suspension(owner: ownerstate.Owner):
+  """Handles a pause that this host's clock doesn't show.
+
+  Nor does it show how old the messages are that are read after it.
+  """
+  handle_pause(owner)
+  owner.hear_all_again()
+
+
+def record_contact(owner: ownerstate.Owner, process, sent_at: float):
+  """Records a coordinator's message, which may show a suspension of this host.
+
+  Args:
+    owner: the owner.
+    process: the coordinator.
+    sent_at: when it was sent, on its clock (s); 0 if it doesn't say.
+  """
+  if owner.record_contact(process, sent_at) > SUSPENDED_MIN_S:
+    _handle_suspension(owner)
+
+
 def update_clock(owner, record, clock_ms: int | None):
   """Records an endpoint's clock, which may show that this host was suspended.
 
@@ -270,7 +314,7 @@
   gain_ms = record.clock_gain_ms(clock_ms, owner.now)
   record.update_clock(clock_ms, owner.now)
   if gain_ms > SUSPENDED_MIN_MS:
-    handle_pause(owner)
+    _handle_suspension(owner)
 
 
 def _handle_run_lists(owner, record, event: events.LeaseAnswered):
--- a/fescueturn/scheduler/linkjobcodec.py
+++ b/fescueturn/scheduler/linkjobcodec.py
@@ -25,6 +25,7 @@
 def _encode_offered(out, message: linkmessages.Offered):
   out.jobId = message.key.job_id
   out.number = message.number
+  out.at = message.at
   group = out.init("offered")
   group.ageS = message.age_s
   group.leftS = max(0.0, message.remaining_s)
@@ -83,6 +84,7 @@
       message.number,
       group.atOnce,
       group.repeated,
+      message.at,
   )
 
 
--- a/fescueturn/scheduler/linkmessages.py
+++ b/fescueturn/scheduler/linkmessages.py
@@ -48,6 +48,7 @@
     immediate_only: True if the holder should accept the job only if none of
       its tasks has to wait for capacity.
     repeated: True if the job was offered before, to any holder.
+    at: the coordinator's clock (s) at sending; 0 if it doesn't say.
   """
 
   shard: model.Shard
@@ -59,6 +60,7 @@
   number: int = 0
   immediate_only: bool = False
   repeated: bool = False
+  at: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/fescueturn/scheduler/ownerstate.py
+++ b/fescueturn/scheduler/ownerstate.py
@@ -13,6 +13,7 @@
 from fescueturn.scheduler import events
 from fescueturn.scheduler import keptrecords
 from fescueturn.scheduler import linkmessages
+from fescueturn.scheduler import messageage
 from fescueturn.scheduler import model
 from fescueturn.scheduler import reservations
 from fescueturn.scheduler import roster
@@ -24,6 +25,10 @@
 from fescueturn.scheduler.decisions import runtimes
 from fescueturn.scheduler.decisions import speeds
 
+# Heartbeat timeout of a coordinator, after which its jobs' runs are stopped. It
+# sends a ping every 100 ms. `endpointlease.LEASE_MS` explains how this timeout
+# and the lease add up.
+COORDINATOR_TIMEOUT_S = 0.35
 # For this long a new holder accepts jobs before it knows what its endpoints are
 # running. The endpoint list takes 6 ms to arrive from the store and the
 # endpoints' answers take 2 ms, or 30 ms on a busy host.
@@ -272,7 +277,14 @@
     self.by_id: dict[str, JobRecord] = {}
     # The results of the jobs that ended last, in the order of their ends.
     self.job_results: dict[linkmessages.JobKey, JobResult] = {}
+    # When each coordinator sent its last message (s).
     self.last_contact: dict[linkmessages.HostProcess, float] = {}
+    # Coordinators that may be dead: it isn't known when the messages were sent
+    # that were read right after a pause.
+    self._unproven: set[linkmessages.HostProcess] = set()
+    self._message_ages: dict[
+        linkmessages.HostProcess, messageage.MessageAges
+    ] = {}
     # When each coordinator first sent a message to this owner (s).
     self.first_contacts: dict[linkmessages.HostProcess, float] = {}
     # The other hosts of the data centre that have pinged this owner.
@@ -346,10 +358,44 @@
       return True
     return self.now - self.taken_at > RECOVERY_TIMEOUT_S
 
-  def record_contact(self, process: linkmessages.HostProcess):
-    """Records that a coordinator has sent a message."""
-    self.last_contact[process] = self.now
+  def record_contact(
+      self, process: linkmessages.HostProcess, sent_at: float = 0.0
+  ) -> float:
+    """Records that a coordinator has sent a message.
+
+    Args:
+      process: the coordinator.
+      sent_at: when it did, on its own clock (s); 0 if it doesn't say.
+
+    Returns:
+      What its clock has gained on this host's (s).
+    """
+    age_s = gain_s = 0.0
+    if self.now >= self.pause_grace_until:
+      self._unproven.discard(process)
+    elif process not in self._message_ages:
+      self._unproven.add(process)
+    if sent_at:
+      ages = self._message_ages.setdefault(process, messageage.MessageAges())
+      age_s, gain_s = ages.record(sent_at, self.now), ages.clock_gain_s
+    self.last_contact[process] = self.now - age_s
     self.first_contacts.setdefault(process, self.now)
+    return gain_s
+
+  def hear_all_again(self):
+    """Serves no coordinator until it speaks after the current pause."""
+    self._unproven.update(self.last_contact)
+
+  def is_silent(self, process: linkmessages.HostProcess) -> bool:
+    """Returns whether a coordinator has sent nothing for too long."""
+    contact_at = self.last_contact.get(process)
+    return contact_at is None or self.now - contact_at > COORDINATOR_TIMEOUT_S
+
+  def lacks_coordinator(self, job: JobRecord) -> bool:
+    """Returns whether a job may run only if its coordinator speaks again."""
+    process = job.key.process
+    is_missed = process in self._unproven or self.is_silent(process)
+    return is_missed and not job.job.kept
 
   def record_job_result(
       self, key: linkmessages.JobKey, outcome: model.Outcome, reason: str
@@ -394,6 +440,7 @@
     """Returns whether no task of a job may be started now."""
     return (
         job.returning
+        or self.lacks_coordinator(job)
         or (job.job.kept and self.self_fenced)
         or self.may_have_unknown_runs(job)
     )
--- a/fescueturn/scheduler/reducer.py
+++ b/fescueturn/scheduler/reducer.py
@@ -186,7 +186,7 @@
   owner = state.owners.get(event.shard)
   if owner is None:
     return [_not_holding_reply(event.process, event.shard)]
-  owner.record_contact(event.process)
+  leases.record_contact(owner, event.process, event.at)
   if event.uptime_s:
     owner.knows_moves.add(event.process)
   is_local = event.roster is not None
@@ -302,8 +302,7 @@
     return
   for owner in state.owners.values():
     leases.handle_pause(owner)
-  for holder in state.coordinator.holders.values():
-    holder.last_contact_at += state.now - last
+  coordinator.handle_pause(state.coordinator, state.now - last)
 
 
 def _on_evacuations_changed(state, event: events.EvacuationsChanged) -> list:
--- /dev/null
+++ b/tests/test_late_messages.py
@@ -0,0 +1,273 @@
+"""Messages that a host reads late: it stood still, or its link was stalled.
+
+A caller sends its job again 1.3 s after its connection broke. By then no run of
+the first submission may be active, whatever old messages are still read.
+"""
+
+import pytest
+
+from fescueturn.scheduler import events
+from fescueturn.scheduler import messageage
+from fescueturn.scheduler import model
+from tests import fleets
+
+RETURN_S = 1.3
+
+
+def submit_long_job(emulation):
+  """Submits a job that runs for seconds; returns it, its host and its holder."""
+  owner = fleets.owner_of(emulation, "a")
+  coordinator = fleets.other_host(emulation, owner)
+  job = fleets.job("long", 2, 3000)
+  emulation.submit(coordinator.name, job, [3.0] * 2, 6.0)
+  emulation.clock.run_until(emulation.clock.now + 0.2)
+  return job, coordinator, owner
+
+
+def return_elsewhere(emulation, job, at: float):
+  """Sends a job again, to a host of another data centre."""
+  run_s = [job.steps[0].estimate_ms / 1000] * job.steps[0].count
+  emulation.clock.at(at, lambda: emulation.submit("b0", job, run_s, 6.0))
+
+
+def suspend(emulation, host, seconds: float):
+  """Suspends a host now, whose clock doesn't count the time."""
+  host.frozen = True
+
+  def wake():
+    host.clock_lag_s += seconds
+    host.thaw()
+
+  emulation.clock.after(seconds, wake)
+
+
+@pytest.mark.parametrize("store_up", [True, False])
+@pytest.mark.parametrize("frozen_s", [1.4, 2.0, 2.9])
+@pytest.mark.parametrize("killed_after_s", [0.01, 0.15, 0.4, 1.0])
+def test_holder_that_wakes_starts_no_task_for_old_pings_of_a_dead_coordinator(
+    killed_after_s, frozen_s, store_up
+):
+  emulation = fleets.fleet()
+  job, coordinator, owner = submit_long_job(emulation)
+  emulation.store_up = store_up
+  start = emulation.clock.now
+  owner.frozen = True
+  emulation.clock.at(start + frozen_s, owner.thaw)
+  emulation.clock.run_until(start + killed_after_s)
+  emulation.kill(coordinator.name)
+  return_elsewhere(emulation, job, emulation.clock.now + RETURN_S)
+  emulation.clock.run_until(start + 5.0)
+  assert emulation.broken == []
+
+
+@pytest.mark.parametrize("cut_after_s", [0.02, 0.3])
+@pytest.mark.parametrize("frozen_s", [0.3, 0.5, 0.6, 0.7])
+def test_holder_that_wakes_renews_no_lease_for_a_dead_coordinator(
+    frozen_s, cut_after_s
+):
+  """No stop reaches the runs, which must end with their lease."""
+  emulation = fleets.fleet()
+  job, coordinator, owner = submit_long_job(emulation)
+  start = emulation.clock.now
+  owner.frozen = True
+  emulation.clock.at(start + frozen_s, owner.thaw)
+  at_work = [e.info.id for e in emulation.endpoints.values() if e.running]
+  emulation.clock.at(
+      start + frozen_s + cut_after_s,
+      lambda: owner.partitioned_from.update(at_work),
+  )
+  emulation.clock.run_until(start + 0.05)
+  emulation.kill(coordinator.name)
+  return_elsewhere(emulation, job, emulation.clock.now + RETURN_S)
+  emulation.clock.run_until(start + 5.0)
+  assert emulation.broken == []
+
+
+@pytest.mark.parametrize("frozen_s", [1.4, 1.9])
+def test_holder_that_wakes_serves_no_dead_coordinator_it_never_heard_before(
+    frozen_s,
+):
+  emulation = fleets.fleet()
+  emulation.clock.run_until(4.0)
+  emulation.store_up = False
+  owner = fleets.owner_of(emulation, "a")
+  start = emulation.clock.now
+  owner.frozen = True
+  emulation.clock.at(start + frozen_s, owner.thaw)
+  emulation.kill("a2" if owner.name != "a2" else "a1")
+  coordinator = emulation.add_host("a3", "a")
+  shard = model.Shard("a")
+  holder = emulation.hosts["b0"].state.coordinator.holders[shard].holder
+  coordinator.apply(events.HolderChanged(shard, holder))
+  job = fleets.job("long", 2, 3000)
+  emulation.submit(coordinator.name, job, [3.0] * 2, 6.0)
+  emulation.clock.run_until(start + 0.05)
+  emulation.kill(coordinator.name)
+  return_elsewhere(emulation, job, emulation.clock.now + RETURN_S)
+  emulation.clock.run_until(start + 5.0)
+  assert emulation.broken == []
+
+
+@pytest.mark.parametrize("store_up", [True, False])
+@pytest.mark.parametrize("suspended_s", [0.7, 1.2, 1.4, 2.0])
+@pytest.mark.parametrize("killed_after_s", [0.01, 0.15, 0.4])
+def test_holder_whose_clock_shows_no_pause_serves_no_dead_coordinator(
+    killed_after_s, suspended_s, store_up
+):
+  emulation = fleets.fleet()
+  job, coordinator, owner = submit_long_job(emulation)
+  emulation.store_up = store_up
+  start = emulation.clock.now
+  suspend(emulation, owner, suspended_s)
+  emulation.clock.run_until(start + killed_after_s)
+  emulation.kill(coordinator.name)
+  return_elsewhere(emulation, job, emulation.clock.now + RETURN_S)
+  emulation.clock.run_until(start + 5.0)
+  assert emulation.broken == []
+
+
+@pytest.mark.parametrize("cut_after_s", [0.02, 0.3])
+def test_suspended_holder_renews_no_lease_for_a_dead_coordinator(cut_after_s):
+  """No stop reaches the runs, which must end with their lease."""
+  emulation = fleets.fleet()
+  job, coordinator, owner = submit_long_job(emulation)
+  start = emulation.clock.now
+  suspend(emulation, owner, 0.7)
+  at_work = [e.info.id for e in emulation.endpoints.values() if e.running]
+  emulation.clock.at(
+      start + 0.7 + cut_after_s,
+      lambda: owner.partitioned_from.update(at_work),
+  )
+  emulation.clock.run_until(start + 0.05)
+  emulation.kill(coordinator.name)
+  return_elsewhere(emulation, job, emulation.clock.now + RETURN_S)
+  emulation.clock.run_until(start + 5.0)
+  assert emulation.broken == []
+
+
+def test_suspended_holder_serves_its_live_coordinators_on():
+  emulation = fleets.fleet()
+  _, _, owner = submit_long_job(emulation)
+  suspend(emulation, owner, 0.6)
+  emulation.clock.run_until(6.0)
+  (answer,) = emulation.answers.values()
+  assert answer.answer.outcome is model.Outcome.DONE
+  assert not any(o.jobs for o in owner.state.owners.values())
+
+
+@pytest.mark.parametrize("frozen_s", [0.3, 0.5])
+def test_runs_of_live_coordinators_survive_a_pause_of_their_holder(frozen_s):
+  emulation = fleets.fleet()
+  _, coordinator, owner = submit_long_job(emulation)
+  started = sum(len(e.starts) for e in emulation.endpoints.values())
+  owner.frozen = True
+  emulation.clock.run_until(emulation.clock.now + frozen_s)
+  owner.thaw()
+  emulation.clock.run_until(6.0)
+  (answer,) = emulation.answers.values()
+  assert answer.answer.outcome is model.Outcome.DONE
+  assert sum(len(e.starts) for e in emulation.endpoints.values()) == started
+  assert coordinator.state.coordinator.jobs == {}
+
+
+@pytest.mark.parametrize(
+    ("stalled_s", "killed_after_s"), [(1.45, 0.05), (1.4, 0.02), (1.5, 0.15)]
+)
+def test_offer_of_a_dead_coordinator_on_a_stalled_link_starts_no_task(
+    stalled_s, killed_after_s
+):
+  emulation = fleets.fleet()
+  emulation.clock.run_until(3.0)
+  owner = fleets.owner_of(emulation, "a")
+  coordinator = fleets.other_host(emulation, owner)
+  emulation.stall_link(coordinator.name, owner.name, stalled_s)
+  job = fleets.job("j", 2, 900)
+  emulation.submit(coordinator.name, job, [0.9] * 2, 3.0)
+  emulation.clock.run_until(3.0 + killed_after_s)
+  emulation.kill(coordinator.name)
+  return_elsewhere(emulation, job, emulation.clock.now + RETURN_S)
+  emulation.clock.run_until(8.0)
+  assert emulation.broken == []
+
+
+@pytest.mark.parametrize("frozen_s", [1.7, 2.0, 2.4])
+def test_host_that_wakes_offers_no_job_whose_caller_has_disconnected(frozen_s):
+  """The request and its end arrived while the host stood still."""
+  emulation = fleets.fleet()
+  start = emulation.clock.now
+  owner = fleets.owner_of(emulation, "c")
+  coordinator = fleets.other_host(emulation, owner)
+  coordinator.frozen = True
+  emulation.clock.at(start + frozen_s, coordinator.thaw)
+  job = fleets.job("j", 2, 900)
+  request = emulation.submit(coordinator.name, job, [0.9] * 2, 3.0)
+  emulation.clock.run_until(start + 0.3)
+  emulation.disconnect_caller(coordinator.name, request)
+  return_elsewhere(emulation, job, emulation.clock.now + RETURN_S)
+  emulation.clock.run_until(start + 5.0)
+  assert emulation.broken == []
+
+
+def test_host_that_wakes_offers_the_jobs_that_arrived_meanwhile():
+  emulation = fleets.fleet()
+  start = emulation.clock.now
+  coordinator = fleets.other_host(emulation, fleets.owner_of(emulation, "c"))
+  coordinator.frozen = True
+  request = emulation.submit(
+      coordinator.name, fleets.job("j", 2, 200), [0.2] * 2, 3.0
+  )
+  emulation.clock.run_until(start + 1.0)
+  coordinator.thaw()
+  emulation.clock.run_until(start + 1.5)
+  answer = emulation.answers[request]
+  assert answer.answer.outcome is model.Outcome.DONE
+
+
+PING_S = 0.1
+# The clock of the sender shows this much more than that of the reader (s).
+CLOCK_AHEAD_S = 1000.0
+
+
+def record_pings(ages, until: float, delay_s: float = 0.0):
+  """Reads a sender's pings up to a time, each when it is due; returns the ages."""
+  count = round(until / PING_S)
+  return [
+      ages.record(CLOCK_AHEAD_S + PING_S * n, PING_S * n + delay_s)
+      for n in range(1, count + 1)
+  ]
+
+
+def test_messages_read_at_once_have_no_age():
+  assert record_pings(messageage.MessageAges(), 1.0) == pytest.approx(
+      [0.0] * 10
+  )
+
+
+def test_messages_read_together_have_the_ages_at_which_they_were_sent():
+  ages = messageage.MessageAges()
+  record_pings(ages, 1.0)
+  read = [
+      ages.record(CLOCK_AHEAD_S + 1.0 + PING_S * n, 2.0) for n in range(1, 6)
+  ]
+  assert read == pytest.approx([0.9, 0.8, 0.7, 0.6, 0.5])
+
+
+def test_second_message_after_its_sender_was_suspended_has_no_age():
+  ages = messageage.MessageAges()
+  record_pings(ages, 1.0)
+  first = ages.record(CLOCK_AHEAD_S + 1.1, 3.1)
+  second = ages.record(CLOCK_AHEAD_S + 1.2, 3.2)
+  third = ages.record(CLOCK_AHEAD_S + 1.3, 3.3)
+  assert (first, second, third) == pytest.approx((2.0, 0.0, 0.0))
+
+
+def test_gain_of_the_senders_clock_shows_that_this_host_was_suspended():
+  ages = messageage.MessageAges()
+  record_pings(ages, 1.0)
+  gains = []
+  for number in range(11, 16):
+    ages.record(CLOCK_AHEAD_S + PING_S * number, 1.05)
+    gains.append(ages.clock_gain_s)
+  assert gains == pytest.approx([0.05, 0.15, 0.25, 0.35, 0.45])
+  ages.record(CLOCK_AHEAD_S + PING_S * 16, 1.15)
+  assert ages.clock_gain_s == pytest.approx(0.0)
--- a/tests/test_linkcodec.py
+++ b/tests/test_linkcodec.py
@@ -89,6 +89,7 @@
 
 # Messages that the previous build neither sends nor expects.
 NEW_MESSAGES = [
+    linkmessages.Offered(SHARD, KEY, JOB, 0.25, 1.5, at=12.5),
     linkcodec.Hello(PROCESS, 3),
     linkmessages.Withdrawn(SHARD, KEY, 65535),
     linkmessages.Ping(
