The first offer of a job has number 1 again

A holder records a job's demand only if the offer's number is 1 (forecast.record_demand), so that after a host's first job no demand was recorded, and no slots were reserved for wide jobs. Change: offers are numbered by job again, and the numbers go on if the job is submitted again within 10 s: an offer and its answer may each be in flight for 1.5 s and wait 3 s for a host that stands still. The first offer of such a submission has a number above 1; a holder doesn't count its demand a second time.

--- a/fescueturn/scheduler/coordinator.py
+++ b/fescueturn/scheduler/coordinator.py
@@ -88,6 +88,8 @@
 
 def _register(state, record: coordinatorstate.JobRecord):
   state.jobs[record.job.id] = record
+  # Late answers to its earlier submission have the same key.
+  record.offer_number = state.last_offer_number(record.job.id)
   state.by_request[record.request_id] = record
   state.counters["jobs"] += 1
 
@@ -308,7 +310,7 @@
   record = state.by_request.pop(request_id, None)
   if record is None:
     return
-  state.jobs.pop(record.job.id, None)
+  state.remove_job(record)
   state.counters["caller_gone"] += 1
   state.emit(
       events.log(
@@ -421,6 +423,7 @@
 def tick(state: coordinatorstate.Coordinator):
   """Pings holders and checks the timeouts of holders, queries and jobs."""
   jobdispatch.forget_withdrawals(state, lambda w: w.until < state.now)
+  state.expire_last_offers()
   _ping(state)
   jobqueries.tick(state)
   _update_unserved_since(state)
--- a/fescueturn/scheduler/coordinatorstate.py
+++ b/fescueturn/scheduler/coordinatorstate.py
@@ -29,6 +29,10 @@
 # The host ticks fast from this long before a caller's deadline: more than two
 # of the slow ticks (0.1 s) of an idle host.
 DEADLINE_NEAR_S = 0.25
+# How long the number of an answered job's last offer is kept. The offer and its
+# answer may each be in flight for 1.5 s, and wait 3 s for a host that stands
+# still.
+LAST_OFFER_TTL_S = 10.0
 # A host that has had no usable holder for this long refuses jobs at once and
 # reports that it isn't ready, so that the load balancer sends callers to other
 # hosts. This is longer than most changes of holder take (0.1 to 0.8 s) and
@@ -50,9 +54,8 @@
     shard: the shard to whose holder the job was last offered, if any.
     process: that holder's process.
     offer_count: how often the job was offered.
-    offer_number: the number of its last offer among those of this process, as
-      late answers to a job's earlier submission have the same key; 0 before
-      the first.
+    offer_number: the number of its last offer; 0 if it was never offered. The
+      numbers of a job that is submitted again go on.
     accepted_offer: the number of the last offer that was accepted; 0 if none
       was.
     offered_at: when it was last offered (s).
@@ -201,7 +204,9 @@
     # Withdrawals by their numbers.
     self.withdrawals: dict[int, Withdrawal] = {}
     self.last_withdrawal = 0
-    self.last_offer = 0
+    # The numbers of the last offers of jobs that were answered, each with the
+    # time of the answer (s), in the order of these times.
+    self._last_offers: dict[str, tuple[int, float]] = {}
     self.queries: dict[tuple[str, bool], JobQuery] = {}
     self.pinged_at = 0.0
     self.remote_pinged_at = 0.0
@@ -227,6 +232,27 @@
         for job in self.jobs.values()
     )
 
+  def remove_job(self, record: JobRecord):
+    """Removes a job whose caller has its answer or no longer waits."""
+    job_id = record.job.id
+    self.jobs.pop(job_id, None)
+    if record.offer_number:
+      self._last_offers.pop(job_id, None)
+      self._last_offers[job_id] = (record.offer_number, self.now)
+
+  def last_offer_number(self, job_id: str) -> int:
+    """Returns the number of the last offer of an answered job, or 0."""
+    number, _ = self._last_offers.get(job_id, (0, 0.0))
+    return number
+
+  def expire_last_offers(self):
+    """Forgets the offers to which no answer can arrive any more."""
+    while self._last_offers:
+      job_id, (_, answered_at) = next(iter(self._last_offers.items()))
+      if self.now - answered_at < LAST_OFFER_TTL_S:
+        return
+      del self._last_offers[job_id]
+
   def emit(self, *effects: events.Effect):
     """Adds effects to carry out."""
     self.effects += effects
--- a/fescueturn/scheduler/jobdispatch.py
+++ b/fescueturn/scheduler/jobdispatch.py
@@ -152,8 +152,7 @@
   record.process = holder.process
   record.phase = coordinatorstate.Phase.OFFERED
   record.offer_count += 1
-  state.last_offer = state.last_offer % _MAX_NUMBER + 1
-  record.offer_number = state.last_offer
+  record.offer_number = record.offer_number % _MAX_NUMBER + 1
   record.offered_at = state.now
   record.choice = choice
   holder.room.record_offer(record.job, state.now)
@@ -247,7 +246,7 @@
   state.counters[f"answer_{outcome.value}"] += 1
   state.by_request.pop(record.request_id, None)
   if not keep_record:
-    state.jobs.pop(record.job.id, None)
+    state.remove_job(record)
 
 
 def _retry_after_s(
--- a/fescueturn/scheduler/linkmessages.py
+++ b/fescueturn/scheduler/linkmessages.py
@@ -43,8 +43,8 @@
     remaining_s: how much longer the caller waits.
     resumed: True if another holder had the job before; its runs that are
       still active then belong to the job.
-    number: distinguishes the offers of a coordinator, also those of a job that
-      was submitted again.
+    number: distinguishes the offers of one job, also if it is submitted again;
+      1 for the first.
     immediate_only: True if the holder should accept the job only if none of
       its tasks has to wait for capacity.
   """
--- a/tests/test_crossed_offers.py
+++ b/tests/test_crossed_offers.py
@@ -75,15 +75,32 @@
   assert emulation.broken == []
 
 
+def test_numbers_of_offers_go_on_if_a_job_is_submitted_again():
+  emulation = fleets.fleet()
+  owner = fleets.owner_of(emulation, "a")
+  host = fleets.other_host(emulation, owner)
+  coordinator = host.state.coordinator
+  for name, number in (("j", 1), ("j", 2), ("k", 1)):
+    emulation.submit(host.name, fleets.job(name, 2, 200), [0.2] * 2)
+    assert coordinator.jobs[name].offer_number == number
+    emulation.clock.run_until(emulation.clock.now + 1.0)
+  emulation.clock.run_until(emulation.clock.now + 10.0)
+  assert coordinator.last_offer_number("j") == 0
+
+
 def test_offer_numbers_stay_within_the_range_of_their_field():
   emulation = fleets.fleet()
   owner = fleets.owner_of(emulation, "a")
   host = fleets.other_host(emulation, owner)
-  host.state.coordinator.last_offer = 2**16 - 1
+  host.partitioned_from.add(owner.name)
   request = emulation.submit(host.name, fleets.job("j", 2, 200), [0.2] * 2)
-  assert host.state.coordinator.jobs["j"].offer_number == 1
-  emulation.clock.run_until(2.0)
+  record = host.state.coordinator.jobs["j"]
+  record.offer_number = 2**16 - 1
+  emulation.reset_link(host.name, owner.name)
+  host.partitioned_from.clear()
+  emulation.clock.run_until(2.5)
   assert emulation.answers[request].answer.outcome is model.Outcome.DONE
+  assert record.offer_number == 1
 
 
 def test_job_that_ran_before_it_was_handed_back_is_not_refused():
