--- a/tests/test_linkcodec.py
+++ b/tests/test_linkcodec.py
@@ -92,6 +92,7 @@
     linkmessages.Offered(SHARD, KEY, JOB, 0.25, 1.5, at=12.5),
     linkcodec.Hello(PROCESS, 3),
     linkmessages.Withdrawn(SHARD, KEY, 65535),
+    linkmessages.JobEnded(KEY, model.Outcome.NOT_RUN, "why", 7),
     linkmessages.Ping(
         SHARD, PROCESS, 12.5, 7, draining=True, uptime_s=4.5, list_version=0
     ),
