The soak pauses several hosts beside an overload

What callers saw: refused jobs (429) whose tasks ran (docs/incidents/refused-job-runs.md). The soak didn't show it: its pauses were of one host each, and its bursts lasted 1.5 s at most. `--pauses` draws groups of pauses of 0.3 to 0.8 s (one in ten of 1 to 3 s) of two to four hosts, or twice of one, 0.05 to 0.6 s apart, beside 1.5 to 2 times the load that the endpoints can serve, and signals to hosts and restarts of endpoints between. A job counts as refused until its caller sends it again, not only until the answer: a start between the two broke the promise unseen.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -17,6 +17,7 @@
 from tests.soak import run as run_lib
 
 REGRESSIONS = pathlib.Path(__file__).with_name("regressions.txt")
+_MODES = ("lossy", "partitions", "pauses")
 
 
 @click.command()
@@ -26,6 +27,7 @@
 @click.option("--at-once", default=1, help="Number of soaks at a time.")
 @click.option("--lossy", is_flag=True, help="Only lossy paths, and bursts.")
 @click.option("--partitions", is_flag=True, help="Only partitions, and kills.")
+@click.option("--pauses", is_flag=True, help="Pauses, kills and an overload.")
 @click.option("--regressions", is_flag=True, help="Run the kept seeds.")
 @click.option("--quiet", is_flag=True, help="Print the verdict only.")
 @click.option(
@@ -35,7 +37,16 @@
     help="Where the folders of failed seeds go.",
 )
 def main(
-    seed, seconds, seeds, at_once, lossy, partitions, regressions, quiet, keep
+    seed,
+    seconds,
+    seeds,
+    at_once,
+    lossy,
+    partitions,
+    pauses,
+    regressions,
+    quiet,
+    keep,
 ):
   """Soaks the real programs and prints which promises held."""
   signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(128 + number))
@@ -43,7 +54,8 @@
     seed = random.SystemRandom().randrange(1_000_000)
   numbers = range(seed, seed + seeds)
   plans = [
-      run_lib.Plan(number, seconds, lossy, partitions) for number in numbers
+      run_lib.Plan(number, seconds, lossy, partitions, pauses)
+      for number in numbers
   ]
   if regressions:
     plans = read_regressions()
@@ -58,7 +70,7 @@
   for line in REGRESSIONS.read_text().splitlines():
     if line and not line.startswith("#"):
       seed, seconds, mode, *_ = line.split()
-      modes = mode == "lossy", mode == "partitions"
+      modes = [mode == name for name in _MODES]
       plans.append(run_lib.Plan(int(seed), float(seconds), *modes))
   return plans
 
@@ -84,8 +96,10 @@
 
 
 def _modes(plan: run_lib.Plan) -> list[str]:
-  modes = {"lossy": plan.lossy_only, "partitions": plan.partitions}
-  return [mode for mode, is_chosen in modes.items() if is_chosen]
+  chosen = plan.lossy_only, plan.partitions, plan.pauses
+  return [
+      mode for mode, is_chosen in zip(_MODES, chosen, strict=True) if is_chosen
+  ]
 
 
 def format_verdict(plan: run_lib.Plan, verdict: checks.Verdict) -> str:
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -147,6 +147,9 @@
         ("request-id", f"q-{job.id}-{len(job.statuses)}"),
     )
     host, life, sent_at = self._host, self._host.life, time.monotonic()
+    if job.statuses and set(job.statuses) <= set(REFUSED):
+      # A refusal stays true until its caller sends the job again.
+      job.refused_until = sent_at
     status, answer = await self._request(
         host, "POST", job, body, headers, patience_s
     )
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -32,6 +32,10 @@
 PARTITION = "store_partition"
 # Jobs a second with which a burst asks for about as much as all endpoints have.
 FULL_JOBS_PER_S = 45
+# Pauses that outlast the silence after which a holder counts as lost, not its lease.
+_SHORT_PAUSE_S = (0.3, 0.8)
+_LONG_PAUSE_S = (1.0, 3.0)
+_PAUSE_GAP_S = (0.05, 0.6)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -57,7 +61,11 @@
 
 
 def schedule(
-    seed: int, length_s: float, lossy_only: bool, partitions: bool = False
+    seed: int,
+    length_s: float,
+    lossy_only: bool,
+    partitions: bool = False,
+    pauses: bool = False,
 ) -> list[Fault]:
   draws = [(0.8, _path_fault), (2.5, _host_fault)]
   draws += [(3.5, _slot_fault), (3.0, _store_fault)]
@@ -66,11 +74,15 @@
     draws = [(2.0, _lossy)]
   elif partitions:
     draws = [(2.5, _partition), (6.0, _host_fault)]
+  elif pauses:
+    draws, later = [(3.0, _host_fault)], [(6.0, _restart)]
   else:
     later += [(3.0, _restart), (3.0, _leave), (5.0, _stops)]
   faults = _series(random.Random(f"{seed}/faults"), draws, length_s)
   # With numbers of their own, so that the kept seeds have their faults as well.
   faults += _series(random.Random(f"{seed}/hard load"), later, length_s)
+  if pauses:
+    faults += _pauses(random.Random(f"{seed}/pauses"), length_s)
   return sorted(faults, key=lambda fault: fault.at)
 
 
@@ -83,6 +95,29 @@
   return faults
 
 
+def _pauses(rng, length_s: float) -> list[Fault]:
+  """Pauses of several hosts in pairs and series, beside a lasting overload."""
+  load_s = length_s - FIRST_S
+  jobs = int(rng.uniform(1.5, 2.0) * FULL_JOBS_PER_S * load_s)
+  faults = [Fault(FIRST_S, "burst", for_s=load_s, amount=jobs)]
+  at = FIRST_S
+  while (at := at + rng.expovariate(1 / 1.5)) < length_s:
+    faults += _paused_group(rng, at)
+  return faults
+
+
+def _paused_group(rng, at: float) -> list[Fault]:
+  hosts = rng.sample(HOSTS, rng.choice((2, 2, 3, len(HOSTS))))
+  again = rng.random() < 0.3
+  faults = []
+  for host in hosts[:1] * 2 if again else hosts:
+    bounds = _LONG_PAUSE_S if rng.random() < 0.1 else _SHORT_PAUSE_S
+    for_s = rng.uniform(*bounds)
+    faults.append(Fault(round(at, 3), "pause", (host,), (), for_s))
+    at += rng.uniform(*_PAUSE_GAP_S) + (for_s if again else 0.0)
+  return faults
+
+
 def _some(rng, numbers) -> tuple[int, ...]:
   count = rng.choice((1, 1, 2, len(numbers)))
   return tuple(sorted(rng.sample(numbers, count)))
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -30,6 +30,7 @@
   seconds: float
   lossy_only: bool = False
   partitions: bool = False
+  pauses: bool = False
 
 
 async def run(plan: Plan, directory: pathlib.Path, echo) -> checks.Verdict:
@@ -38,7 +39,7 @@
   Each line of progress goes to `echo`.
   """
   schedule = faults.schedule(
-      plan.seed, plan.seconds, plan.lossy_only, plan.partitions
+      plan.seed, plan.seconds, plan.lossy_only, plan.partitions, plan.pauses
   )
   _write(directory / "schedule.json", [plan, *schedule])
   cluster = cluster_lib.Cluster(directory, plan.seed)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -24,6 +24,7 @@
         run_lib.Plan(1, 8.0, lossy_only=True),
         run_lib.Plan(2, 10.0),
         run_lib.Plan(3, 10.0, partitions=True),
+        run_lib.Plan(7, 8.0, pauses=True),
     ),
 )
 def test_promises_hold_while_faults_are_injected(plan, tmp_path):
@@ -41,6 +42,49 @@
   assert "burst" in {f.kind for f in faults.schedule(1, 8.0, True)}
 
 
+def test_short_seed_of_pauses_overlaps_them_beside_an_overload():
+  schedule = faults.schedule(7, 8.0, False, pauses=True)
+  pauses = [fault for fault in schedule if fault.kind == "pause"]
+  burst = next(fault for fault in schedule if fault.kind == "burst")
+  full = faults.FULL_JOBS_PER_S * burst.for_s
+  assert 1.5 * full - 1 <= burst.amount <= 2 * full
+  assert any(
+      0 <= second.at - first.at < first.for_s and second.hosts != first.hosts
+      for first in pauses
+      for second in pauses
+  )
+  assert {fault.kind for fault in schedule} & {"kill", "terminate", "reload"}
+
+
+def test_start_between_a_refusal_and_the_next_try_breaks_it():
+  answers = [(429, {}), (200, {"state": "succeeded"})]
+
+  class Answered(callers.Caller):
+
+    async def _request(self, *args):
+      return answers.pop(0)
+
+  host = types.SimpleNamespace(life=types.SimpleNamespace(terminated_at=None))
+  job = callers.Job("0" * 16, False, 1, False, False)
+  record = callers.Record({job.id: job})
+  caller = Answered(types.SimpleNamespace(hosts=[host]), record, 1, 0)
+
+  async def send_twice() -> float:
+    job.statuses.append(await caller._submit(job, b"", 1000, 1.0))
+    await curio.sleep(0.01)
+    started_at = time.monotonic()
+    await curio.sleep(0.01)
+    job.statuses.append(await caller._submit(job, b"", 1000, 1.0))
+    return started_at
+
+  row = (curio.run(send_twice), f"{job.id}.0.0.0", 1, "i-0-1", False)
+  history = {"violations": [], "acknowledged": [], "tokens": 0, "starts": [row]}
+  verdict = checks.judge(history, record, faults.Injector(None), [], False)
+  assert verdict.violations == [
+      f"job {job.id} refused ([429, 200]) but started"
+  ]
+
+
 def test_kept_seeds_can_be_read():
   assert len(soak.read_regressions()) > 0
 
