The soak runs larger fleets, and tells how long hosts waited for a processor

Nothing told whether the host was slow or had no processor. A verdict and lives.json now have the time that its main thread was ready and waited, from the kernel's schedstat; no check is changed.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -24,6 +24,7 @@
 @click.option("--seed", type=int, help="First seed; a fresh one by default.")
 @click.option("--seconds", default=20.0, help="How long faults begin.")
 @click.option("--seeds", default=1, help="Number of consecutive seeds.")
+@click.option("--size", default=1, help="Fleet, as a multiple of 4 hosts.")
 @click.option("--at-once", default=1, help="Number of soaks at a time.")
 @click.option("--lossy", is_flag=True, help="Only lossy paths, and bursts.")
 @click.option("--partitions", is_flag=True, help="Only partitions, and kills.")
@@ -40,6 +41,7 @@
     seed,
     seconds,
     seeds,
+    size,
     at_once,
     lossy,
     partitions,
@@ -54,7 +56,7 @@
     seed = random.SystemRandom().randrange(1_000_000)
   numbers = range(seed, seed + seeds)
   plans = [
-      run_lib.Plan(number, seconds, lossy, partitions, pauses)
+      run_lib.Plan(number, seconds, lossy, partitions, pauses, size)
       for number in numbers
   ]
   if regressions:
@@ -115,7 +117,7 @@
   def run(plan):
     command = [sys.executable, "-m", "tests.soak", "--quiet"]
     command += ["--seed", str(plan.seed), "--seconds", str(plan.seconds)]
-    command += ["--keep", str(keep.resolve())]
+    command += ["--keep", str(keep.resolve()), "--size", str(plan.size)]
     command += [f"--{mode}" for mode in _modes(plan)]
     return subprocess.run(command, cwd=deployments.ROOT, check=False).returncode
 
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -100,7 +100,7 @@
   for slot, endpoint, at in injector.drains:
     until = at + DRAIN_LIMIT_S
     if any(
-        fault.disturbs_reads(slot)
+        fault.disturbs_reads(injector.site, slot)
         and begins < until
         and ends > at - BEFORE_READ_S
         for fault, begins, ends in injector.applied
@@ -142,5 +142,9 @@
   for life in host.lives:
     if life.process.poll() and not life.disturbed:
       code = life.process.returncode
-      violations.append(f"{host.name} process {life.number} exited with {code}")
+      violations.append(
+          f"{host.name} process {life.number} exited with {code}; it waited"
+          f" {life.queued_s:.1f} s for a processor before its SIGTERM,"
+          f" {life.grace_queued_s:.1f} s after it"
+      )
   return changes
--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -19,7 +19,6 @@
 from tests import deployments
 from tests.soak import proxy
 
-SLOTS = 6
 STORE = "store"
 # The prefixes of the callers' queues, by priority; 0 is the most urgent.
 QUEUES = ("/first/", deployments.PREFIX, "/last/")
@@ -32,6 +31,30 @@
 _LOST = (httpio.NotSentError, httpio.LostReplyError)
 
 
+@dataclasses.dataclass(frozen=True)
+class Site:
+  """The hosts and endpoints by number; a size of 2 has twice as many as 1."""
+
+  size: int = 1
+
+  @property
+  def hosts(self) -> tuple[int, ...]:
+    return tuple(range(len(deployments.DATA_CENTRES) * self.hosts_per_centre))
+
+  @property
+  def hosts_per_centre(self) -> int:
+    return 2 * self.size
+
+  @property
+  def slots(self) -> tuple[int, ...]:
+    return tuple(range(6 * self.size))
+
+  def are_near(self, host: int, slot: int) -> bool:
+    """Returns whether they are in one data centre."""
+    centres = len(deployments.DATA_CENTRES)
+    return host // self.hosts_per_centre == slot % centres
+
+
 def slot_name(number: int) -> str:
   return f"slot-{number}"
 
@@ -45,15 +68,30 @@
   return f"127.{100 + number}.{pid >> 8 & 255}.{pid & 255}"
 
 
+def _queued_s(pid: int) -> float:
+  """Returns how long a main thread was ready without a processor."""
+  try:
+    text = pathlib.Path(f"/proc/{pid}/schedstat").read_text()
+  except OSError:
+    return 0.0
+  return int(text.split()[1]) / 1e9
+
+
 @dataclasses.dataclass
 class Life:
-  """One process of a host; a disturbed one may cut requests off."""
+  """One process of a host; a disturbed one may cut requests off.
+
+  `queued_s` tells for how long its main thread waited for a processor before it
+  got SIGTERM, `grace_queued_s` for how long after that.
+  """
 
   number: int
   process: subprocess.Popen
   started_at: float
   terminated_at: float | None = None
   disturbed: bool = False
+  queued_s: float = 0.0
+  grace_queued_s: float = 0.0
 
   @property
   def running(self) -> bool:
@@ -87,6 +125,7 @@
     if life.running and life.terminated_at is None:
       life.terminated_at = now
       life.disturbed |= now < life.started_at + START_S
+      life.queued_s = _queued_s(life.process.pid)
       life.process.send_signal(signal.SIGTERM)
 
   def kill(self):
@@ -124,7 +163,8 @@
 class Cluster:
   """All processes of a soak, and the proxies by their clients and servers."""
 
-  def __init__(self, directory: pathlib.Path, seed: int):
+  def __init__(self, directory: pathlib.Path, seed: int, site=Site()):
+    self.site = site
     self.hosts: list[Host] = []
     self.paths: dict[tuple[str, str], proxy.Path] = {}
     self._directory = directory
@@ -143,8 +183,9 @@
 
   async def start(self):
     centres = deployments.DATA_CENTRES
-    names = [(f"{centre}-{i}", centre) for centre in centres for i in range(2)]
-    servers = [(slot_name(i), self._free_address()) for i in range(SLOTS)]
+    numbers = range(self.site.hosts_per_centre)
+    names = [(f"{centre}-{i}", centre) for centre in centres for i in numbers]
+    servers = [(slot_name(i), self._free_address()) for i in self.site.slots]
     endpoints = [
         {
             "address": str(address),
@@ -254,7 +295,11 @@
       await curio.sleep(0.02)
       for life in [host.life for host in self.hosts]:
         since = life.terminated_at
-        if since is not None and time.monotonic() > since + GRACE_S:
+        if since is None or not life.running:
+          continue
+        queued_s = _queued_s(life.process.pid) - life.queued_s
+        life.grace_queued_s = max(life.grace_queued_s, queued_s)
+        if time.monotonic() > since + GRACE_S:
           life.process.kill()
 
   def end_processes(self):
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -13,8 +13,6 @@
 from tests.soak import cluster as cluster_lib
 from tests.soak import proxy
 
-HOSTS = tuple(range(4))
-SLOTS = tuple(range(cluster_lib.SLOTS))
 # No fault begins sooner.
 FIRST_S = 1.0
 _PATH_KINDS = "delay reset silence cut_up cut_down refuse hang".split()
@@ -53,9 +51,9 @@
   for_s: float = 0.0
   amount: float = 0.0
 
-  def disturbs_reads(self, slot: int) -> bool:
+  def disturbs_reads(self, site: cluster_lib.Site, slot: int) -> bool:
     """Returns whether hosts of an endpoint may not read the store in time."""
-    near = any(host // 2 == slot % 2 for host in self.hosts)
+    near = any(site.are_near(host, slot) for host in self.hosts)
     disturbs = near and self.kind.startswith(("store", "pause"))
     return disturbs or self.kind == "store_down"
 
@@ -66,7 +64,9 @@
     lossy_only: bool,
     partitions: bool = False,
     pauses: bool = False,
+    size: int = 1,
 ) -> list[Fault]:
+  site = cluster_lib.Site(size)
   draws = [(0.8, _path_fault), (2.5, _host_fault)]
   draws += [(3.5, _slot_fault), (3.0, _store_fault)]
   later = [(4.0, _burst)]
@@ -78,36 +78,36 @@
     draws, later = [(3.0, _host_fault)], [(6.0, _restart)]
   else:
     later += [(3.0, _restart), (3.0, _leave), (5.0, _stops)]
-  faults = _series(random.Random(f"{seed}/faults"), draws, length_s)
+  faults = _series(random.Random(f"{seed}/faults"), draws, site, length_s)
   # With numbers of their own, so that the kept seeds have their faults as well.
-  faults += _series(random.Random(f"{seed}/hard load"), later, length_s)
+  faults += _series(random.Random(f"{seed}/hard load"), later, site, length_s)
   if pauses:
-    faults += _pauses(random.Random(f"{seed}/pauses"), length_s)
+    faults += _pauses(random.Random(f"{seed}/pauses"), site, length_s)
   return sorted(faults, key=lambda fault: fault.at)
 
 
-def _series(rng, draws, length_s: float) -> list[Fault]:
+def _series(rng, draws, site, length_s: float) -> list[Fault]:
   faults = []
   for mean_s, draw in draws:
     at = FIRST_S
     while (at := at + rng.expovariate(1 / mean_s)) < length_s:
-      faults.append(Fault(round(at, 3), *draw(rng)))
+      faults.append(Fault(round(at, 3), *draw(rng, site)))
   return faults
 
 
-def _pauses(rng, length_s: float) -> list[Fault]:
+def _pauses(rng, site, length_s: float) -> list[Fault]:
   """Pauses of several hosts in pairs and series, beside a lasting overload."""
   load_s = length_s - FIRST_S
-  jobs = int(rng.uniform(1.5, 2.0) * FULL_JOBS_PER_S * load_s)
+  jobs = int(rng.uniform(1.5, 2.0) * site.size * FULL_JOBS_PER_S * load_s)
   faults = [Fault(FIRST_S, "burst", for_s=load_s, amount=jobs)]
   at = FIRST_S
   while (at := at + rng.expovariate(1 / 1.5)) < length_s:
-    faults += _paused_group(rng, at)
+    faults += _paused_group(rng, site, at)
   return faults
 
 
-def _paused_group(rng, at: float) -> list[Fault]:
-  hosts = rng.sample(HOSTS, rng.choice((2, 2, 3, len(HOSTS))))
+def _paused_group(rng, site, at: float) -> list[Fault]:
+  hosts = rng.sample(site.hosts, rng.choice((2, 2, 3, len(site.hosts))))
   again = rng.random() < 0.3
   faults = []
   for host in hosts[:1] * 2 if again else hosts:
@@ -123,75 +123,76 @@
   return tuple(sorted(rng.sample(numbers, count)))
 
 
-def _lossy(rng) -> tuple:
+def _lossy(rng, site) -> tuple:
   some_hosts = rng.random() < 0.5
-  hosts = _some(rng, HOSTS) if some_hosts else HOSTS
-  slots = SLOTS if some_hosts else _some(rng, SLOTS)
+  hosts = _some(rng, site.hosts) if some_hosts else site.hosts
+  slots = site.slots if some_hosts else _some(rng, site.slots)
   return "lossy", hosts, slots, rng.uniform(1.0, 5.0), rng.uniform(0.1, 0.4)
 
 
-def _partition(rng) -> tuple:
+def _partition(rng, site) -> tuple:
   """A host and an endpoint of its data centre are cut off from all others."""
-  host = rng.choice(HOSTS)
-  near = [slot for slot in SLOTS if slot % 2 == host // 2]
+  host = rng.choice(site.hosts)
+  near = [slot for slot in site.slots if site.are_near(host, slot)]
   return PARTITION, (host,), (rng.choice(near),), rng.uniform(1.0, 6.0)
 
 
-def _path_fault(rng) -> tuple:
+def _path_fault(rng, site) -> tuple:
   if rng.random() < 0.4:
-    return _lossy(rng)
-  kind, slots = rng.choice(_PATH_KINDS), _some(rng, SLOTS)
+    return _lossy(rng, site)
+  kind, slots = rng.choice(_PATH_KINDS), _some(rng, site.slots)
   if rng.random() < 0.33:
     kind, slots = f"peers_{kind}", ()
   for_s = rng.uniform(0.1, rng.choice((0.8, 4.0)))
-  return kind, _some(rng, HOSTS), slots, for_s, rng.uniform(0.01, 0.3)
+  return kind, _some(rng, site.hosts), slots, for_s, rng.uniform(0.01, 0.3)
 
 
-def _host_fault(rng) -> tuple:
-  kind, hosts = rng.choice(_HOST_KINDS), (rng.choice(HOSTS),)
+def _host_fault(rng, site) -> tuple:
+  kind, hosts = rng.choice(_HOST_KINDS), (rng.choice(site.hosts),)
   if rng.random() < 0.07:
-    hosts, kind = HOSTS, rng.choice(("kill", "terminate"))
+    hosts, kind = site.hosts, rng.choice(("kill", "terminate"))
   return kind, hosts, (), rng.uniform(0.2, 3.0), rng.uniform(0.0, 2.0)
 
 
-def _slot_fault(rng) -> tuple:
+def _slot_fault(rng, site) -> tuple:
   kind = rng.choice(("drain", "drain", "crash", "late"))
   for_s = rng.uniform(3.0, 6.0) if kind == "drain" else rng.uniform(0.2, 4.0)
   if kind == "late":
-    return kind, (), _some(rng, SLOTS), for_s, rng.uniform(0.05, 0.3)
+    return kind, (), _some(rng, site.slots), for_s, rng.uniform(0.05, 0.3)
   clock_ms = rng.randrange(cluster_lib.MAX_CLOCK_MS)
-  return kind, (), (rng.choice(SLOTS),), for_s, clock_ms
+  return kind, (), (rng.choice(site.slots),), for_s, clock_ms
 
 
-def _burst(rng) -> tuple:
+def _burst(rng, site) -> tuple:
   for_s = rng.uniform(0.5, 1.5)
-  jobs = int(rng.uniform(2.0, 4.0) * FULL_JOBS_PER_S * for_s)
+  jobs = int(rng.uniform(2.0, 4.0) * site.size * FULL_JOBS_PER_S * for_s)
   return "burst", (), (), for_s, jobs
 
 
-def _restart(rng) -> tuple:
-  return "restart", (), (rng.choice(SLOTS),), rng.uniform(0.05, 1.5)
+def _restart(rng, site) -> tuple:
+  return "restart", (), (rng.choice(site.slots),), rng.uniform(0.05, 1.5)
 
 
-def _leave(rng) -> tuple:
+def _leave(rng, site) -> tuple:
   """An endpoint leaves at or after the end of its notice (ms)."""
   for_s = rng.choice((0.0, rng.uniform(0.0, 2.0)))
-  return "leave", (), (rng.choice(SLOTS),), for_s, rng.randint(1700, 2000)
+  return "leave", (), (rng.choice(site.slots),), for_s, rng.randint(1700, 2000)
 
 
-def _stops(rng) -> tuple:
+def _stops(rng, site) -> tuple:
   """Stops in series while the store is away, of a data centre or of all."""
-  centre = rng.choice((HOSTS[:2], HOSTS[2:], HOSTS))
+  hosts, half = site.hosts, site.hosts_per_centre
+  centre = rng.choice((hosts[:half], hosts[half:], hosts))
   hosts = tuple(rng.sample(centre, len(centre)))
   kind = f"stops_{rng.choice(_STORE_TROUBLES)}"
   return kind, hosts, (), rng.uniform(2.0, 7.0), rng.uniform(0.2, 0.6)
 
 
-def _store_fault(rng) -> tuple:
+def _store_fault(rng, site) -> tuple:
   kind = rng.choice(_STORE_KINDS)
   late = kind == "store_late"
   amount = rng.uniform(1.0, 4.0) if late else rng.uniform(0.02, 0.6)
-  return kind, _some(rng, HOSTS), (), rng.uniform(0.3, 3.0), amount
+  return kind, _some(rng, site.hosts), (), rng.uniform(0.3, 3.0), amount
 
 
 def _on_path(kind: str, amount: float) -> proxy.Fault | None:
@@ -219,6 +220,7 @@
   def __init__(self, cluster: cluster_lib.Cluster, burst=None):
     self.drains: list[tuple[int, str, float]] = []
     self.applied: list[tuple[Fault, float, float]] = []
+    self.site = cluster.site if cluster else cluster_lib.Site()
     self._cluster = cluster
     self._burst = burst
     self._busy_slots: set[int] = set()
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -31,6 +31,7 @@
   lossy_only: bool = False
   partitions: bool = False
   pauses: bool = False
+  size: int = 1
 
 
 async def run(plan: Plan, directory: pathlib.Path, echo) -> checks.Verdict:
@@ -38,11 +39,17 @@
 
   Each line of progress goes to `echo`.
   """
+  site = cluster_lib.Site(plan.size)
   schedule = faults.schedule(
-      plan.seed, plan.seconds, plan.lossy_only, plan.partitions, plan.pauses
+      plan.seed,
+      plan.seconds,
+      plan.lossy_only,
+      plan.partitions,
+      plan.pauses,
+      plan.size,
   )
   _write(directory / "schedule.json", [plan, *schedule])
-  cluster = cluster_lib.Cluster(directory, plan.seed)
+  cluster = cluster_lib.Cluster(directory, plan.seed, site)
   try:
     await cluster.start()
     verdict = await curio.timeout_after(
@@ -56,14 +63,16 @@
 
 async def _soak(plan, cluster, schedule, directory, echo) -> checks.Verdict:
   record = callers.Record()
-  crowd = callers.Caller(cluster, record, plan.seed, callers.CALLERS)
+  crowd = callers.Caller(
+      cluster, record, plan.seed, callers.CALLERS * plan.size
+  )
   injector = faults.Injector(cluster, crowd.burst)
   began = time.monotonic()
   stopped = curio.Event()
   supervisor = await curio.spawn(cluster.supervise)
   clients = [
       callers.Caller(cluster, record, plan.seed, number)
-      for number in range(callers.CALLERS)
+      for number in range(callers.CALLERS * plan.size)
   ]
   tasks = [await curio.spawn(client.run, stopped) for client in clients]
   injection = await curio.spawn(injector.run, schedule)
@@ -89,6 +98,7 @@
   _write(directory / "starts.json", history["starts"])
   _write(directory / "acknowledged.json", history["acknowledged"])
   _write(directory / "jobs.json", record.jobs.values())
+  _write(directory / "lives.json", _life_rows(cluster))
   return checks.judge(history, record, injector, cluster.hosts, broken)
 
 
@@ -105,6 +115,17 @@
     await curio.sleep(0.1)
 
 
+def _life_rows(cluster) -> list[dict]:
+  """Returns the processes of the hosts, with how they ended."""
+  rows = []
+  for host in cluster.hosts:
+    for life in host.lives:
+      row = {"host": host.name, "code": life.process.poll(), **vars(life)}
+      del row["process"]
+      rows.append(row)
+  return rows
+
+
 def _progress(at: float, record: callers.Record, report, injector) -> str:
   statuses = collections.Counter(
       status for job in record.jobs.values() for status in job.statuses
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -56,6 +56,14 @@
   assert {fault.kind for fault in schedule} & {"kill", "terminate", "reload"}
 
 
+def test_larger_fleet_has_faults_of_all_its_hosts():
+  site = cluster.Site(3)
+  schedule = faults.schedule(1, 20.0, False, pauses=True, size=3)
+  assert {host for f in schedule for host in f.hosts} == set(site.hosts)
+  near = [slot for slot in site.slots if site.are_near(5, slot)]
+  assert near == [slot for slot in site.slots if not site.are_near(6, slot)]
+
+
 def test_start_between_a_refusal_and_the_next_try_breaks_it():
   answers = [(429, {}), (200, {"state": "succeeded"})]
 
