The grace of a stop counts from its signal

What callers saw: requests in flight cut off as a host that was told to stop was killed at the end of its grace (soak, all faults, on a machine at a load of 40 on 16 cores). Cause, of a part: the process counted its grace from when its loop noticed the signal, up to 0.1 s later, and later when the event loop is behind. Why it works: the handler of the signal notes the time, from which all steps of the stop are counted; a second signal doesn't begin the time anew. It can't help while the process has no processor to run the handler on.

--- a/fescueturn/platform/role.py
+++ b/fescueturn/platform/role.py
@@ -135,7 +135,8 @@
         httpio.Server(node.metrics_address, self._on_metrics),
     ]
     self._loops = []
-    self._stopping = False
+    # When a signal told the process to stop, which begins its grace period.
+    self._stopping_since: float | None = None
     self._reload_requested = False
 
   async def start(self):
@@ -183,7 +184,7 @@
   async def run(self):
     """Serves until SIGTERM or SIGINT, then drains the open jobs."""
     reload_at = self._timer.now() + RELOAD_PERIOD_S
-    while not self._stopping:
+    while self._stopping_since is None:
       await curio.sleep(POLL_S)
       if self._host.failed:
         # The platform restarts the process; meanwhile other hosts take over.
@@ -192,10 +193,9 @@
         self._reload_settings(signalled=self._reload_requested)
         self._reload_requested = False
         reload_at = self._timer.now() + RELOAD_PERIOD_S
-    await self._drain()
+    await self._drain(self._stopping_since)
 
-  async def _drain(self):
-    began = self._timer.now()
+  async def _drain(self, began: float):
     logger.info(
         "event=stopping waiting={}", len(self._host.state.coordinator.jobs)
     )
@@ -239,8 +239,8 @@
     del frame
     if number == signal.SIGHUP:
       self._reload_requested = True
-    else:
-      self._stopping = True
+    elif self._stopping_since is None:
+      self._stopping_since = self._timer.now()
 
   def _reload_settings(self, signalled: bool):
     """Reloads the settings file.
