A listener that closes first accepts the connections that wait

Cause, of a part: connections that the kernel has made, but the accept loop hasn't yet taken, are reset as their listener closes, with the requests that they carry. A process that stood without a processor has many of them as it wakes to close. The test shows the fault by itself. The new test failed before and passes.

--- a/fescueturn/listener.py
+++ b/fescueturn/listener.py
@@ -1,5 +1,6 @@
 """TCP listener that serves each connection in its own task; socket options."""
 
+import select
 import socket
 from collections.abc import Awaitable
 from collections.abc import Callable
@@ -36,6 +37,12 @@
   sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2)
 
 
+def _is_readable(sock) -> bool:
+  poller = select.poll()
+  poller.register(sock.fileno(), select.POLLIN)
+  return bool(poller.poll(0))
+
+
 class Listener:
   """Listens on one address and serves each connection in its own task.
 
@@ -61,15 +68,21 @@
 
   async def _accept_loop(self):
     while True:
-      client, _ = await self._sock.accept()
-      no_delay(client)
-      await curio.spawn(self._serve, client, daemon=True)
+      await self._accept()
+
+  async def _accept(self):
+    client, _ = await self._sock.accept()
+    no_delay(client)
+    await curio.spawn(self._serve, client, daemon=True)
 
   async def close(self):
-    """Stops accepting connections."""
+    """Stops accepting connections, after those that wait to be accepted."""
     if self._accept_task is not None:
       await self._accept_task.cancel()
       self._accept_task = None
     if self._sock is not None:
+      # Closing would reset them, with the requests that they carry.
+      while _is_readable(self._sock):
+        await self._accept()
       await self._sock.close()
       self._sock = None
--- a/tests/test_httpio.py
+++ b/tests/test_httpio.py
@@ -1,3 +1,4 @@
+import contextlib
 import socket
 import threading
 import time
@@ -98,3 +99,28 @@
       await pool.request("GET", "/", timeout_s=0.05)
 
   curio.run(scenario)
+
+
+def test_requests_that_wait_to_be_accepted_are_answered_at_close():
+  address = ports.free_address()
+  request = b"GET /1 HTTP/1.1\r\nhost: a\r\n\r\n"
+
+  async def run() -> list[bytes]:
+    server = httpio.Server(address, hello)
+    await server.start()
+    await curio.sleep(0.01)
+    clients = [
+        socket.create_connection((address.host, address.port)) for _ in range(5)
+    ]
+    for client in clients:
+      client.sendall(request)
+    await server.close()
+    await curio.sleep(0.2)
+    answers = []
+    for client in clients:
+      client.settimeout(1.0)
+      with contextlib.closing(client), contextlib.suppress(ConnectionError):
+        answers.append(client.recv(12))
+    return answers
+
+  assert curio.run(run) == [b"HTTP/1.1 200"] * 5
