--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -17,15 +17,18 @@
 from tests.soak import run as run_lib
 
 REGRESSIONS = pathlib.Path(__file__).with_name("regressions.txt")
+_MODES = ("lossy", "partitions", "pauses")
 
 
 @click.command()
 @click.option("--seed", type=int, help="First seed; a fresh one by default.")
 @click.option("--seconds", default=20.0, help="How long faults begin.")
 @click.option("--seeds", default=1, help="Number of consecutive seeds.")
+@click.option("--size", default=1, help="Fleet, as a multiple of 4 hosts.")
 @click.option("--at-once", default=1, help="Number of soaks at a time.")
 @click.option("--lossy", is_flag=True, help="Only lossy paths, and bursts.")
 @click.option("--partitions", is_flag=True, help="Only partitions, and kills.")
+@click.option("--pauses", is_flag=True, help="Pauses, kills and an overload.")
 @click.option("--regressions", is_flag=True, help="Run the kept seeds.")
 @click.option("--quiet", is_flag=True, help="Print the verdict only.")
 @click.option(
@@ -35,7 +38,17 @@
     help="Where the folders of failed seeds go.",
 )
 def main(
-    seed, seconds, seeds, at_once, lossy, partitions, regressions, quiet, keep
+    seed,
+    seconds,
+    seeds,
+    size,
+    at_once,
+    lossy,
+    partitions,
+    pauses,
+    regressions,
+    quiet,
+    keep,
 ):
   """Soaks the real programs and prints which promises held."""
   signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(128 + number))
@@ -43,7 +56,8 @@
     seed = random.SystemRandom().randrange(1_000_000)
   numbers = range(seed, seed + seeds)
   plans = [
-      run_lib.Plan(number, seconds, lossy, partitions) for number in numbers
+      run_lib.Plan(number, seconds, lossy, partitions, pauses, size)
+      for number in numbers
   ]
   if regressions:
     plans = read_regressions()
@@ -58,7 +72,7 @@
   for line in REGRESSIONS.read_text().splitlines():
     if line and not line.startswith("#"):
       seed, seconds, mode, *_ = line.split()
-      modes = mode == "lossy", mode == "partitions"
+      modes = [mode == name for name in _MODES]
       plans.append(run_lib.Plan(int(seed), float(seconds), *modes))
   return plans
 
@@ -84,8 +98,10 @@
 
 
 def _modes(plan: run_lib.Plan) -> list[str]:
-  modes = {"lossy": plan.lossy_only, "partitions": plan.partitions}
-  return [mode for mode, is_chosen in modes.items() if is_chosen]
+  chosen = plan.lossy_only, plan.partitions, plan.pauses
+  return [
+      mode for mode, is_chosen in zip(_MODES, chosen, strict=True) if is_chosen
+  ]
 
 
 def format_verdict(plan: run_lib.Plan, verdict: checks.Verdict) -> str:
@@ -101,7 +117,7 @@
   def run(plan):
     command = [sys.executable, "-m", "tests.soak", "--quiet"]
     command += ["--seed", str(plan.seed), "--seconds", str(plan.seconds)]
-    command += ["--keep", str(keep.resolve())]
+    command += ["--keep", str(keep.resolve()), "--size", str(plan.size)]
     command += [f"--{mode}" for mode in _modes(plan)]
     return subprocess.run(command, cwd=deployments.ROOT, check=False).returncode
 
