A closing listener accepts no more than its backlog

Cause: found in review of the merge: under a flood of new connections the loop that accepts what waits need not end. Measured: tests/test_httpio.py and tests/test_link.py pass.

--- a/fescueturn/listener.py
+++ b/fescueturn/listener.py
@@ -17,6 +17,8 @@
 # The shortest period that TCP allows, so that an idle connection is found dead
 # within two seconds.
 KEEPALIVE_S = 1
+# The most connections that wait to be accepted.
+BACKLOG = 100
 
 
 def no_delay(sock):
@@ -62,7 +64,10 @@
   async def start(self):
     """Binds the address and starts accepting connections."""
     self._sock = curio.network.tcp_server_socket(
-        self._address.host, self._address.port, reuse_address=True
+        self._address.host,
+        self._address.port,
+        backlog=BACKLOG,
+        reuse_address=True,
     )
     self._accept_task = await curio.spawn(self._accept_loop, daemon=True)
 
@@ -81,8 +86,16 @@
       await self._accept_task.cancel()
       self._accept_task = None
     if self._sock is not None:
-      # Closing would reset them, with the requests that they carry.
-      while _is_readable(self._sock):
-        await self._accept()
+      await self._accept_waiting()
       await self._sock.close()
       self._sock = None
+
+  async def _accept_waiting(self):
+    """Accepts the connections that closing the socket would reset.
+
+    No more than could be waiting when it began, as more may be opened meanwhile.
+    """
+    for _ in range(BACKLOG):
+      if not _is_readable(self._sock):
+        return
+      await self._accept()
