A job isn't offered twice running to the last holder asked

Cause: the last holder asked to start a job at once declines it with its wait; the host then finds that this wait is the shortest and offers the job there again.

The last holder that may start a job at once is now told the shortest wait elsewhere (Offered.max_wait_ms) and queues the job if its own wait is no longer, as the host would have decided by its answer.

--- a/fescueturn/scheduler/decisions/shardchoice.py
+++ b/fescueturn/scheduler/decisions/shardchoice.py
@@ -2,7 +2,9 @@
 
 The inputs are the holders' room reports with their ages, and what they have
 answered to earlier offers of the job. A report only orders the holders: a job
-is refused only after each of them has declined it.
+is refused only after each of them has declined it. The last holder asked to
+start a job at once is told the shortest wait elsewhere, and queues the job if
+its own is no longer: it would only be offered the job again.
 """
 
 import dataclasses
@@ -23,6 +25,9 @@
 # the room for other jobs. For this long it isn't expected to start jobs of the
 # same queue at once: the time between two reports of a holder in use.
 CONTRADICTED_S = 0.1
+# The longest wait that an offer can name: the only holder that is left queues
+# the job if it can end in time.
+ANY_WAIT_MS = 2**32 - 1
 
 
 class Chance(enum.Enum):
@@ -85,12 +90,14 @@
 
   Attributes:
     shard: the shard.
-    immediate_only: True if the job is to be accepted only if it can start at
-      once.
+    immediate_only: True if the job is to be accepted only if it can start
+      within `max_wait_ms`.
     why: the reason in one word, for the logs.
     wait_ms: the expected wait there (ms); None if unknown.
     age_s: the age (s) of the report that it was chosen by; None without one.
     likely: True if that report shows room to start the job at once.
+    max_wait_ms: the shortest wait elsewhere (ms); 0 while another holder may
+      start the job at once.
   """
 
   shard: model.Shard
@@ -99,6 +106,7 @@
   wait_ms: int | None
   age_s: float | None
   likely: bool = False
+  max_wait_ms: int = 0
 
 
 def choose(demand: Demand, views: list[ShardView]) -> Choice | None:
@@ -108,21 +116,41 @@
     demand: what the job needs.
     views: the shards that haven't declined the job outright.
   """
+  if not views:
+    return None
   untried = [v for v in views if v.put_off_ms is None]
   chances = {v.shard: chance_at_once(demand, v) for v in untried}
   possible = [v for v in untried if chances[v.shard] is not Chance.NONE]
+  if not possible:
+    shortest = _shortest_wait(demand, views)
+    return _choice(demand, shortest, False, "shortest_wait")
+  view, why = _most_likely(demand, possible, chances)
+  choice = _choice(demand, view, True, why)
+  if len(possible) > 1:
+    return choice
+  others = [v for v in views if v.shard != view.shard]
+  return dataclasses.replace(choice, max_wait_ms=_wait_to_beat(demand, others))
+
+
+def _most_likely(
+    demand: Demand,
+    possible: list[ShardView],
+    chances: dict[model.Shard, Chance],
+) -> tuple[ShardView, str]:
+  """Returns the shard to ask for an immediate start, and the reason."""
   for view in possible:
     if view.local:
-      return _choice(demand, view, True, "own_data_centre")
+      return view, "own_data_centre"
   likely = [v for v in possible if chances[v.shard] is Chance.LIKELY]
   if likely:
-    return _choice(demand, _better_of_two(demand, likely), True, "room")
-  if possible:
-    view = min(possible, key=lambda v: _draw(demand, v))
-    return _choice(demand, view, True, "untried")
-  if not views:
-    return None
-  return _choice(demand, _shortest_wait(demand, views), False, "shortest_wait")
+    return _better_of_two(demand, likely), "room"
+  return min(possible, key=lambda v: _draw(demand, v)), "untried"
+
+
+def _wait_to_beat(demand: Demand, others: list[ShardView]) -> int:
+  """Returns the shortest wait (ms) at shards that can't start the job now."""
+  waits_ms = [expected_wait_ms(demand, view) for view in others]
+  return min([ANY_WAIT_MS, *waits_ms])
 
 
 def chance_at_once(demand: Demand, view: ShardView) -> Chance:
--- a/fescueturn/scheduler/jobdispatch.py
+++ b/fescueturn/scheduler/jobdispatch.py
@@ -94,7 +94,8 @@
 
 def _offer_by_choice(state, record, choice: shardchoice.Choice):
   is_local = choice.shard.data_centre == state.data_centre
-  if not (is_local and choice.immediate_only):
+  others_are_full = 0 < choice.max_wait_ms < shardchoice.ANY_WAIT_MS
+  if others_are_full or not (is_local and choice.immediate_only):
     state.room_wanted_until = state.now + ROOM_WANTED_S
   immediate_only = choice.immediate_only and not record.may_be_running
   offer(
@@ -172,6 +173,7 @@
           resumed,
           record.offer_count,
           immediate_only,
+          choice.max_wait_ms if choice else 0,
       ),
   )
 
@@ -194,6 +196,7 @@
       holder_heard_ms_ago=int((state.now - holder.last_contact_at) * 1000),
       offer=record.offer_count,
       chosen=choice.why if choice else "same_shard",
+      max_wait_ms=choice.max_wait_ms if choice else 0,
       expected_wait_ms=refusals.or_unknown(choice and choice.wait_ms),
       room_ms_ago=refusals.age_ms(choice and choice.age_s),
       may_have_begun=resumed,
--- a/fescueturn/scheduler/link.capnp
+++ b/fescueturn/scheduler/link.capnp
@@ -108,6 +108,8 @@
       resumed @9 :Bool;
       # True to decline the job if one of its tasks would have to wait.
       atOnce @17 :Bool;
+      # With atOnce: the longest wait for which the job is taken all the same.
+      maxWaitMs @53 :UInt32;
     }
     withdrawn @10 :Void;
     pong :group {
--- a/fescueturn/scheduler/linkcodec.py
+++ b/fescueturn/scheduler/linkcodec.py
@@ -106,6 +106,7 @@
   group.leftS = max(0.0, message.remaining_s)
   group.resumed = message.resumed
   group.atOnce = message.immediate_only
+  group.maxWaitMs = message.max_wait_ms
   job = message.job
   group.job.service = job.service
   group.job.spec = job.spec
@@ -332,6 +333,7 @@
       group.resumed,
       message.number,
       group.atOnce,
+      group.maxWaitMs,
   )
 
 
--- a/fescueturn/scheduler/linkmessages.py
+++ b/fescueturn/scheduler/linkmessages.py
@@ -45,7 +45,9 @@
       still active then belong to the job.
     number: distinguishes the offers of one job.
     immediate_only: True if the holder should accept the job only if none of
-      its tasks has to wait for capacity.
+      its tasks has to wait for capacity longer than `max_wait_ms`.
+    max_wait_ms: the shortest wait known elsewhere (ms); 0 while the job may
+      start at once elsewhere. A holder of an earlier version takes it for 0.
   """
 
   shard: model.Shard
@@ -56,6 +58,7 @@
   resumed: bool = False
   number: int = 0
   immediate_only: bool = False
+  max_wait_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/fescueturn/scheduler/offers.py
+++ b/fescueturn/scheduler/offers.py
@@ -58,13 +58,21 @@
   if offer.resumed or (owner.awaiting_endpoints and not owner.endpoints):
     return True
   forecast = forecast_lib.forecast(owner, offer)
-  must_wait = forecast.wait_s > IMMEDIATE_START_S
-  if forecast.late_s or (offer.immediate_only and must_wait):
+  if forecast.late_s or _waits_too_long(offer, forecast):
     _decline_by_forecast(owner, offer, forecast)
     return False
   return True
 
 
+def _waits_too_long(
+    offer: linkmessages.Offered, forecast: forecast_lib.Forecast
+) -> bool:
+  """Returns whether the job had better be offered elsewhere."""
+  if not offer.immediate_only or forecast.wait_s <= IMMEDIATE_START_S:
+    return False
+  return _to_ms(forecast.wait_s) > offer.max_wait_ms
+
+
 def recheck_admissions(owner: ownerstate.Owner):
   """Hands back jobs that can't be done in time by the listed endpoints.
 
@@ -86,9 +94,7 @@
     owner, offer: linkmessages.Offered, forecast: forecast_lib.Forecast
 ):
   in_time = not forecast.late_s
-  wait_ms = max(
-      1, int(1000 * (forecast.wait_s if in_time else forecast.late_s))
-  )
+  wait_ms = _to_ms(forecast.wait_s if in_time else forecast.late_s)
   owner.counters["put_off" if in_time else "declined"] += 1
   owner.emit(
       events.log(
@@ -113,6 +119,10 @@
   )
 
 
+def _to_ms(wait_s: float) -> int:
+  return max(1, int(1000 * wait_s))
+
+
 def decline(
     owner: ownerstate.Owner,
     offer: linkmessages.Offered,
--- a/tests/test_linkcodec.py
+++ b/tests/test_linkcodec.py
@@ -104,6 +104,7 @@
     linkmessages.RoomReported(ROOM, 12.5),
     linkmessages.RoomReported(room.RoomReport(), 0.0),
     linkmessages.Declined(KEY, 4, 95, in_time=True, room=ROOM),
+    linkmessages.Offered(SHARD, KEY, JOB, 0.25, 1.5, False, 9, True, 2**32 - 1),
 ]
 
 
--- a/tests/test_shardchoice.py
+++ b/tests/test_shardchoice.py
@@ -88,6 +88,25 @@
   assert (choice.shard, choice.immediate_only) == (asked[-1], False)
 
 
+@pytest.mark.parametrize(
+    "others, max_wait_ms",
+    [
+        ([view(B, put_off_ms=70), view(C, put_off_ms=40)], 40),
+        ([view(B, put_off_ms=70), view(C, 0)], 66),
+        ([view(B, put_off_ms=70), view(C)], 0),
+        ([view(B, put_off_ms=70), view(C, 0, age_s=0.3)], 0),
+        ([view(B, put_off_ms=70), view(C, 9)], 0),
+        ([], shardchoice.ANY_WAIT_MS),
+    ],
+)
+def test_only_the_last_holder_asked_is_told_the_wait_to_beat(
+    others, max_wait_ms
+):
+  choice = shardchoice.choose(DEMAND, [*others, view(LOCAL)])
+  assert (choice.shard, choice.immediate_only) == (LOCAL, True)
+  assert choice.max_wait_ms == max_wait_ms
+
+
 def test_hosts_with_the_same_reports_spread_their_jobs():
   views = [view(model.Shard(f"dc{n}"), 10) for n in range(6)]
   chosen = collections.Counter(
--- a/tests/test_shardroom.py
+++ b/tests/test_shardroom.py
@@ -190,6 +190,41 @@
   assert fleet.answers[request].answer.outcome is model.Outcome.DONE
 
 
+def test_last_holder_asked_is_not_offered_the_job_that_it_queues_again(
+    monkeypatch,
+):
+  monkeypatch.setattr(ownerroom, "report", lambda owner: None)
+  fleet = fleets.fleet()
+  for data_centre, run_s in (("a", 0.2), ("b", 0.1), ("c", 0.2)):
+    fill(fleet, data_centre, run_s)
+  fleet.clock.run_until(fleet.clock.now + 0.05)
+  request = fleet.submit("a0", fleets.job("last", 2, 200), [0.2] * 2)
+  fleet.clock.run_until(fleet.clock.now + 1.0)
+  asked = [line["data_centre"] for line in offers_by_job(fleet)["last"]]
+  assert asked == ["a", "c", "b"]
+  assert started_in(fleet, "last") == {"b"}
+  assert fleet.answers[request].answer.outcome is model.Outcome.DONE
+
+
+@pytest.mark.parametrize("jobs_per_s", (2, 60))
+def test_only_holder_is_offered_each_job_once(jobs_per_s):
+  """60 jobs a second are 1.8 times what one data centre's endpoints serve."""
+  fleet, report = load.simulate_fleet(
+      load.Plan(seed=1, seconds=3, jobs_per_s=jobs_per_s, data_centres=1)
+  )
+  assert report.broken == ()
+  assert count(fleet, "offers") == count(fleet, "jobs")
+
+
+def test_hosts_of_a_single_data_centre_ask_for_no_room_at_light_load():
+  fleet, _ = load.simulate_fleet(
+      load.Plan(seed=1, seconds=3, jobs_per_s=2, data_centres=1)
+  )
+  for host in fleet.hosts.values():
+    for holder in host.state.coordinator.holders.values():
+      assert holder.room.report is None
+
+
 def test_coordinator_of_an_earlier_version_gets_no_room_message():
   fleet = fleets.fleet()
   holder = fleets.owner_of(fleet, "a")
