--- a/fescueturn/scheduler/linkmessages.py
+++ b/fescueturn/scheduler/linkmessages.py
@@ -46,8 +46,9 @@
     number: distinguishes the offers of one job, also if it is submitted again;
       1 for the first.
     immediate_only: True if the holder should accept the job only if none of
-      its tasks has to wait for capacity.
-    repeated: True if the job was offered before, to any holder.
+      its tasks has to wait for capacity longer than `max_wait_ms`.
+    max_wait_ms: the shortest wait known elsewhere (ms); 0 while the job may
+      start at once elsewhere. A holder of an earlier version takes it for 0.
     at: the coordinator's clock (s) at sending; 0 if it doesn't say.
   """
 
@@ -59,7 +60,7 @@
   resumed: bool = False
   number: int = 0
   immediate_only: bool = False
-  repeated: bool = False
+  max_wait_ms: int = 0
   at: float = 0.0
 
 
