A coordinator whose messages seem old may send another before its jobs end

What callers would have seen since: a host was suspended for 0.8 s, so that its clock is behind; the first offers to a holder that it rarely pings counted as 0.8 s old, and at the holder's next tick all these jobs ended as unknown (504).

Cause: the second message shows that the coordinator is alive, but the jobs ended before it came.

Fix: jobs end once nothing was read of their coordinator for 0.15 s more, a ping period and a delay. Until then none of their tasks starts and no lease is extended for them, so that the time by which runs have ended is as before.

--- a/fescueturn/scheduler/owner.py
+++ b/fescueturn/scheduler/owner.py
@@ -55,7 +55,7 @@
 
 
 def _end_jobs_of_silent_coordinators(owner):
-  silent = [p for p in owner.last_contact if owner.is_silent(p)]
+  silent = [p for p in owner.last_contact if owner.is_dead(p)]
   for process in silent:
     del owner.last_contact[process]
     orphaned = [
--- a/fescueturn/scheduler/ownerstate.py
+++ b/fescueturn/scheduler/ownerstate.py
@@ -28,6 +28,10 @@
 # sends a ping every 100 ms. `endpointstate.LEASE_MS` explains how this timeout
 # and the lease add up.
 COORDINATOR_TIMEOUT_S = 0.35
+# How long a coordinator whose messages seem to be old has to send another one,
+# before its jobs end: a ping period and the delay of a busy host. Its host may
+# have been suspended, which the second message shows.
+NEXT_MESSAGE_S = 0.15
 # For this long a new holder accepts jobs before it knows what its endpoints are
 # running. The endpoint list takes 6 ms to arrive from the store and the
 # endpoints' answers take 2 ms, or 30 ms on a busy host.
@@ -258,6 +262,8 @@
     self.by_id: dict[str, JobRecord] = {}
     # When each coordinator sent its last message (s).
     self.last_contact: dict[linkmessages.HostProcess, float] = {}
+    # When each coordinator's last message was read (s).
+    self._last_read: dict[linkmessages.HostProcess, float] = {}
     # Coordinators that may be dead: it isn't known when the messages were sent
     # that were read right after a pause.
     self._unproven: set[linkmessages.HostProcess] = set()
@@ -358,6 +364,7 @@
       ages = self._message_ages.setdefault(process, messageage.MessageAges())
       age_s, gain_s = ages.record(sent_at, self.now), ages.clock_gain_s
     self.last_contact[process] = self.now - age_s
+    self._last_read[process] = self.now
     self.first_contacts.setdefault(process, self.now)
     return gain_s
 
@@ -370,6 +377,11 @@
     contact_at = self.last_contact.get(process)
     return contact_at is None or self.now - contact_at > COORDINATOR_TIMEOUT_S
 
+  def is_dead(self, process: linkmessages.HostProcess) -> bool:
+    """Returns whether a silent coordinator won't be heard any more."""
+    read_at = self._last_read.get(process, -math.inf)
+    return self.is_silent(process) and self.now - read_at > NEXT_MESSAGE_S
+
   def lacks_coordinator(self, job: JobRecord) -> bool:
     """Returns whether a job may run only if its coordinator speaks again."""
     process = job.key.process
--- a/tests/test_late_messages.py
+++ b/tests/test_late_messages.py
@@ -223,6 +223,24 @@
   assert answer.answer.outcome is model.Outcome.DONE
 
 
+@pytest.mark.parametrize("data_centre", ["a", "c"])
+def test_jobs_of_a_coordinator_that_was_suspended_are_served(data_centre):
+  """Its clock is behind, so that its first messages seem to be old."""
+  emulation = fleets.fleet()
+  emulation.clock.run_until(4.0)
+  owner = fleets.owner_of(emulation, data_centre)
+  coordinator = fleets.other_host(emulation, owner)
+  suspend(emulation, coordinator, 0.8)
+  requests = []
+  for number in range(12):
+    job = fleets.job(f"j{number}", 8, 60, 600)
+    submitted = emulation.submit(coordinator.name, job, [0.06] * 8, 3.0)
+    requests.append(submitted)
+  emulation.clock.run_until(6.0)
+  counts = fleets.count_outcomes(emulation, requests)
+  assert model.Outcome.UNKNOWN not in counts
+
+
 PING_S = 0.1
 # The clock of the sender shows this much more than that of the reader (s).
 CLOCK_AHEAD_S = 1000.0
