The burst of cancellations waits until its jobs are taken up

Cause: the test cancelled 30 jobs 0.5 s after it had sent them, and compared each acknowledgement with the job's answer. At a load of 25 to 47 on 16 cores some had not been taken up yet; a cancellation that comes first is answered without the job's id and tasks, as it has to be. Evidence: cancelling before the submission gives just that acknowledgement (a trial: job_id='', no tasks, JOB_CANCELLED), the one of the failed run. Change: the test waits for the hosts' own count of jobs instead; its checks are as before.

--- a/tests/test_entry_failures.py
+++ b/tests/test_entry_failures.py
@@ -1,6 +1,7 @@
 """Tests failures of real processes: kills, pauses, outages, races."""
 
 import signal
+import time
 
 import curio
 import pytest
@@ -19,6 +20,8 @@
 # A leaving endpoint gets no new task after "a few seconds": the host list lags
 # by LAG_S, entry hosts poll it every 0.5 s, and 1.5 s is margin.
 LEAVING_BOUND_S = LAG_S + 0.5 + 1.5
+# How long entry hosts may take to take up the jobs of a test.
+JOBS_TAKEN_UP_S = 10.0
 
 
 @pytest.fixture
@@ -76,6 +79,18 @@
   return None
 
 
+async def wait_for_jobs(lab, count: int):
+  """Waits until the entry hosts have taken up so many jobs."""
+  deadline = time.monotonic() + JOBS_TAKEN_UP_S
+  in_flight = 0
+  while in_flight < count:
+    assert time.monotonic() < deadline, f"{in_flight} of {count} jobs taken up"
+    await curio.sleep(0.05)
+    dumps = [(await lab.get(n, "/dump")).json() for n in lab.names("entry")]
+    states = [dump["state"] for dump in dumps]
+    in_flight = sum(s["jobs_in_flight"] - s["jobs_claiming"] for s in states)
+
+
 async def starts(lab):
   total = {}
   for name in lab.names("endpoint"):
@@ -378,7 +393,8 @@
         await curio.spawn(caller.submit, entry_pools[i % 2], j)
         for i, j in enumerate(jobs)
     ]
-    await curio.sleep(0.5)
+    # A cancellation that comes first is answered without the job's tasks.
+    await wait_for_jobs(cluster, len(jobs))
     cancels = [
         await curio.spawn(
             caller.cancel, entry_pools[(i + 1) % 2], j.team, j.key
