--- a/fescueturn/scheduler/endpointstate.py
+++ b/fescueturn/scheduler/endpointstate.py
@@ -31,10 +31,6 @@
 # its runs. A lost start request is carried out at most 12 s late.
 FORGET_S = 15.0
 
-# Names that `leases` and `offers` use.
-Run = endpointruns.Run
-RunState = endpointruns.RunState
-
 
 class EndpointRecord:
   """One endpoint as its owner sees it.
@@ -140,20 +136,6 @@
     """True if it is slow for a while, so that its runs are moved."""
     return self.speed.factor > endpointruns.SLOW_RATIO
 
-  @property
-  def unsaved_ends(self) -> set[int]:
-    """Numbers of ended runs that must be stored before it forgets them."""
-    return self.ended.unsaved
-
-  @property
-  def last_end_number(self) -> int:
-    """The highest number of an ended run that it has listed."""
-    return self.ended.last_number
-
-  @last_end_number.setter
-  def last_end_number(self, number: int):
-    self.ended.last_number = number
-
   @property
   def has_unsent_ack(self) -> bool:
     """True if ended runs that were saved haven't been acknowledged yet."""
@@ -164,20 +146,12 @@
     may_be_restarted = self.call_lost or self.restart_listed
     return self.ended.next_ack(bool(self.born_ms), may_be_restarted)
 
-  def record_heard_ack(self):
-    """Records that the last lease call was answered."""
-    self.ended.record_heard_ack()
-
   def update(self, info: model.Endpoint):
     """Applies what the platform lists of the endpoint now."""
     self.info = info
     self.listed = True
     self._update_free()
 
-  def late_starts(self, now: float) -> list[endpointruns.LateStart]:
-    """Returns the start requests that may still be carried out late."""
-    return self.unanswered_starts.recent(now)
-
   @property
   def restart_listed(self) -> bool:
     """True while a later incarnation is listed, which hasn't answered yet."""
@@ -259,18 +233,6 @@
     self.suspected_since = None
     self.calls_unanswered = 0
 
-  def clock_gain_ms(self, clock_ms: int | None, now: float) -> float:
-    """Returns by how much an answer's clock exceeds any that is possible."""
-    return self.lease.clock_gain_ms(clock_ms, now)
-
-  def cover_earlier_leases(self, clock_ms: int):
-    """Takes into account that earlier holders may have extended the lease."""
-    self.lease.cover_earlier(clock_ms)
-
-  def extend_lease(self, now: float) -> int | None:
-    """Extends the lease from now; returns its end, as `Lease.extend` does."""
-    return self.lease.extend(now)
-
   def is_idle(self, now: float) -> bool:
     """Returns whether it is to be called because its last answer is old."""
     return now - self.last_answer_at > IDLE_CALL_PERIOD_S
@@ -310,14 +272,6 @@
     if self.silent_since is None:
       self.silent_since = now
 
-  def back_off(self, now: float):
-    """Excludes the endpoint from new tasks for the backoff time."""
-    self.exclusion.back_off(now)
-
-  def exclude_until(self, until: float):
-    """Excludes the endpoint from new tasks until a time (s)."""
-    self.exclusion.exclude_until(until)
-
   def delay_next_call(self, now: float):
     """Delays the next lease call after a failed one.
 
--- a/fescueturn/scheduler/leases.py
+++ b/fescueturn/scheduler/leases.py
@@ -6,6 +6,7 @@
 
 from fescueturn.scheduler import crashes
 from fescueturn.scheduler import endpointlist
+from fescueturn.scheduler import endpointruns
 from fescueturn.scheduler import endpointstate
 from fescueturn.scheduler import events
 from fescueturn.scheduler import model
@@ -93,7 +94,7 @@
     if record is None:
       record = endpointstate.EndpointRecord(info, owner.now)
       if owner.roster.must_delay_join(name, owner.now):
-        record.exclude_until(owner.now + roster.JOIN_DELAY_S)
+        record.exclusion.exclude_until(owner.now + roster.JOIN_DELAY_S)
       leaving.record_entry(record, info, owner.now)
       owner.endpoints[name] = record
       owner.emit(ownerstate.endpoint_log("endpoint_seen", record))
@@ -138,7 +139,7 @@
     return
   since_call_s = owner.now - record.call_sent_at
   if (
-      record.unsaved_ends
+      record.ended.unsaved
       and since_call_s < endpointstate.UNSAVED_CALL_INTERVAL_S
   ):
     return
@@ -186,7 +187,7 @@
   belong to jobs that are not known here yet or whose coordinator is silent,
   since it may be dead, and that of an endpoint with a run that must end.
   """
-  return record.extend_lease(owner.now) if _extends(owner, record) else None
+  return record.lease.extend(owner.now) if _extends(owner, record) else None
 
 
 def _extends(owner, record) -> bool:
@@ -198,7 +199,7 @@
   )
 
 
-def _lacks_coordinator(owner, run: endpointstate.Run) -> bool:
+def _lacks_coordinator(owner, run: endpointruns.Run) -> bool:
   job = owner.by_id.get(run.id.task.job_id)
   return job is not None and owner.lacks_coordinator(job)
 
@@ -269,11 +270,11 @@
   The earlier incarnation would have refused a second copy of the request, or
   one whose run was stopped; this one knows of neither.
   """
-  for late in record.late_starts(owner.now):
+  for late in record.unanswered_starts.recent(owner.now):
     run = record.runs.get(late.run)
     if run is None:
-      state = endpointstate.RunState.UNSURE
-      run = endpointstate.Run(late.run, late.need, state, owner.now)
+      state = endpointruns.RunState.UNSURE
+      run = endpointruns.Run(late.run, late.need, state, owner.now)
       record.add(run)
     runcontrol.stop_possible_run(owner, record, run)
 
@@ -311,7 +312,7 @@
 
   The host's own clock may not count the time for which it was suspended.
   """
-  gain_ms = record.clock_gain_ms(clock_ms, owner.now)
+  gain_ms = record.lease.clock_gain_ms(clock_ms, owner.now)
   record.update_clock(clock_ms, owner.now)
   if gain_ms > SUSPENDED_MIN_MS:
     _handle_suspension(owner)
@@ -320,14 +321,14 @@
 def _handle_run_lists(owner, record, event: events.LeaseAnswered):
   first_report = not record.runs_known
   if first_report and event.clock_ms is not None:
-    record.cover_earlier_leases(event.clock_ms)
+    record.lease.cover_earlier(event.clock_ms)
   record.runs_known = True
-  record.record_heard_ack()
+  record.ended.record_heard_ack()
   for job in crashes.settle_losses(owner, record):
     outcomes.end_job_if_finished(owner, job)
   for ended in event.ended:
-    if ended.number > record.last_end_number:
-      record.last_end_number = ended.number
+    if ended.number > record.ended.last_number:
+      record.ended.last_number = ended.number
       outcomes.handle_listed_end(owner, record, ended)
   listed = {r.run for r in event.running}
   progressed = [
@@ -357,18 +358,18 @@
 
 def _update_listed_run(
     owner, record, running: model.ActiveRun
-) -> endpointstate.Run | None:
+) -> endpointruns.Run | None:
   """Updates a run as listed; returns it if it has progressed."""
   run = record.runs.get(running.run)
   if run is None:
-    run = endpointstate.Run(
-        running.run, None, endpointstate.RunState.RUNNING, owner.now
+    run = endpointruns.Run(
+        running.run, None, endpointruns.RunState.RUNNING, owner.now
     )
     run.listed_from_call = record.call_number
     record.add(run)
     adopt_run(owner, record, run)
-  elif run.state is endpointstate.RunState.ORDERED:
-    run.state = endpointstate.RunState.RUNNING
+  elif run.state is endpointruns.RunState.ORDERED:
+    run.state = endpointruns.RunState.RUNNING
     run.listed_from_call = record.call_number
   _log_duplicate(owner, record, run)
   if running.percent <= run.percent:
@@ -378,7 +379,7 @@
   return run
 
 
-def _log_duplicate(owner, record, run: endpointstate.Run):
+def _log_duplicate(owner, record, run: endpointruns.Run):
   """Logs once that an endpoint runs a task that has another run or is done."""
   job = owner.by_id.get(run.id.task.job_id)
   task = job.tasks.get(run.id.task) if job else None
@@ -404,7 +405,7 @@
   )
 
 
-def adopt_run(owner, record, run: endpointstate.Run):
+def adopt_run(owner, record, run: endpointruns.Run):
   """Assigns a run found at an endpoint to its task, if its job is known."""
   job = owner.by_id.get(run.id.task.job_id)
   if job is None:
@@ -434,7 +435,7 @@
   elif result is model.CallResult.NO_ANSWER:
     _handle_lost_lease_call(owner, record)
   else:
-    record.back_off(owner.now)
+    record.exclusion.back_off(owner.now)
     record.delay_next_call(owner.now)
 
 
@@ -481,7 +482,7 @@
   if record.silent_since is None:
     owner.emit(ownerstate.endpoint_log("endpoint_silent", record))
   record.mark_silent(owner.now)
-  record.back_off(owner.now)
+  record.exclusion.back_off(owner.now)
   record.delay_next_call(owner.now)
 
 
--- a/fescueturn/scheduler/offers.py
+++ b/fescueturn/scheduler/offers.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from fescueturn.scheduler import endpointstate
+from fescueturn.scheduler import endpointruns
 from fescueturn.scheduler import events
 from fescueturn.scheduler import forecast as forecast_lib
 from fescueturn.scheduler import leases
@@ -252,13 +252,13 @@
 
 
 def _adopt_or_await(
-    owner, job: ownerstate.JobRecord, record, run: endpointstate.Run
+    owner, job: ownerstate.JobRecord, record, run: endpointruns.Run
 ):
   task = job.tasks.get(run.id.task)
   if task is None:
     return
   task.attempt = max(task.attempt, run.id.attempt)
-  if run.need is None and run.state is endpointstate.RunState.RUNNING:
+  if run.need is None and run.state is endpointruns.RunState.RUNNING:
     leases.adopt_run(owner, record, run)
   elif not run.abandoned:
     # It is being stopped, and the next run of the task waits for its end.
--- a/fescueturn/scheduler/runcontrol.py
+++ b/fescueturn/scheduler/runcontrol.py
@@ -106,7 +106,7 @@
 def _start_task(
     owner, job: ownerstate.JobRecord, task: ownerstate.TaskRecord, record
 ):
-  deadline_ms = record.extend_lease(owner.now)
+  deadline_ms = record.lease.extend(owner.now)
   task.attempt += 1
   run_id = model.RunId(task.task, task.attempt)
   run = endpointruns.Run(
@@ -160,7 +160,7 @@
     return False
   run.sends += 1
   run.sent_at = owner.now
-  run.deadline_ms = record.extend_lease(owner.now)
+  run.deadline_ms = record.lease.extend(owner.now)
   owner.emit(
       events.StartRun(
           record.info, run.id, job.job.spec, run.deadline_ms, owner.fence
