Logs: where and when the tasks of a job were started

Change: job_begun names its runs (step.task:attempt@endpoint) and how long before the coordinator was heard from; tasks_started does so for the further ones. One line for each batch of a job's starts, as before for the first.

--- a/fescueturn/explain.py
+++ b/fescueturn/explain.py
@@ -30,7 +30,13 @@
         " wider jobs"
     ),
     "job_begun": (
-        "its first task was started, {waited_ms} ms after the job arrived"
+        "its first tasks were started (task:attempt@endpoint): {runs},"
+        " {waited_ms} ms after the job arrived and {coordinator_heard_ms_ago} ms"
+        " after its coordinator's last message"
+    ),
+    "tasks_started": (
+        "further tasks were started (task:attempt@endpoint): {runs},"
+        " {coordinator_heard_ms_ago} ms after its coordinator's last message"
     ),
     "job_answered": (
         "its caller was answered '{outcome}' after {age_ms} ms: {reason}"
--- a/fescueturn/scheduler/runcontrol.py
+++ b/fescueturn/scheduler/runcontrol.py
@@ -34,15 +34,43 @@
       continue
     if owner.must_hold_back(job):
       continue
-    for task in list(job.waiting):
-      if task.previous_run is not None or crashes.blocks_start(
-          owner, job, task
-      ):
-        continue
-      record = _choose_endpoint(owner, job, task)
-      if record is None:
-        break
-      _start_task(owner, job, task, record)
+    _start_tasks(owner, job)
+
+
+def _start_tasks(owner: ownerstate.Owner, job: ownerstate.JobRecord):
+  """Starts as many of a job's waiting tasks as there is capacity for."""
+  is_first = not job.begun
+  started = []
+  for task in list(job.waiting):
+    if task.previous_run is not None or crashes.blocks_start(owner, job, task):
+      continue
+    record = _choose_endpoint(owner, job, task)
+    if record is None:
+      break
+    _start_task(owner, job, task, record)
+    started.append(task)
+  if started:
+    owner.emit(_start_log(owner, job, started, is_first))
+
+
+def _start_log(owner, job, started: list[ownerstate.TaskRecord], is_first):
+  """Returns the log line of started tasks: each with attempt and endpoint."""
+  heard_at = owner.last_contact.get(job.key.process)
+  heard_ms = "unknown"
+  if heard_at is not None:
+    heard_ms = int((owner.now - heard_at) * 1000)
+  return events.log(
+      "job_begun" if is_first else "tasks_started",
+      job=job.job.id,
+      coordinator=job.key.process.host,
+      waited_ms=int((owner.now - job.arrived) * 1000),
+      fence=owner.fence,
+      coordinator_heard_ms_ago=heard_ms,
+      runs=",".join(
+          f"{t.task.step}.{t.task.index}:{t.attempt}@{t.endpoint}"
+          for t in started
+      ),
+  )
 
 
 def _choose_endpoint(
@@ -122,18 +150,7 @@
   task.state = ownerstate.TaskState.ACTIVE
   task.run = run_id
   task.endpoint = record.info.id
-  if not job.begun:
-    job.begun = True
-    waited_ms = int((owner.now - job.arrived) * 1000)
-    owner.emit(
-        events.log(
-            "job_begun",
-            job=job.job.id,
-            coordinator=job.key.process.host,
-            waited_ms=waited_ms,
-            fence=owner.fence,
-        )
-    )
+  job.begun = True
   owner.counters["starts"] += 1
   owner.emit(
       events.StartRun(
