Callers that have left are neither served nor vouched for

The caller had left 0.44 s before its host read its request; the host offered the job, and its pings kept it alive, until it read the close 0.16 s later; the caller came back 1.3 s after it had left.

Cause: the kernel knows of a close as it arrives; the process read it behind the requests and other input that had arrived before, which takes any time on a busy machine. What it sent in between (offers, pings) vouched for the job.

Change: a request is read only if its connection is still open (POLLRDHUP, which unread input doesn't hide); each tick checks all waiting callers' connections with one call before it pings; pings and offers carry the time of that check rather than of their sending, by which holders already judge how long they may start tasks and extend leases.

--- a/fescueturn/codes.py
+++ b/fescueturn/codes.py
@@ -63,6 +63,7 @@
   UNREACHABLE = 500
   REPLY_LOST = 501
   NOT_LOGGED = 502
+  CALLER_GONE = 503
 
 
 class Ran(enum.Enum):
--- a/fescueturn/explain.py
+++ b/fescueturn/explain.py
@@ -65,6 +65,9 @@
     "cancel_answered": "the cancellation was answered '{outcome}': {reason}",
     "job_unserved": "refused: {why}",
     "job_malformed": "rejected as malformed: {why}",
+    "request_abandoned": (
+        "its caller had disconnected before the request was read"
+    ),
     "caller_gone": "its caller disconnected after {age_ms} ms",
     "run_adopted": (
         "task {step}.{task} was found running on {endpoint} and taken over"
--- a/fescueturn/httpio.py
+++ b/fescueturn/httpio.py
@@ -9,7 +9,6 @@
 import functools
 import json
 import select
-import socket
 from collections.abc import Awaitable
 from collections.abc import Callable
 from typing import Any
@@ -17,6 +16,7 @@
 import curio
 import h11
 
+from fescueturn import closewatch
 from fescueturn import codes
 from fescueturn import errors
 from fescueturn import listener
@@ -30,17 +30,26 @@
 # validation of the head takes 40 us of the 260 us that a call costs.
 REQUEST_HEAD_CACHE_SIZE = 2048
 # How often a connection with pipelined input is checked for a disconnect.
-PEEK_PERIOD_S = 0.2
+POLL_PERIOD_S = 0.2
 
 
 @dataclasses.dataclass(frozen=True)
 class Request:
-  """An HTTP request with its complete body; header names are in lower case."""
+  """An HTTP request with its complete body; header names are in lower case.
+
+  Attributes:
+    method: the method.
+    target: the request's target.
+    headers: the headers.
+    body: the body.
+    fileno: the socket that a server read it from; None for a client's request.
+  """
 
   method: str
   target: str
   headers: dict[str, str]
   body: bytes = b""
+  fileno: int | None = None
 
   def json(self) -> Any:
     """Returns the body parsed as JSON; raises ValueError if it is invalid."""
@@ -137,7 +146,11 @@
     if len(body) > max_body:
       raise h11.RemoteProtocolError("body too large", error_status_hint=413)
   return Request(
-      event.method.decode(), event.target.decode(), headers, bytes(body)
+      event.method.decode(),
+      event.target.decode(),
+      headers,
+      bytes(body),
+      sock.fileno(),
   )
 
 
@@ -156,10 +169,10 @@
   """Waits until the other side has closed the connection."""
   while True:
     await curio.traps._read_wait(sock.fileno())
-    if not await sock.recv(1, socket.MSG_PEEK):
+    if closewatch.is_closed(sock.fileno()):
       return
-    # Unread pipelined input hides the end of the stream, so poll.
-    await curio.sleep(PEEK_PERIOD_S)
+    # Unread pipelined input keeps the socket readable, so poll.
+    await curio.sleep(POLL_PERIOD_S)
 
 
 async def _handle_unless_closed(sock, handler: Handler, request: Request):
--- a/fescueturn/platform/callers.py
+++ b/fescueturn/platform/callers.py
@@ -232,7 +232,15 @@
       )
       return _error(400, exc.code, str(exc))
     began = self._now()
-    answer = await self._host.submit(job, _deadline_s(request), request_id)
+    try:
+      answer = await self._host.submit(
+          job, _deadline_s(request), request_id, request.fileno
+      )
+    except host_lib.CallerGoneError as exc:
+      logger.info(
+          "event=request_abandoned job={} request={}", job_id, request_id
+      )
+      return _refusal(503, exc.code, str(exc))
     self._metrics.observe_job(
         queue.name, answer.outcome.value, self._now() - began
     )
--- a/fescueturn/scheduler/coordinator.py
+++ b/fescueturn/scheduler/coordinator.py
@@ -440,8 +440,14 @@
   record.orphaned_at = record.orphaned_at or state.now
 
 
-def tick(state: coordinatorstate.Coordinator):
-  """Pings holders and checks the timeouts of holders, queries and jobs."""
+def tick(state: coordinatorstate.Coordinator, callers_seen_at: float):
+  """Pings holders and checks the timeouts of holders, queries and jobs.
+
+  Args:
+    state: the coordinator's state.
+    callers_seen_at: when the callers' connections were last checked (s).
+  """
+  state.callers_seen_at = callers_seen_at
   jobdispatch.forget_withdrawals(state, lambda w: w.until < state.now)
   state.expire_last_offers()
   _ping(state)
@@ -506,7 +512,7 @@
           linkmessages.Ping(
               shard,
               state.me,
-              state.now,
+              state.callers_seen_at,
               roster,
               can_hold,
               () if is_local else suspects,
--- a/fescueturn/scheduler/coordinatorstate.py
+++ b/fescueturn/scheduler/coordinatorstate.py
@@ -192,6 +192,9 @@
     self.data_centre = data_centre
     self.evacuations = evacuations
     self.now = 0.0
+    # When the callers' connections were last checked (s): the callers of this
+    # host's jobs waited then.
+    self.callers_seen_at = 0.0
     # True while this host has the CPU to hold a shard and isn't draining.
     self.can_hold = False
     # True once this host is being shut down.
--- a/fescueturn/scheduler/events.py
+++ b/fescueturn/scheduler/events.py
@@ -181,7 +181,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class Tick:
-  """The timer service ticked."""
+  """The timer service ticked.
+
+  Attributes:
+    callers_seen_at: when the callers' connections were last checked (s); those
+      that were closed have been reported. None if that is now.
+  """
+
+  callers_seen_at: float | None = None
 
 
 @dataclasses.dataclass(frozen=True)
--- a/fescueturn/scheduler/host.py
+++ b/fescueturn/scheduler/host.py
@@ -16,6 +16,9 @@
 import curio
 from loguru import logger
 
+from fescueturn import closewatch
+from fescueturn import codes
+from fescueturn import errors
 from fescueturn import settings
 from fescueturn import timer
 from fescueturn.scheduler import events
@@ -79,6 +82,12 @@
   ]
 
 
+class CallerGoneError(errors.FescueError):
+  """The caller has closed its connection; nothing of its job was started."""
+
+  code = codes.Code.CALLER_GONE
+
+
 class _Waiter:
   """A caller's request that waits for an answer."""
 
@@ -107,6 +116,7 @@
     self._server = link.LinkServer(link_address, self._on_coordinator_message)
     self._links: dict[settings.Address, link.Link] = {}
     self._waiters: dict[int, _Waiter] = {}
+    self._close_watch = closewatch.CloseWatch()
     self._next_request = 1
     self._owns_shard = False
     self._effects: collections.deque[events.Effect] = collections.deque()
@@ -188,7 +198,11 @@
       await self._ports.on_ownership_change(self._owns_shard)
 
   async def submit(
-      self, job: model.Job, deadline_s: float, trace_id: str = ""
+      self,
+      job: model.Job,
+      deadline_s: float,
+      trace_id: str = "",
+      fileno: int | None = None,
   ) -> events.Answer:
     """Runs a job and returns its answer.
 
@@ -198,9 +212,16 @@
       job: what to run.
       deadline_s: how long the caller waits, in seconds from now.
       trace_id: the caller's own id for the request.
+      fileno: the socket of the caller's connection, if there is one.
+
+    Raises:
+      CallerGoneError: the caller has disconnected; nothing of the job ran.
     """
+    if fileno is not None and closewatch.is_closed(fileno):
+      raise CallerGoneError(f"job {job.id}: its caller has disconnected")
     return await self._request(
-        lambda i: events.JobArrived(i, job, deadline_s, trace_id)
+        lambda i: events.JobArrived(i, job, deadline_s, trace_id),
+        fileno,
     )
 
   async def query_kept_job(
@@ -231,16 +252,21 @@
     )
 
   async def _request(
-      self, make_event: Callable[[int], events.Event]
+      self,
+      make_event: Callable[[int], events.Event],
+      fileno: int | None = None,
   ) -> events.Answer:
     """Applies the event of a new request and waits for the answer.
 
     Args:
       make_event: makes the event, given the request's number.
+      fileno: the socket of the caller's connection, if it is to be watched.
     """
     request_id = self._next_request
     self._next_request += 1
     waiter = self._waiters[request_id] = _Waiter()
+    if fileno is not None:
+      self._close_watch.add(fileno, request_id)
     try:
       await self.apply(make_event(request_id))
       await waiter.done.wait()
@@ -249,6 +275,8 @@
       raise
     finally:
       del self._waiters[request_id]
+      if fileno is not None:
+        self._close_watch.remove(fileno)
     return waiter.answer
 
   async def cancel(self, job_id: str):
@@ -282,8 +310,10 @@
     }
 
   async def _tick(self, now: float):
-    del now
-    await self.apply(events.Tick())
+    # A ping tells holders that the callers of this host's jobs still wait.
+    for request_id in self._close_watch.closed_requests():
+      await self.apply(events.CallerGone(request_id))
+    await self.apply(events.Tick(now))
     slow = self._slow_events.take_report()
     if slow is not None:
       await write_log(slow)
--- a/fescueturn/scheduler/jobdispatch.py
+++ b/fescueturn/scheduler/jobdispatch.py
@@ -179,7 +179,7 @@
           record.offer_number,
           immediate_only,
           choice.max_wait_ms if choice else 0,
-          state.now,
+          state.callers_seen_at,
       ),
   )
 
--- a/fescueturn/scheduler/linkmessages.py
+++ b/fescueturn/scheduler/linkmessages.py
@@ -49,7 +49,8 @@
       its tasks has to wait for capacity longer than `max_wait_ms`.
     max_wait_ms: the shortest wait known elsewhere (ms); 0 while the job may
       start at once elsewhere. A holder of an earlier version takes it for 0.
-    at: the coordinator's clock (s) at sending; 0 if it doesn't say.
+    at: when the coordinator last checked that its callers were connected, on
+      its clock (s); 0 if it doesn't say.
   """
 
   shard: model.Shard
@@ -102,7 +103,8 @@
   Attributes:
     shard: the shard whose holder gets the heartbeat.
     process: the coordinator.
-    at: the coordinator's clock (s) at sending; echoed in the `Pong`.
+    at: when the coordinator last checked that its callers were connected, on
+      its clock (s); echoed in the `Pong`.
     roster: the version of the holder's roster that the coordinator has; 0 for
       none; None to request no roster.
     can_hold: True if the coordinator's host could own the shard: it is in the
--- a/fescueturn/scheduler/reducer.py
+++ b/fescueturn/scheduler/reducer.py
@@ -258,8 +258,8 @@
 
 
 def _on_tick(state, event: events.Tick) -> list:
-  del event
-  coordinator.tick(state.coordinator)
+  seen_at = event.callers_seen_at
+  coordinator.tick(state.coordinator, state.now if seen_at is None else seen_at)
   for owner in state.owners.values():
     _use_inherited_list(owner)
     owner_lib.tick(owner)
--- a/tests/test_departed_callers.py
+++ b/tests/test_departed_callers.py
@@ -1,14 +1,156 @@
 """Jobs whose callers have left, and may have sent them to another host."""
 
+import json
+import socket
+import time
+
+import curio
+
+from fescueturn import httpio
+from fescueturn import settings
+from fescueturn import timer
+from fescueturn.platform import callers
 from fescueturn.scheduler import events
+from fescueturn.scheduler import host as host_lib
+from fescueturn.scheduler import hostmetrics
+from fescueturn.scheduler import linkmessages
 from fescueturn.scheduler import model
+from fescueturn.scheduler import reducer
 from fescueturn.scheduler import runcontrol
+from fescueturn.scheduler import state as state_lib
 from tests import fleets
 
+SHARD = model.Shard("a")
+ME = linkmessages.HostProcess("host-1", "boot-1")
+HOLDER = model.Holder("host-2", "b", settings.Address("127.0.0.1", 9), 5)
+QUEUE = model.Queue("r0", "h", "/a/", "s", 3, 1.6, 60, 1500)
+BODY = json.dumps(
+    {
+        "bestEffort": True,
+        "spec": "x",
+        "phases": [{"taskCount": 1, "cpu": 1, "memMb": 1, "estimateMs": 900}],
+    }
+).encode()
+
+
+class Host:
+  """A host with its interface for callers, and a holder that never answers."""
+
+  def __init__(self):
+    self.clock = timer.TimerService(3600.0)
+    ports = host_lib.Ports(*[self._ignore] * 10)
+    me = state_lib.HostIdentity(ME, "a", (SHARD,))
+    address = settings.Address("127.0.0.1", 0)
+    self.scheduler = host_lib.SchedulerHost(me, address, ports, self.clock)
+    self.state = self.scheduler.state.coordinator
+    metrics = hostmetrics.HostMetrics(self.scheduler.state)
+    self._callers = callers.CallerHttp(
+        self.scheduler, self.clock.now, metrics, None
+    )
+    self._callers.set_config(model.Config(1, (QUEUE,)))
+    self._listener = socket.create_server(("127.0.0.1", 0))
+    self.address = self._listener.getsockname()
+    self._listener.close()
+    self._server = httpio.Server(
+        settings.Address(*self.address),
+        self._callers.handle,
+        limits=self._callers.limits,
+    )
+
+  async def _ignore(self, *args):
+    del args
+
+  async def start(self):
+    self.clock.subscribe(self.scheduler._tick)
+    await self._server.start()
+    await self.scheduler.apply(events.HolderChanged(SHARD, HOLDER))
+
+  async def close(self):
+    await self._server.close()
+    await self.scheduler.close()
+
+  def send(self, job_id: str) -> socket.socket:
+    """Sends a job from a caller; returns its connection."""
+    head = (
+        f"POST /a/{job_id} HTTP/1.1\r\nhost: h\r\ndeadline-ms: 3000\r\n"
+        f"content-length: {len(BODY)}\r\n\r\n"
+    )
+    connection = socket.create_connection(self.address)
+    connection.sendall(head.encode() + BODY)
+    return connection
+
+
+def run_with_host(scenario):
+  async def run():
+    host = Host()
+    await host.start()
+    try:
+      await scenario(host)
+    finally:
+      await host.close()
+
+  curio.run(run)
+
+
+def test_requests_read_after_their_callers_have_left_are_not_offered():
+  async def scenario(host):
+    for number in range(20):
+      host.send(f"{number:016x}").close()
+    time.sleep(0.1)  # The process waits for a processor.
+    await curio.sleep(0.3)
+    assert not host.state.counters["offers"]
+    assert not host.state.jobs
+
+  run_with_host(scenario)
+
+
+def test_callers_that_left_during_a_pause_are_not_vouched_for_after_it():
+  async def scenario(host):
+    connections = [host.send(f"{number:016x}") for number in range(5)]
+    await curio.sleep(0.2)
+    assert len(host.state.jobs) == 5
+    for connection in connections[1:]:
+      connection.close()
+    time.sleep(0.1)  # The process waits for a processor.
+    await host.clock.fire()
+    assert list(host.state.jobs) == ["0" * 16]
+
+  run_with_host(scenario)
+
+
+def test_input_behind_a_request_does_not_hide_that_its_caller_left():
+  async def scenario(host):
+    connection = host.send("1" * 16)
+    await curio.sleep(0.1)
+    assert host.state.jobs
+    connection.sendall(b"GET /a/ HTTP/1.1\r\n")
+    connection.close()
+    await curio.sleep(0.5)
+    assert not host.state.jobs
+    assert not host.scheduler.dump()["waiting_requests"]
+
+  run_with_host(scenario)
+
+
+def test_pings_and_offers_tell_when_callers_were_last_seen():
+  """The process may wait for a processor after it has checked them."""
+  state = state_lib.HostState(state_lib.HostIdentity(ME, "a", (SHARD,)))
+  job = fleets.job("j", 1, 900)
+  reducer.reduce(state, events.HolderChanged(SHARD, HOLDER), 5.0)
+  effects = reducer.reduce(state, events.Tick(5.0), 5.4)
+  effects += reducer.reduce(state, events.JobArrived(1, job, 3.0), 5.41)
+  effects += reducer.reduce(state, events.Tick(5.45), 5.85)
+  sent = [e.message for e in effects if isinstance(e, events.SendToHolder)]
+  assert [(type(m), m.at) for m in sent] == [
+      (linkmessages.Ping, 5.0),
+      (linkmessages.Offered, 5.0),
+      (linkmessages.Ping, 5.45),
+  ]
+
 
 def test_log_of_started_tasks_names_endpoints_and_the_coordinators_silence():
   emulation = fleets.fleet()
-  owner = fleets.owner_of(emulation, "a").state.owners[model.Shard("a")]
+  owner = fleets.owner_of(emulation, "a").state.owners[SHARD]
   emulation.submit("a1", fleets.job("j1", 2, 900), [0.9] * 2, 3.0)
   emulation.clock.run_until(1.2)
   (job,) = owner.jobs.values()
