--- a/fescueturn/platform/callers.py
+++ b/fescueturn/platform/callers.py
@@ -237,6 +237,7 @@
           job, _deadline_s(request), request_id, request.fileno
       )
     except host_lib.CallerGoneError as exc:
+      self._metrics.observe_job(queue.name, "abandoned", 0.0)
       logger.info(
           "event=request_abandoned job={} request={}", job_id, request_id
       )
--- a/tests/test_departed_callers.py
+++ b/tests/test_departed_callers.py
@@ -43,9 +43,9 @@
     address = settings.Address("127.0.0.1", 0)
     self.scheduler = host_lib.SchedulerHost(me, address, ports, self.clock)
     self.state = self.scheduler.state.coordinator
-    metrics = hostmetrics.HostMetrics(self.scheduler.state)
+    self.metrics = hostmetrics.HostMetrics(self.scheduler.state)
     self._callers = callers.CallerHttp(
-        self.scheduler, self.clock.now, metrics, None
+        self.scheduler, self.clock.now, self.metrics, None
     )
     self._callers.set_config(model.Config(1, (QUEUE,)))
     self._listener = socket.create_server(("127.0.0.1", 0))
@@ -100,6 +100,9 @@
     await curio.sleep(0.3)
     assert not host.state.counters["offers"]
     assert not host.state.jobs
+    abandoned = b'count{outcome="abandoned",queue="r0"} '
+    (line,) = [x for x in host.metrics.render().splitlines() if abandoned in x]
+    assert line.endswith(b" 20.0")
 
   run_with_host(scenario)
 
