After a pause, jobs are offered once their callers were checked

What callers saw: nothing so far; found by review. A host that stood still for 0.2 s or more offers no job for 20 ms. After that it offered jobs again before its next tick, which on a busy host comes later, behind the requests that had arrived.

Cause: offers were resumed by the clock rather than by the check of the callers' connections, and such an offer carries the time of the check before the pause. Its holder takes the job for one whose caller was last seen then, and starts nothing until the next ping; if it is the first that it hears of the coordinator, the next ping seems to show that the holder itself was suspended (the clocks' difference drops by over 0.2 s), so that it stops serving all coordinators for a while.

Change: offers resume in the first tick after the 20 ms.

--- a/fescueturn/scheduler/coordinator.py
+++ b/fescueturn/scheduler/coordinator.py
@@ -183,7 +183,8 @@
 
 def _resume_offers(state: coordinatorstate.Coordinator):
   """Offers the jobs that a pause of this process has held up."""
-  if state.offers_paused_until is None or state.offers_paused:
+  until = state.offers_paused_until
+  if until is None or state.now < until:
     return
   state.offers_paused_until = None
   offer_held_jobs(state)
--- a/fescueturn/scheduler/coordinatorstate.py
+++ b/fescueturn/scheduler/coordinatorstate.py
@@ -38,9 +38,9 @@
 # hosts. This is longer than most changes of holder take (0.1 to 0.8 s) and
 # short compared with a network partition of 5 s.
 UNSERVED_S = 1.0
-# After a pause of this process no job is offered for this long, in which it
-# reads some hundred requests that arrived meanwhile, and which of their callers
-# have disconnected since and may have sent their jobs elsewhere.
+# After a pause of this process no job is offered for at least this long, in
+# which it reads some hundred requests that arrived meanwhile, and which of their
+# callers have disconnected since and may have sent their jobs elsewhere.
 PAUSE_GRACE_S = 0.02
 
 
@@ -205,8 +205,8 @@
     self.endpoint_lists: dict[model.Shard, endpointlist.KnownList] = {}
     # Since when no holder can be offered a job (s); None while one can.
     self.unserved_since: float | None = None
-    # Until when no job is offered after a pause of this process (s); None if
-    # jobs are.
+    # After a pause of this process, when the next tick may resume offers (s);
+    # None while jobs are offered.
     self.offers_paused_until: float | None = None
     self.holders: dict[model.Shard, HolderRecord] = {}
     self.jobs: dict[str, JobRecord] = {}
@@ -236,9 +236,8 @@
 
   @property
   def offers_paused(self) -> bool:
-    """True while disconnects that arrived during a pause may be unread."""
-    until = self.offers_paused_until
-    return until is not None and self.now < until
+    """True after a pause until a tick has checked the callers' connections."""
+    return self.offers_paused_until is not None
 
   @property
   def has_timeout_soon(self) -> bool:
--- a/tests/test_departed_callers.py
+++ b/tests/test_departed_callers.py
@@ -148,6 +148,20 @@
   ]
 
 
+def test_jobs_read_after_a_pause_are_offered_once_callers_were_checked():
+  state = state_lib.HostState(state_lib.HostIdentity(ME, "a", (SHARD,)))
+  reducer.reduce(state, events.HolderChanged(SHARD, HOLDER), 5.0)
+  reducer.reduce(state, events.Tick(5.0), 5.0)
+  effects = []
+  for number, at in enumerate((5.4, 5.43)):
+    job = fleets.job(f"j{number}", 1, 900)
+    effects += reducer.reduce(state, events.JobArrived(number, job, 3.0), at)
+  effects += reducer.reduce(state, events.Tick(5.45), 5.45)
+  sent = [e.message for e in effects if isinstance(e, events.SendToHolder)]
+  offers = [m for m in sent if isinstance(m, linkmessages.Offered)]
+  assert [(o.key.job_id, o.at) for o in offers] == [("j0", 5.45), ("j1", 5.45)]
+
+
 def test_log_of_started_tasks_names_endpoints_and_the_coordinators_silence():
   emulation = fleets.fleet()
   owner = fleets.owner_of(emulation, "a").state.owners[SHARD]
