Offers before a host's first tick say when callers were last seen

What callers saw: nothing so far; found by review. Offers that a host makes before its first tick carry 0 as the time of the check of its callers, which holders read as an earlier build's that tells no time: such an offer counts as sent when it is read, however late that is.

Cause: the time of the check was 0 until the first tick.

--- a/tests/test_departed_callers.py
+++ b/tests/test_departed_callers.py
@@ -162,6 +162,15 @@
   assert [(o.key.job_id, o.at) for o in offers] == [("j0", 5.45), ("j1", 5.45)]
 
 
+def test_offers_before_the_first_tick_tell_when_callers_were_last_seen():
+  state = state_lib.HostState(state_lib.HostIdentity(ME, "a", (SHARD,)))
+  reducer.reduce(state, events.HolderChanged(SHARD, HOLDER), 5.0)
+  job = fleets.job("j", 1, 900)
+  effects = reducer.reduce(state, events.JobArrived(1, job, 3.0), 5.01)
+  sent = [e.message for e in effects if isinstance(e, events.SendToHolder)]
+  assert [(type(m), m.at) for m in sent] == [(linkmessages.Offered, 5.0)]
+
+
 def test_log_of_started_tasks_names_endpoints_and_the_coordinators_silence():
   emulation = fleets.fleet()
   owner = fleets.owner_of(emulation, "a").state.owners[SHARD]
