Age of a list of endpoints counts from when the store was asked

What callers saw: nothing so far; found by review. A holder tells the hosts of its data centre how old its list of endpoints is; the next holder serves from a copy of up to 1.5 s without the store, because endpoints must get no task later than 2 s after the store has accepted that they drain.

Cause: the age counted from when the answer was read. On a busy machine, or with a slow store, that is up to a second after the store made it, so that a copy seemed younger than it was by as much.

Evidence: the new test fails without the change (age 0 for an answer that was read 0.8 s after its request).

Change: the age counts from the request. What is kept for slow stores (a copy of up to 10 s) stays.

--- a/fescueturn/scheduler/endpointlist.py
+++ b/fescueturn/scheduler/endpointlist.py
@@ -41,7 +41,7 @@
 
   Attributes:
     endpoints: the endpoints.
-    read_at: when a holder read the list from the store (s).
+    read_at: when a holder asked the store for the list (s).
   """
 
   endpoints: tuple[model.Endpoint, ...]
@@ -94,11 +94,11 @@
     self._next_at = 0.0
 
   def age_s(self, now: float) -> float:
-    """Returns for how long the list has not been read from the store (s)."""
+    """Returns how long ago the store was asked for the list (s)."""
     return now - self._known.read_at
 
   def update(self, endpoints: tuple[model.Endpoint, ...], read_at: float):
-    """Records the list as read from the store at `read_at`.
+    """Records the list that the store was asked for at `read_at`.
 
     The version doesn't change if only fields that are not copied (`_as_sent`)
     do; each pong then confirms that the copies are still current.
--- a/fescueturn/scheduler/events.py
+++ b/fescueturn/scheduler/events.py
@@ -113,7 +113,7 @@
 
   Attributes:
     endpoints: the endpoints.
-    took_s: how long the store took to answer (s).
+    took_s: how long it took from the request until the answer was read (s).
   """
 
   endpoints: tuple[model.Endpoint, ...]
--- a/fescueturn/scheduler/leases.py
+++ b/fescueturn/scheduler/leases.py
@@ -44,15 +44,25 @@
 
 
 def handle_endpoint_list(
-    owner: ownerstate.Owner, listed: tuple[model.Endpoint, ...]
+    owner: ownerstate.Owner,
+    listed: tuple[model.Endpoint, ...],
+    took_s: float = 0.0,
 ):
-  """Applies the platform's list; asks new endpoints which runs they have."""
+  """Applies the platform's list; asks new endpoints which runs they have.
+
+  Args:
+    owner: the owner.
+    listed: the endpoints.
+    took_s: how long ago the store was asked for them (s).
+  """
   owner.listed_at = owner.now
   owner.store_answered_at = owner.now
   own_endpoints = {
       e.id: e for e in listed if e.data_centre == owner.shard.data_centre
   }
-  owner.shared_list.update(tuple(own_endpoints.values()), owner.now)
+  # The store may have answered at once, and the answer have waited to be read.
+  read_at = owner.now - took_s
+  owner.shared_list.update(tuple(own_endpoints.values()), read_at)
   owner.dead_incarnations &= {
       (e.id, e.address, e.born_ms) for e in own_endpoints.values()
   }
--- a/tests/test_review_lists.py
+++ b/tests/test_review_lists.py
@@ -2,8 +2,11 @@
 
 import dataclasses
 
+import pytest
+
 from fescueturn import settings
 from fescueturn.scheduler import endpointlist
+from fescueturn.scheduler import events
 from fescueturn.scheduler import linkcodec
 from fescueturn.scheduler import linkmessages
 from fescueturn.scheduler import model
@@ -34,6 +37,16 @@
   assert shared.version == 2
 
 
+def test_age_of_a_list_counts_from_when_the_store_was_asked():
+  """Its copies serve for `endpointlist.SAFE_AGE_S` without the store."""
+  emulation = fleets.fleet()
+  host = fleets.owner_of(emulation, "a")
+  (owner,) = host.state.owners.values()
+  listed = tuple(record.info for record in owner.endpoints.values())
+  host.apply(events.EndpointsListed(listed, 0.8))
+  assert owner.shared_list.age_s(owner.now) == pytest.approx(0.8)
+
+
 def test_version_rises_exactly_with_what_the_message_holds():
   fields = {f.name for f in dataclasses.fields(model.Endpoint)}
   changes = {
