A coordinator's earlier connection is refused after a later one was lost

What callers saw: nothing so far; found by review. An offer that arrives after its withdrawal was confirmed runs for nobody until its deadline: its coordinator no longer knows the job, and its pings keep all its jobs there alive.

Cause: a server compared the number of a new connection only with that of the open one. When the later connection had been lost too, one whose first data arrive late (lost packets are repeated for up to 1.5 s) was accepted, with its old messages.

Evidence: the new test fails without the change (the message on connection 1 is handled after connection 2 has come and gone).

Change: a server remembers the number of each coordinator's last connection. It compares them as they are counted, modulo 65536, so that a coordinator is accepted after its numbers began anew.

--- a/fescueturn/scheduler/link.py
+++ b/fescueturn/scheduler/link.py
@@ -32,6 +32,9 @@
 
 # Connections are numbered modulo this, the range of the message's field.
 _MAX_CONNECTIONS = 2**16
+# For how many coordinators a server remembers the last connection: those of
+# some days, at 2,500 restarts a day.
+_MAX_COORDINATORS = 10_000
 
 _HELLO_SHARD = model.Shard("")
 
@@ -92,14 +95,17 @@
 class LinkServer:
   """Accepts coordinators' connections between `start` and `close`.
 
-  A coordinator's connection replaces its earlier one. What still arrives on that
-  is dropped, since the coordinator may have taken it back by a later message.
+  A coordinator's connection replaces its earlier ones. What still arrives on
+  these is dropped, since the coordinator may have taken it back by a later
+  message, even if the later connection has ended as well.
   """
 
   def __init__(self, address: settings.Address, on_message: OnMessage):
     self._on_message = on_message
     self._listener = listener.Listener(address, self._serve)
     self._outboxes: dict[linkmessages.HostProcess, _Outbox] = {}
+    # The number of each coordinator's last connection, the latest at the end.
+    self._last_numbers: dict[linkmessages.HostProcess, int] = {}
 
   async def start(self):
     """Starts listening for coordinators."""
@@ -128,11 +134,11 @@
       if not isinstance(hello, linkcodec.Hello):
         raise ConnectionError("first message on the link is not a hello")
       process, outbox.number = hello.process, hello.number
-      current = self._outboxes.get(process)
-      if current is not None and 0 < outbox.number < current.number:
-        raise ConnectionError("older than the current connection")
-      await outbox.start()
+      if self._is_outdated(process, outbox.number):
+        raise ConnectionError("older than the last connection")
+      self._record_number(process, outbox.number)
       self._outboxes[process] = outbox
+      await outbox.start()
       while True:
         data = await framing.read_message(stream)
         if self._outboxes.get(process) is not outbox:
@@ -147,6 +153,23 @@
         del self._outboxes[process]
       await outbox.close()
 
+  def _is_outdated(
+      self, process: linkmessages.HostProcess, number: int
+  ) -> bool:
+    """Returns whether a coordinator has opened a later connection before.
+
+    Connections of hosts of an earlier version have the number 0.
+    """
+    last = self._last_numbers.get(process, number)
+    behind = (last - number) % _MAX_CONNECTIONS
+    return number > 0 and 0 < behind < _MAX_CONNECTIONS // 2
+
+  def _record_number(self, process: linkmessages.HostProcess, number: int):
+    self._last_numbers.pop(process, None)
+    self._last_numbers[process] = number
+    if len(self._last_numbers) > _MAX_COORDINATORS:
+      del self._last_numbers[next(iter(self._last_numbers))]
+
   async def close(self):
     """Stops accepting connections and closes the open ones."""
     await self._listener.close()
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -142,6 +142,37 @@
   run(play)
 
 
+def test_connection_that_arrives_after_a_later_one_was_lost_is_refused():
+  """Its offers may have been withdrawn on the later one."""
+
+  async def play():
+    async with Peer().serving() as peer:
+      later = await connect(peer, 2)
+      await later.sendall(linkcodec.encode(SHARD, WITHDRAWN))
+      await peer.has_received(1)
+      await later.close()
+      while peer._server._outboxes:
+        await curio.sleep(0.005)
+      earlier = await connect(peer, 1)
+      await earlier.sendall(linkcodec.encode(SHARD, PING))
+      assert await is_closed(earlier)
+      assert peer.received == [WITHDRAWN]
+
+  run(play)
+
+
+def test_connections_are_accepted_after_their_numbers_began_anew():
+  async def play():
+    async with Peer().serving() as peer:
+      for count, number in enumerate((65534, 65535, 0, 1, 3), 1):
+        connection = await connect(peer, number)
+        await connection.sendall(linkcodec.encode(SHARD, WITHDRAWN))
+        await peer.has_received(count)
+        await connection.close()
+
+  run(play)
+
+
 def test_link_numbers_its_connections():
   async def play():
     async with Peer().serving() as peer:
