A renewal that fails late no longer drops the lease of a newer claim

What callers saw: nothing so far; found by review. A holder whose claim had expired claims its shard again under a new lease. If the store's answer that the old lease is gone is read after that, the new one was forgotten and never renewed: the claim expired 1.5 s later and another host took the shard over from a live holder.

Cause: the answer was taken for one about the lease held when it was read, not the one that the renewal named.

Evidence: the new test fails without the change (no renewal of lease 2; the log says lease_gone lease=2 of the lease just granted).

Change: a failed renewal or claim drops only the lease that it named.

--- a/fescueturn/platform/claims.py
+++ b/fescueturn/platform/claims.py
@@ -120,12 +120,14 @@
   async def _try_claim(
       self, effect: events.ClaimShard
   ) -> tuple[events.HolderChanged | None, str]:
+    lease = None
     try:
       if self._lease is None:
         self._lease = await self._client.grant(self._lease_ms)
+      lease = self._lease
       fence, follows = await self._write_claim(effect)
     except kvtypes.LeaseGoneError:
-      self._lease = None
+      self._forget_lease(lease)
       return None, _LEASE_GONE
     except kvtypes.ConflictError:
       return None, "taken"
@@ -206,14 +208,20 @@
       await curio.sleep(RENEW_PERIOD_S)
       if self._lease is None or not self._owning.is_set():
         continue
+      lease = self._lease
       try:
-        await self._client.keep_alive(self._lease)
+        await self._client.keep_alive(lease)
       except kvtypes.LeaseGoneError:
-        logger.warning("event=lease_gone lease={}", self._lease)
-        self._lease = None
+        logger.warning("event=lease_gone lease={}", lease)
+        self._forget_lease(lease)
       except errors.KvError as exc:
         logger.warning('event=lease_unkept error="{}"', exc)
 
+  def _forget_lease(self, lease: int | None):
+    """Forgets a lease that has expired, unless a claim has a new one by now."""
+    if self._lease == lease:
+      self._lease = None
+
   async def close(self):
     """Stops renewing the lease."""
     if self._renewal_task is not None:
--- a/tests/test_platform_claims.py
+++ b/tests/test_platform_claims.py
@@ -146,3 +146,51 @@
     return
   assert (change.holder.fence, change.follows) == (21, last)
   assert client.revisions == {KEY: 21, last_claim: 21}
+
+
+class ExpiredLeaseStore(ClaimStore):
+  """A store whose first lease has expired, and says so late to a renewal."""
+
+  def __init__(self):
+    super().__init__({})
+    self.renewed = []
+    self._granted = 0
+
+  async def grant(self, ttl_ms):
+    del ttl_ms
+    self._granted += 1
+    return self._granted
+
+  async def transact(self, wanted: kvtypes.Transaction) -> int:
+    if self.renewed and wanted.lease == 1:
+      raise kvtypes.LeaseGoneError("1")
+    return await super().transact(wanted)
+
+  async def keep_alive(self, lease):
+    self.renewed.append(lease)
+    if lease == 1:
+      await curio.sleep(0.1)
+      raise kvtypes.LeaseGoneError("1")
+
+
+def test_lease_of_a_new_claim_is_renewed_although_the_old_one_ended(
+    monkeypatch,
+):
+  monkeypatch.setattr(claims, "RENEW_PERIOD_S", 0.01)
+  client = ExpiredLeaseStore()
+  process = linkmessages.HostProcess("h", "b")
+  host = claims.Claims(client, process, settings.Address("10.0.0.1", 7720))
+
+  async def play():
+    first = await host.claim(events.ClaimShard(SHARD, 0, 0))
+    await host.start()
+    await host.set_owning(True)
+    while not client.renewed:
+      await curio.sleep(0.005)
+    fence = first.holder.fence
+    assert await host.claim(events.ClaimShard(SHARD, fence, fence))
+    await curio.sleep(0.3)
+    await host.close()
+    assert 2 in client.renewed
+
+  curio.run(play)
