A store's answer counts as a sign of life from when it was asked for

What callers would see: two runs of a kept job's task at once. A holder that is cut off from the store and from other hosts stops its kept jobs 1.0 s after the store's last answer, and that counted from when the answer was read. The other side starts the tasks 1.95 s after the cut; with an answer read 0.4 s late the holder's runs lasted until 2.21 s.

Cause: the same as of the jobs of callers that have left: what a process reads late, as it waits for a processor, is taken for fresh.

Change: answers (the list of endpoints, the watch of the claims) count from their request. The list is asked for every 0.7 s, whatever the answer before it took, so that a store that takes 0.3 s still counts as alive.

--- a/fescueturn/platform/claims.py
+++ b/fescueturn/platform/claims.py
@@ -265,11 +265,13 @@
       if full_read:
         revision = await _report_all(client, known, on_holder)
       else:
+        asked_at = now()
         changes = await client.watch(PREFIX, revision, watch_wait_ms)
+        took_s = now() - asked_at
         revision = changes.revision
         for item in changes.items:
           await _report_change(item, known, on_holder)
-        await on_read(events.ClaimsRead(revision))
+        await on_read(events.ClaimsRead(revision, took_s))
       backoff.record_success(revision, full_read)
     except kvtypes.HistoryGoneError:
       await backoff.handle_history_gone(revision)
--- a/fescueturn/platform/endpoints.py
+++ b/fescueturn/platform/endpoints.py
@@ -23,6 +23,8 @@
 # An endpoint must get no new task from 2 s after it announces that it is
 # draining. A read that times out (1 s) and its retry still fit into this time.
 POLL_PERIOD_S = 0.7
+# The shortest pause between two reads of a slow store.
+MIN_PAUSE_S = 0.1
 # Entries that expired during an outage of the store are written again within 2
 # s of its end. Until then an unlisted endpoint is kept; if it is dead, its
 # missing answers reveal it.
@@ -231,7 +233,7 @@
       listed = self._list.update(changes.items, answered_at)
       took_s = answered_at - asked_at
       await self._on_list(events.EndpointsListed(listed, took_s))
-      await curio.sleep(POLL_PERIOD_S)
+      await curio.sleep(max(MIN_PAUSE_S, POLL_PERIOD_S - took_s))
 
   async def close(self):
     """Stops polling."""
--- a/fescueturn/scheduler/events.py
+++ b/fescueturn/scheduler/events.py
@@ -232,9 +232,11 @@
 
   Attributes:
     revision: the revision.
+    took_s: how long it took from the request until the answer was read (s).
   """
 
   revision: int
+  took_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/fescueturn/scheduler/leases.py
+++ b/fescueturn/scheduler/leases.py
@@ -56,7 +56,7 @@
     took_s: how long ago the store was asked for them (s).
   """
   owner.listed_at = owner.now
-  owner.store_answered_at = owner.now
+  owner.record_store_answer(took_s)
   own_endpoints = {
       e.id: e for e in listed if e.data_centre == owner.shard.data_centre
   }
--- a/fescueturn/scheduler/ownerstate.py
+++ b/fescueturn/scheduler/ownerstate.py
@@ -326,7 +326,7 @@
     self.listed_at: float | None = None
     # How long the store took to answer with it (s).
     self.list_took_s = 0.0
-    # When the store last answered (s).
+    # The store has answered since (s).
     self.store_answered_at = now
     self.early_results: dict[model.Task, EarlyResult] = {}
     # Endpoints lost while running tasks that may or may not have crashed.
@@ -364,6 +364,16 @@
       return True
     return self.now - self.taken_at > RECOVERY_TIMEOUT_S
 
+  def record_store_answer(self, took_s: float):
+    """Records that the store has answered a request.
+
+    It may have answered at once, and the answer have waited to be read.
+
+    Args:
+      took_s: how long ago the request was sent (s).
+    """
+    self.store_answered_at = max(self.store_answered_at, self.now - took_s)
+
   def record_contact(
       self, process: linkmessages.HostProcess, sent_at: float = 0.0
   ) -> float:
--- a/fescueturn/scheduler/reducer.py
+++ b/fescueturn/scheduler/reducer.py
@@ -337,7 +337,7 @@
 def _on_claims_read(state, event: events.ClaimsRead):
   grants.handle_claims_read(state, event)
   for owner in state.owners.values():
-    owner.store_answered_at = owner.now
+    owner.record_store_answer(event.took_s)
     selffencing.handle_claims_read(owner)
 
 
--- a/fescueturn/scheduler/selffencing.py
+++ b/fescueturn/scheduler/selffencing.py
@@ -17,7 +17,7 @@
 # after they last heard from its holder, and start tasks of kept jobs
 # `ownerstate.RECOVERY_TIMEOUT_S` later. Leases of the earlier holder's runs
 # must have ended by then, even if no stop reaches them; they last for 0.84 s.
-# The list of endpoints alone is read every 0.7 s.
+# The list of endpoints alone is asked for every 0.7 s.
 STORE_SILENT_S = 1.0
 # By then every host of the data centre has pinged a new holder: it hears of it
 # within 50 ms and pings it every 0.19 s.
--- a/tests/test_selffencing.py
+++ b/tests/test_selffencing.py
@@ -177,3 +177,25 @@
   selffencing.tick(owner)
   assert owner.claimants.silent(owner.now) == ["h"]
   assert owner.self_fenced
+
+
+@pytest.mark.parametrize("answer", ["list", "claims"])
+@pytest.mark.parametrize("cut_at", CUT_TIMES)
+def test_kept_run_ends_in_time_if_the_stores_last_answer_was_read_late(
+    monkeypatch, cut_at, answer
+):
+  """The store made its answer before the cut; the holder's process waited."""
+  emulation, holder = fleet_with_kept_job()
+  emulation.clock.run_until(cut_at)
+  handlers = endpointcalls.EFFECT_HANDLERS
+  monkeypatch.setitem(handlers, events.StopRun, lambda *_: None)
+  (owner,) = holder.state.owners.values()
+  listed = tuple(record.info for record in owner.endpoints.values())
+  test_new_holder.cut_off_rack(emulation, {holder.name, "z"})
+  emulation.clock.run_until(cut_at + 0.4)
+  if answer == "list":
+    holder.apply(events.EndpointsListed(listed, 0.41))
+  else:
+    holder.apply(events.ClaimsRead(owner.fence, 0.41))
+  emulation.clock.run_until(cut_at + 4.0)
+  assert emulation.broken == []
