A lost start is not sent again for a silent coordinator

What callers could see: a run of their job's first submission beside one of the second. A start request without an answer was sent again with a full new lease, whenever its coordinator had last spoken; its run could begin, or go on, for more than 1.3 s after its caller had left.

Cause: the first request asks whether the job's tasks must be held back (silent coordinator, unknown runs of an earlier holder); the next ones asked only whether the job was being handed back.

Fix: requests sent again ask the same question as first ones; otherwise the possible run is stopped, as it is after the last request.

--- a/fescueturn/scheduler/runcontrol.py
+++ b/fescueturn/scheduler/runcontrol.py
@@ -169,7 +169,7 @@
   """
   job = owner.by_id.get(run.id.task.job_id)
   wanted = job is not None and run.state is endpointruns.RunState.ORDERED
-  if not wanted or job.returning or not owner.may_start:
+  if not wanted or owner.must_hold_back(job) or not owner.may_start:
     return False
   if run.sends >= MAX_SENDS or record.silent_since is not None:
     return False
--- a/tests/test_runanswers.py
+++ b/tests/test_runanswers.py
@@ -8,6 +8,7 @@
 from fescueturn.scheduler import linkmessages
 from fescueturn.scheduler import model
 from fescueturn.scheduler import owner as owner_lib
+from fescueturn.scheduler import ownerstate
 from fescueturn.scheduler import runanswers
 from fescueturn.scheduler import runcontrol
 from tests import test_leases
@@ -225,3 +226,14 @@
   effects = test_leases.lose_start_request(owner, run, 0.025)
   assert run.state is endpointruns.RunState.RUNNING
   assert not stop_requests(effects)
+
+
+def test_lost_start_is_not_sent_again_for_a_silent_coordinator():
+  """Guards against runs that outlive their caller's connection by 1.3 s."""
+  owner = test_leases.new_owner()
+  record = test_leases.known_endpoint(owner)
+  run = test_leases.start_job(owner, record)
+  late = ownerstate.COORDINATOR_TIMEOUT_S + 0.01
+  effects = test_leases.lose_start_request(owner, run, late)
+  assert not any(isinstance(e, events.StartRun) for e in effects)
+  assert any(isinstance(e, events.StopRun) for e in effects)
