Leases are not extended beside a run whose caller may have left

The caller had left, its job was withdrawn or given up, but the stop of its run wasn't confirmed, or its start was carried out late; the run went on until the caller came back 1.3 s later.

Cause: a lease is one for all runs of its endpoint. It was extended if any run there was wanted, and by each start request, so that other jobs' runs kept the one alive that should have ended with its lease.

Fix: an endpoint's lease is extended, by a lease call or a start request, only while no run there may have lost its caller: its coordinator isn't silent, or, once its job has ended here, at most 0.35 s have passed since the coordinator's last sign. Stops are confirmed within milliseconds, so the other runs rarely notice; a run counts no more once the lease has expired, so that an endpoint that refuses stops is used again.

--- a/fescueturn/scheduler/endpointruns.py
+++ b/fescueturn/scheduler/endpointruns.py
@@ -3,6 +3,7 @@
 import collections
 import dataclasses
 import enum
+import math
 
 from fescueturn.scheduler import model
 
@@ -60,6 +61,8 @@
     duplicate_logged: True once it was logged that its task has another run.
     abandoned: True once its lease has expired and its task may run elsewhere.
     adopted: True if it was found at its endpoint, so that its start is unknown.
+    served_until: until when leases are extended beside it (s), once its job has
+      ended here.
     observed_share: the part of its work that has counted for its endpoint's
       speed.
     observed_at: when that part was done (s).
@@ -83,6 +86,7 @@
     self.duplicate_logged = False
     self.abandoned = False
     self.adopted = False
+    self.served_until = math.inf
     self.observed_share = 0.0
     self.observed_at: float = now
     self.in_time_until: float = now
--- a/fescueturn/scheduler/leases.py
+++ b/fescueturn/scheduler/leases.py
@@ -184,24 +184,16 @@
 
   The lease of a silent endpoint is left to expire, so that its tasks can be run
   elsewhere. So is the lease of an endpoint whose runs are all to be stopped, or
-  belong to jobs that are not known here yet or whose coordinator is silent,
-  since it may be dead, and that of an endpoint with a run that must end.
+  belong to jobs that are not known here yet, and that of an endpoint with a run
+  that must end, or whose coordinator is silent, since it may be dead.
   """
   return record.lease.extend(owner.now) if _extends(owner, record) else None
 
 
 def _extends(owner, record) -> bool:
-  if record.silent_since is not None or record.must_lapse:
+  if record.silent_since is not None or owner.must_let_lapse(record):
     return False
-  return any(
-      run.wanted and not _lacks_coordinator(owner, run)
-      for run in record.runs.values()
-  )
-
-
-def _lacks_coordinator(owner, run: endpointruns.Run) -> bool:
-  job = owner.by_id.get(run.id.task.job_id)
-  return job is not None and owner.lacks_coordinator(job)
+  return any(run.wanted for run in record.runs.values())
 
 
 def extend_lease_left_out(owner: ownerstate.Owner, record):
--- a/fescueturn/scheduler/outcomes.py
+++ b/fescueturn/scheduler/outcomes.py
@@ -294,6 +294,7 @@
       if outcome is not model.Outcome.DONE
       else {}
   )
+  owner.end_service(job)
   owner.jobs.pop(job.key, None)
   if owner.by_id.get(job.job.id) is job:
     del owner.by_id[job.job.id]
--- a/fescueturn/scheduler/owner.py
+++ b/fescueturn/scheduler/owner.py
@@ -152,6 +152,8 @@
             f"run_{why}", record, run, percent=run.percent, age_ms=age_ms
         )
     )
+    if unwanted:
+      run.served_until = owner.now
     runcontrol.stop_run(owner, record, run)
     return
   silent = record.silent_since is not None
@@ -161,5 +163,9 @@
   )
   if retry_due:
     runcontrol.stop_run(owner, record, run)
-  if silent and not run.abandoned and record.lease.expired(owner.now):
+  if run.abandoned or not record.lease.expired(owner.now):
+    return
+  if silent:
     outcomes.requeue_lost_task(owner, record, run)
+  elif run.id.task.job_id not in owner.by_id and not run.active:
+    run.abandoned = True  # Its stop isn't confirmed, but it has ended.
--- a/fescueturn/scheduler/ownerstate.py
+++ b/fescueturn/scheduler/ownerstate.py
@@ -409,6 +409,46 @@
     is_missed = process in self._unproven or self.is_silent(process)
     return is_missed and not job.job.kept
 
+  def must_let_lapse(self, record: endpointstate.EndpointRecord) -> bool:
+    """Returns whether an endpoint's lease may not be extended now.
+
+    A lease is one for all runs of its endpoint: extended for one of them, it
+    keeps the others running, stopped or not.
+    """
+    return record.must_lapse or any(
+        self._is_unserved(run) for run in record.runs.values()
+    )
+
+  def _is_unserved(self, run: endpointruns.Run) -> bool:
+    """Returns whether a run's caller may have left, to send its job again."""
+    if run.abandoned:
+      return False  # It has ended with an earlier lease.
+    job = self.by_id.get(run.id.task.job_id)
+    if job is None:
+      return self.now > run.served_until
+    return self.lacks_coordinator(job)
+
+  def end_service(self, job: JobRecord):
+    """Limits for how long leases are extended beside an ended job's runs.
+
+    Each of them may still be active until its end is known.
+    """
+    if job.job.kept:
+      return  # Its caller doesn't wait for it.
+    heard_at = self.last_contact.get(job.key.process, -math.inf)
+    for task in job.tasks.values():
+      if task.previous_run is not None:
+        self._limit_service(task.previous_run, self.endpoints, heard_at)
+      if task.run is not None:
+        self._limit_service(task.run, (task.endpoint,), heard_at)
+
+  def _limit_service(self, run_id: model.RunId, endpoints, heard_at: float):
+    for name in endpoints:
+      record = self.endpoints.get(name)
+      run = record.runs.get(run_id) if record else None
+      if run is not None:
+        run.served_until = heard_at + COORDINATOR_TIMEOUT_S
+
   def record_job_result(
       self, key: linkmessages.JobKey, outcome: model.Outcome, reason: str
   ):
--- a/fescueturn/scheduler/runcontrol.py
+++ b/fescueturn/scheduler/runcontrol.py
@@ -87,6 +87,12 @@
     task: the task.
     accepts: a further condition on the endpoint; with one, it may be slow.
   """
+
+  def allows(record: endpointstate.EndpointRecord) -> bool:
+    # A start request extends the lease of all runs at its endpoint.
+    accepted = accepts is None or accepts(record)
+    return accepted and not owner.must_let_lapse(record)
+
   slowness = math.inf
   # While calls are lost, run times tell little of the endpoints' speed.
   if accepts is None and not owner.call_losses.is_lossy:
@@ -99,11 +105,11 @@
       job.job.service, task.task, task.step, task.moved_from, slowness
   )
   if not (task.lost_endpoints or task.crashed):
-    return owner.endpoints.choose(wanted, owner.now, accepts)
+    return owner.endpoints.choose(wanted, owner.now, allows)
   # A task that may crash its endpoint is placed where it puts the fewest other
   # runs at risk. Such tasks are few.
   return placing.choose_by_scan(
-      [r for r in owner.endpoints.values() if accepts is None or accepts(r)],
+      [r for r in owner.endpoints.values() if allows(r)],
       wanted,
       owner.now,
       lambda record: (
@@ -173,7 +179,7 @@
     return False
   if run.sends >= MAX_SENDS or record.silent_since is not None:
     return False
-  if record.must_lapse:
+  if owner.must_let_lapse(record):
     return False
   run.sends += 1
   run.sent_at = owner.now
