Messages that are all read late keep their age

What callers saw: two runs of one task at once when their coordinator died or they left (a suspicion for the users' report; shown in emulated fleets). Its messages had been read 0.2 to 0.4 s late, as on a machine without a free processor, and the run went on for up to 1.5 s after the last one was sent.

Cause: a holder estimates the age of a message from the difference of two clocks. Two in a row of the same age were taken for a change of that difference (the sender was suspended), and counted as new from then on; step by step any delay became the usual one.

Evidence: with messages read 0.2 s late and then 0.3 or 0.4 s, or 0.12 and then 0.25 s, the job's task runs twice in 9 of the 18 new cases; none does now.

Fix: pongs tell the holder's clock, and pings a time on it that had passed when the coordinator last saw its callers (from the last pong that it has read). A message can't be older than the time since then. That bound, not a repeated age, shows that the difference has changed. Hosts of the build before tell none, and are judged as before.

--- a/fescueturn/emulator/fleet.py
+++ b/fescueturn/emulator/fleet.py
@@ -103,6 +103,8 @@
     )
     # Until when packets between two hosts are held back (s).
     self._stalled_until: dict[tuple[str, str], float] = {}
+    # By how much messages from one host to another are read late (s).
+    self._read_delays_s: dict[tuple[str, str], float] = {}
     self._requests = 0
     self._default_profile: (
         Callable[[model.Task], endpoint_lib.TaskProfile] | None
@@ -263,6 +265,10 @@
     for link in ((coordinator, holder), (holder, coordinator)):
       self._stalled_until[link] = until
 
+  def delay_messages(self, coordinator: str, holder: str, seconds: float):
+    """Has a busy holder read each message of a coordinator late."""
+    self._read_delays_s[coordinator, holder] = seconds
+
   def drain(self, name: str, drained: bool = True):
     """Lists an endpoint as draining, or as ready again."""
     endpoint = self.endpoints[name]
@@ -322,7 +328,9 @@
       lost = events.LinkLost(effect.shard, process, refused=True)
       self.clock.after(2 * delay_s, lambda: host.apply(lost))
       return
-    self._deliver((host.name, other.name), other, delay_s, effect.message)
+    link = (host.name, other.name)
+    delay_s += self._read_delays_s.get(link, 0.0)
+    self._deliver(link, other, delay_s, effect.message)
 
   def _send_to_coordinator(self, host, effect: events.SendToCoordinator):
     other = self.hosts[effect.process.host]
--- a/fescueturn/scheduler/coordinator.py
+++ b/fescueturn/scheduler/coordinator.py
@@ -134,6 +134,7 @@
 ):
   holder.pending = dict(message.pending)
   holder.update_roster(message)
+  holder.record_clock(message, state.now)
   if message.list_version and message.list_version == holder.list_version:
     _confirm_list(state, shard, message)
   if not message.holding:
@@ -520,6 +521,7 @@
               _uptime_s(state),
               holder.list_version if is_local else None,
               room_due,
+              holder.clock_at(state.callers_seen_at),
           ),
       )
 
--- a/fescueturn/scheduler/coordinatorstate.py
+++ b/fescueturn/scheduler/coordinatorstate.py
@@ -151,6 +151,8 @@
     list_version: the version of the holder's list of endpoints that this host
       has a copy of; 0 for none.
     room: what it last reported of its room.
+    clock_ahead_s: what its clock shows more than this host's, estimated from
+      below (s); None if it isn't known.
   """
 
   def __init__(self, holder: model.Holder, now: float):
@@ -164,12 +166,21 @@
     self.roster_valid_at = 0.0
     self.list_version = 0
     self.room = shardroom.ShardRoom()
+    self.clock_ahead_s: float | None = None
 
   @property
   def process(self) -> linkmessages.HostProcess:
     """The holder's process."""
     return linkmessages.HostProcess(self.holder.host, self.holder.boot)
 
+  def record_clock(self, pong: linkmessages.Pong, now: float):
+    """Records the holder's clock, which showed `sent_at` earlier than now."""
+    self.clock_ahead_s = pong.sent_at - now if pong.sent_at else None
+
+  def clock_at(self, at: float) -> float:
+    """Returns a time on its clock that has passed at `at`; 0 if unknown."""
+    return 0.0 if self.clock_ahead_s is None else at + self.clock_ahead_s
+
   def update_roster(self, pong: linkmessages.Pong):
     """Updates the holder's roster from its answer to a ping."""
     if pong.endpoints is not None:
--- a/fescueturn/scheduler/leases.py
+++ b/fescueturn/scheduler/leases.py
@@ -287,15 +287,19 @@
   owner.hear_all_again()
 
 
-def record_contact(owner: ownerstate.Owner, process, sent_at: float):
+def record_contact(
+    owner: ownerstate.Owner, process, sent_at: float, holder_at: float = 0.0
+):
   """Records a coordinator's message, which may show a suspension of this host.
 
   Args:
     owner: the owner.
     process: the coordinator.
     sent_at: when it was sent, on its clock (s); 0 if it doesn't say.
+    holder_at: a time on this host's clock that had passed then (s), modulo
+      `linkmessages.CLOCK_PERIOD_S`; 0 if it isn't known.
   """
-  if owner.record_contact(process, sent_at) > SUSPENDED_MIN_S:
+  if owner.record_contact(process, sent_at, holder_at) > SUSPENDED_MIN_S:
     _handle_suspension(owner)
 
 
--- a/fescueturn/scheduler/link.capnp
+++ b/fescueturn/scheduler/link.capnp
@@ -98,6 +98,9 @@
       listRequest @33 :UInt32;
       # True to get a room message after the pong.
       wantsRoom @50 :Bool;
+      # A time on the holder's clock that had passed when the sender's clock
+      # showed at, like sentMs of a pong; 0 if it isn't known.
+      holderMs @54 :UInt32;
     }
     offered :group {
       job @6 :Job;
@@ -126,6 +129,8 @@
       listAgeMs @35 :UInt32;
       # True if the receiver should claim the shard once it is free.
       successor @36 :Bool;
+      # The sender's clock, modulo 2^32 ms; 0 if it doesn't say.
+      sentMs @55 :UInt32;
     }
     accepted @12 :Void;
     declined :group {
--- a/fescueturn/scheduler/linkholdercodec.py
+++ b/fescueturn/scheduler/linkholdercodec.py
@@ -24,6 +24,7 @@
   if message.list_version is not None:
     group.listRequest = message.list_version + 1
   group.wantsRoom = message.wants_room
+  group.holderMs = _to_clock_ms(message.holder_at)
   _encode_suspects(
       group.init("doubts", len(message.suspects)), message.suspects
   )
@@ -42,6 +43,7 @@
       message.ping.uptimeMs / 1000,
       message.ping.listRequest - 1 if message.ping.listRequest else None,
       message.ping.wantsRoom,
+      message.ping.holderMs / 1000,
   )
 
 
@@ -53,6 +55,7 @@
   group.listVersion = message.list_version
   group.listAgeMs = _to_ms(message.list_age_s)
   group.successor = message.successor
+  group.sentMs = _to_clock_ms(message.sent_at)
   if message.endpoints is not None:
     group.hasEndpoints = True
     group.endpoints = list(message.endpoints)
@@ -79,6 +82,7 @@
       pong.listVersion,
       pong.listAgeMs / 1000,
       pong.successor,
+      pong.sentMs / 1000,
   )
 
 
@@ -86,6 +90,10 @@
   return min(_MAX_MS, int(seconds * 1000))
 
 
+def _to_clock_ms(clock_s: float) -> int:
+  return int(clock_s * 1000) % linkmessages.CLOCK_PERIOD_MS
+
+
 def _encode_suspects(rows, suspects: tuple[linkmessages.SuspectedHolder, ...]):
   for row, suspect in zip(rows, suspects, strict=True):
     row.dataCentre = suspect.shard.data_centre
--- a/fescueturn/scheduler/linkmessages.py
+++ b/fescueturn/scheduler/linkmessages.py
@@ -10,6 +10,19 @@
 from fescueturn.scheduler import model
 from fescueturn.scheduler.decisions import room as room_lib
 
+# A holder's clock is told in milliseconds, modulo this: 49 days.
+CLOCK_PERIOD_MS = 2**32
+CLOCK_PERIOD_S = CLOCK_PERIOD_MS / 1000
+
+
+def clock_difference(now: float, earlier: float) -> float:
+  """Returns the time from a holder's time to another on the same clock (s).
+
+  Both are modulo `CLOCK_PERIOD_S`. It is negative if the first is the later.
+  """
+  half_s = CLOCK_PERIOD_S / 2
+  return (now - earlier + half_s) % CLOCK_PERIOD_S - half_s
+
 
 @dataclasses.dataclass(frozen=True)
 class HostProcess:
@@ -117,6 +130,8 @@
       coordinator has; 0 for none; None to request no list.
     wants_room: True to get a `RoomReported`. Coordinators of an earlier version
       don't ask, as they couldn't read it.
+    holder_at: a time on the holder's clock (s) that had passed at `at`, modulo
+      `CLOCK_PERIOD_S`; 0 if it isn't known.
   """
 
   shard: model.Shard
@@ -129,6 +144,7 @@
   uptime_s: float = 0.0
   list_version: int | None = None
   wants_room: bool = False
+  holder_at: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -214,6 +230,8 @@
     list_age_s: how long ago that list was read from the store (s).
     successor: True if the receiver should claim the shard as soon as it is
       free, because the holder is about to release it.
+    sent_at: the holder's clock (s) at sending, modulo `CLOCK_PERIOD_S`; 0 if it
+      doesn't say.
   """
 
   holding: bool = True
@@ -225,6 +243,7 @@
   list_version: int = 0
   list_age_s: float = 0.0
   successor: bool = False
+  sent_at: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/fescueturn/scheduler/messageage.py
+++ b/fescueturn/scheduler/messageage.py
@@ -3,7 +3,8 @@
 A host that stood still, or whose link was stalled, reads messages late, maybe
 after their sender has died. They are told by the sender's steady clock, whose
 difference from the own one isn't known: the message that was on its way for the
-shortest time shows it.
+shortest time shows it. Senders that have read a message of this host tell a time
+on its clock that had passed, which bounds the age of theirs.
 """
 
 # Messages that are read within this time were waiting together: a coordinator
@@ -29,17 +30,23 @@
     self._base_before = 0.0
     self._read_at = 0.0
     self._age_s = 0.0
+    # True once a message came with a bound of its age.
+    self._is_bounded = False
 
-  def record(self, sent_at: float, now: float) -> float:
+  def record(
+      self, sent_at: float, now: float, max_age_s: float | None = None
+  ) -> float:
     """Returns the age (s) of a message that is read now.
 
-    Two in a row of the same age, not read together, show that the difference
-    between the clocks has changed: the sender's doesn't count the time for
-    which its host was suspended.
+    The difference between the clocks changes when the sender's doesn't count
+    the time for which its host was suspended. That shows in the bound of a
+    message's age; with a sender that tells none, by two messages in a row of
+    the same age that are not read together.
 
     Args:
       sent_at: when it was sent, on the sender's clock (s).
       now: the time on this host's clock (s).
+      max_age_s: the longest time since then (s); None if it isn't known.
     """
     difference = now - sent_at
     if self._base is None:
@@ -48,9 +55,13 @@
     if is_single:
       self._base_before = self._base
     self.clock_gain_s = max(0.0, self._base_before - difference)
+    if max_age_s is not None:
+      self._is_bounded = True
+      self._base = max(self._base, difference - max_age_s)
     self._base = min(self._base, difference)
     age_s = difference - self._base
-    if is_single and abs(age_s - self._age_s) < JITTER_S:
+    is_same = abs(age_s - self._age_s) < JITTER_S
+    if is_single and is_same and not self._is_bounded:
       self._base, age_s = difference, 0.0
     self._read_at, self._age_s = now, age_s
     return age_s
--- a/fescueturn/scheduler/ownerstate.py
+++ b/fescueturn/scheduler/ownerstate.py
@@ -365,13 +365,18 @@
     return self.now - self.taken_at > RECOVERY_TIMEOUT_S
 
   def record_contact(
-      self, process: linkmessages.HostProcess, sent_at: float = 0.0
+      self,
+      process: linkmessages.HostProcess,
+      sent_at: float = 0.0,
+      holder_at: float = 0.0,
   ) -> float:
     """Records that a coordinator has sent a message.
 
     Args:
       process: the coordinator.
       sent_at: when it did, on its own clock (s); 0 if it doesn't say.
+      holder_at: a time on this host's clock that had passed then (s), modulo
+        `linkmessages.CLOCK_PERIOD_S`; 0 if it isn't known.
 
     Returns:
       What its clock has gained on this host's (s).
@@ -383,7 +388,11 @@
       self._unproven.add(process)
     if sent_at:
       ages = self._message_ages.setdefault(process, messageage.MessageAges())
-      age_s, gain_s = ages.record(sent_at, self.now), ages.clock_gain_s
+      max_age_s = None
+      if holder_at:
+        max_age_s = linkmessages.clock_difference(self.now, holder_at)
+      age_s = ages.record(sent_at, self.now, max_age_s)
+      gain_s = ages.clock_gain_s
     self.last_contact[process] = self.now - age_s
     self._last_read[process] = self.now
     self.first_contacts.setdefault(process, self.now)
--- a/fescueturn/scheduler/reducer.py
+++ b/fescueturn/scheduler/reducer.py
@@ -186,7 +186,7 @@
   owner = state.owners.get(event.shard)
   if owner is None:
     return [_not_holding_reply(event.process, event.shard)]
-  leases.record_contact(owner, event.process, event.at)
+  leases.record_contact(owner, event.process, event.at, event.holder_at)
   if event.uptime_s:
     owner.knows_moves.add(event.process)
   is_local = event.roster is not None
@@ -226,6 +226,7 @@
       list_version=owner.shared_list.version,
       list_age_s=owner.shared_list.age_s(owner.now),
       successor=ping.process == owner.successor,
+      sent_at=owner.now,
   )
 
 
--- a/tests/test_late_messages.py
+++ b/tests/test_late_messages.py
@@ -7,11 +7,15 @@
 import pytest
 
 from fescueturn.scheduler import events
+from fescueturn.scheduler import linkcodec
+from fescueturn.scheduler import linkmessages
 from fescueturn.scheduler import messageage
 from fescueturn.scheduler import model
 from tests import fleets
 
 RETURN_S = 1.3
+SHARD = model.Shard("a")
+PROCESS = linkmessages.HostProcess("a1", "boot")
 
 
 def submit_long_job(emulation):
@@ -223,6 +227,27 @@
   assert answer.answer.outcome is model.Outcome.DONE
 
 
+@pytest.mark.parametrize("killed_after_s", [0.0, 0.05, 0.1, 0.15, 0.2, 0.25])
+@pytest.mark.parametrize("delays_s", [(0.2, 0.4), (0.2, 0.3), (0.12, 0.25)])
+def test_messages_that_are_all_read_late_vouch_for_no_dead_coordinator(
+    delays_s, killed_after_s
+):
+  """The holder's process waits for a processor; no stop reaches the runs."""
+  emulation = fleets.fleet()
+  job, coordinator, owner = submit_long_job(emulation)
+  for delay_s in delays_s:
+    emulation.delay_messages(coordinator.name, owner.name, delay_s)
+    emulation.clock.run_until(emulation.clock.now + 0.6)
+  emulation.clock.run_until(emulation.clock.now + killed_after_s)
+  for endpoint in emulation.endpoints.values():
+    if endpoint.running:
+      endpoint.order_delay_s = 5.0
+  emulation.kill(coordinator.name)
+  return_elsewhere(emulation, job, emulation.clock.now + RETURN_S)
+  emulation.clock.run_until(emulation.clock.now + 3.0)
+  assert emulation.broken == []
+
+
 @pytest.mark.parametrize("data_centre", ["a", "c"])
 def test_jobs_of_a_coordinator_that_was_suspended_are_served(data_centre):
   """Its clock is behind, so that its first messages seem to be old."""
@@ -270,6 +295,47 @@
   assert read == pytest.approx([0.9, 0.8, 0.7, 0.6, 0.5])
 
 
+def test_messages_that_are_equally_late_keep_their_age():
+  ages = messageage.MessageAges()
+  record_pings(ages, 1.0)
+  read = [
+      ages.record(CLOCK_AHEAD_S + 1.0 + PING_S * n, 1.3 + PING_S * n, 0.32)
+      for n in range(1, 6)
+  ]
+  assert read == pytest.approx([0.3] * 5)
+
+
+def test_messages_after_their_sender_was_suspended_are_as_old_as_they_can_be():
+  ages = messageage.MessageAges()
+  record_pings(ages, 1.0)
+  first = ages.record(CLOCK_AHEAD_S + 1.1, 3.1, 2.01)
+  second = ages.record(CLOCK_AHEAD_S + 1.2, 3.2, 0.02)
+  third = ages.record(CLOCK_AHEAD_S + 1.3, 3.35, 0.1)
+  assert (first, second, third) == pytest.approx((2.0, 0.02, 0.07))
+
+
+def test_bound_from_before_this_host_was_suspended_makes_no_message_younger():
+  ages = messageage.MessageAges()
+  record_pings(ages, 1.0)
+  read = [
+      ages.record(CLOCK_AHEAD_S + 1.0 + PING_S * n, 1.0 + PING_S * n - 0.5, age)
+      for n, age in enumerate((-0.5, -0.5, 0.0), 1)
+  ]
+  late = ages.record(CLOCK_AHEAD_S + 1.4, 1.15, 0.3)
+  assert [*read, late] == pytest.approx([0.0, 0.0, 0.0, 0.25])
+
+
+@pytest.mark.parametrize("now", [12.5, 2**32 / 1000 + 12.5])
+def test_age_is_bounded_by_a_clock_that_starts_again_at_zero(now):
+  (sent_at,) = [
+      linkcodec.decode(linkcodec.encode(SHARD, pong), PROCESS)[1].sent_at
+      for pong in (linkmessages.Pong(sent_at=now),)
+  ]
+  later = linkmessages.clock_difference(now + 0.25, sent_at)
+  earlier = linkmessages.clock_difference(now - 0.25, sent_at)
+  assert (later, earlier) == pytest.approx((0.25, -0.25), abs=0.002)
+
+
 def test_second_message_after_its_sender_was_suspended_has_no_age():
   ages = messageage.MessageAges()
   record_pings(ages, 1.0)
--- a/tests/test_linkcodec.py
+++ b/tests/test_linkcodec.py
@@ -102,6 +102,8 @@
     linkmessages.HolderMoved(HOLDER),
     linkmessages.EndpointList(12.5, 3, 0.75, (ENDPOINT, DRAINING_ENDPOINT)),
     linkmessages.Ping(SHARD, PROCESS, 12.5, 7, wants_room=True),
+    linkmessages.Ping(SHARD, PROCESS, 12.5, 7, holder_at=2000.25),
+    linkmessages.Pong(sent_at=2000.25),
     linkmessages.RoomReported(ROOM, 12.5),
     linkmessages.RoomReported(room.RoomReport(), 0.0),
     linkmessages.Declined(KEY, 4, 95, in_time=True, room=ROOM),
