A new holder doesn't take its first messages for prompt ones

What callers could see: two runs of one task at once, when their coordinator died after a takeover on a machine without a free processor; shown in emulated fleets only. The run went on for up to 1.39 s after the last message was sent.

Cause: the estimate of messages' ages begins with the first one, as if that had been read at once. A new holder that reads all of a coordinator's messages 0.24 s late takes them for fresh; a bound of their age could only make them younger, so it didn't help.

Evidence: the new test of a takeover breaks TWICE for one of six times of the kill; the new test of single messages gets ages of 0 instead of 0.31 s.

Fix: the first bounded message replaces the estimate, which from then on is raised by each closer bound. Ages are thereby too high by the fastest way back of the holder's own messages rather than too low by that of the coordinator's.

--- a/fescueturn/scheduler/messageage.py
+++ b/fescueturn/scheduler/messageage.py
@@ -56,8 +56,10 @@
       self._base_before = self._base
     self.clock_gain_s = max(0.0, self._base_before - difference)
     if max_age_s is not None:
+      lowest = difference - max_age_s
+      # All messages before the first bounded one may have been late.
+      self._base = max(self._base, lowest) if self._is_bounded else lowest
       self._is_bounded = True
-      self._base = max(self._base, difference - max_age_s)
     self._base = min(self._base, difference)
     age_s = difference - self._base
     is_same = abs(age_s - self._age_s) < JITTER_S
--- a/tests/test_late_messages.py
+++ b/tests/test_late_messages.py
@@ -248,6 +248,29 @@
   assert emulation.broken == []
 
 
+@pytest.mark.parametrize("killed_after_s", [0.0, 0.05, 0.1, 0.15, 0.2, 0.25])
+def test_messages_that_a_new_holder_reads_late_vouch_for_no_dead_coordinator(
+    killed_after_s,
+):
+  """It has read none of the coordinator's in time; no stop reaches the runs."""
+  emulation = fleets.fleet()
+  job, coordinator, owner = submit_long_job(emulation)
+  for host in fleets.hosts_in(emulation, "a"):
+    emulation.delay_messages(coordinator.name, host.name, 0.24)
+  coordinator.state.coordinator.can_hold = False
+  emulation.kill(owner.name)
+  emulation.clock.run_until(emulation.clock.now + 1.0 + killed_after_s)
+  new_owner = fleets.owner_of(emulation, "a")
+  assert new_owner is not coordinator
+  for endpoint in emulation.endpoints.values():
+    if endpoint.running:
+      endpoint.order_delay_s = 5.0
+  emulation.kill(coordinator.name)
+  return_elsewhere(emulation, job, emulation.clock.now + RETURN_S)
+  emulation.clock.run_until(emulation.clock.now + 3.0)
+  assert emulation.broken == []
+
+
 @pytest.mark.parametrize("data_centre", ["a", "c"])
 def test_jobs_of_a_coordinator_that_was_suspended_are_served(data_centre):
   """Its clock is behind, so that its first messages seem to be old."""
@@ -271,11 +294,11 @@
 CLOCK_AHEAD_S = 1000.0
 
 
-def record_pings(ages, until: float, delay_s: float = 0.0):
+def record_pings(ages, until: float, delay_s: float = 0.0, max_age_s=None):
   """Reads a sender's pings up to a time, each when it is due; returns the ages."""
   count = round(until / PING_S)
   return [
-      ages.record(CLOCK_AHEAD_S + PING_S * n, PING_S * n + delay_s)
+      ages.record(CLOCK_AHEAD_S + PING_S * n, PING_S * n + delay_s, max_age_s)
       for n in range(1, count + 1)
   ]
 
@@ -295,9 +318,16 @@
   assert read == pytest.approx([0.9, 0.8, 0.7, 0.6, 0.5])
 
 
+def test_first_messages_are_as_old_as_they_can_be_once_they_are_bounded():
+  ages = messageage.MessageAges()
+  first = ages.record(CLOCK_AHEAD_S, 0.3)
+  rest = record_pings(ages, 0.3, delay_s=0.3, max_age_s=0.31)
+  assert [first, *rest] == pytest.approx([0.0, 0.31, 0.31, 0.31])
+
+
 def test_messages_that_are_equally_late_keep_their_age():
   ages = messageage.MessageAges()
-  record_pings(ages, 1.0)
+  record_pings(ages, 1.0, max_age_s=0.0)
   read = [
       ages.record(CLOCK_AHEAD_S + 1.0 + PING_S * n, 1.3 + PING_S * n, 0.32)
       for n in range(1, 6)
@@ -307,7 +337,7 @@
 
 def test_messages_after_their_sender_was_suspended_are_as_old_as_they_can_be():
   ages = messageage.MessageAges()
-  record_pings(ages, 1.0)
+  record_pings(ages, 1.0, max_age_s=0.0)
   first = ages.record(CLOCK_AHEAD_S + 1.1, 3.1, 2.01)
   second = ages.record(CLOCK_AHEAD_S + 1.2, 3.2, 0.02)
   third = ages.record(CLOCK_AHEAD_S + 1.3, 3.35, 0.1)
