Offers before the first tick tell when callers were last seen

What callers could see: nothing was seen; found by reading. An offer or ping of a host that hasn't ticked yet counts as new from when its holder reads it, however late that is, so that a holder may start tasks for a caller that left.

Cause: the time at which the callers were last checked is 0 until the first tick, and 0 in a message means that its sender doesn't say.

Evidence: the new test fails without the change (the offer's time is 0).

Fix: that time begins with the host's first event, before which it had no callers.

--- a/fescueturn/scheduler/reducer.py
+++ b/fescueturn/scheduler/reducer.py
@@ -47,6 +47,7 @@
   state.coordinator.now = now
   if state.coordinator.started_at is None:
     state.coordinator.started_at = now
+    state.coordinator.callers_seen_at = now  # There were no callers before.
   for owner in state.owners.values():
     owner.now = now
   _handle_own_pause(state, is_tick=isinstance(event, events.Tick))
--- a/tests/test_departed_callers.py
+++ b/tests/test_departed_callers.py
@@ -148,6 +148,16 @@
   ]
 
 
+def test_offer_before_the_first_tick_tells_when_callers_were_last_seen():
+  """One that doesn't tell counts from when its holder reads it."""
+  state = state_lib.HostState(state_lib.HostIdentity(ME, "a", (SHARD,)))
+  reducer.reduce(state, events.HolderChanged(SHARD, HOLDER), 5.0)
+  job = fleets.job("j", 1, 900)
+  effects = reducer.reduce(state, events.JobArrived(1, job, 3.0), 5.01)
+  sent = [e.message for e in effects if isinstance(e, events.SendToHolder)]
+  assert [(type(m), m.at) for m in sent] == [(linkmessages.Offered, 5.0)]
+
+
 def test_log_of_started_tasks_names_endpoints_and_the_coordinators_silence():
   emulation = fleets.fleet()
   owner = fleets.owner_of(emulation, "a").state.owners[SHARD]
