--- a/fescueturn/scheduler/leases.py
+++ b/fescueturn/scheduler/leases.py
@@ -194,24 +194,16 @@
 
   The lease of a silent endpoint is left to expire, so that its tasks can be run
   elsewhere. So is the lease of an endpoint whose runs are all to be stopped, or
-  belong to jobs that are not known here yet or whose coordinator is silent,
-  since it may be dead, and that of an endpoint with a run that must end.
+  belong to jobs that are not known here yet, and that of an endpoint with a run
+  that must end, or whose coordinator is silent, since it may be dead.
   """
   return record.lease.extend(owner.now) if _extends(owner, record) else None
 
 
 def _extends(owner, record) -> bool:
-  if record.silent_since is not None or record.must_lapse:
+  if record.silent_since is not None or owner.must_let_lapse(record):
     return False
-  return any(
-      run.wanted and not _lacks_coordinator(owner, run)
-      for run in record.runs.values()
-  )
-
-
-def _lacks_coordinator(owner, run: endpointruns.Run) -> bool:
-  job = owner.by_id.get(run.id.task.job_id)
-  return job is not None and owner.lacks_coordinator(job)
+  return any(run.wanted for run in record.runs.values())
 
 
 def extend_lease_left_out(owner: ownerstate.Owner, record):
@@ -305,15 +297,19 @@
   owner.hear_all_again()
 
 
-def record_contact(owner: ownerstate.Owner, process, sent_at: float):
+def record_contact(
+    owner: ownerstate.Owner, process, sent_at: float, holder_at: float = 0.0
+):
   """Records a coordinator's message, which may show a suspension of this host.
 
   Args:
     owner: the owner.
     process: the coordinator.
     sent_at: when it was sent, on its clock (s); 0 if it doesn't say.
+    holder_at: a time on this host's clock that had passed then (s), modulo
+      `linkmessages.CLOCK_PERIOD_S`; 0 if it isn't known.
   """
-  if owner.record_contact(process, sent_at) > SUSPENDED_MIN_S:
+  if owner.record_contact(process, sent_at, holder_at) > SUSPENDED_MIN_S:
     _handle_suspension(owner)
 
 
