Signals during a start or an exit don't look like a crash

Operators saw processes that were told to stop, or whose settings changed, in their first seconds end with the signal's code. Callers lost nothing: such a process didn't serve yet.

Cause: until EntryProcess.start installed its handlers, signals had their default action. The same at the other end: on exit the interpreter restores the default action of SIGTERM and SIGINT, as it did of SIGHUP, so that a second stop killed a process that was exiting.

Evidence: tests/test_start_signals.py sends signals to real processes after each of seven modules that the start loads.

The handlers are now installed before any other import: SIGTERM and SIGINT end the process with 0 at once (no exception, which an imported module could catch), SIGHUP is ignored. The settings are read after that, and once more as soon as the process runs, so that no change is missed. Exiting processes ignore all three. What remains is the interpreter's own start, before any code of ours.

--- a/fescueturn/platform/role.py
+++ b/fescueturn/platform/role.py
@@ -4,6 +4,11 @@
 settings file in an environment variable (see `nodefile`).
 """
 
+from fescueturn import startsignals
+
+if __name__ == "__main__":
+  startsignals.install()
+
 import secrets
 import signal
 import sys
@@ -183,7 +188,8 @@
 
   async def run(self):
     """Serves until SIGTERM or SIGINT, then drains the open jobs."""
-    reload_at = self._timer.now() + RELOAD_PERIOD_S
+    # Settings that changed during the start are loaded at once.
+    reload_at = self._timer.now()
     while self._stopping_since is None:
       await curio.sleep(POLL_S)
       if self._host.failed:
@@ -225,7 +231,8 @@
   async def close(self):
     """Closes every connection."""
     # On exit, the interpreter restores the default action, which would kill it.
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGINT):
+      signal.signal(number, signal.SIG_IGN)
     for loop in self._loops:
       await loop.cancel()
     await self._endpoint_poller.close()
@@ -315,8 +322,6 @@
 
 def main():
   """Runs the entry host; exits with status 2 if its settings are invalid."""
-  # The settings are about to be read: nothing is to be reloaded yet.
-  signal.signal(signal.SIGHUP, signal.SIG_IGN)
   try:
     node = nodefile.load()
     statsd_server = nodefile.statsd_address()
