A request that waits while a host exits doesn't end it with a traceback

Operators saw "AssertionError: New tasks created during shutdown", a traceback and exit code 1, at the end of a planned stop (soak, a trial); its logs were not kept, so that the task of that case isn't known.

Cause: curio.run cancels the tasks that exist when the main task ends, once, and raises if any are left. Tasks of a host start others when they are cancelled: a request that still waits withdraws its job, and as the host has closed its links by then, the withdrawal starts Link._open. The class: whatever applies an event or serves a connection may start a task while others are being cancelled.

eventloop.run cancels until no task is left, whichever started it; the entry process and the three daemons of the command line use it.

--- a/fescueturn/cli.py
+++ b/fescueturn/cli.py
@@ -19,6 +19,7 @@
 
 from fescueturn import entry
 from fescueturn import errors
+from fescueturn import eventloop
 from fescueturn import explain
 from fescueturn import httpio
 from fescueturn import logs
@@ -144,7 +145,7 @@
         f"E{400} SETTINGS_MISSING: [{section}] is required in {path}"
     )
   logs.setup(conf.process.name, conf.process.log_level)
-  curio.run(runner, conf)
+  eventloop.run(runner, conf)
 
 
 @click.group()
--- a/fescueturn/platform/role.py
+++ b/fescueturn/platform/role.py
@@ -19,6 +19,7 @@
 from loguru import logger
 
 from fescueturn import errors
+from fescueturn import eventloop
 from fescueturn import httpio
 from fescueturn import logs
 from fescueturn import metrics
@@ -328,7 +329,7 @@
   except errors.SettingsError as exc:
     print(f"event=settings_rejected error={exc}", file=sys.stderr)
     sys.exit(EXIT_BAD_SETTINGS)
-  curio.run(_main, node, logs.setup_bounded(node.host), statsd_server)
+  eventloop.run(_main, node, logs.setup_bounded(node.host), statsd_server)
 
 
 if __name__ == "__main__":
