A failed test of the entry process doesn't fail the three after it

KNOWN-RED.txt listed four tests of tests/test_platform_role.py that failed together once. They share four hosts. test_killed_owner... kills the first host and started it again in its last lines only; once it failed, the next tests that use the first host met no process.

test_burst_of_cancellations... now prints the codes of refused cancellations; it checks the same. What was listed as an acknowledgement without an answer is a refusal (caller.Result has no answer then), of a code that wasn't kept.

--- a/tests/test_entry_failures.py
+++ b/tests/test_entry_failures.py
@@ -410,7 +410,8 @@
     return acks, results, resubmitted, before, await starts(cluster)
 
   acks, results, resubmitted, before, after = curio.run(scenario)
-  assert all(a.answer is not None and not a.answer.complete for a in acks)
+  assert [a.error_code for a in acks if a.answer is None] == []
+  assert all(not a.answer.complete for a in acks)
   assert [a.answer for a in acks[:30]] == [r.answer for r in results]
   assert all(r.answer.code == codes.Code.JOB_CANCELLED for r in resubmitted)
   assert before == after  # No task of a cancelled job starts later.
--- a/tests/test_platform_role.py
+++ b/tests/test_platform_role.py
@@ -10,6 +10,14 @@
 from tests import deployments
 
 
+def restart(host: deployments.Host):
+  """Starts a host's process anew for the tests that follow."""
+  host.process.kill()
+  host.process.wait()
+  host.start()
+  deployments.wait_for(host.is_ready, f"{host.name} ready again")
+
+
 def test_job_is_run_and_answered(deployment):
   for number, host in enumerate(deployment.hosts):
     response, body = host.submit(deployments.job_id(1 + number))
@@ -130,15 +138,16 @@
   deployments.wait_for(
       lambda: deployment.report()["running"] == 2, "two runs", 3.0
   )
-  owner.process.kill()
-  owner.process.wait()
-  thread.join()
-  assert answers == [200]
-  assert deployment.report()["broken"] == []
-  starts = [s for s in deployment.report()["starts"] if "0006." in s[0]]
-  assert len(starts) == 2, "the runs were adopted, not started again"
-  owner.start()
-  deployments.wait_for(owner.is_ready, "host ready again")
+  try:
+    owner.process.kill()
+    owner.process.wait()
+    thread.join()
+    assert answers == [200]
+    assert deployment.report()["broken"] == []
+    starts = [s for s in deployment.report()["starts"] if "0006." in s[0]]
+    assert len(starts) == 2, "the runs were adopted, not started again"
+  finally:
+    restart(owner)
 
 
 def test_frozen_owner_is_fenced_when_it_resumes(deployment):
@@ -204,16 +213,17 @@
   for thread in threads:
     thread.start()
   time.sleep(0.5)
-  owner.process.send_signal(signal.SIGTERM)
-  for thread in threads:
-    thread.join(10)
-  assert owner.process.wait(10) == 0
-  assert set(statuses) <= {200, 503}
-  assert statuses.count(200) > 3
-  assert [c for c in cut_off if c[0] > 0.1] == []
-  assert "event=stopped" in owner.log()
-  owner.start()
-  deployments.wait_for(owner.is_ready, "host ready again")
+  try:
+    owner.process.send_signal(signal.SIGTERM)
+    for thread in threads:
+      thread.join(10)
+    assert owner.process.wait(10) == 0
+    assert set(statuses) <= {200, 503}
+    assert statuses.count(200) > 3
+    assert [c for c in cut_off if c[0] > 0.1] == []
+    assert "event=stopped" in owner.log()
+  finally:
+    restart(owner)
 
 
 def test_settings_file_is_reloaded_on_sighup(deployment):
@@ -260,20 +270,23 @@
   deployments.wait_for(
       lambda: owner.spare_fences() > 1, "revisions that others have spent"
   )
-  deployment.set_store_answers(False)
   try:
-    time.sleep(2.0)
-    owner.process.send_signal(signal.SIGTERM)
-    while owner.process.poll() is None:
-      response, _ = heir.submit(deployments.job_id(time.monotonic_ns()))
-      assert response.status == 200
-    assert "event=shard_granted" in owner.log()
-    assert heir.holds_by_grant()
-    assert heir.submit(deployments.job_id(0x77))[0].status == 200
+    deployment.set_store_answers(False)
+    try:
+      time.sleep(2.0)
+      owner.process.send_signal(signal.SIGTERM)
+      while owner.process.poll() is None:
+        response, _ = heir.submit(deployments.job_id(time.monotonic_ns()))
+        assert response.status == 200
+      assert "event=shard_granted" in owner.log()
+      assert heir.holds_by_grant()
+      assert heir.submit(deployments.job_id(0x77))[0].status == 200
+    finally:
+      deployment.set_store_answers(True)
+    deployments.wait_for(
+        lambda: not heir.holds_by_grant(), "claim in the store"
+    )
+    assert heir.submit(deployments.job_id(0x78))[0].status == 200
+    assert deployment.report()["broken"] == []
   finally:
-    deployment.set_store_answers(True)
-  deployments.wait_for(lambda: not heir.holds_by_grant(), "claim in the store")
-  assert heir.submit(deployments.job_id(0x78))[0].status == 200
-  assert deployment.report()["broken"] == []
-  owner.start()
-  deployments.wait_for(owner.is_ready, "host ready again")
+    restart(owner)
