Daemons of the command line heed a stop while they load their modules

Operators saw `fescueturn entry`, `endpoint` and `platform` end with signal 15 when they were stopped during their start, or told to stop twice. The same cause as in the platform's entry process: SIGTERM had its default action until the daemon served, and again while the interpreter exited.

Evidence: tests/test_start_signals.py stops each of the three once curio is loaded, and one that exits again and again; all four tests failed with -15 on the code before.

python -m fescueturn handles signals before it loads the command line; tools such as `submit` keep the default action. SIGHUP keeps its default action as well, as these daemons don't reload settings.

--- a/fescueturn/__main__.py
+++ b/fescueturn/__main__.py
@@ -1,5 +1,20 @@
 """Runs the command line: ``python -m fescueturn``."""
 
-from fescueturn import cli
+import sys
 
-cli.main()
+from fescueturn import daemonsignals
+
+DAEMONS = ("entry", "endpoint", "platform")
+
+
+def main():
+  """Runs the command that the arguments name."""
+  if sys.argv[1:] and sys.argv[1] in DAEMONS:
+    daemonsignals.begin_start(reloads=False)
+  from fescueturn import cli
+
+  cli.main()
+
+
+if __name__ == "__main__":
+  main()
--- a/fescueturn/cli.py
+++ b/fescueturn/cli.py
@@ -17,6 +17,7 @@
 import click
 import curio
 
+from fescueturn import daemonsignals
 from fescueturn import entry
 from fescueturn import errors
 from fescueturn import eventloop
@@ -146,6 +147,7 @@
     )
   logs.setup(conf.process.name, conf.process.log_level)
   eventloop.run(runner, conf)
+  daemonsignals.begin_exit()
 
 
 @click.group()
--- a/fescueturn/startsignals.py
+++ b/fescueturn/daemonsignals.py
@@ -1,4 +1,4 @@
-"""Signals that reach a daemon while it starts.
+"""Signals that reach a daemon while it starts or exits.
 
 Loading the modules takes most of a start. Until a daemon handles signals itself
 it serves nobody: a stop ends it at once, and changed settings are read later.
@@ -19,8 +19,23 @@
   os._exit(os.EX_OK)
 
 
-def install():
-  """Handles signals until the daemon installs its own handlers."""
-  signal.signal(signal.SIGHUP, signal.SIG_IGN)
+def begin_start(reloads: bool):
+  """Handles signals until the daemon installs its own handlers.
+
+  Args:
+    reloads: whether SIGHUP makes the daemon reload its settings.
+  """
+  if reloads:
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
   signal.signal(signal.SIGTERM, _exit_at_once)
   signal.signal(signal.SIGINT, _exit_at_once)
+
+
+def begin_exit():
+  """Ignores signals from now on.
+
+  On exit, the interpreter restores the default action of those that are
+  handled, which would kill the process.
+  """
+  for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGINT):
+    signal.signal(number, signal.SIG_IGN)
--- a/fescueturn/platform/role.py
+++ b/fescueturn/platform/role.py
@@ -4,10 +4,10 @@
 settings file in an environment variable (see `nodefile`).
 """
 
-from fescueturn import startsignals
+from fescueturn import daemonsignals
 
 if __name__ == "__main__":
-  startsignals.install()
+  daemonsignals.begin_start(reloads=True)
 
 import secrets
 import signal
@@ -231,9 +231,7 @@
 
   async def close(self):
     """Closes every connection."""
-    # On exit, the interpreter restores the default action, which would kill it.
-    for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGINT):
-      signal.signal(number, signal.SIG_IGN)
+    daemonsignals.begin_exit()
     for loop in self._loops:
       await loop.cancel()
     await self._endpoint_poller.close()
--- a/tests/test_start_signals.py
+++ b/tests/test_start_signals.py
@@ -12,6 +12,7 @@
 import pytest
 
 from fescueturn import timer
+from fescueturn.lab import launcher
 from fescueturn.lab import ports
 from fescueturn.platform import nodefile
 from fescueturn.platform import role
@@ -126,3 +127,44 @@
     host.process.send_signal(signal.SIGTERM)
     time.sleep(0.0005)
   assert host.process.wait(1.0) == 0
+
+
+def start_daemon(lab: launcher.Launcher, role: str) -> subprocess.Popen:
+  """Starts a daemon of the command line that reports each loaded module."""
+  (name,) = lab.names(role)
+  command = [sys.executable, "-X", "importtime", "-m", "fescueturn", role]
+  return subprocess.Popen(
+      [*command, "--settings", lab.daemons[name].settings_path],
+      cwd=deployments.ROOT,
+      stderr=subprocess.PIPE,
+      text=True,
+  )
+
+
+@pytest.mark.parametrize("role", ["entry", "endpoint", "platform"])
+def test_stop_of_a_starting_daemon_is_not_a_crash(tmp_path, role):
+  lab = launcher.Launcher(str(tmp_path), entries=1, endpoints=1)
+  process = start_daemon(lab, role)
+  for line in process.stderr:
+    if line.rpartition("|")[2].strip() == "curio":
+      break
+  process.send_signal(signal.SIGTERM)
+  _, errors = process.communicate(timeout=20)
+  assert process.returncode == 0
+  assert "event=stopped_while_starting" in errors
+
+
+def test_second_stop_does_not_kill_an_exiting_daemon(tmp_path):
+  lab = launcher.Launcher(str(tmp_path), entries=0, endpoints=0)
+  process = start_daemon(lab, "platform")
+  deployments.wait_for(
+      lambda: deployments.call(lab.platform.port, "GET", "/test/stats"),
+      "the platform's stand-in answers",
+  )
+  deadline = time.monotonic() + 20.0
+  while process.poll() is None and time.monotonic() < deadline:
+    process.send_signal(signal.SIGTERM)
+    time.sleep(0.0005)
+  _, errors = process.communicate(timeout=1.0)
+  assert process.returncode == 0
+  assert "event=stopped_while_starting" not in errors
