Test that a departed caller's job, read late, starts nothing twice

The platform's hosts took up jobs whose callers had left and come back elsewhere. In the product's own interface a host does the same: it reads the request after it has stood still, and its caller has sent the job to the other host 1.3 s after it left. Claims on idempotency keys make it one job.

No product change: a caller that never comes back has its job run to the end, which breaks no promise.

--- a/tests/test_entry_failures.py
+++ b/tests/test_entry_failures.py
@@ -1,5 +1,6 @@
 """Tests failures of real processes: kills, pauses, outages, races."""
 
+import json
 import signal
 import time
 
@@ -22,6 +23,8 @@
 LEAVING_BOUND_S = LAG_S + 0.5 + 1.5
 # How long entry hosts may take to take up the jobs of a test.
 JOBS_TAKEN_UP_S = 10.0
+# When a caller sends its job again after its connection broke.
+RETURN_AFTER_S = 1.3
 
 
 @pytest.fixture
@@ -384,6 +387,42 @@
     )
 
 
+@pytest.mark.parametrize("paused_s", [1.5, 4.5])
+def test_caller_that_left_before_its_request_was_read_repeats_nothing(
+    cluster, paused_s
+):
+  async def scenario():
+    jobs = [fuel_release_job(f"left-{i}", run_ms=400) for i in range(10)]
+    address = cluster.daemons["entry-1"].listen
+    cluster.signal("entry-1", signal.SIGSTOP)
+    for left_job in jobs:
+      body = json.dumps(messages.job_to_json(left_job)).encode()
+      head = (
+          f"POST /v1/jobs HTTP/1.1\r\nhost: {address}\r\n"
+          f"idempotency-key: {left_job.key}\r\n"
+          f"content-length: {len(body)}\r\n\r\n"
+      )
+      sock = await curio.open_connection(address.host, address.port)
+      await sock.sendall(head.encode() + body)
+      await sock.close()
+    await curio.sleep(RETURN_AFTER_S)
+    entry2_pool = pool(cluster, "entry-2")
+    returned = [await curio.spawn(caller.submit, entry2_pool, j) for j in jobs]
+    await curio.sleep(paused_s - RETURN_AFTER_S)
+    cluster.signal("entry-1", signal.SIGCONT)
+    results = [await r.join() for r in returned]
+    await cluster.wait_entry_ready("entry-1")
+    await curio.sleep(1.0)
+    return jobs, results, await starts(cluster)
+
+  jobs, results, start_counts = curio.run(scenario)
+  for left_job, result in zip(jobs, results, strict=True):
+    assert_each_started_at_most_once(left_job, start_counts)
+    if result.answer is not None and result.answer.complete:
+      assert all(f"{left_job.key}/t{i}" in start_counts for i in range(6))
+  assert start_counts
+
+
 def test_burst_of_cancellations_is_not_lost(cluster):
   async def scenario():
     jobs = [fuel_release_job(f"wave-{i}", run_ms=4000) for i in range(30)]
