--- a/fescueturn/platform/role.py
+++ b/fescueturn/platform/role.py
@@ -4,6 +4,11 @@
 settings file in an environment variable (see `nodefile`).
 """
 
+from fescueturn import daemonsignals
+
+if __name__ == "__main__":
+  daemonsignals.begin_start(reloads=True)
+
 import secrets
 import signal
 import sys
@@ -14,6 +19,7 @@
 from loguru import logger
 
 from fescueturn import errors
+from fescueturn import eventloop
 from fescueturn import httpio
 from fescueturn import logs
 from fescueturn import metrics
@@ -183,7 +189,8 @@
 
   async def run(self):
     """Serves until SIGTERM or SIGINT, then drains the open jobs."""
-    reload_at = self._timer.now() + RELOAD_PERIOD_S
+    # Settings that changed during the start are loaded at once.
+    reload_at = self._timer.now()
     while self._stopping_since is None:
       await curio.sleep(POLL_S)
       if self._host.failed:
@@ -224,8 +231,7 @@
 
   async def close(self):
     """Closes every connection."""
-    # On exit, the interpreter restores the default action, which would kill it.
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    daemonsignals.begin_exit()
     for loop in self._loops:
       await loop.cancel()
     await self._endpoint_poller.close()
@@ -315,15 +321,13 @@
 
 def main():
   """Runs the entry host; exits with status 2 if its settings are invalid."""
-  # The settings are about to be read: nothing is to be reloaded yet.
-  signal.signal(signal.SIGHUP, signal.SIG_IGN)
   try:
     node = nodefile.load()
     statsd_server = nodefile.statsd_address()
   except errors.SettingsError as exc:
     print(f"event=settings_rejected error={exc}", file=sys.stderr)
     sys.exit(EXIT_BAD_SETTINGS)
-  curio.run(_main, node, logs.setup_bounded(node.host), statsd_server)
+  eventloop.run(_main, node, logs.setup_bounded(node.host), statsd_server)
 
 
 if __name__ == "__main__":
