An endpoint that may have been restarted is sent no number of ended runs

Cause: a lease call says up to which number the endpoint may forget its ended runs. The numbers begin anew with each incarnation. The call after one without an answer left the number out, but one that couldn't be sent, as while an endpoint restarts, counted as answered, and a failed start or stop request not at all. The next call sent the number of the incarnation before. Where it took longer than the first run of the new one, that run's end was forgotten before any answer had listed it; its task was taken as lost and started again.

Fix: after any failed request the number is left out until a lease call that was sent later is answered. Its answer tells the endpoint's incarnation.

The emulated endpoint now reports an end that it forgets but has never listed; its address can refuse connections, and data on a connection to an earlier incarnation don't arrive any more.

--- a/fescueturn/emulator/endpoint.py
+++ b/fescueturn/emulator/endpoint.py
@@ -67,6 +67,8 @@
   Attributes:
     info: the endpoint as the store's endpoint list shows it.
     unreachable: True if calls to it are neither executed nor answered.
+    refusing: True if nothing listens at its address, so that calls can't be
+      sent.
     slowdown: the factor by which its runs take longer.
     failing: True if every run that it starts fails.
     hanging: True if its runs make no progress.
@@ -111,6 +113,7 @@
     """
     self.info = info
     self.unreachable = False
+    self.refusing = False
     self.slowdown = 1.0
     self.failing = False
     self.hanging = False
@@ -138,6 +141,8 @@
     # Results that no holder has acknowledged yet.
     self._ended: list[model.EndedRun] = []
     self._ended_count = 0
+    # The highest number of an ended run that an answer has listed.
+    self._listed_count = 0
     # By task, the highest attempt that was ended or stopped; neither it nor an
     # earlier one may start any more.
     self._revoked: dict[model.Task, int] = {}
@@ -291,13 +296,14 @@
         one.
     """
     self.crash()
-    self.unreachable = False
+    self.unreachable = self.refusing = False
     self.info = dataclasses.replace(self.info, born_ms=born_ms)
     self._offset_ms = clock_offset_ms
     self._fence = 0
     self._lease_end_ms = 0
     self._ended = []
     self._ended_count = 0
+    self._listed_count = 0
     self._revoked = {}
     self._pending_replies = []
 
@@ -359,10 +365,17 @@
     for ended in self._ended:
       if ended.number <= last_seen and ended.how is model.RunOutcome.DONE:
         self._acknowledged_done.add(ended.run.task)
+      if self._listed_count < ended.number <= last_seen:
+        self._broken.append(
+            f"{self._clock.now:.3f} {self.info.id} forgets the end of"
+            f" {ended.run}, which it has never listed"
+        )
     self._ended = [e for e in self._ended if e.number > last_seen]
 
   def _lease_answer(self, call, result) -> events.LeaseAnswered:
     now = self._clock.now
+    if result is model.CallResult.OK:
+      self._listed_count = self._ended_count
     running = tuple(
         model.ActiveRun(
             run.id,
--- a/fescueturn/emulator/endpointcalls.py
+++ b/fescueturn/emulator/endpointcalls.py
@@ -58,6 +58,7 @@
   def _send_order(self, host, effect, execute, answer_type):
     endpoint = self._fleet.endpoints[effect.endpoint.id]
     name, run = effect.endpoint.id, effect.run
+    born_ms = endpoint.info.born_ms
     call = _Call()
 
     def end(result, clock_ms=None):
@@ -71,20 +72,19 @@
         self._disconnected.add((host.name, name))
         end(model.CallResult.NO_ANSWER)
 
-    def execute_late(born_ms: int):
+    def execute_late():
       # What an incarnation has received ends with it.
       if endpoint.info.born_ms == born_ms:
         execute(endpoint)
 
     def arrive():
-      if endpoint.unreachable or not self._fleet.can_reach(host, name):
+      if not self._arrives(host, endpoint, born_ms):
         return
       delay_s = endpoint.order_delay_s
       if self._rng.random() < endpoint.loss_rate:
         delay_s = self._rng.uniform(2.0, 12.0)
       if delay_s:
-        born_ms = endpoint.info.born_ms
-        self._clock.after(delay_s, lambda: execute_late(born_ms))
+        self._clock.after(delay_s, execute_late)
         return
       result = execute(endpoint)
       clock_ms = endpoint.clock_ms
@@ -92,6 +92,9 @@
           self._path_delay_s(endpoint), lambda: end(result, clock_ms)
       )
 
+    if endpoint.refusing:
+      self._clock.after(LOCAL_DELAY_S, lambda: end(model.CallResult.NOT_SENT))
+      return
     if self._connection_fails(host, endpoint):
       self._clock.after(
           CONNECT_TIMEOUT_S, lambda: end(model.CallResult.NOT_SENT)
@@ -104,6 +107,7 @@
     """Renews an endpoint's lease and reads its runs."""
     endpoint = self._fleet.endpoints[effect.endpoint.id]
     name = effect.endpoint.id
+    born_ms = endpoint.info.born_ms
     call = _Call()
 
     def end(answer: events.LeaseAnswered):
@@ -130,10 +134,12 @@
     lost = self._rng.random() < endpoint.loss_rate
 
     def arrive():
-      arrived = not endpoint.unreachable and self._fleet.can_reach(host, name)
-      if arrived and not lost:
+      if self._arrives(host, endpoint, born_ms) and not lost:
         endpoint.renew(effect, answer)
 
+    if endpoint.refusing:
+      self._clock.after(LOCAL_DELAY_S, lambda: fail(model.CallResult.NOT_SENT))
+      return
     if self._connection_fails(host, endpoint):
       self._clock.after(
           CONNECT_TIMEOUT_S, lambda: fail(model.CallResult.NOT_SENT)
@@ -142,6 +148,17 @@
     self._clock.after(self._path_delay_s(endpoint), arrive)
     self._clock.after(effect.wait_ms / 1000 + timeouts.MIN_S, time_out)
 
+  def _arrives(self, host, endpoint, born_ms: int) -> bool:
+    """Returns whether the data of a call arrive.
+
+    A connection to an earlier incarnation than the current one is reset.
+    """
+    return (
+        endpoint.info.born_ms == born_ms
+        and not endpoint.unreachable
+        and self._fleet.can_reach(host, endpoint.info.id)
+    )
+
   def _packet_lost(self, endpoint: endpoint_lib.EmulatedEndpoint) -> bool:
     rate = endpoint.packet_loss_rate
     return rate > 0 and self._rng.random() < rate
--- a/fescueturn/scheduler/endpointends.py
+++ b/fescueturn/scheduler/endpointends.py
@@ -43,7 +43,7 @@
 
     It is 0 where the number may be taken for one of another incarnation, whose
     ends would then be forgotten unseen: once the endpoint has heard the number,
-    and after a call without an answer.
+    and after a failed request.
 
     Args:
       born_known: True if it is known when the incarnation started.
--- a/fescueturn/scheduler/endpointstate.py
+++ b/fescueturn/scheduler/endpointstate.py
@@ -42,12 +42,13 @@
     listed: True while the platform lists it.
     runs: its runs, of which some may not have started.
     ended: its ended runs, and which of them it may forget.
-    call_lost: True once a lease call got no answer, until one gets one.
     call_number: the number of the last lease call.
     call_pending: True while that call has no answer.
     call_sent_at: when it was sent (s).
     call_is_long_poll: True if it may wait for a run to end.
     call_extends: True if it extends the lease.
+    confirming_call: number of the first lease call that was sent after a request
+      had failed; 0 once such a call was answered.
     lease: its lease, and the estimate of its clock.
     must_lapse: True while one of its runs must end, even if its stop is lost,
       so that its lease may not be extended.
@@ -75,12 +76,12 @@
     self._runs_known = False
     self.runs: dict[model.RunId, endpointruns.Run] = {}
     self.ended = endpointends.EndedRuns()
-    self.call_lost = False
     self.call_number = 0
     self.call_pending = False
     self.call_sent_at = now
     self.call_is_long_poll = False
     self.call_extends = False
+    self.confirming_call = 0
     self.lease = endpointlease.Lease()
     self._must_lapse = False
     self.next_call_at = now
@@ -143,9 +144,21 @@
 
   def next_ack(self) -> int:
     """Returns up to which number the next call lets it forget ended runs."""
-    may_be_restarted = self.call_lost or self.restart_listed
+    may_be_restarted = bool(self.confirming_call) or self.restart_listed
     return self.ended.next_ack(bool(self.born_ms), may_be_restarted)
 
+  def record_failed_request(self):
+    """Records that a request failed, as those to a restarted endpoint do.
+
+    Whether it was restarted shows in the answer to a lease call sent after that.
+    """
+    self.confirming_call = self.call_number + 1
+
+  def record_answered_call(self):
+    """Records that the last lease call was answered."""
+    if self.call_number >= self.confirming_call:
+      self.confirming_call = 0
+
   def update(self, info: model.Endpoint):
     """Applies what the platform lists of the endpoint now."""
     self.info = info
--- a/fescueturn/scheduler/leases.py
+++ b/fescueturn/scheduler/leases.py
@@ -143,12 +143,11 @@
       and since_call_s < endpointstate.UNSAVED_CALL_INTERVAL_S
   ):
     return
-  superseded = record.call_pending
+  if record.call_pending:
+    record.record_failed_request()  # Its answer, if any, is ignored.
   record.call_number += 1
   record.call_pending = True
   record.call_sent_at = owner.now
-  if superseded:
-    record.call_lost = True  # Its answer, if any, is ignored.
   ack_number = record.next_ack()
   wait_ms = 0 if now else _call_wait_ms(owner, record)
   record.call_is_long_poll = wait_ms > 0
@@ -222,7 +221,10 @@
     # An earlier incarnation's answer, which came after a later one's.
     renew_lease(owner, record)
     return
-  record.call_lost = event.result is model.CallResult.NO_ANSWER
+  if event.result is model.CallResult.OK:
+    record.record_answered_call()
+  else:
+    record.record_failed_request()
   _detect_restart(owner, record, event)
   update_clock(owner, record, event.clock_ms)
   if event.result is model.CallResult.OK:
@@ -456,6 +458,7 @@
     owner.counters["calls_lost"] += 1
     return
   record.suspected_since = owner.now
+  record.record_failed_request()
   renew_lease(owner, record, now=True)
 
 
@@ -482,6 +485,7 @@
   if record.silent_since is None:
     owner.emit(ownerstate.endpoint_log("endpoint_silent", record))
   record.mark_silent(owner.now)
+  record.record_failed_request()
   record.exclusion.back_off(owner.now)
   record.delay_next_call(owner.now)
 
--- a/tests/test_restarted_endpoints.py
+++ b/tests/test_restarted_endpoints.py
@@ -11,6 +11,7 @@
 from fescueturn.scheduler import owner as owner_lib
 from fescueturn.scheduler import ownerstate
 from fescueturn.scheduler import runanswers
+from fescueturn.scheduler import runcontrol
 from tests import fleets
 from tests import test_kept_jobs as kept
 from tests import test_leases
@@ -265,3 +266,102 @@
     leases.renew_lease(owner, record)
     test_leases.answer(owner, record, now)
   assert acks(owner.take_effects()) == [40, 40]
+
+
+def fail_lease_call(owner, record, result):
+  test_leases.answer(owner, record, 0.1, result)
+
+
+def fail_start(owner, record, result):
+  run = test_leases.start_job(owner, record)
+  owner.now = 0.1
+  runanswers.handle_start_answer(
+      owner, events.StartAnswered(BORN.id, run.id, result, None)
+  )
+
+
+def fail_stop(owner, record, result):
+  run = test_leases.start_job(owner, record)
+  runcontrol.stop_run(owner, record, run)
+  owner.now = 0.1
+  runanswers.handle_stop_answer(
+      owner, events.StopAnswered(BORN.id, run.id, result, None)
+  )
+
+
+@pytest.mark.parametrize("fail", (fail_lease_call, fail_start, fail_stop))
+@pytest.mark.parametrize(
+    "result", (model.CallResult.NO_ANSWER, model.CallResult.NOT_SENT)
+)
+def test_no_number_is_sent_after_a_failed_request_until_a_call_is_answered(
+    fail, result
+):
+  """Guards against ends of a new incarnation that are forgotten unseen."""
+  owner = test_leases.new_owner()
+  record = known_endpoint(owner)
+  leases.renew_lease(owner, record)
+  sent_before = record.call_number
+  record.ended.last_number = 40
+  owner.take_effects()
+  fail(owner, record, result)
+  if record.call_pending and record.call_number == sent_before:
+    answer(owner, record, 0.15, BORN.born_ms, 900_150)
+  leases.renew_lease(owner, record)
+  assert set(acks(owner.take_effects())) == {0}
+  answer(owner, record, 0.2, BORN.born_ms, 900_200)
+  leases.renew_lease(owner, record)
+  assert acks(owner.take_effects()) == [40]
+
+
+def test_no_number_is_sent_to_an_endpoint_that_refused_calls_for_a_while():
+  owner = test_leases.new_owner()
+  record = known_endpoint(owner)
+  record.ended.last_number = 40
+  leases.renew_lease(owner, record)
+  owner.take_effects()
+  test_leases.answer(owner, record, 0.1, model.CallResult.NO_ANSWER)
+  for now in (0.2, 0.4):
+    leases.renew_lease(owner, record)
+    test_leases.answer(owner, record, now, model.CallResult.NOT_SENT)
+  leases.renew_lease(owner, record)
+  assert acks(owner.take_effects()) == [0, 0, 0]
+
+
+def refuse_and_restart(emulation, every_s: float, until_s: float):
+  """Ends endpoints; their addresses refuse connections until they restart."""
+
+  def stop_one(number: int):
+    data_centre = fleets.DATA_CENTRES[number % len(fleets.DATA_CENTRES)]
+    name = f"e-{data_centre}{emulation.rng.randrange(8)}"
+    endpoint = emulation.endpoints[name]
+    if endpoint.refusing:
+      return
+    endpoint.crash()
+    endpoint.refusing = True
+    offset_ms = emulation.rng.choice((0, 0, 5_000_000))
+    emulation.clock.after(
+        emulation.rng.uniform(0.05, 0.6),
+        lambda: endpoint.restart(1000 + number, offset_ms),
+    )
+
+  for number in range(1, int(until_s / every_s)):
+    emulation.clock.after(number * every_s, lambda n=number: stop_one(n))
+
+
+@pytest.mark.parametrize(
+    "packet_loss_rate,seed", ((0.2, 12), (0.3, 13), (0.1, 0), (0.3, 1))
+)
+def test_kept_task_runs_once_on_endpoints_that_refuse_calls_and_restart(
+    packet_loss_rate, seed
+):
+  emulation = fleets.fleet(seed=seed)
+  for number, endpoint in enumerate(emulation.endpoints.values()):
+    endpoint.info = dataclasses.replace(endpoint.info, born_ms=1 + number)
+    endpoint.packet_loss_rate = packet_loss_rate
+  emulation.clock.run_until(3.0)
+  hosts = list(emulation.hosts.values())
+  fleets.submit_load(emulation, hosts, 6.0, 30)
+  kept.load(emulation, lambda: hosts, 6.0, 30)
+  refuse_and_restart(emulation, 0.04, 6.0)
+  emulation.clock.run_until(16.0)
+  assert emulation.broken == []
