A kept task's end is acknowledged once no other run of it may start

Cause: the lease of a task's first run lapses, and the task is started elsewhere; that start request is still on its way when the first run's endpoint answers again and lists the run as done. The task was stored as done and the end acknowledged while the second start could still be carried out, up to 0.8 s later. That its stop had been requested doesn't help: an order on its way can overtake it.

Fix: results are stored at once, as before, but acknowledged only when each such run has ended, surely never began, or its lease has expired, and with that its start request.

The second run itself can't be avoided: it was ordered before the first was known to be done. But it no longer starts after the endpoint of the first has been told to forget it.

--- a/fescueturn/scheduler/keptjobs.py
+++ b/fescueturn/scheduler/keptjobs.py
@@ -96,7 +96,7 @@
     ):
       kept_records.unsaved_results.setdefault(job_id, set()).update(results)
     else:
-      _acknowledge_results(owner, results)
+      _acknowledge_results(owner, job_id, results)
   kept_records.early_results.clear()
 
 
@@ -163,14 +163,14 @@
 
 
 def _progress_written(owner, change: keptevents.StoreProgress):
-  _acknowledge_results(
-      owner, owner.kept_records.pop_saved_results(change.job_id)
-  )
+  saved = owner.kept_records.pop_saved_results(change.job_id)
+  _acknowledge_results(owner, change.job_id, saved)
 
 
 def _end_written(owner, change: keptevents.StoreEnd):
   kept_records = owner.kept_records
-  _acknowledge_results(owner, kept_records.pop_all_results(change.job_id))
+  results = kept_records.pop_all_results(change.job_id)
+  _acknowledge_results(owner, change.job_id, results)
   state = kept_records.unsaved_states.pop(change.job_id)
   until = owner.now + owner.ended_job_retention_s
   kept_records.finished_jobs[change.job_id] = keptrecords.FinishedJob(
@@ -203,7 +203,8 @@
   job_id = change.kept.job.id
   owner.kept_records.moving.pop(job_id)
   owner.kept_records.moved.add(job_id)
-  _acknowledge_results(owner, owner.kept_records.pop_all_results(job_id))
+  results = owner.kept_records.pop_all_results(job_id)
+  _acknowledge_results(owner, job_id, results)
   job = owner.by_id.pop(job_id)
   owner.jobs.pop(job.key)
   owner.emit(
@@ -232,8 +233,15 @@
 }
 
 
-def _acknowledge_results(owner, results):
-  """Acknowledges results to their endpoints, which then forget them."""
+def _acknowledge_results(owner, job_id: str, results):
+  """Acknowledges results to their endpoints, which then forget them.
+
+  No task may start once its end has been acknowledged, so results are held
+  while the start request of another run may still be carried out.
+  """
+  if _has_rivals(owner, job_id):
+    owner.kept_records.held_results.setdefault(job_id, set()).update(results)
+    return
   for endpoint, number in results:
     record = owner.endpoints.get(endpoint)
     if record is not None and number != keptrecords.ENDPOINT_LOST:
@@ -242,6 +250,33 @@
         leases.renew_lease(owner, record)
 
 
+def _has_rivals(owner, job_id: str) -> bool:
+  """Returns whether another run of one of a job's done tasks may start."""
+  kept_records = owner.kept_records
+  rivals = kept_records.rivals.get(job_id)
+  if rivals is None:
+    return False
+  rivals = {run for run in rivals if _may_start(owner, run)}
+  if rivals:
+    kept_records.rivals[job_id] = rivals
+  else:
+    del kept_records.rivals[job_id]
+  return bool(rivals)
+
+
+def _may_start(owner, run_id: model.RunId) -> bool:
+  runs = [record.runs.get(run_id) for record in owner.endpoints.values()]
+  # The lease of an abandoned run has expired, and its start request with it.
+  return any(run is not None and not run.abandoned for run in runs)
+
+
+def _acknowledge_held_results(owner):
+  held = owner.kept_records.held_results
+  for job_id in list(held):
+    if not _has_rivals(owner, job_id):
+      _acknowledge_results(owner, job_id, held.pop(job_id))
+
+
 def handle_state_query(owner: ownerstate.Owner, event: keptevents.KeptJobQuery):
   """Answers a query for a job's state, or a request to cancel the job.
 
@@ -330,8 +365,9 @@
 
 
 def tick(owner: ownerstate.Owner):
-  """Declines late offers and requests the finished jobs' list when due."""
+  """Runs the work that is due."""
   kept_records = owner.kept_records
+  _acknowledge_held_results(owner)
   if kept_records.early_offers and not kept_records.loaded:
     _decline_late_offers(owner)
   list_due = owner.now - owner.taken_at > keptrecords.LIST_ENDED_DELAY_S
--- a/fescueturn/scheduler/keptrecords.py
+++ b/fescueturn/scheduler/keptrecords.py
@@ -89,6 +89,10 @@
     finished_jobs: the jobs stored as finished, by id; earliest first.
     unsaved_results: the results of runs that are not stored yet, by job id.
     early_results: the results listed before the records were read, by job id.
+    held_results: the stored results that may not be acknowledged while a run in
+      `rivals` may start, by job id.
+    rivals: runs of tasks that another run has done, by job id; their start
+      requests may still be carried out.
     early_offers: the offers received before the records were read.
     pending_queries: the queries that wait for an answer, by job id.
     in_flight: the write that waits for the store's answer.
@@ -109,6 +113,8 @@
     self.finished_jobs: dict[str, FinishedJob] = {}
     self.unsaved_results: dict[str, set[ResultKey]] = {}
     self.early_results: dict[str, set[ResultKey]] = {}
+    self.held_results: dict[str, set[ResultKey]] = {}
+    self.rivals: dict[str, set[model.RunId]] = {}
     self.early_offers: list[linkmessages.Offered] = []
     self.pending_queries: dict[str, list[keptevents.KeptJobQuery]] = {}
     self.in_flight: keptevents.WriteKeptJobs | None = None
@@ -247,7 +253,8 @@
     def is_valid(result: ResultKey) -> bool:
       return result[0] != endpoint or result[1] == ENDPOINT_LOST
 
-    for results in (self.unsaved_results, self.early_results):
+    every = (self.unsaved_results, self.early_results, self.held_results)
+    for results in every:
       for job_id, keys in results.items():
         results[job_id] = {key for key in keys if is_valid(key)}
     self._results_in_flight = {
@@ -277,6 +284,7 @@
         "takeovers": self.takeovers,
         "arriving": len(self.unsaved_offers),
         "unsaved": len(self.unsaved_results),
+        "held": len(self.held_results),
         "over": len(self.unsaved_states),
         "moving": len(self.moving),
         "ended": len(self.finished_jobs),
--- a/fescueturn/scheduler/outcomes.py
+++ b/fescueturn/scheduler/outcomes.py
@@ -111,6 +111,9 @@
   if task.run is not None:
     runcontrol.stop_task(owner, task)
     task.previous_run = task.run
+  if task.previous_run is not None and job.job.kept:
+    rivals = owner.kept_records.rivals.setdefault(job.job.id, set())
+    rivals.add(task.previous_run)
   job.task_done(task)
 
 
--- a/tests/test_lossy_paths.py
+++ b/tests/test_lossy_paths.py
@@ -7,6 +7,7 @@
 
 from fescueturn.scheduler import model
 from tests import fleets
+from tests import test_kept_jobs as kept
 
 # Three packets in ten are lost.
 LOSS_RATE = 0.3
@@ -47,3 +48,21 @@
   outcomes = fleets.count_outcomes(emulation, requests)
   assert outcomes[model.Outcome.DONE] > 0.6 * len(requests)
   assert failed_retries(emulation) > 0
+
+
+@pytest.mark.parametrize(
+    "loss_rate,packet_loss_rate,seed",
+    ((0.0, 0.3, 5), (0.0, 0.45, 4), (0.0, 0.45, 11), (0.2, 0.2, 8)),
+)
+def test_kept_task_does_not_start_after_its_end_was_acknowledged(
+    loss_rate, packet_loss_rate, seed
+):
+  emulation = fleets.fleet(seed=seed)
+  for endpoint in emulation.endpoints.values():
+    endpoint.loss_rate = loss_rate
+    endpoint.packet_loss_rate = packet_loss_rate
+  emulation.clock.run_until(3.0)
+  hosts = list(emulation.hosts.values())
+  kept.load(emulation, lambda: hosts, 6.0, 30)
+  emulation.clock.run_until(16.0)
+  assert emulation.broken == []
