A restart shows in the answers to start and stop requests as well

Cause: which incarnation of an endpoint answers was looked at in lease calls only. A start or stop answered by a new one marked the endpoint as not silent and set the estimate of the old clock, and tasks were started before a lease call had shown the restart.

Evidence: `test_order_answered_by_a_new_incarnation_asks_it_for_its_runs` fails for both kinds of answer when the start time in them is ignored, as it was.

Fix: answers to orders carry the start time of their incarnation. A later one than is known is asked for its runs at once, with no number of ended runs; an earlier one's clock is ignored.

--- a/fescueturn/emulator/endpointcalls.py
+++ b/fescueturn/emulator/endpointcalls.py
@@ -65,7 +65,10 @@
       lost = clock_ms is not None and name in host.deaf_to
       if not (call.over or lost):
         call.over = True
-        host.apply(answer_type(name, run, result, clock_ms, effect.fence))
+        answered_by = 0 if clock_ms is None else born_ms
+        host.apply(
+            answer_type(name, run, result, clock_ms, effect.fence, answered_by)
+        )
 
     def time_out():
       if not call.over:
--- a/fescueturn/platform/endpoints.py
+++ b/fescueturn/platform/endpoints.py
@@ -411,7 +411,12 @@
         order.endpoint, "/-/run-start", body
     )
     return events.StartAnswered(
-        order.endpoint.id, order.run, reply.result, reply.clock_ms, order.fence
+        order.endpoint.id,
+        order.run,
+        reply.result,
+        reply.clock_ms,
+        order.fence,
+        reply.body.born,
     )
 
   async def stop(self, order: events.StopRun) -> events.StopAnswered:
@@ -425,7 +430,12 @@
         order.endpoint, "/-/run-stop", body
     )
     return events.StopAnswered(
-        order.endpoint.id, order.run, reply.result, reply.clock_ms, order.fence
+        order.endpoint.id,
+        order.run,
+        reply.result,
+        reply.clock_ms,
+        order.fence,
+        reply.body.born,
     )
 
   async def renew(self, order: events.RenewLease) -> events.LeaseAnswered:
--- a/fescueturn/scheduler/events.py
+++ b/fescueturn/scheduler/events.py
@@ -130,6 +130,8 @@
     result: the call's result.
     clock_ms: the endpoint's clock; None without a response.
     fence: the fencing token of the `StartRun`.
+    born_ms: when the incarnation that answered started (see `model.Endpoint`);
+      0 if it isn't known.
   """
 
   endpoint: str
@@ -137,6 +139,7 @@
   result: model.CallResult
   clock_ms: int | None
   fence: int = 0
+  born_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -148,6 +151,7 @@
   result: model.CallResult
   clock_ms: int | None
   fence: int = 0
+  born_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/fescueturn/scheduler/leases.py
+++ b/fescueturn/scheduler/leases.py
@@ -320,6 +320,21 @@
     _handle_suspension(owner)
 
 
+def handle_order_answer(
+    owner, record, event: events.StartAnswered | events.StopAnswered
+):
+  """Handles what a start or stop request's answer tells of its endpoint.
+
+  A later incarnation than the known one is asked for its runs at once: the
+  numbers of its ends and its clock began anew.
+  """
+  if event.born_ms in (0, record.born_ms) or not record.born_ms:
+    update_clock(owner, record, event.clock_ms)
+  elif event.born_ms > record.born_ms:
+    record.record_failed_request()
+    renew_lease(owner, record, now=True)
+
+
 def _handle_run_lists(owner, record, event: events.LeaseAnswered):
   first_report = not record.runs_known
   if first_report and event.clock_ms is not None:
--- a/fescueturn/scheduler/runanswers.py
+++ b/fescueturn/scheduler/runanswers.py
@@ -18,7 +18,7 @@
   record = owner.endpoints.get(event.endpoint)
   run = record.runs.get(event.run) if record else None
   if record is not None:
-    leases.update_clock(owner, record, event.clock_ms)
+    leases.handle_order_answer(owner, record, event)
   if run is None:
     return
   if event.result is model.CallResult.OK:
@@ -86,7 +86,7 @@
   record = owner.endpoints.get(event.endpoint)
   if record is None:
     return
-  leases.update_clock(owner, record, event.clock_ms)
+  leases.handle_order_answer(owner, record, event)
   run = record.runs.get(event.run)
   if event.result is model.CallResult.OK:
     if run is not None:
--- a/tests/test_restarted_endpoints.py
+++ b/tests/test_restarted_endpoints.py
@@ -365,3 +365,29 @@
   refuse_and_restart(emulation, 0.04, 6.0)
   emulation.clock.run_until(16.0)
   assert emulation.broken == []
+
+
+@pytest.mark.parametrize(
+    "kind,handle",
+    (
+        (events.StartAnswered, runanswers.handle_start_answer),
+        (events.StopAnswered, runanswers.handle_stop_answer),
+    ),
+)
+def test_order_answered_by_a_new_incarnation_asks_it_for_its_runs(kind, handle):
+  """Guards against numbers and clocks that are taken for another's."""
+  owner = test_leases.new_owner()
+  record = known_endpoint(owner)
+  run = started_run(owner, record)
+  record.ended.last_number = 40
+  owner.now = 0.1
+  order_answer = kind(BORN.id, run.id, model.CallResult.OK, 20)
+  handle(owner, dataclasses.replace(order_answer, born_ms=RESTARTED.born_ms))
+  calls = [e for e in owner.take_effects() if isinstance(e, events.RenewLease)]
+  assert [(c.last_seen, c.wait_ms) for c in calls] == [(0, 0)]
+  assert record.lease.clock_ms(0.1) > 800_000
+  handle(owner, dataclasses.replace(order_answer, born_ms=RESTARTED.born_ms))
+  answer(owner, record, 0.2, RESTARTED.born_ms, 120)
+  assert record.born_ms == RESTARTED.born_ms
+  handle(owner, dataclasses.replace(order_answer, born_ms=BORN.born_ms))
+  assert record.lease.clock_ms(0.2) == 120
