A new holder waits for its predecessor's orders before kept ends are acknowledged

What callers saw: a task of a kept job starts after its end was acknowledged.

Cause: a holder has ordered a further run of a task whose first run it took as lost, and is killed. The next holder hears that the first run is done, stores that and acknowledges the end, while the order is still on its way to an endpoint that hasn't heard the new fencing token. The same where the holder before had heard and stored the job's end: the next one doesn't know the job and acknowledges the end at once.

Evidence: `test_order_of_a_killed_owner_is_not_carried_out_after_its_task_was_done`, an emulated fleet: the order is sent at 7.32 s, its holder killed 0.2 s later, and the order carried out at 7.82 to 7.92 s, after the next holder's acknowledgement.

A job's end is stored only when no order of its holder for it is on its way.

--- a/fescueturn/scheduler/keptjobs.py
+++ b/fescueturn/scheduler/keptjobs.py
@@ -239,7 +239,7 @@
   No task may start once its end has been acknowledged, so results are held
   while the start request of another run may still be carried out.
   """
-  if _has_rivals(owner, job_id):
+  if _may_have_rivals(owner, job_id):
     owner.kept_records.held_results.setdefault(job_id, set()).update(results)
     return
   for endpoint, number in results:
@@ -264,6 +264,12 @@
   return bool(rivals)
 
 
+def _may_have_rivals(owner, job_id: str) -> bool:
+  """Returns the same, including runs that the previous holder may have ordered."""
+  is_inherited = job_id in owner.kept_records.inherited
+  return is_inherited and not owner.recovered or _has_rivals(owner, job_id)
+
+
 def _may_start(owner, run_id: model.RunId) -> bool:
   runs = [record.runs.get(run_id) for record in owner.endpoints.values()]
   # The lease of an abandoned run has expired, and its start request with it.
@@ -273,7 +279,7 @@
 def _acknowledge_held_results(owner):
   held = owner.kept_records.held_results
   for job_id in list(held):
-    if not _has_rivals(owner, job_id):
+    if not _may_have_rivals(owner, job_id):
       _acknowledge_results(owner, job_id, held.pop(job_id))
 
 
@@ -385,9 +391,17 @@
 
 
 def flush(owner: ownerstate.Owner):
-  """Requests the next write to the store, if one may be sent now."""
+  """Requests the next write to the store, if one may be sent now.
+
+  The next holder doesn't know a job that is stored as finished, and so
+  acknowledges the ends of its runs at once.
+  """
   write = owner.kept_records.next_write(
-      owner.shard, owner.fence, owner.now, lambda j: _progress(owner, j)
+      owner.shard,
+      owner.fence,
+      owner.now,
+      lambda job_id: _progress(owner, job_id),
+      lambda job_id: _has_rivals(owner, job_id),
   )
   if write is not None:
     owner.emit(write)
--- a/fescueturn/scheduler/keptrecords.py
+++ b/fescueturn/scheduler/keptrecords.py
@@ -83,14 +83,16 @@
   Attributes:
     loaded: True once the records of previous holders have been read.
     takeovers: how often previous holders took the records over.
+    inherited: ids of the jobs that were found in the records. Start requests of
+      the previous holder for them may still be carried out.
     unsaved_offers: offers of new jobs that are not stored yet, by job id.
     unsaved_states: the final states of finished jobs that are not stored yet,
       by job id.
     finished_jobs: the jobs stored as finished, by id; earliest first.
     unsaved_results: the results of runs that are not stored yet, by job id.
     early_results: the results listed before the records were read, by job id.
-    held_results: the stored results that may not be acknowledged while a run in
-      `rivals` may start, by job id.
+    held_results: the stored results that may not be acknowledged while another
+      run of their job's tasks may start, by job id.
     rivals: runs of tasks that another run has done, by job id; their start
       requests may still be carried out.
     early_offers: the offers received before the records were read.
@@ -108,6 +110,7 @@
   def __init__(self):
     self.loaded = False
     self.takeovers = 0
+    self.inherited: frozenset[str] = frozenset()
     self.unsaved_offers: dict[str, list[linkmessages.Offered]] = {}
     self.unsaved_states: dict[str, model.KeptJobState] = {}
     self.finished_jobs: dict[str, FinishedJob] = {}
@@ -143,6 +146,7 @@
     """Marks the records of previous holders as read."""
     self.loaded = True
     self.takeovers = loaded.takeovers
+    self.inherited = frozenset(kept.job.id for kept in loaded.jobs)
     self._revision = loaded.revision
 
   def stalled(self, now: float) -> bool:
@@ -165,6 +169,7 @@
       fence: int,
       now: float,
       progress_of: Callable[[str], model.Progress],
+      is_held: Callable[[str], bool],
   ) -> keptevents.WriteKeptJobs | None:
     """Returns the write to make now, if any.
 
@@ -173,6 +178,8 @@
       fence: the owner's fencing token.
       now: the time (s).
       progress_of: returns the progress of the job with the given id.
+      is_held: returns whether the end of the job with the given id is not to be
+        stored yet.
     """
     if not self.loaded or self.in_flight is not None:
       return None
@@ -180,7 +187,7 @@
       return None
     if now - self._sent_at < WRITE_PERIOD_S:
       return None
-    changes = self._next_changes(now, progress_of)
+    changes = self._next_changes(now, progress_of, is_held)
     if not changes:
       return None
     self._number += 1
@@ -190,7 +197,7 @@
     )
     return self.in_flight
 
-  def _next_changes(self, now: float, progress_of):
+  def _next_changes(self, now: float, progress_of, is_held):
     """Returns the changes to write next.
 
     Ends and progress come first, because endpoints list the results until then.
@@ -198,6 +205,7 @@
     changes: list[keptevents.Change] = [
         keptevents.StoreEnd(job_id, state)
         for job_id, state in self.unsaved_states.items()
+        if not is_held(job_id)
     ]
     changes += [
         keptevents.StoreProgress(job_id, progress_of(job_id))
--- a/tests/test_evacuation_kept.py
+++ b/tests/test_evacuation_kept.py
@@ -114,7 +114,11 @@
     move = keptevents.MoveJob(kept, model.Shard("b"))
     kept_records.moving[kept.job.id] = move
   write = kept_records.next_write(
-      test_kept_jobs.SHARD, 7, 1.0, lambda job_id: model.Progress()
+      test_kept_jobs.SHARD,
+      7,
+      1.0,
+      lambda job_id: model.Progress(),
+      lambda job_id: False,
   )
   # The checks of the claim and of the previous write take three rows, a move
   # five.
--- a/tests/test_kept_jobs.py
+++ b/tests/test_kept_jobs.py
@@ -376,3 +376,47 @@
   emulation.clock.run_until(3.0)
   for host in emulation.hosts.values():
     assert coordinator.pending(host.state.coordinator, "q") == 3
+
+
+def ordered_again(holder) -> list[str]:
+  """Returns the endpoints that were ordered to run a further attempt."""
+  return [
+      name
+      for owner in holder.state.owners.values()
+      for name, record in owner.endpoints.items()
+      for run in record.runs
+      if run.task.job_id == "k" and run.attempt > 1
+  ]
+
+
+@pytest.mark.parametrize("delay_s", (0.5, 0.55, 0.6))
+@pytest.mark.parametrize("is_heard", (False, True))
+def test_order_of_a_killed_owner_is_not_carried_out_after_its_task_was_done(
+    is_heard, delay_s
+):
+  """The first run's end is heard late or never; another one is ordered."""
+  emulation = fleets.fleet()
+  emulation.clock.run_until(6.0)
+  owner = fleets.owner_of(emulation, "a")
+  submit(emulation, owner.name, job("k", 1, 700))
+  emulation.clock.run_until(6.1)
+  (first,) = [e for e in emulation.endpoints.values() if e.running]
+  submit(emulation, owner.name, job("others", 16, 4000))
+  emulation.clock.run_until(6.25)
+  owner.partitioned_from.add(first.info.id)
+  for endpoint in emulation.endpoints.values():
+    if endpoint is not first:
+      endpoint.order_delay_s = delay_s
+  while not ordered_again(owner):
+    emulation.clock.run_until(emulation.clock.now + 0.01)
+  (second,) = ordered_again(owner)
+  if is_heard:
+    owner.partitioned_from.clear()
+  emulation.clock.run_until(emulation.clock.now + 0.2)
+  emulation.kill(owner.name)
+  for host in emulation.hosts.values():
+    host.partitioned_from.add(second)
+  emulation.clock.run_until(emulation.clock.now + 4.0)
+  assert [r.task.job_id for r in emulation.endpoints[second].starts].count("k")
+  assert emulation.broken == []
+  assert model.Task("k", 0, 0) in emulation.acknowledged_done
