A lease call that acknowledges ended runs isn't sent late

Cause: a lease call with the number of an ended run is requested before an endpoint restarts, its host stands still, and connects only when the new incarnation listens, which takes the number for one of its own ends.

Evidence: `test_ended_runs_are_not_acknowledged_by_a_call_that_is_sent_late` fails without the guard: a call that begins 0.3 s after it was requested is sent as it is.

Fix: a call says when it was requested.

--- a/fescueturn/httpio.py
+++ b/fescueturn/httpio.py
@@ -97,6 +97,12 @@
   code = codes.Code.UNREACHABLE
 
 
+class ExpiredError(errors.FescueError):
+  """A request was no longer to be sent once there was a connection for it."""
+
+  code = codes.Code.UNREACHABLE
+
+
 class LostReplyError(errors.FescueError):
   """No complete response arrived; the server may have acted on the request."""
 
@@ -375,16 +381,30 @@
       body: bytes = b"",
       headers=(),
       timeout_s: float = 30.0,
+      may_send: Callable[[], bool] = lambda: True,
   ) -> Response:
     """Sends one request and returns the complete response.
 
+    Args:
+      method: the method.
+      target: the path.
+      body: the body.
+      headers: further headers.
+      timeout_s: how long the response may take (s).
+      may_send: called once there is a connection; returns whether the request
+        is still to be sent.
+
     Raises:
+      ExpiredError: the request was no longer to be sent.
       NotSentError: no connection could be made, so nothing was sent.
       LostReplyError: the connection failed or no complete response came within
         `timeout_s` seconds; the server may have acted on the request.
     """
     async with self._limit:
       client = await self._connect()
+      if not may_send():
+        self._idle.append(client)
+        raise ExpiredError(f"{method} {target}: sent too late")
       try:
         response = await curio.timeout_after(
             timeout_s, client.request, method, target, body, headers
--- a/fescueturn/platform/endpoints.py
+++ b/fescueturn/platform/endpoints.py
@@ -30,6 +30,9 @@
 CONNECT_TIMEOUT_S = 0.25
 # Connections to one endpoint: one for the lease call, the others for orders.
 MAX_CONNECTIONS = 6
+# A lease call that acknowledges ended runs isn't sent later than this: another
+# incarnation might get it. No endpoint restarts and ends a run in this time.
+MAX_ACK_DELAY_S = 0.1
 
 _RESULT_BY_REASON = {
     "fence": model.CallResult.FENCED,
@@ -333,16 +336,26 @@
     self._answer_timeout = timeouts.AnswerTimeout()
 
   async def _call(
-      self, endpoint: model.Endpoint, path: str, body: dict, timeout_s: float
+      self,
+      endpoint: model.Endpoint,
+      path: str,
+      body: dict,
+      timeout_s: float,
+      may_send: Callable[[], bool] = lambda: True,
   ) -> _Reply:
     began = self._now()
-    reply = await self._exchange(endpoint, path, body, timeout_s)
+    reply = await self._exchange(endpoint, path, body, timeout_s, may_send)
     name = "endpoint_" + path.rpartition("/")[2]
     self._observe(name, reply.result.value, self._now() - began)
     return reply
 
   async def _exchange(
-      self, endpoint: model.Endpoint, path: str, body: dict, timeout_s: float
+      self,
+      endpoint: model.Endpoint,
+      path: str,
+      body: dict,
+      timeout_s: float,
+      may_send: Callable[[], bool],
   ) -> _Reply:
     headers = (
         ("content-type", "application/json"),
@@ -352,12 +365,17 @@
     )
     try:
       response = await self._pool(endpoint).request(
-          "POST", path, msgspec.json.encode(body), headers, timeout_s
+          "POST",
+          path,
+          msgspec.json.encode(body),
+          headers,
+          timeout_s,
+          may_send,
       )
       reply = _decode_reply(endpoint, response)
     except httpio.NotSentError:
       return _Reply(model.CallResult.NOT_SENT)
-    except httpio.LostReplyError as exc:
+    except (httpio.ExpiredError, httpio.LostReplyError) as exc:
       logger.debug("event=call_lost endpoint={} error={!r}", endpoint.id, exc)
       return _Reply(model.CallResult.NO_ANSWER)
     if response.status == 409:
@@ -367,7 +385,11 @@
     return _Reply(result, reply)
 
   async def _call_with_adaptive_timeout(
-      self, endpoint: model.Endpoint, path: str, body: dict
+      self,
+      endpoint: model.Endpoint,
+      path: str,
+      body: dict,
+      may_send: Callable[[], bool] = lambda: True,
   ) -> _Reply:
     """Makes a call that the endpoint answers without waiting.
 
@@ -375,7 +397,7 @@
     """
     began = self._now()
     reply = await self._call(
-        endpoint, path, body, self._answer_timeout.call_timeout_s
+        endpoint, path, body, self._answer_timeout.call_timeout_s, may_send
     )
     if reply.result is model.CallResult.NO_ANSWER:
       self._answer_timeout.record_miss()
@@ -440,16 +462,23 @@
 
   async def renew(self, order: events.RenewLease) -> events.LeaseAnswered:
     """Renews an endpoint's lease and reads its running and ended runs."""
+
+    def may_send():
+      is_late = self._now() - order.at > MAX_ACK_DELAY_S
+      return not (order.last_seen and is_late)
+
     body = {"fencingToken": order.fence, "lastSeen": order.last_seen}
     if order.deadline_ms is not None:
       body["deadlineMs"] = order.deadline_ms
     if order.wait_ms:
       body["waitMs"] = order.wait_ms
       timeout_s = order.wait_ms / 1000 + self._answer_timeout.call_timeout_s
-      reply = await self._call(order.endpoint, "/-/hold", body, timeout_s)
+      reply = await self._call(
+          order.endpoint, "/-/hold", body, timeout_s, may_send
+      )
     else:
       reply = await self._call_with_adaptive_timeout(
-          order.endpoint, "/-/hold", body
+          order.endpoint, "/-/hold", body, may_send
       )
     result, running, ended = reply.result, (), ()
     try:
--- a/fescueturn/scheduler/events.py
+++ b/fescueturn/scheduler/events.py
@@ -328,6 +328,7 @@
     wait_ms: how long the endpoint may wait for a run to end before it
       responds.
     fence: the owner's fencing token.
+    at: when the call was requested (s).
   """
 
   endpoint: model.Endpoint
@@ -336,6 +337,7 @@
   deadline_ms: int | None
   wait_ms: int
   fence: int
+  at: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/fescueturn/scheduler/leases.py
+++ b/fescueturn/scheduler/leases.py
@@ -161,6 +161,7 @@
           deadline_ms,
           wait_ms,
           owner.fence,
+          owner.now,
       )
   )
 
--- a/tests/test_platform_endpoints.py
+++ b/tests/test_platform_endpoints.py
@@ -11,7 +11,9 @@
 from fescueturn.lab import ports
 from fescueturn.platform import endpoints
 from fescueturn.scheduler import events
+from fescueturn.scheduler import leases
 from fescueturn.scheduler import model
+from tests import test_leases
 
 
 def item(name: str, **changed) -> kvtypes.Item:
@@ -275,3 +277,45 @@
 def test_lease_answer_without_a_clock_does_not_show_that_runs_ended(body):
   (answer,) = renew_once({ports.free_address(): body}, lease_call)
   assert answer.result is model.CallResult.NO_ANSWER
+
+
+@pytest.mark.parametrize(
+    "last_seen,late_s,is_sent",
+    ((40, 0.05, True), (40, 0.3, False), (0, 0.3, True)),
+)
+def test_ended_runs_are_not_acknowledged_by_a_call_that_is_sent_late(
+    last_seen, late_s, is_sent
+):
+  """Guards against ends of a new incarnation that are forgotten unseen."""
+  seen = []
+
+  async def play():
+    address = ports.free_address()
+
+    async def handle(request):
+      seen.append(request.json()["lastSeen"])
+      return httpio.Response(200, b'{"clockMs": 9, "born": 5}')
+
+    server = httpio.Server(address, handle)
+    await server.start()
+    calls = endpoints.EndpointCalls(lambda: 7.0 + late_s)
+    call = dataclasses.replace(lease_call(address), last_seen=last_seen, at=7.0)
+    result = (await calls.renew(call)).result
+    await calls.renew(dataclasses.replace(call, last_seen=41, at=7.0 + late_s))
+    await calls.close()
+    await server.close()
+    return result
+
+  result = curio.run(play)
+  assert seen == ([last_seen, 41] if is_sent else [41])
+  assert (result is model.CallResult.OK) == is_sent
+
+
+def test_lease_call_says_when_it_was_requested():
+  owner = test_leases.new_owner()
+  record = test_leases.known_endpoint(owner, now=3.0)
+  owner.take_effects()
+  owner.now = 4.0
+  leases.renew_lease(owner, record)
+  (call,) = owner.take_effects()
+  assert call.at == 4.0
