A slow machine doesn't fail the test of a host's ticks near a deadline

Cause: test_host_with_waiting_callers_ticks_slowly... slept 0.2 s of a job's 0.4 s in real time. Beside other runs, at a load of 30 on 8 cores, it woke when the job was 0.674 s old; its log has job_answered reason=deadline, and a host without a job ticks slowly. The product was right.

The test drives the host's clock itself; its checks are the same. It fails if hosts tick fast whenever a caller waits, and if they never do near a deadline (both tried by changing coordinatorstate.has_timeout_soon).

--- a/tests/test_scheduler_host.py
+++ b/tests/test_scheduler_host.py
@@ -1,4 +1,5 @@
 import socket
+import time
 
 import curio
 import pytest
@@ -17,7 +18,7 @@
 )
 
 
-def new_host() -> host.SchedulerHost:
+def new_host(now=time.monotonic) -> host.SchedulerHost:
   async def call(effect):
     raise AssertionError(effect)
 
@@ -29,7 +30,7 @@
   )
   me = state.HostIdentity(PROCESS, "north", (model.Shard("north"),))
   address = settings.Address("127.0.0.1", 0)
-  return host.SchedulerHost(me, address, ports, timer.TimerService(1.0))
+  return host.SchedulerHost(me, address, ports, timer.TimerService(1.0, now))
 
 
 def test_reducer_exception_is_raised_and_marks_the_host_as_failed():
@@ -73,7 +74,8 @@
 
   A hundred hosts with a few jobs each would tick 5,000 times a second.
   """
-  scheduler = new_host()
+  now_s = [100.0]
+  scheduler = new_host(lambda: now_s[0])
   listener = socket.create_server(("127.0.0.1", 0))
   peer = settings.Address(*listener.getsockname())
   holder = model.Holder("host-2", "b", peer, 5)
@@ -82,9 +84,9 @@
   async def run():
     await scheduler.apply(events.HolderChanged(shard, holder))
     submission = await curio.spawn(scheduler.submit, JOB, 0.4)
-    await curio.sleep(0.02)
+    await curio.sleep(0)
     assert scheduler.tick_period_s == host.IDLE_TICK_S
-    await curio.sleep(0.2)
+    now_s[0] += 0.2
     await scheduler.apply(events.Tick())
     assert scheduler.tick_period_s == host.TICK_S
     await submission.cancel()
