A new holder is pinged as soon as it is known

Cause: a holder starts no task of a coordinator before a ping has bounded its own age, which takes two pings. The first went out in the next tick, which an idle host takes up to 0.1 s later: jobs of 60 ms would all be late for that time after each change of holder.

Change: the ping is sent as the holder becomes known, before any offer. The time that it tells is that of the last check of the callers, as in all pings.

--- a/fescueturn/scheduler/coordinator.py
+++ b/fescueturn/scheduler/coordinator.py
@@ -391,7 +391,6 @@
     return
   after = coordinatorstate.HolderRecord(event.holder, state.now)
   state.holders[event.shard] = after
-  state.pinged_at = 0.0  # The next tick pings it.
   state.emit(
       events.log(
           "holder_changed",
@@ -400,6 +399,8 @@
           fence=event.holder.fence,
       )
   )
+  # It starts no task of this host's jobs before a ping tells its own age.
+  _ping_holder(state, event.shard, after)
   if before is None or before.lost or before.process != after.process:
     _reoffer_jobs(state, event.shard)
 
@@ -506,7 +507,6 @@
         or room_due
         or shard in shards_with_jobs
         or holder.lost
-        or not holder.pinged_at
         or has_reports
     ):
       jobdispatch.repeat_withdrawals(state, shard)
