A closed host opens no connection

Operators saw, now and then, a traceback of a worker thread at the end of a process: "Exception in thread" in curio's wake.

Cause: a request that still waits as the host exits withdraws its job, which opens a link that SchedulerHost.close has closed before; looking up the address takes a worker thread, which ends after the event loop. (eventloop.run cancels the task, but no thread.)

What remains: a connection that is being opened when the process ends.

--- a/fescueturn/scheduler/host.py
+++ b/fescueturn/scheduler/host.py
@@ -122,6 +122,7 @@
     self._effects: collections.deque[events.Effect] = collections.deque()
     self._executing = False
     self._failed = False
+    self._closed = False
     self._slow_events = slowevents.SlowEvents(clock.now)
     self._effect_handlers = {
         events.StartRun: self._in_background(ports.start),
@@ -298,6 +299,7 @@
 
   async def close(self):
     """Closes every connection."""
+    self._closed = True
     await self._server.close()
     for peer_link in self._links.values():
       await peer_link.close()
@@ -355,6 +357,8 @@
     if holder.boot == self._state.me.process.boot:
       await self.apply(effect.message)
       return
+    if self._closed:
+      return  # A request that still waits would open a connection again.
     peer_link = self._links.get(holder.peer)
     if peer_link is None:
       peer_link = self._links[holder.peer] = self._new_link(holder)
