A link's socket is closed only by the task that reads it

Cause: the server of the links closed the sockets of its connections, at its end and as a coordinator read too slowly, while the task that serves them waited to read. The event loop still knew the number; the next socket that got it ended the loop as it was registered.

Change: both only stop sending and shut the connection down; the reading task gets the end of the stream and closes the socket.

Evidence: the new test's case of a slow coordinator ended the event loop before (ReadResourceBusy); its case of the server's end passed before as well.

--- a/fescueturn/scheduler/link.py
+++ b/fescueturn/scheduler/link.py
@@ -7,6 +7,7 @@
 """
 
 import collections
+import socket
 from collections.abc import Awaitable
 from collections.abc import Callable
 
@@ -80,6 +81,19 @@
       # The reader of the same connection also fails and reports the loss.
       logger.debug("event=link_send_failed error={!r}", exc)
 
+  async def end(self):
+    """Stops sending and ends the connection, whose reader then closes it.
+
+    The event loop ends if a socket is closed while a task waits to read it and
+    another one gets its number.
+    """
+    if self._task is not None:
+      await self._task.cancel()
+    try:
+      await self._sock.shutdown(socket.SHUT_RDWR)
+    except OSError as exc:
+      logger.debug("event=link_end_failed error={!r}", exc)
+
   async def close(self):
     """Stops sending and closes the connection."""
     if self._task is not None:
@@ -122,7 +136,7 @@
     if not await outbox.put(linkcodec.encode(shard, message)):
       logger.warning("event=link_overfull host={}", process.host)
       del self._outboxes[process]
-      await outbox.close()
+      await outbox.end()
 
   async def _serve(self, sock):
     listener.enable_dead_peer_detection(sock)
@@ -171,10 +185,10 @@
       del self._last_numbers[next(iter(self._last_numbers))]
 
   async def close(self):
-    """Stops accepting connections and closes the open ones."""
+    """Stops accepting connections and ends the open ones."""
     await self._listener.close()
     for outbox in list(self._outboxes.values()):
-      await outbox.close()
+      await outbox.end()
     self._outboxes.clear()
 
 
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -161,6 +161,33 @@
   run(play)
 
 
+@pytest.mark.parametrize("is_overfull", [False, True])
+def test_socket_that_a_task_reads_is_not_closed_for_another_to_get_its_number(
+    monkeypatch, is_overfull
+):
+  """The event loop would end as it registers the number again."""
+
+  async def play():
+    async with Peer().serving() as peer:
+      connection = await connect(peer, 1)
+      await connection.sendall(linkcodec.encode(SHARD, WITHDRAWN))
+      await peer.has_received(1)
+      if is_overfull:
+        monkeypatch.setattr(link, "MAX_QUEUED_BYTES", 0)
+        await peer._server.send(ME, SHARD, linkmessages.Pong())
+      else:
+        await peer._server.close()
+      pairs = [curio.socket.socketpair() for _ in range(5)]
+      for one, other in pairs:
+        reader = await curio.spawn(one.recv, 1)
+        await curio.sleep(0)
+        await other.send(b"x")
+        assert await reader.join() == b"x"
+      assert await is_closed(connection)
+
+  run(play)
+
+
 def test_connections_are_accepted_after_their_numbers_began_anew():
   async def play():
     async with Peer().serving() as peer:
