Tasks start once the age of their coordinator's messages is bounded

What callers could see: two runs of one task at once, if the first messages of a coordinator that a holder reads were held up for a second or so and the coordinator died or the caller left meanwhile; shown in emulated fleets only.

Cause: the age of a coordinator's first messages isn't known, and they counted as just sent: a job in them was started however old they were.

Evidence: with a new coordinator's messages read 1.0 or 1.2 s late, the job's tasks run twice in each of the six new cases; none does now.

Fix: a best-effort job's tasks are held back until a ping bounds its own age. A coordinator pings a new holder in its next tick, and again at once when it first learns the holder's clock, so that this takes some 20 ms and two round trips. Coordinators of the build before, which never tell, are served from their first ping on. Leases of adopted runs are extended as before: they may have too little left after a takeover to wait for this.

--- a/fescueturn/scheduler/coordinator.py
+++ b/fescueturn/scheduler/coordinator.py
@@ -134,7 +134,10 @@
 ):
   holder.pending = dict(message.pending)
   holder.update_roster(message)
+  clock_was_known = holder.clock_ahead_s is not None
   holder.record_clock(message, state.now)
+  if holder.clock_ahead_s is not None and not clock_was_known:
+    _ping_holder(state, shard, holder)
   if message.list_version and message.list_version == holder.list_version:
     _confirm_list(state, shard, message)
   if not message.holding:
@@ -482,6 +485,9 @@
 
 def _ping(state):
   if state.now - state.pinged_at < PING_PERIOD_S:
+    for shard, holder in state.holders.items():
+      if not holder.pinged_at:
+        _ping_holder(state, shard, holder)
     return
   state.pinged_at = state.now
   remote_due = state.now - state.remote_pinged_at >= REMOTE_PING_PERIOD_S
@@ -501,33 +507,41 @@
         or room_due
         or shard in shards_with_jobs
         or holder.lost
+        or not holder.pinged_at
         or has_reports
     ):
-      holder.pinged_at = state.now
       jobdispatch.repeat_withdrawals(state, shard)
-      # Only a host of the same data centre may be the shard's next holder.
-      roster = holder.roster_version if is_local else None
-      can_hold = is_local and state.can_hold
-      state.send_to_holder(
-          shard,
-          linkmessages.Ping(
-              shard,
-              state.me,
-              state.callers_seen_at,
-              roster,
-              can_hold,
-              () if is_local else suspects,
-              state.draining,
-              _uptime_s(state),
-              holder.list_version if is_local else None,
-              room_due,
-              holder.clock_at(state.callers_seen_at),
-          ),
-      )
+      _ping_holder(state, shard, holder, suspects, room_due)
 
 
-def _uptime_s(state) -> float:
-  return state.now - (state.started_at or 0.0)
+def _ping_holder(
+    state,
+    shard: model.Shard,
+    holder: coordinatorstate.HolderRecord,
+    suspects: tuple[linkmessages.SuspectedHolder, ...] = (),
+    wants_room: bool = False,
+):
+  holder.pinged_at = state.now
+  is_local = shard.data_centre == state.data_centre
+  # Only a host of the same data centre may be the shard's next holder.
+  roster = holder.roster_version if is_local else None
+  state.send_to_holder(
+      shard,
+      linkmessages.Ping(
+          shard,
+          state.me,
+          state.callers_seen_at,
+          roster,
+          is_local and state.can_hold,
+          () if is_local else suspects,
+          state.draining,
+          state.now - (state.started_at or 0.0),
+          holder.list_version if is_local else None,
+          wants_room,
+          holder.clock_at(state.callers_seen_at),
+          tells_holder_at=True,
+      ),
+  )
 
 
 def _take_room_due(state) -> bool:
--- a/fescueturn/scheduler/link.capnp
+++ b/fescueturn/scheduler/link.capnp
@@ -101,6 +101,8 @@
       # A time on the holder's clock that had passed when the sender's clock
       # showed at, like sentMs of a pong; 0 if it isn't known.
       holderMs @54 :UInt32;
+      # True if holderMs is told as soon as it is known.
+      tellsHolderMs @56 :Bool;
     }
     offered :group {
       job @6 :Job;
--- a/fescueturn/scheduler/linkholdercodec.py
+++ b/fescueturn/scheduler/linkholdercodec.py
@@ -25,6 +25,7 @@
     group.listRequest = message.list_version + 1
   group.wantsRoom = message.wants_room
   group.holderMs = _to_clock_ms(message.holder_at)
+  group.tellsHolderMs = message.tells_holder_at
   _encode_suspects(
       group.init("doubts", len(message.suspects)), message.suspects
   )
@@ -44,6 +45,7 @@
       message.ping.listRequest - 1 if message.ping.listRequest else None,
       message.ping.wantsRoom,
       message.ping.holderMs / 1000,
+      message.ping.tellsHolderMs,
   )
 
 
--- a/fescueturn/scheduler/linkmessages.py
+++ b/fescueturn/scheduler/linkmessages.py
@@ -132,6 +132,7 @@
       don't ask, as they couldn't read it.
     holder_at: a time on the holder's clock (s) that had passed at `at`, modulo
       `CLOCK_PERIOD_S`; 0 if it isn't known.
+    tells_holder_at: True if `holder_at` is told as soon as it is known.
   """
 
   shard: model.Shard
@@ -145,6 +146,7 @@
   list_version: int | None = None
   wants_room: bool = False
   holder_at: float = 0.0
+  tells_holder_at: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
--- a/fescueturn/scheduler/ownerstate.py
+++ b/fescueturn/scheduler/ownerstate.py
@@ -291,6 +291,8 @@
     self._message_ages: dict[
         linkmessages.HostProcess, messageage.MessageAges
     ] = {}
+    # Coordinators that have not bounded the age of a message yet, but will.
+    self._newly_heard: set[linkmessages.HostProcess] = set()
     # When each coordinator first sent a message to this owner (s).
     self.first_contacts: dict[linkmessages.HostProcess, float] = {}
     # The other hosts of the data centre that have pinged this owner.
@@ -387,6 +389,8 @@
     elif process not in self._message_ages:
       self._unproven.add(process)
     if sent_at:
+      if process not in self._message_ages:
+        self._newly_heard.add(process)
       ages = self._message_ages.setdefault(process, messageage.MessageAges())
       max_age_s = None
       if holder_at:
@@ -398,6 +402,18 @@
     self.first_contacts.setdefault(process, self.now)
     return gain_s
 
+  def trust(self, ping: linkmessages.Ping) -> bool:
+    """Returns whether a ping shows that its coordinator may be served now.
+
+    The age of a coordinator's first messages isn't known: not until one bounds
+    it, which those of an earlier version never do.
+    """
+    is_bounded = ping.holder_at or not ping.tells_holder_at
+    if not is_bounded or ping.process not in self._newly_heard:
+      return False
+    self._newly_heard.remove(ping.process)
+    return True
+
   def hear_all_again(self):
     """Serves no coordinator until it speaks after the current pause."""
     self._unproven.update(self.last_contact)
@@ -502,6 +518,7 @@
     return (
         job.returning
         or self.lacks_coordinator(job)
+        or (job.key.process in self._newly_heard and not job.job.kept)
         or (job.job.kept and self.self_fenced)
         or self.may_have_unknown_runs(job)
     )
--- a/fescueturn/scheduler/reducer.py
+++ b/fescueturn/scheduler/reducer.py
@@ -188,6 +188,8 @@
   if owner is None:
     return [_not_holding_reply(event.process, event.shard)]
   leases.record_contact(owner, event.process, event.at, event.holder_at)
+  if owner.trust(event):
+    runcontrol.start_waiting_tasks(owner)
   if event.uptime_s:
     owner.knows_moves.add(event.process)
   is_local = event.roster is not None
--- a/tests/test_late_messages.py
+++ b/tests/test_late_messages.py
@@ -248,6 +248,26 @@
   assert emulation.broken == []
 
 
+@pytest.mark.parametrize("killed_after_s", [0.01, 0.05, 0.2])
+@pytest.mark.parametrize("delay_s", [1.0, 1.2])
+def test_first_messages_that_are_read_late_start_no_task(
+    delay_s, killed_after_s
+):
+  emulation = fleets.fleet()
+  emulation.clock.run_until(4.0)
+  owner = fleets.owner_of(emulation, "a")
+  coordinator = emulation.add_host("a3", "a")
+  emulation.delay_messages("a3", owner.name, delay_s)
+  emulation.clock.run_until(4.05)
+  job = fleets.job("long", 2, 3000)
+  emulation.submit("a3", job, [3.0] * 2, 6.0)
+  emulation.clock.run_until(4.05 + killed_after_s)
+  emulation.kill(coordinator.name)
+  return_elsewhere(emulation, job, emulation.clock.now + RETURN_S)
+  emulation.clock.run_until(9.0)
+  assert emulation.broken == []
+
+
 @pytest.mark.parametrize("killed_after_s", [0.0, 0.05, 0.1, 0.15, 0.2, 0.25])
 def test_messages_that_a_new_holder_reads_late_vouch_for_no_dead_coordinator(
     killed_after_s,
--- a/tests/test_linkcodec.py
+++ b/tests/test_linkcodec.py
@@ -103,6 +103,7 @@
     linkmessages.EndpointList(12.5, 3, 0.75, (ENDPOINT, DRAINING_ENDPOINT)),
     linkmessages.Ping(SHARD, PROCESS, 12.5, 7, wants_room=True),
     linkmessages.Ping(SHARD, PROCESS, 12.5, 7, holder_at=2000.25),
+    linkmessages.Ping(SHARD, PROCESS, 12.5, 7, tells_holder_at=True),
     linkmessages.Pong(sent_at=2000.25),
     linkmessages.RoomReported(ROOM, 12.5),
     linkmessages.RoomReported(room.RoomReport(), 0.0),
