Soak: callers that leave come back, and processes that only compute

The platform's clients send a job again 1.3 s after their connection broke, however it broke. The soak's callers that leave (5%) never came back, so no seed could show what still runs for a caller that has left.

They come back now, up to MAX_TRIES, and leave in three ways: a close of a connection that has carried other requests, a reset, and a close behind a request that the host has not read; one in four right after the job is sent. A try that its caller broke off has a status of its own (-2): such a job wasn't refused in all tries, and the check of unanswered requests now covers leaving callers as well (a connection that breaks before they leave).

--busy N runs N processes that only compute beside the soak; they end with it, also when it is killed. The verdict says how long the hosts waited for a processor as a share of the time that they wanted one.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -1,5 +1,7 @@
 """Command line of the soak: ``python3 -m tests.soak --help``."""
 
+import contextlib
+import os
 import pathlib
 import random
 import shutil
@@ -17,7 +19,12 @@
 from tests.soak import run as run_lib
 
 REGRESSIONS = pathlib.Path(__file__).with_name("regressions.txt")
-_MODES = ("lossy", "partitions", "pauses")
+_MODES = ("lossy", "partitions", "pauses", "leaving")
+_BUSY = """
+import os, sys
+while os.getppid() == int(sys.argv[1]):
+  sum(range(100_000))
+"""
 
 
 @click.command()
@@ -29,6 +36,10 @@
 @click.option("--lossy", is_flag=True, help="Only lossy paths, and bursts.")
 @click.option("--partitions", is_flag=True, help="Only partitions, and kills.")
 @click.option("--pauses", is_flag=True, help="Pauses, kills and an overload.")
+@click.option(
+    "--leaving", is_flag=True, help="Many callers leave, in any mode."
+)
+@click.option("--busy", default=0, help="Number of busy processes beside it.")
 @click.option("--regressions", is_flag=True, help="Run the kept seeds.")
 @click.option("--quiet", is_flag=True, help="Print the verdict only.")
 @click.option(
@@ -46,6 +57,8 @@
     lossy,
     partitions,
     pauses,
+    leaving,
+    busy,
     regressions,
     quiet,
     keep,
@@ -56,14 +69,15 @@
     seed = random.SystemRandom().randrange(1_000_000)
   numbers = range(seed, seed + seeds)
   plans = [
-      run_lib.Plan(number, seconds, lossy, partitions, pauses, size)
+      run_lib.Plan(number, seconds, lossy, partitions, pauses, leaving, size)
       for number in numbers
   ]
   if regressions:
     plans = read_regressions()
-  if len(plans) == 1:
-    sys.exit(_run_here(plans[0], keep, quiet))
-  sys.exit(_run_all(plans, keep, at_once))
+  with _busy_processes(busy):
+    if len(plans) == 1:
+      sys.exit(_run_here(plans[0], keep, quiet))
+    sys.exit(_run_all(plans, keep, at_once))
 
 
 def read_regressions() -> list[run_lib.Plan]:
@@ -72,11 +86,26 @@
   for line in REGRESSIONS.read_text().splitlines():
     if line and not line.startswith("#"):
       seed, seconds, mode, *_ = line.split()
-      modes = [mode == name for name in _MODES]
+      modes = [name in mode.split("-") for name in _MODES]
       plans.append(run_lib.Plan(int(seed), float(seconds), *modes))
   return plans
 
 
+@contextlib.contextmanager
+def _busy_processes(count: int):
+  """Runs processes that only compute; they end with this one in any case."""
+  command = [sys.executable, "-c", _BUSY, str(os.getpid())]
+  processes = []
+  try:
+    for _ in range(count):
+      processes.append(subprocess.Popen(command))
+    yield processes
+  finally:
+    for process in processes:
+      process.kill()
+      process.wait()
+
+
 def _run_here(plan: run_lib.Plan, keep: pathlib.Path, quiet: bool) -> int:
   directory = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{plan.seed}-"))
   echo = (lambda line: None) if quiet else click.echo
@@ -98,7 +127,7 @@
 
 
 def _modes(plan: run_lib.Plan) -> list[str]:
-  chosen = plan.lossy_only, plan.partitions, plan.pauses
+  chosen = plan.lossy_only, plan.partitions, plan.pauses, plan.leaving
   return [
       mode for mode, is_chosen in zip(_MODES, chosen, strict=True) if is_chosen
   ]
@@ -109,6 +138,10 @@
   for promise, count in verdict.tested.items():
     risk = f"put to the test {count} times" if count else "never at risk"
     lines.append(f"  {promise}: {risk}")
+  lines.append(
+      f"  the hosts waited {verdict.waited:.0%} of the time that they wanted a"
+      f" processor; load {os.getloadavg()[0]:.0f}"
+  )
   lines += [f"  BROKEN {violation}" for violation in verdict.violations]
   return "\n".join(lines)
 
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -1,20 +1,25 @@
 """Callers of a soak: submit jobs as the users' clients do, and keep a record.
 
 A caller keeps its connection until it breaks. After a broken connection, a 502
-or a 504 it sends the same job to another host 1.3 s later.
+or a 504 it sends the same job to another host 1.3 s later. Some leave before
+they have an answer, and come back like this as well.
 """
 
+import contextlib
 import dataclasses
 import json
 import random
+import socket
 import time
 
 import curio
 
 from fescueturn import httpio
+from fescueturn import listener
 from fescueturn import settings
 from tests import deployments
 from tests.soak import cluster as cluster_lib
+from tests.soak import proxy
 
 CALLERS = 10
 # The users' clients send a job again this long after its connection broke.
@@ -29,16 +34,23 @@
 PATIENCE_S = 4.0
 REFUSED = (429, 503)
 _EXPECTED = (200, 429, 502, 503, 504)
-_BROKEN, _NOT_CONNECTED = 0, -1
+_BROKEN, _NOT_CONNECTED, LEFT = 0, -1, -2
+# Share of the jobs whose callers leave, and in soaks of leaving callers.
+_LEAVING_SHARE, _MANY_LEAVING_SHARE = 0.05, 0.4
+_LEAVES_AFTER_S = (0.05, 0.5)
+_AT_ONCE_S = 0.002
+_WAYS = _CLOSE, _RESET, _UNREAD = "close", "reset", "unread"
+# A request that its host has not read when the caller leaves.
+_NEXT_REQUEST = b"GET /next HTTP/1.1\r\nhost: next\r\n\r\n"
 
 
 @dataclasses.dataclass
 class Job:
   """A job and what its caller saw of it.
 
-  It has one status a try, 0 for a broken connection and -1 for none. `tried`
-  tells that its caller sends it no more, `abandoned` that it hangs up soon.
-  Until `refused_until` (s) every try was refused.
+  It has one status a try: 0 for a broken connection, -1 for none, and -2 if its
+  caller left. `tried` tells that its caller sends it no more, `abandoned` that it
+  leaves soon. Until `refused_until` (s) every try was refused.
   """
 
   id: str
@@ -78,8 +90,11 @@
 class Caller:
   """One caller, with keep-alive connections to the hosts."""
 
-  def __init__(self, cluster, record: Record, seed: int, number: int):
+  def __init__(
+      self, cluster, record: Record, seed: int, number: int, leaving=False
+  ):
     self._hosts = cluster.hosts
+    self._leaving = leaving
     self._record = record
     self._rng = random.Random(f"{seed}/caller/{number}")
     self._prefix = f"{seed & 0xFFFFFF:06x}{number:02x}"
@@ -108,19 +123,22 @@
     rng = self._rng
     self._count += 1
     kept = rng.random() < 0.3
-    abandoned = not kept and rng.random() < 0.05
+    share = _MANY_LEAVING_SHARE if self._leaving else _LEAVING_SHARE
+    abandoned = (self._leaving or not kept) and rng.random() < share
     tasks, fails = rng.choice((1, 1, 2, 3)), rng.random() < 0.04
     job = Job(f"{self._prefix}{self._count:08x}", kept, tasks, fails, abandoned)
     job.queue = rng.choice(cluster_lib.QUEUES)
     self._record.jobs[job.id] = job
     body, deadline_ms = self._body(job), rng.choice((1500, 3000, 5000))
     patience_s = deadline_ms / 1000 + PATIENCE_S
-    if abandoned:
-      patience_s = rng.uniform(0.05, 0.5)
     for _ in range(MAX_TRIES):
+      if abandoned:
+        # Some leave right after they have sent the job.
+        late_s = rng.uniform(*_LEAVES_AFTER_S)
+        patience_s = rng.choice((_AT_ONCE_S, late_s, late_s, late_s))
       status = await self._submit(job, body, deadline_ms, patience_s)
       job.statuses.append(status)
-      if status == 200 or abandoned:
+      if status == 200:
         break
       if status in REFUSED and rng.random() < 0.5:
         break
@@ -150,12 +168,11 @@
     if job.statuses and set(job.statuses) <= set(REFUSED):
       # A refusal stays true until its caller sends the job again.
       job.refused_until = sent_at
-    status, answer = await self._request(
-        host, "POST", job, body, headers, patience_s
-    )
+    send = self._send_and_leave if job.abandoned else self._request
+    status, answer = await send(host, "POST", job, body, headers, patience_s)
     pending_s = time.monotonic() - sent_at
     stopped_at = life.terminated_at
-    if status == _BROKEN and not job.abandoned and pending_s > PENDING_S:
+    if status == _BROKEN and pending_s > PENDING_S:
       # Only a host that was killed or paused may cut a request off.
       gave_up = stopped_at is None and pending_s >= patience_s
       if not gave_up and not life.disturbed:
@@ -175,14 +192,45 @@
       self._record.violations.append(f"job {job.id}: {host.name}: {status}")
     return status
 
+  async def _send_and_leave(
+      self, host, method, job, body, headers, patience_s
+  ) -> tuple[int, dict]:
+    """Sends a job, and leaves in one of several ways if no answer comes."""
+    way, sent_at, socks = self._rng.choice(_WAYS), time.monotonic(), []
+    call = (host, method, job, body, headers)
+    if way == _CLOSE:
+      status, answer = await self._request(*call, patience_s)
+      gave_up = time.monotonic() - sent_at >= patience_s
+      return LEFT if status == _BROKEN and gave_up else status, answer
+    pool = self._new_pool(host, socks.append)
+    request = await curio.spawn(self._request, *call, 60.0, pool, daemon=True)
+    while not socks and not request.terminated:
+      await curio.sleep(0.001)
+    await curio.ignore_after(patience_s, request.wait)
+    if request.terminated:
+      await pool.close()
+      return await request.join()
+    await request.cancel()
+    with contextlib.suppress(OSError):
+      if way == _UNREAD:
+        await socks[0].sendall(_NEXT_REQUEST)
+      else:
+        socks[0].setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, proxy.RESET)
+    await socks[0].close()
+    return LEFT, {}
+
+  def _new_pool(self, host, prepare=listener.no_delay) -> httpio.Pool:
+    address = settings.Address(host.ip, host.files.callers_port)
+    return httpio.Pool(address, connect_s=1.0, prepare=prepare)
+
   async def _request(
-      self, host, method, job, body=b"", headers=(), timeout_s=3.0
+      self, host, method, job, body=b"", headers=(), timeout_s=3.0, pool=None
   ) -> tuple[int, dict]:
     if host.name not in self._pools:
-      address = settings.Address(host.ip, host.files.callers_port)
-      self._pools[host.name] = httpio.Pool(address, connect_s=1.0)
+      self._pools[host.name] = self._new_pool(host)
+    pool = pool or self._pools[host.name]
     try:
-      response = await self._pools[host.name].request(
+      response = await pool.request(
           method, job.queue + job.id, body, headers, timeout_s
       )
     except httpio.NotSentError:
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -35,10 +35,14 @@
 
 @dataclasses.dataclass
 class Verdict:
-  """By promise, how often it was put to the test; and the broken promises."""
+  """By promise, how often it was put to the test; and the broken promises.
+
+  `waited` is the share of the time in which hosts wanted a processor and had none.
+  """
 
   tested: dict[str, int]
   violations: list[str]
+  waited: float = 0.0
 
 
 def judge(
--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -68,13 +68,18 @@
   return f"127.{100 + number}.{pid >> 8 & 255}.{pid & 255}"
 
 
-def _queued_s(pid: int) -> float:
-  """Returns how long a main thread was ready without a processor."""
+def _ran_queued_s(pid: int) -> tuple[float, float]:
+  """Returns how long a main thread ran, and was ready without a processor."""
   try:
     text = pathlib.Path(f"/proc/{pid}/schedstat").read_text()
   except OSError:
-    return 0.0
-  return int(text.split()[1]) / 1e9
+    return 0.0, 0.0
+  ran_ns, queued_ns, _ = text.split()
+  return int(ran_ns) / 1e9, int(queued_ns) / 1e9
+
+
+def _queued_s(pid: int) -> float:
+  return _ran_queued_s(pid)[1]
 
 
 @dataclasses.dataclass
@@ -302,6 +307,14 @@
         if time.monotonic() > since + GRACE_S:
           life.process.kill()
 
+  def waited_share(self) -> float:
+    """Returns what part of the time wanted the running hosts had to wait."""
+    times = [_ran_queued_s(host.life.process.pid) for host in self.hosts]
+    wanted_s = sum(ran_s + queued_s for ran_s, queued_s in times)
+    return (
+        sum(queued_s for _, queued_s in times) / wanted_s if wanted_s else 0.0
+    )
+
   def end_processes(self):
     processes = [life.process for host in self.hosts for life in host.lives]
     for process in [*processes, self._platform]:
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -26,7 +26,7 @@
 # TCP user timeout of the programs does.
 MAX_HOLD_S = listener.USER_TIMEOUT_MS / 1000
 # The value of SO_LINGER with which closing a connection resets it.
-_RESET = b"\1\0\0\0\0\0\0\0"
+RESET = b"\1\0\0\0\0\0\0\0"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -176,7 +176,7 @@
     except (OSError, curio.CancelledError):
       for sock in socks:
         with contextlib.suppress(OSError):
-          sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
+          sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
     finally:
       self._connections.discard(task)
       for relay in relays:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -31,6 +31,7 @@
   lossy_only: bool = False
   partitions: bool = False
   pauses: bool = False
+  leaving: bool = False
   size: int = 1
 
 
@@ -63,17 +64,14 @@
 
 async def _soak(plan, cluster, schedule, directory, echo) -> checks.Verdict:
   record = callers.Record()
-  crowd = callers.Caller(
-      cluster, record, plan.seed, callers.CALLERS * plan.size
-  )
+  *clients, crowd = [
+      callers.Caller(cluster, record, plan.seed, number, plan.leaving)
+      for number in range(callers.CALLERS * plan.size + 1)
+  ]
   injector = faults.Injector(cluster, crowd.burst)
   began = time.monotonic()
   stopped = curio.Event()
   supervisor = await curio.spawn(cluster.supervise)
-  clients = [
-      callers.Caller(cluster, record, plan.seed, number)
-      for number in range(callers.CALLERS * plan.size)
-  ]
   tasks = [await curio.spawn(client.run, stopped) for client in clients]
   injection = await curio.spawn(injector.run, schedule)
   broken = False
@@ -99,7 +97,9 @@
   _write(directory / "acknowledged.json", history["acknowledged"])
   _write(directory / "jobs.json", record.jobs.values())
   _write(directory / "lives.json", _life_rows(cluster))
-  return checks.judge(history, record, injector, cluster.hosts, broken)
+  verdict = checks.judge(history, record, injector, cluster.hosts, broken)
+  verdict.waited = cluster.waited_share()
+  return verdict
 
 
 async def _settle(cluster, record: callers.Record, tasks):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,6 +1,10 @@
 """Short seeded soaks of the real programs, and tests of the soak's proxy."""
 
+import collections
+import pathlib
 import random
+import subprocess
+import sys
 import time
 import types
 
@@ -9,6 +13,7 @@
 
 from fescueturn import httpio
 from fescueturn.lab import ports
+from tests import deployments
 from tests.soak import __main__ as soak
 from tests.soak import callers
 from tests.soak import checks
@@ -25,6 +30,7 @@
         run_lib.Plan(2, 10.0),
         run_lib.Plan(3, 10.0, partitions=True),
         run_lib.Plan(7, 8.0, pauses=True),
+        run_lib.Plan(9, 4.0, pauses=True, leaving=True),
     ),
 )
 def test_promises_hold_while_faults_are_injected(plan, tmp_path):
@@ -93,10 +99,98 @@
   ]
 
 
+def test_caller_that_leaves_comes_back_until_its_last_try(monkeypatch):
+  monkeypatch.setattr(callers, "RESEND_S", 0.01)
+  monkeypatch.setattr(callers, "_LEAVES_AFTER_S", (0.01, 0.02))
+  address = ports.free_address()
+  files = types.SimpleNamespace(callers_port=address.port)
+  life = types.SimpleNamespace(terminated_at=None, disturbed=False)
+  hosts = [
+      types.SimpleNamespace(name=name, ip=address.host, files=files, life=life)
+      for name in ("a", "b")
+  ]
+  record, ids, closed = callers.Record(), [], []
+  caller = callers.Caller(
+      types.SimpleNamespace(hosts=hosts), record, 1, 0, leaving=True
+  )
+
+  async def serve(client, _):
+    data = b""
+    while b"}" not in data:
+      data += await client.recv(65536)
+    ids.append(data.split()[1])
+    try:
+      closed.append(await client.recv(65536))
+    except ConnectionResetError:
+      closed.append("reset")
+
+  async def main():
+    server = await curio.spawn(
+        curio.tcp_server, address.host, address.port, serve
+    )
+    await curio.sleep(0.05)
+    for _ in range(10):
+      await caller._run_job()
+    await server.cancel()
+
+  # Nothing is answered here, so each job's caller must leave.
+  monkeypatch.setattr(callers, "_MANY_LEAVING_SHARE", 1.0)
+  curio.run(main)
+  tries = callers.MAX_TRIES
+  assert len(record.jobs) == 10 and record.violations == []
+  for job in record.jobs.values():
+    assert job.statuses == [callers.LEFT] * tries
+    assert not job.refused
+  counts = collections.Counter(ids)
+  assert set(counts.values()) == {tries}
+  assert {b"", "reset", callers._NEXT_REQUEST} <= set(closed)
+
+
+def test_job_is_not_refused_if_its_caller_left_a_try():
+  left, refused = callers.LEFT, callers.REFUSED[0]
+  job = callers.Job("0" * 16, False, 1, False, True, [left, refused])
+  job.tried = True
+  assert not job.refused
+  job.statuses = [refused, refused]
+  assert job.refused
+
+
+def test_busy_processes_end_with_the_soak():
+  with soak._busy_processes(2) as processes:
+    assert [process.poll() for process in processes] == [None, None]
+  assert all(process.poll() is not None for process in processes)
+
+
+def test_busy_processes_end_with_a_soak_that_is_killed():
+  code = (
+      "import os, signal, sys\n"
+      "from tests.soak import __main__ as soak\n"
+      "with soak._busy_processes(1) as processes:\n"
+      "  print(processes[0].pid, flush=True)\n"
+      "  os.kill(os.getpid(), signal.SIGKILL)\n"
+  )
+  command = [sys.executable, "-c", code]
+  done = subprocess.run(
+      command, cwd=deployments.ROOT, stdout=subprocess.PIPE, check=False
+  )
+  process = pathlib.Path(f"/proc/{int(done.stdout)}")
+  while process.exists():
+    time.sleep(0.05)
+
+
 def test_kept_seeds_can_be_read():
   assert len(soak.read_regressions()) > 0
 
 
+def test_kept_seed_may_have_several_modes(monkeypatch, tmp_path):
+  lines = tmp_path / "regressions.txt"
+  lines.write_text("5 16 pauses-leaving why\n6 20 all why\n")
+  monkeypatch.setattr(soak, "REGRESSIONS", lines)
+  both, every = soak.read_regressions()
+  assert both == run_lib.Plan(5, 16.0, pauses=True, leaving=True)
+  assert every == run_lib.Plan(6, 20.0)
+
+
 def run_with_proxy(scenario):
   """Runs a scenario with a path, its server's requests, and a client.
 
