--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -50,7 +50,8 @@
 
   It has one status a try: 0 for a broken connection, -1 for none, and -2 if its
   caller left. `tried` tells that its caller sends it no more, `abandoned` that it
-  leaves soon. Until `refused_until` (s) every try was refused.
+  leaves soon, `left` when it did (s) and how. Until `refused_until` (s) every try
+  was refused.
   """
 
   id: str
@@ -64,6 +65,7 @@
   tried: bool = False
   queue: str = deployments.PREFIX
   refused_until: float = 0.0
+  left: list[tuple[float, str]] = dataclasses.field(default_factory=list)
 
   @property
   def refused(self) -> bool:
@@ -168,9 +170,15 @@
     if job.statuses and set(job.statuses) <= set(REFUSED):
       # A refusal stays true until its caller sends the job again.
       job.refused_until = sent_at
-    send = self._send_and_leave if job.abandoned else self._request
-    status, answer = await send(host, "POST", job, body, headers, patience_s)
+    call = (host, "POST", job, body, headers, patience_s)
+    if job.abandoned:
+      way = self._rng.choice(_WAYS)
+      status, answer = await self._send_and_leave(way, *call)
+    else:
+      status, answer = await self._request(*call)
     pending_s = time.monotonic() - sent_at
+    if status == LEFT:
+      job.left.append((sent_at + pending_s, way))
     stopped_at = life.terminated_at
     if status == _BROKEN and pending_s > PENDING_S:
       # Only a host that was killed or paused may cut a request off.
@@ -193,10 +201,10 @@
     return status
 
   async def _send_and_leave(
-      self, host, method, job, body, headers, patience_s
+      self, way: str, host, method, job, body, headers, patience_s
   ) -> tuple[int, dict]:
-    """Sends a job, and leaves in one of several ways if no answer comes."""
-    way, sent_at, socks = self._rng.choice(_WAYS), time.monotonic(), []
+    """Sends a job, and leaves if no answer comes."""
+    sent_at, socks = time.monotonic(), []
     call = (host, method, job, body, headers)
     if way == _CLOSE:
       status, answer = await self._request(*call, patience_s)
