A kept task's end is acknowledged once no later start of it may be carried out

Cause: attempt 1's lease lapsed, so attempt 2 was ordered; its request was on its way. Then the first endpoint was heard again and listed attempt 1 as done. A new holder that restarts a task and then reads the end of its predecessor's run did the same. The class: a request without an answer is taken for one that has no effect.

Change: the end is stored and told as before, but acknowledged to its endpoint only once the run that was ordered beside it is over: its endpoint doesn't list it after a stop, or the lease that its start carries has expired. Until then it may only begin before an acknowledged end, and the next holder still finds that end listed.

--- a/fescueturn/scheduler/keptjobs.py
+++ b/fescueturn/scheduler/keptjobs.py
@@ -163,14 +163,14 @@
 
 
 def _progress_written(owner, change: keptevents.StoreProgress):
-  _acknowledge_results(
-      owner, owner.kept_records.pop_saved_results(change.job_id)
-  )
+  results = owner.kept_records.pop_saved_results(change.job_id)
+  _acknowledge_stored(owner, change.job_id, results)
 
 
 def _end_written(owner, change: keptevents.StoreEnd):
   kept_records = owner.kept_records
-  _acknowledge_results(owner, kept_records.pop_all_results(change.job_id))
+  results = kept_records.pop_all_results(change.job_id)
+  _acknowledge_stored(owner, change.job_id, results)
   state = kept_records.unsaved_states.pop(change.job_id)
   until = owner.now + owner.ended_job_retention_s
   kept_records.finished_jobs[change.job_id] = keptrecords.FinishedJob(
@@ -203,7 +203,8 @@
   job_id = change.kept.job.id
   owner.kept_records.moving.pop(job_id)
   owner.kept_records.moved.add(job_id)
-  _acknowledge_results(owner, owner.kept_records.pop_all_results(job_id))
+  results = owner.kept_records.pop_all_results(job_id)
+  _acknowledge_stored(owner, job_id, results)
   job = owner.by_id.pop(job_id)
   owner.jobs.pop(job.key)
   owner.emit(
@@ -232,6 +233,32 @@
 }
 
 
+def _acknowledge_stored(owner, job_id: str, results):
+  """Acknowledges a job's stored results, or holds them.
+
+  After a run that was done is acknowledged, no run of its task may begin. One
+  that was ordered before can't once its endpoint has ruled it out or its lease
+  has expired.
+  """
+  held = owner.kept_records.held_results
+  held.setdefault(job_id, set()).update(results)
+  _release_held_results(owner, job_id)
+
+
+def _release_held_results(owner, job_id: str):
+  kept_records = owner.kept_records
+  awaited = kept_records.awaited_runs.get(job_id, ())
+  if not any(_may_begin(owner, *order) for order in awaited):
+    kept_records.awaited_runs.pop(job_id, None)
+    _acknowledge_results(owner, kept_records.held_results.pop(job_id, ()))
+
+
+def _may_begin(owner, endpoint: str, run: model.RunId) -> bool:
+  record = owner.endpoints.get(endpoint)
+  is_known = record is not None and run in record.runs
+  return is_known and not record.lease.expired(owner.now)
+
+
 def _acknowledge_results(owner, results):
   """Acknowledges results to their endpoints, which then forget them."""
   for endpoint, number in results:
@@ -330,8 +357,10 @@
 
 
 def tick(owner: ownerstate.Owner):
-  """Declines late offers and requests the finished jobs' list when due."""
+  """Releases results, declines late offers, requests the finished jobs' list."""
   kept_records = owner.kept_records
+  for job_id in list(kept_records.awaited_runs):
+    _release_held_results(owner, job_id)
   if kept_records.early_offers and not kept_records.loaded:
     _decline_late_offers(owner)
   list_due = owner.now - owner.taken_at > keptrecords.LIST_ENDED_DELAY_S
--- a/fescueturn/scheduler/keptrecords.py
+++ b/fescueturn/scheduler/keptrecords.py
@@ -89,6 +89,10 @@
     finished_jobs: the jobs stored as finished, by id; earliest first.
     unsaved_results: the results of runs that are not stored yet, by job id.
     early_results: the results listed before the records were read, by job id.
+    held_results: stored results that are not acknowledged while a run of
+      `awaited_runs` may begin, by job id.
+    awaited_runs: the endpoints and runs that were ordered for tasks of which
+      another run was done, by job id.
     early_offers: the offers received before the records were read.
     pending_queries: the queries that wait for an answer, by job id.
     in_flight: the write that waits for the store's answer.
@@ -109,6 +113,8 @@
     self.finished_jobs: dict[str, FinishedJob] = {}
     self.unsaved_results: dict[str, set[ResultKey]] = {}
     self.early_results: dict[str, set[ResultKey]] = {}
+    self.held_results: dict[str, set[ResultKey]] = {}
+    self.awaited_runs: dict[str, set[tuple[str, model.RunId]]] = {}
     self.early_offers: list[linkmessages.Offered] = []
     self.pending_queries: dict[str, list[keptevents.KeptJobQuery]] = {}
     self.in_flight: keptevents.WriteKeptJobs | None = None
@@ -247,7 +253,11 @@
     def is_valid(result: ResultKey) -> bool:
       return result[0] != endpoint or result[1] == ENDPOINT_LOST
 
-    for results in (self.unsaved_results, self.early_results):
+    for results in (
+        self.unsaved_results,
+        self.early_results,
+        self.held_results,
+    ):
       for job_id, keys in results.items():
         results[job_id] = {key for key in keys if is_valid(key)}
     self._results_in_flight = {
--- a/fescueturn/scheduler/outcomes.py
+++ b/fescueturn/scheduler/outcomes.py
@@ -111,6 +111,9 @@
   if task.run is not None:
     runcontrol.stop_task(owner, task)
     task.previous_run = task.run
+    if job.job.kept:
+      awaited = owner.kept_records.awaited_runs.setdefault(job.job.id, set())
+      awaited.add((task.endpoint, task.run))
   job.task_done(task)
 
 
