--- a/fescueturn/scheduler/keptjobs.py
+++ b/fescueturn/scheduler/keptjobs.py
@@ -271,9 +271,13 @@
 
 
 def _may_start(owner, run_id: model.RunId) -> bool:
-  runs = [record.runs.get(run_id) for record in owner.endpoints.values()]
-  # The lease of an abandoned run has expired, and its start request with it.
-  return any(run is not None and not run.abandoned for run in runs)
+  # A start request expires with the lease that it carries.
+  return any(
+      run_id in record.runs
+      and not record.runs[run_id].abandoned
+      and not record.lease.expired(owner.now)
+      for record in owner.endpoints.values()
+  )
 
 
 def _acknowledge_held_results(owner):
