--- a/fescueturn/scheduler/keptjobs.py
+++ b/fescueturn/scheduler/keptjobs.py
@@ -239,7 +239,7 @@
   No task may start once its end has been acknowledged, so results are held
   while the start request of another run may still be carried out.
   """
-  if _may_have_rivals(owner, job_id):
+  if _may_have_duplicate_starts(owner, job_id):
     owner.kept_records.held_results.setdefault(job_id, set()).update(results)
     return
   for endpoint, number in results:
@@ -250,24 +250,26 @@
         leases.renew_lease(owner, record)
 
 
-def _has_rivals(owner, job_id: str) -> bool:
+def _has_duplicate_starts(owner, job_id: str) -> bool:
   """Returns whether another run of one of a job's done tasks may start."""
   kept_records = owner.kept_records
-  rivals = kept_records.rivals.get(job_id)
-  if rivals is None:
+  runs = kept_records.duplicate_runs.get(job_id)
+  if runs is None:
     return False
-  rivals = {run for run in rivals if _may_start(owner, run)}
-  if rivals:
-    kept_records.rivals[job_id] = rivals
+  runs = {run for run in runs if _may_start(owner, run)}
+  if runs:
+    kept_records.duplicate_runs[job_id] = runs
   else:
-    del kept_records.rivals[job_id]
-  return bool(rivals)
+    del kept_records.duplicate_runs[job_id]
+  return bool(runs)
 
 
-def _may_have_rivals(owner, job_id: str) -> bool:
+def _may_have_duplicate_starts(owner, job_id: str) -> bool:
   """Returns the same, including runs that the previous holder may have ordered."""
   is_inherited = job_id in owner.kept_records.inherited
-  return is_inherited and not owner.recovered or _has_rivals(owner, job_id)
+  if is_inherited and not owner.recovered:
+    return True
+  return _has_duplicate_starts(owner, job_id)
 
 
 def _may_start(owner, run_id: model.RunId) -> bool:
@@ -283,7 +285,7 @@
 def _acknowledge_held_results(owner):
   held = owner.kept_records.held_results
   for job_id in list(held):
-    if not _may_have_rivals(owner, job_id):
+    if not _may_have_duplicate_starts(owner, job_id):
       _acknowledge_results(owner, job_id, held.pop(job_id))
 
 
@@ -405,7 +407,7 @@
       owner.fence,
       owner.now,
       lambda job_id: _progress(owner, job_id),
-      lambda job_id: _has_rivals(owner, job_id),
+      lambda job_id: _has_duplicate_starts(owner, job_id),
   )
   if write is not None:
     owner.emit(write)
--- a/fescueturn/scheduler/keptrecords.py
+++ b/fescueturn/scheduler/keptrecords.py
@@ -93,8 +93,8 @@
     early_results: the results listed before the records were read, by job id.
     held_results: the stored results that may not be acknowledged while another
       run of their job's tasks may start, by job id.
-    rivals: runs of tasks that another run has done, by job id; their start
-      requests may still be carried out.
+    duplicate_runs: runs of tasks that another run has done, by job id; their
+      start requests may still be carried out.
     early_offers: the offers received before the records were read.
     pending_queries: the queries that wait for an answer, by job id.
     in_flight: the write that waits for the store's answer.
@@ -117,7 +117,7 @@
     self.unsaved_results: dict[str, set[ResultKey]] = {}
     self.early_results: dict[str, set[ResultKey]] = {}
     self.held_results: dict[str, set[ResultKey]] = {}
-    self.rivals: dict[str, set[model.RunId]] = {}
+    self.duplicate_runs: dict[str, set[model.RunId]] = {}
     self.early_offers: list[linkmessages.Offered] = []
     self.pending_queries: dict[str, list[keptevents.KeptJobQuery]] = {}
     self.in_flight: keptevents.WriteKeptJobs | None = None
--- a/fescueturn/scheduler/outcomes.py
+++ b/fescueturn/scheduler/outcomes.py
@@ -112,8 +112,8 @@
     runcontrol.stop_task(owner, task)
     task.previous_run = task.run
   if task.previous_run is not None and job.job.kept:
-    rivals = owner.kept_records.rivals.setdefault(job.job.id, set())
-    rivals.add(task.previous_run)
+    runs = owner.kept_records.duplicate_runs.setdefault(job.job.id, set())
+    runs.add(task.previous_run)
   job.task_done(task)
 
 
