A crash before a task was sent doesn't count against the task

What callers saw: a job answered as failed ("endpoints_crashed") 2 ms after it was sent, or as its second run began, though none of its tasks ever crashed an endpoint (the users' rule LOST).

Cause: idle endpoints aren't called, so a holder learns of a crash from the first start that it sends there. The answer ("gone", another incarnation at the address) ended the run as lost and counted the crash against its task; three such starts within 2 ms made it a task that crashes its endpoints. The class: what happened before a request is taken for its effect.

--- a/fescueturn/scheduler/crashes.py
+++ b/fescueturn/scheduler/crashes.py
@@ -29,6 +29,9 @@
 MAX_LOSSES_RESUMED = 2
 # A task is given up once this many of its lost endpoints have surely crashed.
 CONFIRMED_CRASHES_TO_GIVE_UP = 2
+# A crashed endpoint isn't back sooner than this. If another incarnation answers
+# earlier after the request to start a task, the crash came before the request.
+MIN_RESTART_S = 0.2
 # An endpoint that crashed within this time may do so again by its own fault.
 RECENT_CRASH_S = 15.0
 
@@ -36,8 +39,11 @@
 def record_loss(owner: ownerstate.Owner, record, run: endpointruns.Run):
   """Counts an endpoint as lost by the task whose current run was there.
 
-  A draining endpoint ends its runs as planned and is not counted.
+  A draining endpoint ends its runs as planned and is not counted, nor is one
+  that was already lost when the run was requested.
   """
+  if owner.now - run.started_at < MIN_RESTART_S:
+    return
   job = owner.by_id.get(run.id.task.job_id)
   task = job.tasks.get(run.id.task) if job else None
   if task is None or task.run != run.id or record.info.draining:
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -99,6 +99,22 @@
   assert emulation.broken == []
 
 
+@pytest.mark.parametrize("restarted_s_ago", [0.0, 0.05, 0.3])
+def test_job_sent_to_endpoints_that_had_crashed_before_is_not_failed(
+    restarted_s_ago,
+):
+  emulation = fleets.fleet()
+  for endpoint in list(emulation.endpoints.values()):
+    endpoint.crash()
+    emulation.restart_endpoint(endpoint)
+    emulation.unlisted.add(endpoint.info.id)
+  emulation.clock.run_until(emulation.clock.now + restarted_s_ago)
+  request = emulation.submit("a0", fleets.job("good", 4, 400), [0.4] * 4, 20.0)
+  emulation.clock.run_until(25)
+  assert emulation.answers[request].answer.outcome is model.Outcome.DONE
+  assert emulation.broken == []
+
+
 def test_job_succeeds_although_another_job_crashes_its_endpoints():
   emulation = fleets.fleet(seed=3)
   requests = fleets.submit_load(
