One module has the delays that bound a run; settings that break them are refused

A run may go on for 1.17 s after its caller's connection was last seen open, and callers come back after 1.3 s. The delays of that chain stood in five modules, and nothing checked their sum: a change of one would have broken it in silence.

`scheduler/timebudget.py` names the delays and three chains of them (an abandoned run, a run whose holder its coordinator doesn't reach, a kept job's run at a holder that is cut off), each with what must come after it. A process whose settings say that callers return sooner than the first chain ends doesn't start: E403 SETTINGS_TIME_BUDGET, with each delay and the sum. The callers' return is read from the settings (1.3 s if they don't say).

No delay changes.

--- a/fescueturn/codes.py
+++ b/fescueturn/codes.py
@@ -59,6 +59,7 @@
   SETTINGS_MISSING = 400
   SETTINGS_BAD_VALUE = 401
   SETTINGS_UNKNOWN_KEY = 402
+  SETTINGS_TIME_BUDGET = 403
   # Connections to other daemons, and log searches.
   UNREACHABLE = 500
   REPLY_LOST = 501
--- a/fescueturn/errors.py
+++ b/fescueturn/errors.py
@@ -33,6 +33,12 @@
   code = codes.Code.SETTINGS_BAD_VALUE
 
 
+class TimeBudgetError(SettingsError):
+  """With these settings, a run may go on beside one that replaces it."""
+
+  code = codes.Code.SETTINGS_TIME_BUDGET
+
+
 class KvError(FescueError):
   """The platform's key-value store failed or refused a call."""
 
--- a/fescueturn/platform/nodefile.py
+++ b/fescueturn/platform/nodefile.py
@@ -12,6 +12,7 @@
 from fescueturn import settings
 from fescueturn.platform import wire
 from fescueturn.scheduler import election
+from fescueturn.scheduler import timebudget
 
 PATH_VARIABLE = "FESCUETURN_NODE_FILE"
 # Address of the statsd server as host:port; the settings file has no field for
@@ -38,6 +39,7 @@
     grace_s: time from SIGTERM to SIGKILL.
     ended_job_retention_s: how long the status of an ended kept job must stay
       available.
+    callers_return_s: how soon callers send a job again that got no answer.
     cores: its share of processor time, in cores of the usual speed.
   """
 
@@ -52,6 +54,7 @@
   convergence_s: float
   grace_s: float
   ended_job_retention_s: float
+  callers_return_s: float
   cores: float
 
 
@@ -77,13 +80,16 @@
   """Decodes the settings in a file's text.
 
   Raises:
-    errors.SettingsError: a field is missing or malformed.
+    errors.SettingsError: a field is missing or malformed, or callers return
+      too soon (`errors.TimeBudgetError`).
   """
   raw = wire.decode(wire.nodes, text, "settings file", errors.SettingsError)
   try:
-    return _node_settings(raw)
+    node = _node_settings(raw)
   except ValueError as exc:
     raise errors.SettingsError(f"settings file: {exc}") from exc
+  timebudget.check(node.callers_return_s)
+  return node
 
 
 def _node_settings(raw: wire.Node) -> NodeSettings:
@@ -100,6 +106,7 @@
       convergence_s=raw.bounds.convergence_ms / 1000,
       grace_s=raw.bounds.grace_s,
       ended_job_retention_s=raw.bounds.status_s,
+      callers_return_s=raw.bounds.callers_return_ms / 1000,
       cores=_cores(raw.limits or wire.MachineLimits()),
   )
 
--- a/fescueturn/platform/wire.py
+++ b/fescueturn/platform/wire.py
@@ -370,6 +370,7 @@
       fault has ended.
     grace_s: time from SIGTERM to SIGKILL.
     status_s: how long the status of an ended job must stay available.
+    callers_return_ms: how soon callers send a job again that got no answer.
   """
 
   convergence_ms: Annotated[float, msgspec.Meta(gt=0)] = msgspec.field(
@@ -379,6 +380,9 @@
       default=6.0, name="graceS"
   )
   status_s: Annotated[float, msgspec.Meta(ge=0)] = 120.0
+  callers_return_ms: Annotated[float, msgspec.Meta(gt=0)] = msgspec.field(
+      default=1300.0, name="resendMs"
+  )
 
 
 class Node(_Body):
--- a/fescueturn/scheduler/coordinator.py
+++ b/fescueturn/scheduler/coordinator.py
@@ -16,6 +16,7 @@
 from fescueturn.scheduler import keptevents
 from fescueturn.scheduler import linkmessages
 from fescueturn.scheduler import model
+from fescueturn.scheduler import timebudget
 
 # Period of the heartbeats to a holder that has a job of this host's: three
 # pings within the 0.35 s after which the holder takes a coordinator for lost.
@@ -31,11 +32,6 @@
 # start in its data centre: the time of two or three runs. A holder's report
 # takes some 230 bytes, and those of three holders 1.4 KB/s.
 ROOM_PERIOD_S = 0.5
-# How long a job whose holder is lost waits for the shard's next holder: the
-# claim in the store expires 1.5 s after its last renewal, and the next holder
-# needs some 50 ms. No other shard may start the job meanwhile, since its runs
-# may continue for 1.2 s: 0.4 s of silence and then a lease of 0.8 s.
-ORPHAN_TIMEOUT_S = 2.0
 # How long a job that has not started waits for a holder when there is none: a
 # planned stop hands a shard over in some 30 ms, and the shard of a killed
 # holder is taken over within 0.2 s.
@@ -471,7 +467,7 @@
             state, record, jobdispatch.unserved_outcome(record), "no_holder"
         )
     elif record.phase is coordinatorstate.Phase.ORPHANED:
-      if state.now - record.orphaned_at > ORPHAN_TIMEOUT_S:
+      if state.now - record.orphaned_at > timebudget.ORPHAN_TIMEOUT_S:
         # The holder may be alive, and hear this host's pings again.
         jobdispatch.give_up(state, record, "holder_lost")
     elif not jobdispatch.reachable(state, record.shard):
--- a/fescueturn/scheduler/endpointlease.py
+++ b/fescueturn/scheduler/endpointlease.py
@@ -2,18 +2,10 @@
 
 import math
 
+from fescueturn.scheduler import timebudget
+
 # The longest lease that the platform allows.
 MAX_LEASE_MS = 1000
-# The length of a lease. A run may outlive its coordinator by the time in which
-# the holder detects the failure (400 ms) and one lease, and must have ended
-# when the caller retries after 1,300 ms. Leases are renewed every 300 ms, so
-# that one renewal may be lost.
-LEASE_MS = 800
-# A lease counts as expired this long after its end on the estimated clock of
-# the endpoint, which never runs ahead of the real one.
-LEASE_EXPIRY_MARGIN_MS = 40
-# The lowest rate of an endpoint's clock: it may be 2% slow.
-MIN_CLOCK_RATE = 0.98
 
 
 class Lease:
@@ -38,26 +30,33 @@
     if self._clock_ms is None:
       return None
     elapsed_ms = (now - self._clock_at) * 1000
-    return self._clock_ms + int(elapsed_ms * MIN_CLOCK_RATE)
+    return self._clock_ms + int(elapsed_ms * timebudget.MIN_CLOCK_RATE)
 
   def latest_clock_ms(self, now: float) -> int | None:
     """Returns the endpoint's clock, estimated from above; None if unknown."""
     if self._clock_ms is None:
       return None
     elapsed_ms = (now - self._clock_at) * 1000
-    return self._clock_ms + math.ceil(elapsed_ms * (2 - MIN_CLOCK_RATE))
+    return self._clock_ms + math.ceil(
+        elapsed_ms * (2 - timebudget.MIN_CLOCK_RATE)
+    )
 
   def clock_gain_ms(self, clock_ms: int | None, now: float) -> float:
     """Returns by how much an answer's clock exceeds any that is possible."""
     if clock_ms is None or self._clock_ms is None:
       return 0.0
     elapsed_ms = (now - self._clock_at) * 1000
-    return clock_ms - self._clock_ms - elapsed_ms * (2 - MIN_CLOCK_RATE)
+    return (
+        clock_ms - self._clock_ms - elapsed_ms * (2 - timebudget.MIN_CLOCK_RATE)
+    )
 
   def expired(self, now: float) -> bool:
     """Returns whether the endpoint's lease has surely expired."""
     clock = self.clock_ms(now)
-    return clock is not None and clock > self.end_ms + LEASE_EXPIRY_MARGIN_MS
+    return (
+        clock is not None
+        and clock > self.end_ms + timebudget.LEASE_EXPIRY_MARGIN_MS
+    )
 
   def cover_earlier(self, clock_ms: int):
     """Takes into account that earlier holders may have extended the lease.
@@ -78,6 +77,6 @@
     clock = self.clock_ms(now)
     if clock is None:
       return None
-    end = clock + LEASE_MS
+    end = clock + timebudget.LEASE_MS
     self.end_ms = max(self.end_ms, end)
     return end
--- a/fescueturn/scheduler/ownerstate.py
+++ b/fescueturn/scheduler/ownerstate.py
@@ -19,16 +19,13 @@
 from fescueturn.scheduler import roster
 from fescueturn.scheduler import succession
 from fescueturn.scheduler import suspicion
+from fescueturn.scheduler import timebudget
 from fescueturn.scheduler import timeouts
 from fescueturn.scheduler.decisions import placing
 from fescueturn.scheduler.decisions import room
 from fescueturn.scheduler.decisions import runtimes
 from fescueturn.scheduler.decisions import speeds
 
-# Heartbeat timeout of a coordinator, after which its jobs' runs are stopped. It
-# sends a ping every 100 ms. `endpointlease.LEASE_MS` explains how this timeout
-# and the lease add up.
-COORDINATOR_TIMEOUT_S = 0.35
 # How long a coordinator whose messages seem to be old has to send another one,
 # before its jobs end: a ping period and the delay of a busy host. Its host may
 # have been suspended, which the second message shows.
@@ -43,11 +40,6 @@
 # How long the results of runs whose job is unknown are kept after a takeover,
 # so that the coordinators have time to offer their jobs.
 EARLY_RESULT_TTL_S = 2.0
-# How long tasks of the previous holder that are not found running wait before
-# they are started again. The endpoint list may lack endpoints whose entries
-# expired while the store was unavailable. The previous holder is fenced off at
-# its next lease call (within 0.5 s), and its last lease ends 0.84 s later.
-RECOVERY_TIMEOUT_S = 1.5
 # Each holder numbers the attempts of a kept job's tasks from this figure times
 # the number of previous holders, because it doesn't know the last attempt that
 # the holder before it started.
@@ -364,7 +356,7 @@
     """True once all runs of the previous holder are known or have expired."""
     if self.unreported is not None and not self.unreported:
       return True
-    return self.now - self.taken_at > RECOVERY_TIMEOUT_S
+    return self.now - self.taken_at > timebudget.RECOVERY_TIMEOUT_S
 
   def record_store_answer(self, took_s: float):
     """Records that the store has answered a request.
@@ -431,7 +423,10 @@
   def is_silent(self, process: linkmessages.HostProcess) -> bool:
     """Returns whether a coordinator has sent nothing for too long."""
     contact_at = self.last_contact.get(process)
-    return contact_at is None or self.now - contact_at > COORDINATOR_TIMEOUT_S
+    return (
+        contact_at is None
+        or self.now - contact_at > timebudget.COORDINATOR_TIMEOUT_S
+    )
 
   def is_dead(self, process: linkmessages.HostProcess) -> bool:
     """Returns whether a silent coordinator won't be heard any more."""
@@ -482,7 +477,7 @@
       record = self.endpoints.get(name)
       run = record.runs.get(run_id) if record else None
       if run is not None:
-        run.served_until = heard_at + COORDINATOR_TIMEOUT_S
+        run.served_until = heard_at + timebudget.COORDINATOR_TIMEOUT_S
 
   def record_job_result(
       self, key: linkmessages.JobKey, outcome: model.Outcome, reason: str
@@ -521,7 +516,7 @@
     if not job.resumed or all_reported:
       return False
     since = self.first_contacts.get(job.key.process, self.taken_at)
-    return self.now - since <= RECOVERY_TIMEOUT_S
+    return self.now - since <= timebudget.RECOVERY_TIMEOUT_S
 
   def must_hold_back(self, job: JobRecord) -> bool:
     """Returns whether no task of a job may be started now."""
--- a/fescueturn/scheduler/roster.py
+++ b/fescueturn/scheduler/roster.py
@@ -4,7 +4,7 @@
 becomes the shard's next holder. The new holder knows all runs once every
 endpoint of the roster has answered it, some 20 ms after its claim. Without a
 roster it must wait until every lease of the previous holder has expired
-(`ownerstate.RECOVERY_TIMEOUT_S`).
+(`timebudget.RECOVERY_TIMEOUT_S`).
 
 So the tasks of a lost holder's jobs that are not found running are restarted
 after some 20 ms instead of 1.5 s.
--- a/fescueturn/scheduler/selffencing.py
+++ b/fescueturn/scheduler/selffencing.py
@@ -12,13 +12,8 @@
 from fescueturn.scheduler import events
 from fescueturn.scheduler import ownerstate
 from fescueturn.scheduler import runcontrol
+from fescueturn.scheduler import timebudget
 
-# The store counts as silent after this long. Hosts may claim the shard 0.45 s
-# after they last heard from its holder, and start tasks of kept jobs
-# `ownerstate.RECOVERY_TIMEOUT_S` later. Leases of the earlier holder's runs
-# must have ended by then, even if no stop reaches them; they last for 0.84 s.
-# The list of endpoints alone is asked for every 0.7 s.
-STORE_SILENT_S = 1.0
 # By then every host of the data centre has pinged a new holder: it hears of it
 # within 50 ms and pings it every 0.19 s.
 ALL_HEARD_S = 1.0
@@ -66,7 +61,7 @@
 
 
 def _store_answers(owner) -> bool:
-  return owner.now - owner.store_answered_at <= STORE_SILENT_S
+  return owner.now - owner.store_answered_at <= timebudget.STORE_SILENT_S
 
 
 def _forget_gone_claimants(owner):
--- /dev/null
+++ b/fescueturn/scheduler/timebudget.py
@@ -0,0 +1,133 @@
+"""How long a run may outlive what it is for, link by link.
+
+A caller that leaves sends its job again after a while, to any host. By then no
+run of the first submission may be active. What is done for a job is bounded by
+when its coordinator last looked at its callers' connections: the holder serves
+the job for a while after that look, and the last lease that it requests ends
+later still. Each such chain of delays is a function here, and the modules take
+their bounds from this one.
+"""
+
+import dataclasses
+
+from fescueturn import errors
+
+# Heartbeat timeout of a coordinator, after which its jobs' runs are stopped: it
+# sends a ping every 100 ms, so that two may be lost.
+COORDINATOR_TIMEOUT_S = 0.35
+# The length of a lease. Leases are renewed every 300 ms, so that one renewal
+# may be lost.
+LEASE_MS = 800
+# The lowest rate of an endpoint's clock: it may be 2% slow.
+MIN_CLOCK_RATE = 0.98
+# A lease counts as expired this long after its end on the estimated clock of
+# the endpoint, which never runs ahead of the real one.
+LEASE_EXPIRY_MARGIN_MS = 40
+# How long tasks of the previous holder that are not found running wait before
+# they are started again. The endpoint list may lack endpoints whose entries
+# expired while the store was unavailable.
+RECOVERY_TIMEOUT_S = 1.5
+# The store counts as silent after this long. The list of endpoints alone is
+# asked for every 0.7 s.
+STORE_SILENT_S = 1.0
+# The earliest claim of a shard after its holder was last heard: the holder's
+# pings are missed for 0.35 s, and two hosts report it.
+FIRST_CLAIM_S = 0.45
+# How long a job whose holder is lost waits for the shard's next holder: the
+# claim in the store expires 1.5 s after its last renewal, and the next holder
+# needs some 50 ms.
+ORPHAN_TIMEOUT_S = 2.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Link:
+  """One delay of a chain.
+
+  Attributes:
+    name: what takes the time.
+    seconds: the longest time that it takes.
+  """
+
+  name: str
+  seconds: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Chain:
+  """Delays that follow each other, and what has to come after them.
+
+  Attributes:
+    links: the delays.
+    limit: what must not happen before their end.
+    limit_s: its earliest time (s), counted from the beginning of the chain.
+  """
+
+  links: tuple[Link, ...]
+  limit: str
+  limit_s: float
+
+  @property
+  def total_s(self) -> float:
+    """The sum of the links (s)."""
+    return sum(link.seconds for link in self.links)
+
+  @property
+  def holds(self) -> bool:
+    """True if the limit comes after all links."""
+    return self.total_s < self.limit_s
+
+  def __str__(self) -> str:
+    links = " + ".join(f"{link.name} {link.seconds:.3f}" for link in self.links)
+    return f"{links} = {self.total_s:.3f} s, {self.limit} {self.limit_s:.3f} s"
+
+
+def _lease_links() -> tuple[Link, ...]:
+  lease_s = LEASE_MS / 1000
+  return (
+      Link("lease", lease_s),
+      Link("slow clock of an endpoint", lease_s / MIN_CLOCK_RATE - lease_s),
+  )
+
+
+def abandoned_run(callers_return_s: float) -> Chain:
+  """Returns how long a run may outlive its caller's connection.
+
+  Args:
+    callers_return_s: how soon a caller sends a job again (s).
+  """
+  silence = Link("coordinator timeout", COORDINATOR_TIMEOUT_S)
+  return Chain((silence, *_lease_links()), "callers return", callers_return_s)
+
+
+def orphaned_run() -> Chain:
+  """Returns how long runs go on whose coordinator doesn't reach their holder."""
+  silence = Link("coordinator timeout", COORDINATOR_TIMEOUT_S)
+  return Chain(
+      (silence, *_lease_links()), "offered to another shard", ORPHAN_TIMEOUT_S
+  )
+
+
+def fenced_kept_run() -> Chain:
+  """Returns how long a kept job's run goes on at a holder that is cut off."""
+  silence = Link("silence of the store", STORE_SILENT_S)
+  margin = Link("expiry margin", LEASE_EXPIRY_MARGIN_MS / 1000)
+  return Chain(
+      (silence, *_lease_links(), margin),
+      "started by the next holder",
+      FIRST_CLAIM_S + RECOVERY_TIMEOUT_S,
+  )
+
+
+def check(callers_return_s: float):
+  """Checks that no run outlives its caller's return.
+
+  Raises:
+    errors.TimeBudgetError: one may; the message names the links.
+  """
+  for chain in (
+      abandoned_run(callers_return_s),
+      orphaned_run(),
+      fenced_kept_run(),
+  ):
+    if not chain.holds:
+      raise errors.TimeBudgetError(f"a run may go on for too long: {chain}")
--- a/tests/test_runanswers.py
+++ b/tests/test_runanswers.py
@@ -8,9 +8,9 @@
 from fescueturn.scheduler import linkmessages
 from fescueturn.scheduler import model
 from fescueturn.scheduler import owner as owner_lib
-from fescueturn.scheduler import ownerstate
 from fescueturn.scheduler import runanswers
 from fescueturn.scheduler import runcontrol
+from fescueturn.scheduler import timebudget
 from tests import test_leases
 
 
@@ -233,7 +233,7 @@
   owner = test_leases.new_owner()
   record = test_leases.known_endpoint(owner)
   run = test_leases.start_job(owner, record)
-  late = ownerstate.COORDINATOR_TIMEOUT_S + 0.01
+  late = timebudget.COORDINATOR_TIMEOUT_S + 0.01
   effects = test_leases.lose_start_request(owner, run, late)
   assert not any(isinstance(e, events.StartRun) for e in effects)
   assert any(isinstance(e, events.StopRun) for e in effects)
