A model of a run's lifetime, with time and the delays of the time budget

The chain of delays after a caller's leaving rested on times, which no model had. `spec/lifetime.pml` has discrete time: steps of 0.1 s, each delay rounded against the property (0.35 s as 4 steps, a lease of 0.8 s on a slow clock as 9, the callers' return of 1.3 s as 13; 4 + 9 is just not more than 13). The test reads the delays from `scheduler/timebudget.py`.

Each of the three delays changed by one step and twelve mutants are refuted. Not in it: kept jobs, callers that vanish without a close, endpoints that restart, and that jobs whose callers stay are served.

--- a/tests/test_spec.py
+++ b/tests/test_spec.py
@@ -4,12 +4,16 @@
 violate a given assertion.
 """
 
+import math
 import pathlib
 import shutil
 import subprocess
 
 import pytest
 
+from fescueturn.scheduler import timebudget
+from tests import test_timebudget
+
 SPECS = pathlib.Path(__file__).parent.parent / "spec"
 # Assertions of the models, as spin prints them when they are violated.
 ONE_RUN = "!(running["
@@ -22,6 +26,9 @@
 WANTED = "(open||withdrawing)"
 SERVED = "((serving[0]||serving[1])||serving[2])"
 STARTS_TWICE = "assertion violated (starts<=1)"
+OUTLIVED = "( !(running)||(now<"
+# A step of time of `lifetime.pml` (s).
+STEP_S = 0.1
 
 
 def check(tmp_path, spec, *defines):
@@ -62,6 +69,60 @@
   assert "max search depth too small" not in out
 
 
+def lifetime_delays() -> dict[str, int]:
+  """Returns the delays of `lifetime.pml`, in steps of time."""
+  chain = timebudget.abandoned_run(test_timebudget.CALLERS_RETURN_S)
+  silence, *lease = (link.seconds for link in chain.links)
+  return {
+      "SILENCE": math.ceil(silence / STEP_S),
+      "LEASE": math.ceil(sum(lease) / STEP_S),
+      "RETURN": math.floor(chain.limit_s / STEP_S),
+  }
+
+
+def define_lifetime(**changes: int) -> list[str]:
+  delays = lifetime_delays() | changes
+  return [f"-D{name}={steps}" for name, steps in delays.items()]
+
+
+def test_no_run_is_active_when_its_caller_is_back(tmp_path):
+  out = check(tmp_path, "lifetime.pml", *define_lifetime())
+  assert "errors: 0" in out
+  assert "max search depth too small" not in out
+
+
+@pytest.mark.parametrize("name", ["SILENCE", "LEASE", "RETURN"])
+def test_longer_delay_lets_a_run_outlive_its_callers_return(tmp_path, name):
+  change = -1 if name == "RETURN" else 1
+  delays = define_lifetime(**{name: lifetime_delays()[name] + change})
+  out = check(tmp_path, "lifetime.pml", *delays)
+  assert "errors: 1" in out
+  assert OUTLIVED in out
+
+
+@pytest.mark.parametrize(
+    "mutant",
+    [
+        "UNREAD_CLOSE",
+        "PING_WITHOUT_LOOK",
+        "AGE_FROM_READING",
+        "FIRST_AGE",
+        "OFFER_UNSERVED",
+        "RENEW_SILENT",
+        "RENEW_BESIDE",
+        "RENEW_UNKNOWN",
+        "NO_START_DEADLINE",
+        "NO_RENEWAL_END",
+        "NO_FENCE",
+        "SUSPENDED",
+    ],
+)
+def test_rule_of_lifetimes_is_needed(tmp_path, mutant):
+  out = check(tmp_path, "lifetime.pml", f"-D{mutant}", *define_lifetime())
+  assert "errors: 1" in out
+  assert OUTLIVED in out
+
+
 @pytest.mark.parametrize(
     ("spec", "mutant", "broken"),
     [
