Leases aren't extended beside runs that a new holder doesn't know

What callers saw: two runs of a task. The holder of a data centre stood still or was cut off, and the caller of one of its jobs left about then. The next holder found the run, didn't know its job, and gave it 0.25 s to be offered. All the while it extended the endpoint's lease for the other runs there; when its stops were lost, the run went on until 0.8 s later, and the caller was back after 1.3 s.

Cause: all that is done for a job is bounded by when its coordinator last looked at its caller's connection. Of a run that was found after a takeover that time isn't known; it was taken as "now" for 0.25 s. The bound that holds for it is the lease that the earlier holder has asked for.

Why it works: no lease is extended and no task started at an endpoint with a run of an unknown job, until that is adopted (its coordinator has offered the job) or has ended.

Weighed: a shorter wait before the stop (it ends runs whose coordinator is busy, and a lost stop still leaves a second run at 1.1 to 1.2 s after the last look), or an extension limited by when the holder before was last heard (0.15 s at most, and that time is known only roughly).

--- a/fescueturn/scheduler/ownerstate.py
+++ b/fescueturn/scheduler/ownerstate.py
@@ -460,7 +460,8 @@
       return False  # It has ended with an earlier lease.
     job = self.by_id.get(run.id.task.job_id)
     if job is None:
-      return self.now > run.served_until
+      # Nothing is known of the caller of a run that was found there.
+      return run.need is None or self.now > run.served_until
     return self.lacks_coordinator(job)
 
   def end_service(self, job: JobRecord):
