Leases aren't extended for a coordinator whose first messages may be old

What callers saw: two runs of a task. A holder was killed; its successor read a coordinator's first messages late, as their link had stalled, and by then the coordinator had died with its callers' connections. The successor adopted the runs of its jobs and extended their leases for 0.35 s from when it read the messages.

Cause: it isn't known how old a coordinator's first messages are until one of its pings bounds its age. No task was started for it until then, but leases of adopted runs were extended, and those beside runs of its ended jobs as well.

Why it works: a coordinator that hasn't bounded the age of a message counts as one that isn't heard, for starts, for leases and for what follows the end of its jobs. A bound takes two round trips, as holders are pinged at once.

The test failed before in 2 of 8 (links stalled for 0.3 and 0.5 s, coordinator killed).

--- a/fescueturn/scheduler/ownerstate.py
+++ b/fescueturn/scheduler/ownerstate.py
@@ -441,7 +441,11 @@
   def lacks_coordinator(self, job: JobRecord) -> bool:
     """Returns whether a job may run only if its coordinator speaks again."""
     process = job.key.process
-    is_missed = process in self._unproven or self.is_silent(process)
+    is_missed = (
+        process in self._unproven
+        or process in self._newly_heard
+        or self.is_silent(process)
+    )
     return is_missed and not job.job.kept
 
   def must_let_lapse(self, record: endpointstate.EndpointRecord) -> bool:
@@ -471,19 +475,21 @@
     """
     if job.job.kept:
       return  # Its caller doesn't wait for it.
-    heard_at = self.last_contact.get(job.key.process, -math.inf)
+    until = -math.inf
+    if not self.lacks_coordinator(job):
+      until = self.last_contact[job.key.process] + COORDINATOR_TIMEOUT_S
     for task in job.tasks.values():
       if task.previous_run is not None:
-        self._limit_service(task.previous_run, self.endpoints, heard_at)
+        self._limit_service(task.previous_run, self.endpoints, until)
       if task.run is not None:
-        self._limit_service(task.run, (task.endpoint,), heard_at)
+        self._limit_service(task.run, (task.endpoint,), until)
 
-  def _limit_service(self, run_id: model.RunId, endpoints, heard_at: float):
+  def _limit_service(self, run_id: model.RunId, endpoints, until: float):
     for name in endpoints:
       record = self.endpoints.get(name)
       run = record.runs.get(run_id) if record else None
       if run is not None:
-        run.served_until = heard_at + COORDINATOR_TIMEOUT_S
+        run.served_until = until
 
   def record_job_result(
       self, key: linkmessages.JobKey, outcome: model.Outcome, reason: str
@@ -529,7 +535,6 @@
     return (
         job.returning
         or self.lacks_coordinator(job)
-        or (job.key.process in self._newly_heard and not job.job.kept)
         or (job.job.kept and self.self_fenced)
         or self.may_have_unknown_runs(job)
     )
--- a/tests/test_runs_after_takeover.py
+++ b/tests/test_runs_after_takeover.py
@@ -89,3 +89,33 @@
       clock.run_until(LEFT_AT + RETURN_S + 0.1)
     broken += [(lost_s, line) for line in emulation.broken]
   assert broken == []
+
+
+@pytest.mark.parametrize("leaves", ["closes", "killed"])
+@pytest.mark.parametrize("stalled_s", [0.1, 0.2, 0.3, 0.5])
+def test_first_messages_over_a_stalled_link_extend_no_lease_of_adopted_runs(
+    monkeypatch, stalled_s, leaves
+):
+  """The next holder reads a coordinator's offer after its caller has left."""
+  broken = []
+  for lost_s in (-0.25, -0.1, -0.05):
+    emulation, holder, coordinator, job, request = fleet_with_shared_endpoint(
+        clock_rate=0.98
+    )
+    clock = emulation.clock
+    with monkeypatch.context() as patch:
+      lose_stops_of_others(patch, holder)
+      clock.run_until(LEFT_AT + lost_s)
+      emulation.kill(holder.name)
+      for host in fleets.hosts_in(emulation, "a"):
+        emulation.stall_link(coordinator.name, host.name, stalled_s)
+      clock.run_until(LEFT_AT)
+      if leaves == "killed":
+        emulation.kill(coordinator.name)
+      else:
+        emulation.disconnect_caller(coordinator.name, request)
+      clock.run_until(LEFT_AT + RETURN_S)
+      emulation.submit("b0", job, [RUN_S], 6.0)
+      clock.run_until(LEFT_AT + RETURN_S + 0.1)
+    broken += [(lost_s, line) for line in emulation.broken]
+  assert broken == []
