Emulator: connections that go silent, quotas of processor time, requests read late

A message on a silent connection is lost, in one direction or both; its user goes on believing in it until its own time-out: 0.6 s (1.5 s by TCP, 3 s idle) on links, the call's on endpoints' and the store's pools, whose idle connections are silent as well, and up to 3 s on the watch of the claims. A quota defers all that a host does to the next tenth of a second; callers' connections are looked at first, as in a tick.

--- a/fescueturn/emulator/endpointcalls.py
+++ b/fescueturn/emulator/endpointcalls.py
@@ -7,6 +7,7 @@
 
 from fescueturn.emulator import endpoint as endpoint_lib
 from fescueturn.emulator import hosts
+from fescueturn.emulator import silence
 from fescueturn.scheduler import events
 from fescueturn.scheduler import model
 from fescueturn.scheduler import timeouts
@@ -20,13 +21,6 @@
 CONNECT_TIMEOUT_S = 0.25
 
 
-class _Call:
-  """One call: whether it was answered or timed out, whichever came first."""
-
-  def __init__(self):
-    self.over = False
-
-
 class EndpointCalls:
   """Executes the calls of a fleet's hosts to its endpoints."""
 
@@ -36,6 +30,13 @@
     self._rng = fleet.rng
     # Hosts and endpoints whose last call timed out, and with it the connection.
     self._disconnected: set[tuple[str, str]] = set()
+    self._silent = silence.SilentPools(fleet.clock)
+
+  def silence_calls(
+      self, host: hosts.EmulatedHost, name: str, idle: int, loss: silence.Loss
+  ):
+    """Silences a host's open connections to an endpoint."""
+    self._silent.silence((host.process, name), idle, loss)
 
   def start_run(self, host: hosts.EmulatedHost, effect: events.StartRun):
     """Orders an endpoint to start a run."""
@@ -59,10 +60,13 @@
     endpoint = self._fleet.endpoints[effect.endpoint.id]
     name, run = effect.endpoint.id, effect.run
     born_ms = endpoint.info.born_ms
-    call = _Call()
+    call = self._silent.begin((host.process, name))
 
     def end(result, clock_ms=None):
-      lost = clock_ms is not None and name in host.deaf_to
+      is_answer = clock_ms is not None
+      lost = is_answer and (
+          name in host.deaf_to or self._silent.loss(call).answers
+      )
       if not (call.over or lost):
         call.over = True
         answered_by = 0 if clock_ms is None else born_ms
@@ -81,7 +85,7 @@
         execute(endpoint)
 
     def arrive():
-      if not self._arrives(host, endpoint, born_ms):
+      if not self._arrives(host, endpoint, born_ms, call):
         return
       delay_s = endpoint.order_delay_s
       if self._rng.random() < endpoint.loss_rate:
@@ -95,10 +99,10 @@
           self._path_delay_s(endpoint), lambda: end(result, clock_ms)
       )
 
-    if endpoint.refusing:
+    if endpoint.refusing and not call.silent:
       self._clock.after(LOCAL_DELAY_S, lambda: end(model.CallResult.NOT_SENT))
       return
-    if self._connection_fails(host, endpoint):
+    if not call.silent and self._connection_fails(host, endpoint):
       self._clock.after(
           CONNECT_TIMEOUT_S, lambda: end(model.CallResult.NOT_SENT)
       )
@@ -111,7 +115,7 @@
     endpoint = self._fleet.endpoints[effect.endpoint.id]
     name = effect.endpoint.id
     born_ms = endpoint.info.born_ms
-    call = _Call()
+    call = self._silent.begin((host.process, name))
 
     def end(answer: events.LeaseAnswered):
       if not call.over:
@@ -131,19 +135,20 @@
         fail(model.CallResult.NO_ANSWER)
 
     def answer(result: events.LeaseAnswered):
-      if not endpoint.unreachable and self._fleet.hears(host, name):
+      lost = self._silent.loss(call).answers
+      if not (endpoint.unreachable or lost) and self._fleet.hears(host, name):
         self._clock.after(self._path_delay_s(endpoint), lambda: end(result))
 
     lost = self._rng.random() < endpoint.loss_rate
 
     def arrive():
-      if self._arrives(host, endpoint, born_ms) and not lost:
+      if self._arrives(host, endpoint, born_ms, call) and not lost:
         endpoint.renew(effect, answer)
 
-    if endpoint.refusing:
+    if endpoint.refusing and not call.silent:
       self._clock.after(LOCAL_DELAY_S, lambda: fail(model.CallResult.NOT_SENT))
       return
-    if self._connection_fails(host, endpoint):
+    if not call.silent and self._connection_fails(host, endpoint):
       self._clock.after(
           CONNECT_TIMEOUT_S, lambda: fail(model.CallResult.NOT_SENT)
       )
@@ -151,7 +156,7 @@
     self._clock.after(self._path_delay_s(endpoint), arrive)
     self._clock.after(effect.wait_ms / 1000 + timeouts.MIN_S, time_out)
 
-  def _arrives(self, host, endpoint, born_ms: int) -> bool:
+  def _arrives(self, host, endpoint, born_ms: int, call: silence.Call) -> bool:
     """Returns whether the data of a call arrive.
 
     A connection to an earlier incarnation than the current one is reset.
@@ -159,6 +164,7 @@
     return (
         endpoint.info.born_ms == born_ms
         and not endpoint.unreachable
+        and not self._silent.loss(call).requests
         and self._fleet.can_reach(host, endpoint.info.id)
     )
 
--- a/fescueturn/emulator/fleet.py
+++ b/fescueturn/emulator/fleet.py
@@ -19,6 +19,7 @@
 from fescueturn.emulator import hosts
 from fescueturn.emulator import keptstore
 from fescueturn.emulator import refusedjobs
+from fescueturn.emulator import silence
 from fescueturn.scheduler import election
 from fescueturn.scheduler import events
 from fescueturn.scheduler import keptevents
@@ -94,6 +95,7 @@
     self._refused_jobs = refusedjobs.RefusedJobs(self.broken)
     self._store = fleetstore.FleetStore(self)
     self._calls = endpointcalls.EndpointCalls(self)
+    self._silent_links = silence.SilentLinks(self)
     self.restart_delay_s = 3.0
     self._incarnations = 0
     self._boots = 0
@@ -105,6 +107,8 @@
     self._stalled_until: dict[tuple[str, str], float] = {}
     # By how much messages from one host to another are read late (s).
     self._read_delays_s: dict[tuple[str, str], float] = {}
+    # Requests whose callers have closed their connections.
+    self._abandoned: set[int] = set()
     self._requests = 0
     self._default_profile: (
         Callable[[model.Task], endpoint_lib.TaskProfile] | None
@@ -208,9 +212,21 @@
     self._submitted_at[request] = self.clock.now
     self._submitted_jobs[request] = job
     self._refused_jobs.record_submission(job.id)
-    self.hosts[host].apply(events.JobArrived(request, job, deadline_s))
+    receiver = self.hosts[host]
+    arrived = events.JobArrived(request, job, deadline_s)
+    if receiver.request_lag_s:
+      self.clock.after(
+          receiver.request_lag_s, lambda: self._read_late(receiver, arrived)
+      )
+    else:
+      receiver.apply(arrived)
     return request
 
+  def _read_late(self, host: hosts.EmulatedHost, arrived: events.JobArrived):
+    """Has a host read a request, unless its caller has left by then."""
+    if arrived.request_id not in self._abandoned:
+      host.apply(arrived)
+
   def query_kept_job(
       self,
       host: str,
@@ -243,6 +259,7 @@
 
   def disconnect_caller(self, host: str, request: int):
     """Closes the connection of a request's caller."""
+    self._abandoned.add(request)
     self.hosts[host].apply(events.CallerGone(request))
 
   # Faults.
@@ -259,6 +276,38 @@
       if record.holder.host == holder:
         host.apply(events.LinkLost(shard, record.process, refused=False))
 
+  def close_link(self, coordinator: hosts.EmulatedHost, holder: str):
+    """Has a coordinator close its link to a holder's host, and hear of it."""
+    self._link_resets[coordinator.name, holder] += 1
+    for shard, record in list(coordinator.state.coordinator.holders.items()):
+      if record.holder.host == holder:
+        lost = events.LinkLost(shard, record.process, refused=False)
+        self.clock.after(0.0, lambda lost=lost: coordinator.apply(lost))
+
+  def silence_link(self, coordinator: str, holder: str, loss: silence.Loss):
+    """Silences the open link between two hosts for good."""
+    if coordinator != holder:
+      self._silent_links.silence(self.hosts[coordinator], holder, loss)
+
+  def silence_calls(
+      self, host: str, endpoint: str, idle: int, loss: silence.Loss
+  ):
+    """Silences a host's open connections to an endpoint, some of them idle."""
+    self._calls.silence_calls(self.hosts[host], endpoint, idle, loss)
+
+  def silence_store(
+      self, host: str, idle: int, watch_s: float, loss: silence.Loss
+  ):
+    """Silences a host's open connections to the store, some of them idle.
+
+    Args:
+      host: the host's name.
+      idle: how many of them are idle.
+      watch_s: how long its watch of the claims waits for an answer (s).
+      loss: what is lost on them.
+    """
+    self._store.silence_connections(self.hosts[host], idle, watch_s, loss)
+
   def stall_link(self, coordinator: str, holder: str, seconds: float):
     """Holds back what two hosts send each other as TCP does on a dead path."""
     until = self.clock.now + seconds
@@ -324,6 +373,8 @@
     delay_s = _delay_s(host, other)
     if not self.hears(other, host.name):
       return
+    if not self._silent_links.carries_to_holder(host, other.name):
+      return
     if not other.up:
       lost = events.LinkLost(effect.shard, process, refused=True)
       self.clock.after(2 * delay_s, lambda: host.apply(lost))
@@ -336,6 +387,8 @@
     other = self.hosts[effect.process.host]
     if other.process != effect.process or not self.hears(other, host.name):
       return
+    if not self._silent_links.carries_to_coordinator(other, host.name):
+      return
     # A message from the known holder's host is attributed to that holder, even
     # if the host has been restarted since.
     holder = other.state.coordinator.holders.get(effect.shard)
@@ -397,6 +450,8 @@
     """Sends a host the store's list of endpoints, if it can reach the store."""
     if not self._store.can_reach_store(host):
       return
+    if self._store.call_loss(host) != silence.NO_LOSS:
+      return
     self._store.report_revision(host)
     listed = tuple(
         e.info
--- a/fescueturn/emulator/fleetstore.py
+++ b/fescueturn/emulator/fleetstore.py
@@ -2,8 +2,10 @@
 
 from fescueturn import settings
 from fescueturn.emulator import hosts
+from fescueturn.emulator import silence
 from fescueturn.scheduler import events
 from fescueturn.scheduler import keptevents
+from fescueturn.scheduler import linkmessages
 from fescueturn.scheduler import model
 
 # One-way network delay to the store, as the users' data sheets give it.
@@ -18,6 +20,8 @@
 # Time (s) after which an unanswered write is repeated.
 STORE_TIMEOUT_S = 1.0
 STORE_RETRY_S = 0.1
+# How long a host waits after one renewal of its claims' lease for the next (s).
+RENEW_PERIOD_S = 0.5
 
 
 class FleetStore:
@@ -35,6 +39,9 @@
     self._last_fences: dict[model.Shard, int] = {}
     # Hosts that have missed notifications of claims.
     self._behind: set[str] = set()
+    self._silent = silence.SilentPools(fleet.clock)
+    # Until when the watches of hosts are silent (s).
+    self._silent_watches: dict[linkmessages.HostProcess, float] = {}
 
   def evacuate(self, data_centre: str, wanted: bool):
     """Stores a request to evacuate a data centre, or deletes it."""
@@ -51,12 +58,37 @@
     """Returns True if the host can reach the store."""
     return self._fleet.store_up and "store" not in host.partitioned_from
 
+  def silence_connections(
+      self,
+      host: hosts.EmulatedHost,
+      idle: int,
+      watch_s: float,
+      loss: silence.Loss,
+  ):
+    """Silences a host's open connections to the store, its watch among them.
+
+    A call that times out closes all that are idle.
+    """
+    now = self._fleet.clock.now
+    self._silent.silence(host.process, idle, loss, STORE_TIMEOUT_S)
+    self._silent_watches[host.process] = now + watch_s
+    self._behind.add(host.name)
+    self.read_claims(host)
+
+  def _hears_watch(self, host: hosts.EmulatedHost) -> bool:
+    until = self._silent_watches.get(host.process, 0.0)
+    return self.can_reach_store(host) and self._fleet.clock.now >= until
+
+  def call_loss(self, host: hosts.EmulatedHost) -> silence.Loss:
+    """Returns what is lost of a call that begins now."""
+    return self._silent.loss(self._silent.begin(host.process))
+
   def read_claims(self, host: hosts.EmulatedHost):
     """Sends a host all claims and evacuation requests.
 
     Retries until the host can reach the store.
     """
-    if not self.can_reach_store(host):
+    if not self._hears_watch(host):
       self._fleet.clock.after(0.1, lambda: self.read_claims(host))
       return
     self._behind.discard(host.name)
@@ -73,15 +105,18 @@
   def claim(self, host, effect: events.ClaimShard):
     """Executes a claim; it fails if another host has claimed the shard."""
     delay_s = self._fleet.store_delay_s
+    loss = self.call_loss(host)
+    answer_delay_s = STORE_TIMEOUT_S if loss.answers else delay_s
 
     def arrive(replaces: int):
       current = self._claims.get(effect.shard)
       fence = current.fence if current else 0
-      if self.can_reach_store(host) and replaces and not fence:
+      reaches = self.can_reach_store(host) and not loss.requests
+      if reaches and replaces and not fence:
         # The store tells that the claim to be replaced is gone.
         self._fleet.clock.after(2 * delay_s, lambda: arrive(0))
         return
-      if self.can_reach_store(host) and fence == replaces:
+      if reaches and fence == replaces:
         self._revision += 1
         process = host.process
         holder = model.Holder(
@@ -95,20 +130,32 @@
         follows = self._last_fences.get(effect.shard, 0)
         self._last_fences[effect.shard] = holder.fence
         won = events.HolderChanged(effect.shard, holder, follows=follows)
-        self._fleet.clock.after(delay_s, lambda: host.apply(won))
+        if not loss.answers:
+          self._fleet.clock.after(delay_s, lambda: host.apply(won))
       answered = events.ClaimAnswered(effect.shard)
-      self._fleet.clock.after(delay_s, lambda: host.apply(answered))
+      self._fleet.clock.after(answer_delay_s, lambda: host.apply(answered))
 
     self._fleet.clock.after(delay_s, lambda: arrive(effect.replaces))
 
   def _watch_lease(self, shard, holder: model.Holder, host: hosts.EmulatedHost):
     """Deletes a claim whose holder has not renewed its lease in time."""
     renewed_at = [self._fleet.clock.now]
+    lost_until = [0.0]
+
+    def is_renewed():
+      now = self._fleet.clock.now
+      if now < lost_until[0] or not self.can_reach_store(host):
+        return False
+      loss = self.call_loss(host)
+      if loss.requests or loss.answers:
+        # Its next renewal follows the time-out.
+        lost_until[0] = now + STORE_TIMEOUT_S + RENEW_PERIOD_S
+      return not loss.requests
 
     def check():
       if self._claims.get(shard) != holder:
         return
-      if host.up and not host.frozen and self.can_reach_store(host):
+      if host.up and not host.frozen and is_renewed():
         renewed_at[0] = self._fleet.clock.now
       elif (
           self._fleet.clock.now - renewed_at[0] > CLAIM_LEASE_S
@@ -131,7 +178,7 @@
       self._notify(host, changed)
 
   def _notify(self, host: hosts.EmulatedHost, changed: events.HolderChanged):
-    if self.can_reach_store(host):
+    if self._hears_watch(host):
       delay_s = self._fleet.store_delay_s * self._fleet.rng.uniform(
           1.0, MAX_WATCH_DELAY_FACTOR
       )
@@ -157,7 +204,7 @@
 
   def notify_evacuations(self, host: hosts.EmulatedHost):
     """Sends a host the evacuation requests once it can reach the store."""
-    if not self.can_reach_store(host):
+    if not self._hears_watch(host):
       self._fleet.clock.after(0.2, lambda: self.notify_evacuations(host))
       return
 
@@ -177,6 +224,12 @@
           STORE_RETRY_S, lambda: self.load_kept(host, effect)
       )
       return
+    loss = self.call_loss(host)
+    if loss.requests or loss.answers:
+      self._fleet.clock.after(
+          STORE_TIMEOUT_S, lambda: self.load_kept(host, effect)
+      )
+      return
     loaded = self._fleet.kept_store.load(effect, self._claims.get(effect.shard))
     self._fleet.clock.after(
         self._fleet.kept_load_delay_s, lambda: host.apply(loaded)
@@ -194,8 +247,13 @@
           effect, self._claims.get(effect.shard)
       )
 
+    loss = self.call_loss(host)
     if not self.can_reach_store(host):
       self._fleet.clock.after(STORE_RETRY_S, retry)
+    elif loss.requests or loss.answers:
+      if not loss.requests:
+        arrive()
+      self._fleet.clock.after(STORE_TIMEOUT_S, retry)
     elif self._fleet.rng.random() < self._fleet.store_late_write_rate:
       self._fleet.clock.after(self._fleet.rng.uniform(1.0, 6.0), arrive)
       self._fleet.clock.after(STORE_TIMEOUT_S, retry)
@@ -221,16 +279,19 @@
     """Executes the release of a claim, unless another holder has it by now."""
     delay_s = self._fleet.store_delay_s
     released = events.ShardReleased(effect.shard, effect.fence)
+    loss = self.call_loss(host)
 
     def arrive():
       current = self._claims.get(effect.shard)
       if (
           self.can_reach_store(host)
+          and not loss.requests
           and current
           and current.fence == effect.fence
       ):
         self.set_claim(effect.shard, None)
-        self._fleet.clock.after(delay_s, lambda: host.apply(released))
+        if not loss.answers:
+          self._fleet.clock.after(delay_s, lambda: host.apply(released))
 
     self._fleet.clock.after(delay_s, arrive)
 
--- a/fescueturn/emulator/hosts.py
+++ b/fescueturn/emulator/hosts.py
@@ -1,5 +1,6 @@
 """An emulated host: the real reducer, driven by a virtual timer."""
 
+import dataclasses
 import random
 
 from fescueturn import settings
@@ -11,6 +12,29 @@
 
 TICK_S = 0.02
 POLL_PERIOD_S = 0.7
+# The period of a quota of processor time, and the least time that a process
+# runs in it.
+QUOTA_PERIOD_S = 0.1
+MIN_QUOTA_S = 0.002
+
+
+@dataclasses.dataclass(frozen=True)
+class Quota:
+  """A quota of processor time that a process uses up in each tenth of a second.
+
+  Attributes:
+    runs_s: for how long it runs then (s), `MIN_QUOTA_S` or more.
+    phase_s: when in a tenth of a second its own begins (s).
+  """
+
+  runs_s: float
+  phase_s: float = 0.0
+
+  def used_s(self, now: float) -> float:
+    """Returns the time since its current tenth of a second began (s)."""
+    return (now - self.phase_s) % QUOTA_PERIOD_S
+
+
 # Time (s) for which a finished kept job stays known.
 ENDED_JOB_TTL_S = 120.0
 
@@ -60,6 +84,8 @@
     deaf_to: hosts and endpoints whose packets don't reach it, while its own
       reach them.
     watch_lag_s: by how much later than usual it is notified of claims (s).
+    request_lag_s: by how much later than usual it reads callers' requests (s).
+    quota: its process's quota of processor time, if any.
     log: the log lines that its reducer has written.
   """
 
@@ -86,9 +112,13 @@
     self.partitioned_from: set[str] = set()
     self.deaf_to: set[str] = set()
     self.watch_lag_s = 0.0
+    self.request_lag_s = 0.0
+    self.quota: Quota | None = None
     self.log: list[events.Log] = []
     self._fleet = fleet
     self._deferred: list[events.Event] = []
+    # What happened since it used up its share of this tenth of a second.
+    self._throttled: list[events.Event] = []
     self._next_poll_at = 0.0
 
   def apply(self, event: events.Event):
@@ -103,10 +133,48 @@
       if not isinstance(event, events.Tick):
         self._deferred.append(event)
       return
+    if self._is_throttled:
+      self._throttle(event)
+      return
+    self._carry_out(event)
+
+  def _carry_out(self, event: events.Event):
     now = self._fleet.clock.now - self.clock_lag_s
     for effect in reducer.reduce(self.state, event, now):
       self._fleet.execute(self, effect)
 
+  @property
+  def _is_throttled(self) -> bool:
+    """True while its process waits for the next tenth of a second."""
+    quota = self.quota
+    return quota is not None and (
+        quota.used_s(self._fleet.clock.now) >= quota.runs_s
+    )
+
+  def _throttle(self, event: events.Event):
+    """Defers an event to the next tenth of a second."""
+    if not self._throttled:
+      used_s = self.quota.used_s(self._fleet.clock.now)
+      self._fleet.clock.after(
+          QUOTA_PERIOD_S - used_s + MIN_QUOTA_S / 2, self._handle_throttled
+      )
+    if not (isinstance(event, events.Tick) and event in self._throttled):
+      self._throttled.append(event)
+
+  def _handle_throttled(self):
+    """Applies what has happened meanwhile.
+
+    The process looks at its callers' connections before it ticks, and before it
+    handles a request.
+    """
+    throttled, self._throttled = self._throttled, []
+    gone = [e for e in throttled if isinstance(e, events.CallerGone)]
+    left = {e.request_id for e in gone}
+    for event in gone + throttled:
+      is_read = isinstance(event, events.JobArrived)
+      if not (is_read and event.request_id in left):
+        self.apply(event)
+
   def thaw(self, rng: random.Random | None = None):
     """Resumes a frozen host and applies the deferred events.
 
@@ -126,7 +194,8 @@
     self.apply(events.Tick())
     now = self._fleet.clock.now
     owns = bool(self.state.owners)
-    if owns and now >= self._next_poll_at and not self.frozen:
+    runs = not (self.frozen or self._is_throttled)
+    if owns and now >= self._next_poll_at and runs:
       self._next_poll_at = now + POLL_PERIOD_S
       self._fleet.poll_endpoints(self)
     if not owns:
