A holder whose watch of the claims is silent reads them with its list

What callers could see: two runs of a kept job's task at the same time. A holder and its endpoint are cut off from the other hosts but not from the store, and its open connections have gone silent: another host claims the shard, and the watch that would tell is answered only once it has timed out, up to 3 s later. The store answers the lists of endpoints meanwhile, so the holder doesn't fence itself, and the other one starts the task 1.5 s after its claim.

The class: an answer of the store about one thing is taken as a sign that another is known. While a host that may claim the shard misses pings (0.25 s) and there are kept jobs, the claims are read along with each list, and only the two together count as the store's answer. They are read at the same time: of a store that takes 0.25 s a call the holder would otherwise hear every 1.2 s only.

Ways weighed: to count only the watch's answers (they come every 1.3 to 3.3 s when nothing changes, and the limit is 1.0 s); a shorter watch for all hosts (its 1.0 s of slack alone are too long); to read with every list (reads are priced); this (kept: no call more while all hosts are heard).

Best-effort jobs aren't concerned: their coordinators turn to one holder.

--- a/fescueturn/emulator/fleet.py
+++ b/fescueturn/emulator/fleet.py
@@ -25,6 +25,7 @@
 from fescueturn.scheduler import keptevents
 from fescueturn.scheduler import linkmessages
 from fescueturn.scheduler import model
+from fescueturn.scheduler import selffencing
 
 # One-way network delay between two data centres, as the users' data sheets give
 # it.
@@ -459,8 +460,17 @@
         if not (e.unreachable or e.superseded) and name not in self.unlisted
     )
     took_s = 2 * self.store_delay_s
-    answer = events.EndpointsListed(listed, took_s)
-    self.clock.after(took_s, lambda: host.apply(answer))
+    answers = [events.EndpointsListed(listed, took_s)]
+    now = self.clock.now - host.clock_lag_s
+    owners = host.state.owners.values()
+    if any(selffencing.must_read_claims(owner, now) for owner in owners):
+      answers = [*self._store.held(), *answers]
+
+    def arrive():
+      for answer in answers:
+        host.apply(answer)
+
+    self.clock.after(took_s, arrive)
 
   def delete_claim(self, shard: model.Shard):
     """Deletes a shard's claim while its holder is still alive."""
--- a/fescueturn/emulator/fleetstore.py
+++ b/fescueturn/emulator/fleetstore.py
@@ -102,6 +102,10 @@
       holder = self._claims.get(shard)
       host.apply(events.HolderChanged(shard, holder))
 
+  def held(self) -> list[events.HolderChanged]:
+    """Returns the holders that the claims name now."""
+    return [events.HolderChanged(s, h) for s, h in self._claims.items()]
+
   def claim(self, host, effect: events.ClaimShard):
     """Executes a claim; it fails if another host has claimed the shard."""
     delay_s = self._fleet.store_delay_s
--- a/fescueturn/platform/claims.py
+++ b/fescueturn/platform/claims.py
@@ -280,6 +280,20 @@
       await backoff.handle_failure(exc)
 
 
+async def report_held(client: kvtypes.Store, on_holder: OnHolder):
+  """Reports the holders that the store names now.
+
+  Shards without one are left to the watch, which may have reported a claim
+  since this read was answered.
+  """
+  changes = await client.range(PREFIX)
+  for item in changes.items:
+    shard = _parse_shard(item.key)
+    change = _holder_change(shard, item) if shard is not None else None
+    if change is not None and change.holder is not None:
+      await on_holder(change)
+
+
 async def _report_all(client, known: set[model.Shard], on_holder) -> int:
   changes = await client.range(PREFIX)
   held = {_parse_shard(item.key) for item in changes.items}
--- a/fescueturn/platform/endpoints.py
+++ b/fescueturn/platform/endpoints.py
@@ -193,8 +193,16 @@
     return now - since < MISSING_GRACE_S
 
 
+async def _read_nothing():
+  pass
+
+
 class EndpointPoller:
-  """Reads the list of endpoints periodically while this host owns a shard."""
+  """Reads the list of endpoints periodically while this host owns a shard.
+
+  The claims are read along with it, as their watch may be silent while the list
+  is answered.
+  """
 
   def __init__(
       self,
@@ -202,9 +210,11 @@
       now: Callable[[], float],
       on_list: Callable[[events.EndpointsListed], Awaitable[None]],
       is_configured: Callable[[str], bool] = lambda service: True,
+      read_claims: Callable[[], Awaitable[None]] = _read_nothing,
   ):
     self._client = client
     self._now = now
+    self._read_claims = read_claims
     self._on_list = on_list
     self._owning = curio.Event()
     self._list = EndpointList(EntryReader(is_configured))
@@ -227,7 +237,7 @@
       await self._owning.wait()
       asked_at = self._now()
       try:
-        changes = await self._client.range(PREFIX)
+        changes = await self._read()
       except errors.KvError as exc:
         await backoff.handle_failure(exc)
         continue
@@ -238,6 +248,26 @@
       await self._on_list(events.EndpointsListed(listed, took_s))
       await curio.sleep(max(MIN_PAUSE_S, POLL_PERIOD_S - took_s))
 
+  async def _read(self) -> kvtypes.Changes:
+    """Reads the list, and the claims at the same time: the store may be slow."""
+    claims_task = await curio.spawn(self._try_to_read_claims, daemon=True)
+    try:
+      changes = await self._client.range(PREFIX)
+    except errors.KvError:
+      await claims_task.join()
+      raise
+    error = await claims_task.join()
+    if error is not None:
+      raise error
+    return changes
+
+  async def _try_to_read_claims(self) -> errors.KvError | None:
+    try:
+      await self._read_claims()
+    except errors.KvError as exc:
+      return exc
+    return None
+
   async def close(self):
     """Stops polling."""
     if self._task is not None:
--- a/fescueturn/platform/role.py
+++ b/fescueturn/platform/role.py
@@ -37,6 +37,7 @@
 from fescueturn.scheduler import hostmetrics
 from fescueturn.scheduler import linkmessages
 from fescueturn.scheduler import model
+from fescueturn.scheduler import selffencing
 from fescueturn.scheduler import state as state_lib
 
 EXIT_FAILED = 1
@@ -99,7 +100,11 @@
     # Services named by any configuration so far; None before the first one.
     self._services: frozenset[str] | None = None
     self._endpoint_poller = endpoints.EndpointPoller(
-        self._store, clock.now, self._on_list, self._is_configured_service
+        self._store,
+        clock.now,
+        self._on_list,
+        self._is_configured_service,
+        self._read_claims,
     )
     shards = (model.Shard(node.data_centre),)
     self._host = host_lib.SchedulerHost(
@@ -266,6 +271,12 @@
   def _observe(self, dependency: str, result: str, took_s: float):
     self._metrics.observe_call(dependency, result, took_s)
 
+  async def _read_claims(self):
+    owners = self._host.state.owners.values()
+    now = self._timer.now()
+    if any(selffencing.must_read_claims(owner, now) for owner in owners):
+      await claims.report_held(self._store, self._host.apply)
+
   async def _on_list(self, event: events.EndpointsListed):
     await self._host.apply(event)
     await self._endpoint_calls.close_unlisted(event.endpoints)
--- a/fescueturn/scheduler/selffencing.py
+++ b/fescueturn/scheduler/selffencing.py
@@ -17,6 +17,9 @@
 # By then every host of the data centre has pinged a new holder: it hears of it
 # within 50 ms and pings it every 0.19 s.
 ALL_HEARD_S = 1.0
+# A host that misses a ping, which it sends every 0.19 s, may be about to claim
+# the shard, which it does 0.45 s after it last heard from the holder.
+MISSED_PING_S = 0.25
 
 
 def may_be_replaced(owner: ownerstate.Owner) -> bool:
@@ -29,6 +32,18 @@
   return bool(owner.claimants.silent(owner.now))
 
 
+def must_read_claims(owner: ownerstate.Owner, now: float) -> bool:
+  """Returns whether a list of endpoints doesn't show that the store answers.
+
+  The watch of the claims may be silent while the store answers all else, and
+  another host have claimed the shard meanwhile.
+  """
+  may_have_kept = not owner.kept_records.loaded or any(
+      job.job.kept for job in owner.jobs.values()
+  )
+  return may_have_kept and bool(owner.claimants.silent(now, MISSED_PING_S))
+
+
 def tick(owner: ownerstate.Owner):
   """Stops the runs of kept jobs while the holder may have been replaced."""
   if not owner.self_fenced:
--- a/fescueturn/scheduler/succession.py
+++ b/fescueturn/scheduler/succession.py
@@ -94,10 +94,10 @@
         host: at for host, at in self._heard_at.items() if now - at < GONE_S
     }
 
-  def silent(self, now: float) -> list[str]:
-    """Returns the hosts that are not heard from any more."""
+  def silent(self, now: float, seconds: float = ALIVE_S) -> list[str]:
+    """Returns the hosts that were not heard from for some seconds."""
     return sorted(
-        host for host, at in self._heard_at.items() if now - at >= ALIVE_S
+        host for host, at in self._heard_at.items() if now - at >= seconds
     )
 
 
--- a/tests/test_platform_claims.py
+++ b/tests/test_platform_claims.py
@@ -4,9 +4,11 @@
 import curio
 import pytest
 
+from fescueturn import errors
 from fescueturn import kvtypes
 from fescueturn import settings
 from fescueturn.platform import claims
+from fescueturn.platform import endpoints
 from fescueturn.platform import store
 from fescueturn.platform import storebackoff
 from fescueturn.scheduler import events
@@ -102,6 +104,72 @@
   assert timed_out_s + storebackoff.RETRY_MAX_S < convergence_s
 
 
+class ReadStore:
+  """A store with the claims of two shards, one of them gone, and no endpoints.
+
+  Its watches are silent.
+  """
+
+  def __init__(self):
+    self.reads = []
+
+  async def range(self, prefix):
+    self.reads.append(prefix)
+    if prefix != claims.PREFIX:
+      return kvtypes.Changes(9, ())
+    gone = claims.claim_key(model.Shard("south", 0))
+    items = (
+        kvtypes.Item(KEY, 7, json.dumps(CLAIM).encode()),
+        kvtypes.Item(gone, 8, None),
+        kvtypes.Item(claims.PREFIX + "malformed", 9, b""),
+    )
+    return kvtypes.Changes(9, items)
+
+
+def poll_once(client) -> list:
+  """Returns what a poller of the list of endpoints reports in 0.1 s."""
+  reported = []
+
+  async def report(event):
+    reported.append(event)
+
+  async def play():
+    poller = endpoints.EndpointPoller(
+        client,
+        time.monotonic,
+        report,
+        read_claims=lambda: claims.report_held(client, report),
+    )
+    await poller.start()
+    await poller.set_owning(True)
+    await curio.sleep(0.1)
+    await poller.close()
+
+  curio.run(play)
+  return reported
+
+
+def test_holder_reads_the_claims_with_each_list_as_its_watch_may_be_silent():
+  client = ReadStore()
+  change, listed = poll_once(client)
+  assert sorted(client.reads) == [claims.PREFIX, endpoints.PREFIX]
+  assert change == holder_change(json.dumps(CLAIM).encode())
+  assert isinstance(listed, events.EndpointsListed)
+
+
+class ClaimsUnread(ReadStore):
+  """A store that answers only the reads of the list."""
+
+  async def range(self, prefix):
+    if prefix == claims.PREFIX:
+      raise errors.KvError("no answer")
+    return await super().range(prefix)
+
+
+def test_list_without_the_claims_does_not_count_as_an_answer_of_the_store():
+  assert poll_once(ClaimsUnread()) == []
+
+
 class ClaimStore:
   """A store with the keys of one shard; applies transactions to them."""
 
--- a/tests/test_selffencing.py
+++ b/tests/test_selffencing.py
@@ -7,6 +7,7 @@
 import pytest
 
 from fescueturn.emulator import endpointcalls
+from fescueturn.emulator import silence
 from fescueturn.scheduler import events
 from fescueturn.scheduler import model
 from fescueturn.scheduler import ownerstate
@@ -179,6 +180,25 @@
   assert owner.self_fenced
 
 
+@pytest.mark.parametrize(
+    ("unheard_s", "has_kept_job", "reads"),
+    [(0.2, True, False), (0.3, True, True), (0.3, False, False)],
+)
+def test_claims_are_read_once_a_host_that_may_claim_misses_a_ping(
+    unheard_s, has_kept_job, reads
+):
+  emulation, holder = fleet_with_kept_job()
+  (owner,) = holder.state.owners.values()
+  if not has_kept_job:
+    owner.jobs.clear()
+  heard_at = max(owner.claimants._heard_at.values())
+  for host in fleets.hosts_in(emulation, "a"):
+    if host is not holder:
+      owner.claimants.record(host.name, heard_at)
+  now = heard_at + unheard_s
+  assert selffencing.must_read_claims(owner, now) == reads
+
+
 @pytest.mark.parametrize("answer", ["list", "claims"])
 @pytest.mark.parametrize("cut_at", CUT_TIMES)
 def test_kept_run_ends_in_time_if_the_stores_last_answer_was_read_late(
@@ -199,3 +219,19 @@
     holder.apply(events.ClaimsRead(owner.fence, 0.41))
   emulation.clock.run_until(cut_at + 4.0)
   assert emulation.broken == []
+
+
+@pytest.mark.parametrize("cut_at", CUT_TIMES)
+def test_kept_task_runs_once_if_the_holders_watch_is_silent(cut_at):
+  """The holder is cut off from all but its endpoint and the store."""
+  emulation, holder = fleet_with_kept_job()
+  emulation.clock.run_until(cut_at)
+  test_new_holder.cut_off_rack(emulation, {holder.name, "z"})
+  for host in emulation.hosts.values():
+    host.partitioned_from.discard("store")
+  emulation.silence_store(
+      holder.name, 0, silence.KEEPALIVE_S, silence.BOTH_WAYS
+  )
+  emulation.clock.run_until(cut_at + 8.0)
+  assert len(starts_of(emulation, "k")) == 2
+  assert emulation.broken == []
