A host that may claim a shard is never taken to be gone

What callers could see: two runs of a kept job's task at the same time. A host is cut off from its data centre's holder for over 30 s, but reaches the store; then the holder and its endpoint lose the store.

Ways weighed: a longer time (the same fault, later); hosts that register in the store and are forgotten when their entry is gone (a host whose entry has expired may come back on the store's side once the holder has lost it; writes by all hosts); never to forget, until the holder's process ends (kept). Its price: a data centre that has lost a host for good stops its kept jobs while the store is away, as before in the first 30 s after that loss; best-effort jobs go on.

--- a/fescueturn/scheduler/selffencing.py
+++ b/fescueturn/scheduler/selffencing.py
@@ -47,7 +47,6 @@
 def tick(owner: ownerstate.Owner):
   """Stops the runs of kept jobs while the holder may have been replaced."""
   if not owner.self_fenced:
-    _forget_gone_claimants(owner)
     if not may_be_replaced(owner):
       return
     owner.self_fenced = True
@@ -66,7 +65,6 @@
   """Resumes kept jobs once the store has reported all claims up to now."""
   if not owner.self_fenced:
     return
-  _forget_gone_claimants(owner)
   if may_be_replaced(owner):
     return
   owner.self_fenced = False
@@ -79,11 +77,6 @@
   return owner.now - owner.store_answered_at <= timebudget.STORE_SILENT_S
 
 
-def _forget_gone_claimants(owner):
-  if _store_answers(owner):
-    owner.claimants.forget_gone(owner.now)
-
-
 def _may_be_kept(owner, run: endpointruns.Run) -> bool:
   """Returns whether a run may be a kept job's, whose records may be unread."""
   job = owner.by_id.get(run.id.task.job_id)
--- a/fescueturn/scheduler/succession.py
+++ b/fescueturn/scheduler/succession.py
@@ -14,10 +14,6 @@
 # Maximum age of a host's last ping for it to count as alive: two and a half
 # idle ping periods (0.19 s), the timeout by which hosts judge a holder.
 ALIVE_S = 0.5
-# A host that a holder has not heard from for this long, at last while the store
-# answered, is gone. A host that loses power is back within seconds; one that is
-# cut off may be so for longer.
-GONE_S = 30.0
 # Minimum uptime of a successor that has others to compare with: by then it has
 # read the claims and the configuration from the store.
 MIN_UPTIME_S = 1.0
@@ -77,8 +73,8 @@
   """The other hosts of a data centre, as one of them knows them.
 
   They are those that have held the shard or pinged this host as its holder.
-  Each may claim the shard, unless it hasn't been heard from for so long that it
-  is taken to be gone.
+  Each may claim the shard, however long it hasn't been heard from: it may be cut
+  off from this host alone.
   """
 
   def __init__(self):
@@ -88,12 +84,6 @@
     """Records that a host has pinged this one or holds the shard."""
     self._heard_at[host] = now
 
-  def forget_gone(self, now: float):
-    """Forgets the hosts that are gone; called while the store answers."""
-    self._heard_at = {
-        host: at for host, at in self._heard_at.items() if now - at < GONE_S
-    }
-
   def silent(self, now: float, seconds: float = ALIVE_S) -> list[str]:
     """Returns the hosts that were not heard from for some seconds."""
     return sorted(
