--- a/fescueturn/scheduler/selffencing.py
+++ b/fescueturn/scheduler/selffencing.py
@@ -17,6 +17,9 @@
 # By then every host of the data centre has pinged a new holder: it hears of it
 # within 50 ms and pings it every 0.19 s.
 ALL_HEARD_S = 1.0
+# A host that misses a ping, which it sends every 0.19 s, may be about to claim
+# the shard, which it does 0.45 s after it last heard from the holder.
+MISSED_PING_S = 0.25
 
 
 def may_be_replaced(owner: ownerstate.Owner) -> bool:
@@ -29,10 +32,21 @@
   return bool(owner.claimants.silent(owner.now))
 
 
+def must_read_claims(owner: ownerstate.Owner, now: float) -> bool:
+  """Returns whether a list of endpoints doesn't show that the store answers.
+
+  The watch of the claims may be silent while the store answers all else, and
+  another host have claimed the shard meanwhile.
+  """
+  may_have_kept = not owner.kept_records.loaded or any(
+      job.job.kept for job in owner.jobs.values()
+  )
+  return may_have_kept and bool(owner.claimants.silent(now, MISSED_PING_S))
+
+
 def tick(owner: ownerstate.Owner):
   """Stops the runs of kept jobs while the holder may have been replaced."""
   if not owner.self_fenced:
-    _forget_gone_claimants(owner)
     if not may_be_replaced(owner):
       return
     owner.self_fenced = True
@@ -51,7 +65,6 @@
   """Resumes kept jobs once the store has reported all claims up to now."""
   if not owner.self_fenced:
     return
-  _forget_gone_claimants(owner)
   if may_be_replaced(owner):
     return
   owner.self_fenced = False
@@ -64,11 +77,6 @@
   return owner.now - owner.store_answered_at <= timebudget.STORE_SILENT_S
 
 
-def _forget_gone_claimants(owner):
-  if _store_answers(owner):
-    owner.claimants.forget_gone(owner.now)
-
-
 def _may_be_kept(owner, run: endpointruns.Run) -> bool:
   """Returns whether a run may be a kept job's, whose records may be unread."""
   job = owner.by_id.get(run.id.task.job_id)
