A process's clock counts suspensions of its host

What callers could see: two runs of a task (TWICE). A holder is suspended just after a coordinator has died; the caller returns to another host 1.3 s after the death, and the holder still renews the lease of its first runs.

Cause: time.monotonic stands still while the host is suspended, so that the coordinator's last look at its callers seems younger by the suspension. What others' clocks had gained showed it only above 0.2 s, and at their next message only.

Fix: hostclock.now (CLOCK_BOOTTIME, with a fallback that is logged at start) is the clock of the timer service, the log sink and the store's clients. Waits that curio counts are all relative, none compares the two. Ages of answers (claims, list of endpoints, lease calls, config) count from the request on this clock. A suspension is a pause like any other. Hosts of an older build see a constant difference to this clock; their own suspensions are found as before.

process_paused tells suspensions (gain of the two clocks) from waits for a processor (elapsed, less processor time), at most once a second.

--- a/fescueturn/cli.py
+++ b/fescueturn/cli.py
@@ -12,7 +12,6 @@
 import json
 import signal
 import sys
-import time
 
 import click
 import curio
@@ -22,8 +21,10 @@
 from fescueturn import errors
 from fescueturn import eventloop
 from fescueturn import explain
+from fescueturn import hostclock
 from fescueturn import httpio
 from fescueturn import logs
+from fescueturn import pauses
 from fescueturn import settings
 from fescueturn import teamconfig
 from fescueturn import timer
@@ -84,7 +85,7 @@
 
 
 def _store(address: settings.Address) -> store.StoreClient:
-  return store.StoreClient(address, time.monotonic)
+  return store.StoreClient(address, hostclock.now)
 
 
 def _with_daemon(address: str, call):
@@ -106,6 +107,7 @@
 
 async def _run_entry(conf: settings.Settings):
   clock = timer.TimerService(conf.entry.tick_ms / 1000)
+  pauses.watch(clock)
   client = _store(conf.entry.platform)
   host = entry.EntryHost(conf.process, conf.entry, clock, client)
   await clock.start()
--- a/fescueturn/lab/launcher.py
+++ b/fescueturn/lab/launcher.py
@@ -11,10 +11,10 @@
 import signal
 import subprocess
 import sys
-import time
 
 import curio
 
+from fescueturn import hostclock
 from fescueturn import httpio
 from fescueturn import settings
 from fescueturn import teamconfig
@@ -163,7 +163,7 @@
 
   def client(self) -> store.StoreClient:
     """Returns a client of the platform stand-in's store."""
-    return store.StoreClient(self.platform, time.monotonic)
+    return store.StoreClient(self.platform, hostclock.now)
 
   async def get(self, name: str, path: str) -> httpio.Response:
     """Sends a GET request for `path` to a daemon."""
--- a/fescueturn/logs.py
+++ b/fescueturn/logs.py
@@ -10,11 +10,12 @@
 import logging
 import os
 import sys
-import time
 from collections.abc import Callable
 
 from loguru import logger
 
+from fescueturn import hostclock
+
 LINE_FORMAT = "ts={time:YYYY-MM-DDTHH:mm:ss.SSSSSSZ} level={level} proc={extra[proc]} {message}"
 # Rate limit: four lines per job at 75 jobs per second, twice the load of the
 # busiest host. At 40 us per line (loguru 0.7) this takes 1.2% of a core.
@@ -89,7 +90,7 @@
     late_timeouts: what curio says of late timeouts, reported once per second.
   """
 
-  def __init__(self, fd: int, now: Callable[[], float] = time.monotonic):
+  def __init__(self, fd: int, now: Callable[[], float] = hostclock.now):
     self.late_timeouts = LateTimeouts()
     self._fd = fd
     self._now = now
--- a/fescueturn/platform/role.py
+++ b/fescueturn/platform/role.py
@@ -23,6 +23,7 @@
 from fescueturn import httpio
 from fescueturn import logs
 from fescueturn import metrics
+from fescueturn import pauses
 from fescueturn import settings
 from fescueturn import timer
 from fescueturn.platform import callers
@@ -308,6 +309,7 @@
 ):
   clock = timer.TimerService(host_lib.TICK_S)
   clock.subscribe(log.tick)
+  pauses.watch(clock)
   stats = (
       metrics.client(statsd_server, "role", node.host)
       if statsd_server
--- a/fescueturn/timer.py
+++ b/fescueturn/timer.py
@@ -1,17 +1,18 @@
 """The timer service: the only source of time in a process.
 
 Components subscribe callbacks, which the service calls once per period with the
-monotonic time in seconds; the period may be extended while nothing is due.
+time of `hostclock` in seconds; the period may be extended while nothing is due.
 Components never read the clock themselves, so that tests can drive them with
 `fire` and a simulated time.
 """
 
 import inspect
-import time
 from collections.abc import Callable
 
 import curio
 
+from fescueturn import hostclock
+
 Subscriber = Callable[[float], object]
 
 
@@ -19,7 +20,7 @@
   """Calls all subscribers with the current time every `period_s` seconds."""
 
   def __init__(
-      self, period_s: float, clock: Callable[[], float] = time.monotonic
+      self, period_s: float, clock: Callable[[], float] = hostclock.now
   ):
     self._period_s = period_s
     self._clock = clock
@@ -40,7 +41,7 @@
       await self._shortened.set()
 
   def now(self) -> float:
-    """Returns the service's current time in seconds (monotonic)."""
+    """Returns the service's current time in seconds."""
     return self._clock()
 
   def subscribe(self, callback: Subscriber):
