A start that another incarnation may have got ends with the longest lease

What callers could see: two runs of a task (TWICE), for 0.1 s. An idle endpoint is restarted under its id, which shows with the store's list or the next call only. A start reaches it, and then it is cut off from the holder.

Cause: a start carries its lease's end by the clock of the incarnation that it is meant for. The next one's clock began anew: by it the start isn't late, and the lease is shortened to the longest allowed, 1.0 s, in place of 0.8 s. The holder started the task elsewhere 0.91 to 0.93 s after its first start.

Fix: a run whose start no known incarnation has confirmed, by its answer or a list, counts as lapsed 1.47 s after its request was last sent: a slow connection, a lost packet and the longest lease by a slow clock. The same holds for orders of kept jobs whose end awaits its acknowledgement. Only endpoints that tell their start (`born`) are concerned; all others refuse calls for an earlier instance.

Weighed: to ask each new connection first which incarnation answers.

--- a/fescueturn/scheduler/endpointlease.py
+++ b/fescueturn/scheduler/endpointlease.py
@@ -14,6 +14,11 @@
 LEASE_EXPIRY_MARGIN_MS = 40
 # The lowest rate of an endpoint's clock: it may be 2% slow.
 MIN_CLOCK_RATE = 0.98
+# How long after it was sent a start request may keep a run alive at another
+# incarnation than the one it was meant for, whose clock began anew: a connection
+# may take 0.25 s to open, a lost packet 0.2 s to be sent again, and the run has the
+# longest lease.
+OTHER_INCARNATION_S = 0.25 + 0.2 + MAX_LEASE_MS / 1000 / MIN_CLOCK_RATE
 
 
 class Lease:
--- a/fescueturn/scheduler/endpointruns.py
+++ b/fescueturn/scheduler/endpointruns.py
@@ -56,6 +56,7 @@
     deadline_ms: the end of the lease that its start request carried.
     sent_at: when its start request was last sent (s).
     sends: how often its start request was sent.
+    is_confirmed: True once the incarnation that it was meant for has it.
     stop_sent_at: when an unanswered stop request was last sent (s), if any.
     stop_failures: how many of its stop requests failed.
     duplicate_logged: True once it was logged that its task has another run.
@@ -81,6 +82,7 @@
     self.deadline_ms: int = deadline_ms
     self.sent_at: float = now
     self.sends = 1
+    self.is_confirmed = False
     self.stop_sent_at: float | None = None
     self.stop_failures = 0
     self.duplicate_logged = False
--- a/fescueturn/scheduler/endpointstate.py
+++ b/fescueturn/scheduler/endpointstate.py
@@ -188,6 +188,14 @@
     self.speed = speeds.Speed(now)
     self.slow_evidence = endpointhealth.SlowEvidence()
 
+  def has_lapsed(self, run: endpointruns.Run, now: float) -> bool:
+    """Returns whether a run of the endpoint has surely ended with its lease."""
+    since_sent_s = now - run.sent_at
+    may_be_elsewhere = bool(self.born_ms) and not run.is_confirmed
+    if may_be_elsewhere and since_sent_s <= endpointlease.OTHER_INCARNATION_S:
+      return False
+    return self.lease.expired(now)
+
   def usable(self, now: float) -> bool:
     """Returns whether the endpoint may get new tasks."""
     if self.slow and self._has_run_from_before(now):
--- a/fescueturn/scheduler/keptjobs.py
+++ b/fescueturn/scheduler/keptjobs.py
@@ -277,7 +277,7 @@
   return any(
       run_id in record.runs
       and not record.runs[run_id].abandoned
-      and not record.lease.expired(owner.now)
+      and not record.has_lapsed(record.runs[run_id], owner.now)
       for record in owner.endpoints.values()
   )
 
--- a/fescueturn/scheduler/leases.py
+++ b/fescueturn/scheduler/leases.py
@@ -395,6 +395,7 @@
   elif run.state is endpointruns.RunState.ORDERED:
     run.state = endpointruns.RunState.RUNNING
     run.listed_from_call = record.call_number
+  run.is_confirmed = True
   _log_duplicate(owner, record, run)
   if running.percent <= run.percent:
     return None
--- a/fescueturn/scheduler/owner.py
+++ b/fescueturn/scheduler/owner.py
@@ -163,7 +163,7 @@
   )
   if retry_due:
     runcontrol.stop_run(owner, record, run)
-  if run.abandoned or not record.lease.expired(owner.now):
+  if run.abandoned or not record.has_lapsed(run, owner.now):
     return
   if silent:
     outcomes.requeue_lost_task(owner, record, run)
--- a/fescueturn/scheduler/runanswers.py
+++ b/fescueturn/scheduler/runanswers.py
@@ -22,6 +22,8 @@
   if run is None:
     return
   if event.result is model.CallResult.OK:
+    if event.born_ms in (0, record.born_ms):
+      run.is_confirmed = True
     _confirm_start(owner, record, run)
     return
   _handle_failed_start(owner, record, run, event.result)
--- a/tests/test_restarted_endpoints.py
+++ b/tests/test_restarted_endpoints.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from fescueturn.scheduler import endpointruns
 from fescueturn.scheduler import events
 from fescueturn.scheduler import keptevents
 from fescueturn.scheduler import leases
@@ -391,3 +392,67 @@
   assert record.born_ms == RESTARTED.born_ms
   handle(owner, dataclasses.replace(order_answer, born_ms=BORN.born_ms))
   assert record.lease.clock_ms(0.2) == 120
+
+
+def restart_all(emulation, data_centre: str):
+  """Restarts the endpoints of a data centre; their clocks begin anew."""
+  for endpoint in emulation.endpoints.values():
+    if endpoint.info.data_centre == data_centre:
+      endpoint.restart(100_000)
+
+
+def fleet_of_restartable_endpoints(clock_rate: float = 1.0):
+  emulation = fleets.fleet()
+  for number, endpoint in enumerate(emulation.endpoints.values()):
+    endpoint.info = dataclasses.replace(endpoint.info, born_ms=1 + number)
+    endpoint.clock_rate = clock_rate
+  emulation.clock.run_until(3.0)
+  return emulation
+
+
+@pytest.mark.parametrize("clock_rate", (1.0, 0.98))
+@pytest.mark.parametrize("answered", (False, True))
+def test_task_runs_once_if_an_endpoint_that_restarted_unnoticed_is_cut_off(
+    clock_rate, answered
+):
+  """Its lease is the longest one: by its new clock the start isn't late."""
+  emulation = fleet_of_restartable_endpoints(clock_rate)
+  owner = fleets.owner_of(emulation, "a")
+  coordinator = fleets.other_host(emulation, owner)
+  restart_all(emulation, "a")
+  emulation.clock.run_until(emulation.clock.now + 0.001)
+  job = fleets.job("long", 2, 3000)
+  emulation.submit(coordinator.name, job, [3.0] * 2, 6.0)
+
+  def cut_off():
+    at_work = [e.info.id for e in emulation.endpoints.values() if e.running]
+    owner.partitioned_from.update(at_work)
+    if not answered:
+      owner.deaf_to.update(at_work)
+    if not at_work:
+      emulation.clock.after(0.0001, cut_off)
+
+  cut_off()
+  emulation.clock.run_until(emulation.clock.now + 4.0)
+  assert emulation.broken == []
+  assert sum(len(e.starts) for e in emulation.endpoints.values()) == 4
+
+
+@pytest.mark.parametrize(
+    "born_ms,is_confirmed,lapses_s",
+    ((0, False, 1.065), (5, True, 1.065), (5, False, 1.475)),
+)
+def test_run_that_another_incarnation_may_have_ends_with_the_longest_lease(
+    born_ms, is_confirmed, lapses_s
+):
+  record = known_endpoint(test_leases.new_owner())
+  record.born_ms = born_ms
+  run = endpointruns.Run(
+      model.RunId(model.Task("j", 0, 0), 1),
+      BORN.capacity,
+      endpointruns.RunState.UNSURE,
+      0.0,
+  )
+  run.is_confirmed = is_confirmed
+  assert not record.has_lapsed(run, lapses_s - 0.01)
+  assert record.has_lapsed(run, lapses_s + 0.01)
