No number of ended runs goes to an endpoint that has closed connections

What callers could see: a kept task that is done runs again (the end of a new incarnation's run is forgotten unseen).

Cause: the pool drops idle connections that the endpoint has closed, as one that ends does, and opens another; the call on it had the number for the incarnation before.

Evidence: real sockets, an endpoint that answers once and ends, and another at its address: the test failed before, as the other one (`born` 6) answered the call with the first one's number.

Fix: such a call isn't sent; it counts as unanswered, so that the next one has no number and its answer tells which incarnation it is.

--- a/fescueturn/httpio.py
+++ b/fescueturn/httpio.py
@@ -368,6 +368,15 @@
     self._prepare = prepare
     self._idle: list[_ClientConnection] = []
     self._limit = curio.Semaphore(limit)
+    self._was_closed = False
+
+  @property
+  def was_closed(self) -> bool:
+    """True if the server has closed a connection since it last answered.
+
+    It may have been restarted.
+    """
+    return self._was_closed
 
   @property
   def address(self) -> settings.Address:
@@ -417,6 +426,7 @@
       ) as exc:
         await client.sock.close()
         raise LostReplyError(f"{method} {target}: {exc!r}") from exc
+      self._was_closed = False
       if client.reusable():
         self._idle.append(client)
       else:
@@ -428,6 +438,7 @@
       client = self._idle.pop()
       if client.is_alive():
         return client
+      self._was_closed = True
       await client.sock.close()
     try:
       sock = await curio.timeout_after(
--- a/fescueturn/platform/endpoints.py
+++ b/fescueturn/platform/endpoints.py
@@ -467,7 +467,8 @@
 
     def may_send():
       is_late = self._now() - order.at > MAX_ACK_DELAY_S
-      return not (order.last_seen and is_late)
+      may_be_restarted = is_late or self._pool(order.endpoint).was_closed
+      return not (order.last_seen and may_be_restarted)
 
     body = {"fencingToken": order.fence, "lastSeen": order.last_seen}
     if order.deadline_ms is not None:
--- a/tests/test_platform_endpoints.py
+++ b/tests/test_platform_endpoints.py
@@ -311,6 +311,51 @@
   assert (result is model.CallResult.OK) == is_sent
 
 
+async def answer_once(address, born_ms: int, seen: list[int]):
+  """Answers one lease call, then ends; its connection closes with it."""
+  server = curio.socket.socket()
+  server.setsockopt(curio.socket.SOL_SOCKET, curio.socket.SO_REUSEADDR, 1)
+  server.bind((address.host, address.port))
+  server.listen(1)
+  client, _ = await server.accept()
+  data = await client.recv(10_000)
+  seen.append(json.loads(data.partition(b"\r\n\r\n")[2])["lastSeen"])
+  body = b'{"clockMs": 9, "born": %d}' % born_ms
+  head = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % len(body)
+  await client.sendall(head + body)
+  await client.close()
+  await server.close()
+
+
+def test_ended_runs_are_not_acknowledged_to_an_endpoint_that_closed_connections():
+  """Guards against ends of a new incarnation that are forgotten unseen."""
+  seen = []
+
+  async def play():
+    address = ports.free_address()
+    call = lease_call(address)
+    calls = endpoints.EndpointCalls(lambda: 0.0)
+    results = []
+    for born_ms, numbers in ((5, (40,)), (6, (41, 0))):
+      endpoint = await curio.spawn(answer_once, address, born_ms, seen)
+      await curio.sleep(0.05)
+      for last_seen in numbers:
+        answer = await calls.renew(
+            dataclasses.replace(call, last_seen=last_seen)
+        )
+        results.append((answer.result, answer.born_ms))
+      await endpoint.join()
+    await calls.close()
+    return results
+
+  assert curio.run(play) == [
+      (model.CallResult.OK, 5),
+      (model.CallResult.NO_ANSWER, 0),
+      (model.CallResult.OK, 6),
+  ]
+  assert seen == [40, 0]
+
+
 def test_lease_call_says_when_it_was_requested():
   owner = test_leases.new_owner()
   record = test_leases.known_endpoint(owner, now=3.0)
