--- a/fescueturn/scheduler/endpointlease.py
+++ b/fescueturn/scheduler/endpointlease.py
@@ -6,6 +6,13 @@
 
 # The longest lease that the platform allows.
 MAX_LEASE_MS = 1000
+# How long after it was sent a start request may keep a run alive at another
+# incarnation than the one it was meant for, whose clock began anew: a connection
+# may take 0.25 s to open, a lost packet 0.2 s to be sent again, and the run has
+# the longest lease.
+OTHER_INCARNATION_S = (
+    0.25 + 0.2 + MAX_LEASE_MS / 1000 / timebudget.MIN_CLOCK_RATE
+)
 
 
 class Lease:
