The job of a caller that falls silent without a close is given up

What callers saw: a caller whose connection is cut off without FIN or RST comes back 1.3 s later through another host, while its job runs on to its deadline: two runs of each of its tasks that are still at work.

Cause: a host knows only of closes. Nothing made a silent caller's kernel show that it is gone, as callers' connections had no keep-alive and nothing is sent on them until the answer.

Fix: after 0.85 s of waiting the kernel is told to send keep-alive probes after 1 s without a packet (the shortest that TCP allows). A host reads TCP_INFO then; if a probe has been unanswered for 0.08 s, the job is withdrawn and answered with 504 (caller_silent): 1.08 s after the last packet on loopback, 1.2 s at the latest with slow ticks, so that the job's end (some 10 ms) comes before 1.3 s. Requests that are answered within 0.85 s cost no system call. Probes are repeated while one is unanswered, since the first may be lost. The other side's process needn't do anything: its kernel answers although it doesn't read.

Price: a sound caller of a job over 1 s whose probes are lost gets a 504.

--- a/fescueturn/emulator/fleet.py
+++ b/fescueturn/emulator/fleet.py
@@ -12,6 +12,7 @@
 from collections.abc import Callable
 
 from fescueturn import settings
+from fescueturn import silencewatch
 from fescueturn.emulator import clock as clock_lib
 from fescueturn.emulator import endpoint as endpoint_lib
 from fescueturn.emulator import endpointcalls
@@ -28,6 +29,11 @@
 # One-way network delay between two data centres, as the users' data sheets give
 # it.
 REMOTE_DELAY_S = 0.0007
+# After how long at most (s) a host knows of a caller that has fallen silent: a
+# probe, a slow tick that sees it unanswered, and a fast one that sees it still.
+CALLER_SILENT_S = (
+    silencewatch.PROBE_AFTER_S + silencewatch.ANSWER_S + 0.1 + hosts.TICK_S
+)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -245,6 +251,12 @@
     """Closes the connection of a request's caller."""
     self.hosts[host].apply(events.CallerGone(request))
 
+  def cut_off_caller(self, host: str, request: int):
+    """Silences a request's caller; its host isn't told of a close."""
+    silent = events.CallerSilent(request)
+    process = self.hosts[host]
+    self.clock.after(CALLER_SILENT_S, lambda: process.apply(silent))
+
   # Faults.
 
   def kill(self, name: str):
--- a/fescueturn/emulator/hosts.py
+++ b/fescueturn/emulator/hosts.py
@@ -23,7 +23,9 @@
     return event.process
   if isinstance(event, events.HolderMessageReceived):
     return event.shard, event.process
-  if isinstance(event, events.JobArrived | events.CallerGone):
+  if isinstance(
+      event, events.JobArrived | events.CallerGone | events.CallerSilent
+  ):
     return event.request_id
   return type(event)
 
--- a/fescueturn/scheduler/coordinator.py
+++ b/fescueturn/scheduler/coordinator.py
@@ -345,6 +345,14 @@
   jobdispatch.withdraw(state, record)
 
 
+def handle_caller_silence(state: coordinatorstate.Coordinator, request_id: int):
+  """Gives up the job of a caller that may have sent it to another host."""
+  record = state.by_request.get(request_id)
+  if record is not None:
+    state.counters["caller_silent"] += 1
+    jobdispatch.give_up(state, record, "caller_silent")
+
+
 def handle_cancellation(state: coordinatorstate.Coordinator, job_id: str):
   """Withdraws a job that its caller cancelled, and answers the caller."""
   record = state.jobs.get(job_id)
--- a/fescueturn/scheduler/events.py
+++ b/fescueturn/scheduler/events.py
@@ -54,6 +54,13 @@
   request_id: int
 
 
+@dataclasses.dataclass(frozen=True)
+class CallerSilent:
+  """A waiting caller's machine no longer answers probes of its connection."""
+
+  request_id: int
+
+
 @dataclasses.dataclass(frozen=True)
 class JobCancelled:
   """A caller requested cancellation of a job that this host coordinates."""
@@ -259,6 +266,7 @@
 Event = (
     JobArrived
     | CallerGone
+    | CallerSilent
     | JobCancelled
     | HolderChanged
     | HolderMessageReceived
--- a/fescueturn/scheduler/host.py
+++ b/fescueturn/scheduler/host.py
@@ -20,6 +20,7 @@
 from fescueturn import codes
 from fescueturn import errors
 from fescueturn import settings
+from fescueturn import silencewatch
 from fescueturn import timer
 from fescueturn.scheduler import events
 from fescueturn.scheduler import keptevents
@@ -117,6 +118,7 @@
     self._links: dict[settings.Address, link.Link] = {}
     self._waiters: dict[int, _Waiter] = {}
     self._close_watch = closewatch.CloseWatch()
+    self._silence_watch = silencewatch.SilenceWatch()
     self._next_request = 1
     self._owns_shard = False
     self._effects: collections.deque[events.Effect] = collections.deque()
@@ -189,7 +191,8 @@
       finally:
         self._executing = False
     await self._report_ownership()
-    period_s = TICK_S if self._state.needs_fast_ticks else IDLE_TICK_S
+    is_urgent = self._state.needs_fast_ticks or self._silence_watch.in_doubt
+    period_s = TICK_S if is_urgent else IDLE_TICK_S
     if self._timer.period_s != period_s:
       await self._timer.set_period(period_s)
 
@@ -268,6 +271,7 @@
     waiter = self._waiters[request_id] = _Waiter()
     if fileno is not None:
       self._close_watch.add(fileno, request_id)
+      self._silence_watch.add(fileno, request_id, self._timer.now())
     try:
       await self.apply(make_event(request_id))
       await waiter.done.wait()
@@ -278,6 +282,7 @@
       del self._waiters[request_id]
       if fileno is not None:
         self._close_watch.remove(fileno)
+        self._silence_watch.remove(fileno)
     return waiter.answer
 
   async def cancel(self, job_id: str):
@@ -315,6 +320,8 @@
     # A ping tells holders that the callers of this host's jobs still wait.
     for request_id in self._close_watch.closed_requests():
       await self.apply(events.CallerGone(request_id))
+    for request_id in self._silence_watch.silent_requests(now):
+      await self.apply(events.CallerSilent(request_id))
     await self.apply(events.Tick(now))
     slow = self._slow_events.take_report()
     if slow is not None:
--- a/fescueturn/scheduler/reducer.py
+++ b/fescueturn/scheduler/reducer.py
@@ -73,6 +73,10 @@
   coordinator.handle_caller_disconnect(state.coordinator, event.request_id)
 
 
+def _on_caller_silent(state, event: events.CallerSilent):
+  coordinator.handle_caller_silence(state.coordinator, event.request_id)
+
+
 def _on_job_cancelled(state, event: events.JobCancelled):
   coordinator.handle_cancellation(state.coordinator, event.job_id)
 
@@ -357,6 +361,7 @@
 _HANDLERS = {
     events.JobArrived: _for_coordinator(coordinator.handle_job),
     events.CallerGone: _on_caller_gone,
+    events.CallerSilent: _on_caller_silent,
     events.JobCancelled: _on_job_cancelled,
     events.HolderChanged: _on_holder_changed,
     events.HolderMessageReceived: _on_holder_message,
