A caller that closes only its own side of the connection gets an answer

What callers saw: after shutdown(SHUT_WR) behind a request, as nc -N does, the connection ended without a byte: a POST that was waiting, and GET and DELETE, of which nothing has to be taken back. A caller can't tell that from a lost host.

Cause: the close of one side looks like that of both on the wire (FIN), so the request's handler is cancelled, and the connection was then closed unanswered.

Decision: for a POST it still counts as gone. But the withdrawn job is answered with 504 (may have run), as one that is read after the close already was with 503 (nothing ran). One that closed both sides answers that with a reset, at no harm. GET and DELETE start no task and are handled to their end.

Weighed: to treat it as waiting (two runs whenever it had closed both sides); to send the first byte of the status line and see whether a reset comes (exact at that moment, but says nothing of a caller that leaves later).

--- a/fescueturn/httpio.py
+++ b/fescueturn/httpio.py
@@ -81,14 +81,15 @@
     idle_s: timeout in seconds for the first byte of the next request; None
       disables this timeout and `read_s`.
     read_s: timeout in seconds for receiving one request.
-    cancel_on_disconnect: whether to cancel a request's handler when the caller
-      closes the connection.
+    answer_to_leavers: if set, a POST's handler is cancelled when the caller
+      closes the connection, and this is the answer, as a caller that closed
+      only its own side still reads. Other requests are handled to their end.
   """
 
   max_body: int = DEFAULT_MAX_BODY
   idle_s: float | None = None
   read_s: float = 30.0
-  cancel_on_disconnect: bool = False
+  answer_to_leavers: Response | None = None
 
 
 class NotSentError(errors.FescueError):
@@ -181,17 +182,17 @@
     await curio.sleep(POLL_PERIOD_S)
 
 
-async def _handle_unless_closed(sock, handler: Handler, request: Request):
-  """Runs the handler; cancels it when the caller closes the connection.
-
-  Returns:
-    The handler's response, or None if the caller disconnected first.
-  """
+async def _handle(
+    sock, handler: Handler, request: Request, limits: Limits
+) -> Response:
+  """Returns the response to a request."""
+  if limits.answer_to_leavers is None or request.method != "POST":
+    return await handler(request)
   async with curio.TaskGroup(wait=any) as group:
     handler_task = await group.spawn(handler, request)
     await group.spawn(_wait_closed, sock)
   if group.completed is not handler_task:
-    return None
+    return with_connection_close(limits.answer_to_leavers)
   return handler_task.result
 
 
@@ -234,12 +235,7 @@
         return
       if request is None:
         return
-      if limits.cancel_on_disconnect:
-        response = await _handle_unless_closed(sock, handler, request)
-        if response is None:
-          return
-      else:
-        response = await handler(request)
+      response = await _handle(sock, handler, request, limits)
       counts[1] += await _send_response(sock, conn, response)
       if conn.our_state is h11.MUST_CLOSE or conn.their_state is h11.MUST_CLOSE:
         return
--- a/fescueturn/platform/callers.py
+++ b/fescueturn/platform/callers.py
@@ -159,7 +159,7 @@
         max_body=limits.body_bytes,
         idle_s=limits.idle_ms / 1000,
         read_s=limits.header_ms / 1000 + BODY_TIMEOUT_S,
-        cancel_on_disconnect=True,
+        answer_to_leavers=_ANSWER_TO_LEAVERS,
     )
 
   async def handle(self, request: httpio.Request) -> httpio.Response:
@@ -345,6 +345,13 @@
   return _error(status, code, message, (("retry-after", str(retry_s)),))
 
 
+# Its job is withdrawn, since a caller that closed both sides looks the same and
+# may send it to another host.
+_ANSWER_TO_LEAVERS = _error(
+    504, codes.Code.MAYBE_RAN, "the caller closed its side of the connection"
+)
+
+
 def _failed_body(reason: str) -> dict[str, object]:
   body: dict[str, object] = {"state": _STATE_NAMES[model.KeptJobState.FAILED]}
   if reason == crashes.REASON:
--- a/tests/test_departed_callers.py
+++ b/tests/test_departed_callers.py
@@ -36,7 +36,7 @@
 class Host:
   """A host with its interface for callers, and a holder that never answers."""
 
-  def __init__(self):
+  def __init__(self, job_store=None):
     self.clock = timer.TimerService(3600.0)
     ports = host_lib.Ports(*[self._ignore] * 10)
     me = state_lib.HostIdentity(ME, "a", (SHARD,))
@@ -45,7 +45,7 @@
     self.state = self.scheduler.state.coordinator
     self.metrics = hostmetrics.HostMetrics(self.scheduler.state)
     self._callers = callers.CallerHttp(
-        self.scheduler, self.clock.now, self.metrics, None
+        self.scheduler, self.clock.now, self.metrics, job_store
     )
     self._callers.set_config(model.Config(1, (QUEUE,)))
     self._listener = socket.create_server(("127.0.0.1", 0))
@@ -80,9 +80,9 @@
     return connection
 
 
-def run_with_host(scenario):
+def run_with_host(scenario, job_store=None):
   async def run():
-    host = Host()
+    host = Host(job_store)
     await host.start()
     try:
       await scenario(host)
