Tests: queries whose callers left start nothing

With GETs each task starts exactly once; with DELETEs they take effect, no task starts twice, and no query is left over.

--- a/tests/test_departed_callers.py
+++ b/tests/test_departed_callers.py
@@ -1,6 +1,8 @@
 """Jobs whose callers have left, and may have sent them to another host."""
 
+import collections
 import json
+import math
 import socket
 import time
 
@@ -19,6 +21,7 @@
 from fescueturn.scheduler import runcontrol
 from fescueturn.scheduler import state as state_lib
 from tests import fleets
+from tests import test_kept_jobs
 
 SHARD = model.Shard("a")
 ME = linkmessages.HostProcess("host-1", "boot-1")
@@ -192,3 +195,45 @@
   assert 0 <= fields["coordinator_heard_ms_ago"] <= 150
   runs = [f"0.{t.task.index}:2@{t.endpoint}" for t in job.tasks.values()]
   assert sorted(fields["runs"].split(",")) == sorted(runs)
+
+
+def queried_fleet(cancel_from: float):
+  """Plays kept jobs with queries whose callers leave as soon as they sent them.
+
+  Args:
+    cancel_from: from when the queries cancel the jobs (s).
+
+  Returns:
+    The fleet and the starts by task.
+  """
+  emulation = fleets.fleet()
+  hosts = test_kept_jobs.all_hosts(emulation)
+  submitted = test_kept_jobs.load(emulation, hosts, 3.0, 8)
+
+  def query(host):
+    for name in list(submitted):
+      for data_centre in fleets.DATA_CENTRES:
+        cancel = emulation.clock.now >= cancel_from
+        request = emulation.query_kept_job(host, name, data_centre, cancel)
+        emulation.disconnect_caller(host, request)
+
+  for number, host in enumerate(4 * list(emulation.hosts)):
+    emulation.clock.at(1.0 + number / 10, lambda h=host: query(h))
+  emulation.clock.run_until(8.0)
+  assert emulation.broken == []
+  assert not any(h.state.coordinator.queries for h in emulation.hosts.values())
+  starts = [run.task for e in emulation.endpoints.values() for run in e.starts]
+  return emulation, collections.Counter(starts)
+
+
+def test_state_queries_whose_callers_left_start_nothing():
+  emulation, starts = queried_fleet(cancel_from=math.inf)
+  assert starts == dict.fromkeys(emulation.task_profiles, 1)
+
+
+def test_cancellations_whose_callers_left_take_effect_and_start_nothing():
+  emulation, starts = queried_fleet(cancel_from=2.0)
+  assert set(starts.values()) == {1}
+  assert set(starts) < set(emulation.task_profiles)
+  states = list(emulation.kept_store.states.values())
+  assert states.count(model.KeptJobState.CANCELLED) > len(states) / 4
