The chain of a silent caller's job is in the time budget

Beside the other chains: 1.0 s until a probe, a slow tick, 0.08 s for the answer, a tick, and 0.05 s for withdrawal and stop: 1.25 s, and callers come back after 1.3 s. A probe now counts as sent when a host looks at a connection that was idle for 1 s, since the look itself sends one: the kernel's timer may be 32 ms late, and a second slow tick would have passed before the next look (1.28 s).

--- a/fescueturn/emulator/fleet.py
+++ b/fescueturn/emulator/fleet.py
@@ -12,7 +12,6 @@
 from collections.abc import Callable
 
 from fescueturn import settings
-from fescueturn import silencewatch
 from fescueturn.emulator import clock as clock_lib
 from fescueturn.emulator import endpoint as endpoint_lib
 from fescueturn.emulator import endpointcalls
@@ -25,15 +24,13 @@
 from fescueturn.scheduler import keptevents
 from fescueturn.scheduler import linkmessages
 from fescueturn.scheduler import model
+from fescueturn.scheduler import timebudget
 
 # One-way network delay between two data centres, as the users' data sheets give
 # it.
 REMOTE_DELAY_S = 0.0007
-# After how long at most (s) a host knows of a caller that has fallen silent: a
-# probe, a slow tick that sees it unanswered, and a fast one that sees it still.
-CALLER_SILENT_S = (
-    silencewatch.PROBE_AFTER_S + silencewatch.ANSWER_S + 0.1 + hosts.TICK_S
-)
+# After how long at most (s) a host knows of a caller that has fallen silent.
+CALLER_SILENT_S = timebudget.silent_caller(0.0).total_s - timebudget.END_S
 
 
 @dataclasses.dataclass(frozen=True)
--- a/fescueturn/scheduler/host.py
+++ b/fescueturn/scheduler/host.py
@@ -30,14 +30,10 @@
 from fescueturn.scheduler import reducer
 from fescueturn.scheduler import slowevents
 from fescueturn.scheduler import state as state_lib
+from fescueturn.scheduler import timebudget
 
-# Tick period of the scheduler's timer (s): timeouts, which are 60 ms and more,
-# are late by half of it on average.
-TICK_S = 0.02
-# Tick period of a host that owns no shard and has no job with a timeout soon:
-# it only pings holders and looks for free shards. An idle host uses 1.1% of a
-# core with this period and 2.2% with one of 20 ms.
-IDLE_TICK_S = 0.1
+TICK_S = timebudget.TICK_S
+IDLE_TICK_S = timebudget.IDLE_TICK_S
 
 
 @dataclasses.dataclass(frozen=True)
--- a/fescueturn/scheduler/timebudget.py
+++ b/fescueturn/scheduler/timebudget.py
@@ -11,6 +11,7 @@
 import dataclasses
 
 from fescueturn import errors
+from fescueturn import silencewatch
 
 # Heartbeat timeout of a coordinator, after which its jobs' runs are stopped: it
 # sends a ping every 100 ms, so that two may be lost.
@@ -37,6 +38,16 @@
 # claim in the store expires 1.5 s after its last renewal, and the next holder
 # needs some 50 ms.
 ORPHAN_TIMEOUT_S = 2.0
+# Tick period of the scheduler's timer: timeouts, which are 60 ms and more, are
+# late by half of it on average.
+TICK_S = 0.02
+# Tick period of a host that owns no shard and has no job with a timeout soon:
+# it only pings holders and looks for free shards. An idle host uses 1.1% of a
+# core with this period and 2.2% with one of 20 ms.
+IDLE_TICK_S = 0.1
+# How long the withdrawal of a job and the stops of its runs take where no
+# message is lost: round trips of some ms, and an endpoint's own time.
+END_S = 0.05
 
 
 @dataclasses.dataclass(frozen=True)
@@ -99,6 +110,22 @@
   return Chain((silence, *_lease_links()), "callers return", callers_return_s)
 
 
+def silent_caller(callers_return_s: float) -> Chain:
+  """Returns how long a run goes on after its caller was last heard.
+
+  This chain is for a caller that falls silent without a close, and holds where
+  no message is lost; otherwise the links of `abandoned_run` come on top.
+  """
+  links = (
+      Link("idle time before a probe", silencewatch.PROBE_AFTER_S),
+      Link("slow tick", IDLE_TICK_S),
+      Link("answer of a probe", silencewatch.ANSWER_S),
+      Link("tick", TICK_S),
+      Link("withdrawal and stop", END_S),
+  )
+  return Chain(links, "callers return", callers_return_s)
+
+
 def orphaned_run() -> Chain:
   """Returns how long runs go on whose coordinator doesn't reach their holder."""
   silence = Link("coordinator timeout", COORDINATOR_TIMEOUT_S)
--- a/fescueturn/silencewatch.py
+++ b/fescueturn/silencewatch.py
@@ -35,7 +35,7 @@
     request_id: the request that waits.
     look_at: when to look at the connection next (s).
     probed: whether the kernel has been told to send probes.
-    unanswered_since: when a probe was first seen to be unanswered (s).
+    unanswered_since: since when the answer of a probe is awaited (s).
   """
 
   request_id: int
@@ -85,13 +85,13 @@
   except OSError:
     watched.look_at = math.inf  # Not supported, or reset: a close shows that.
     return False
-  if unheard_s < PROBE_AFTER_S or not is_asked:
+  if unheard_s < PROBE_AFTER_S:
     watched.unanswered_since = None
-    watched.look_at = now + max(PROBE_AFTER_S - unheard_s, 0.0)
+    watched.look_at = now + PROBE_AFTER_S - unheard_s
     return False
   if watched.unanswered_since is None:
     watched.unanswered_since = now
-  return now - watched.unanswered_since >= ANSWER_S
+  return is_asked and now - watched.unanswered_since >= ANSWER_S
 
 
 @contextlib.contextmanager
--- a/tests/test_silent_callers.py
+++ b/tests/test_silent_callers.py
@@ -15,6 +15,7 @@
 
 from fescueturn import silencewatch
 from fescueturn.scheduler import model
+from fescueturn.scheduler import timebudget
 from tests import fleets
 from tests import test_departed_callers
 
@@ -116,6 +117,10 @@
   assert outcomes.count(model.Outcome.DONE) > JOBS / 2
 
 
+def test_silent_callers_jobs_end_before_they_return():
+  assert timebudget.silent_caller(RETURN_S).holds
+
+
 def test_job_of_a_caller_cut_off_without_a_close_is_given_up():
   async def scenario(host):
     sound, silent = (host.send(f"{number:016x}") for number in range(2))
