--- a/fescueturn/silencewatch.py
+++ b/fescueturn/silencewatch.py
@@ -50,6 +50,7 @@
   def __init__(self):
     # By socket.
     self._watched: dict[int, _Watched] = {}
+    self._in_doubt = False
 
   def add(self, fileno: int, request_id: int, now: float):
     """Watches the socket that a request has arrived on."""
@@ -62,15 +63,14 @@
   @property
   def in_doubt(self) -> bool:
     """True while a probe is unanswered, so that looks are due soon."""
-    return any(w.unanswered_since is not None for w in self._watched.values())
+    return self._in_doubt
 
   def silent_requests(self, now: float) -> list[int]:
     """Returns the requests whose callers' kernels don't answer probes."""
-    return [
-        watched.request_id
-        for fileno, watched in self._watched.items()
-        if now >= watched.look_at and _is_silent(fileno, watched, now)
-    ]
+    due = [(f, w) for f, w in self._watched.items() if now >= w.look_at]
+    silent = [w.request_id for f, w in due if _is_silent(f, w, now)]
+    self._in_doubt = any(w.unanswered_since is not None for _, w in due)
+    return silent
 
 
 def _is_silent(fileno: int, watched: _Watched, now: float) -> bool:
