--- a/tests/test_departed_callers.py
+++ b/tests/test_departed_callers.py
@@ -72,10 +72,11 @@
     await self._server.close()
     await self.scheduler.close()
 
-  def send(self, job_id: str) -> socket.socket:
+  def send(self, job_id: str, deadline_ms: int = 3000) -> socket.socket:
     """Sends a job from a caller; returns its connection."""
     head = (
-        f"POST /a/{job_id} HTTP/1.1\r\nhost: h\r\ndeadline-ms: 3000\r\n"
+        f"POST /a/{job_id} HTTP/1.1\r\nhost: h\r\n"
+        f"deadline-ms: {deadline_ms}\r\n"
         f"content-length: {len(BODY)}\r\n\r\n"
     )
     connection = socket.create_connection(self.address)
--- a/tests/test_silent_callers.py
+++ b/tests/test_silent_callers.py
@@ -123,13 +123,12 @@
 
 def test_job_of_a_caller_cut_off_without_a_close_is_given_up():
   async def scenario(host):
-    sound, silent = (host.send(f"{number:016x}") for number in range(2))
+    sound, silent = (host.send(f"{n:016x}", 60_000) for n in range(2))
     await host.clock.start()
     cut_off(silent)
-    while len(host.state.jobs) < 2:
-      await curio.sleep(0.01)
-    while len(host.state.jobs) == 2:
-      await curio.sleep(0.01)
+    async with curio.timeout_after(20.0):
+      while not host.state.counters["caller_silent"]:
+        await curio.sleep(0.01)
     assert list(host.state.jobs) == ["0" * 16]
     assert host.state.counters["caller_silent"] == 1
     await host.clock.close()
@@ -153,6 +152,21 @@
   curio.run(scenario)
 
 
+def test_sound_caller_that_is_looked_at_late_is_asked_before_it_is_judged():
+  async def scenario():
+    with connected() as (_, accepted):
+      await curio.sleep(1.5)
+      watch = silencewatch.SilenceWatch()
+      began = time.monotonic()
+      watch.add(accepted.fileno(), 1, began - 1.5)
+      assert not watch.silent_requests(began)
+      assert watch.in_doubt
+      assert not await looks_until(watch, began + 0.5)
+      assert not watch.in_doubt
+
+  curio.run(scenario)
+
+
 def test_connections_whose_state_is_unknown_are_not_taken_for_silent():
   async def scenario():
     caller, accepted = socket.socketpair()
