A holder that wakes cut off doesn't take old signs of life for new ones

What callers would see: a task of a kept job runs twice, on the endpoint that a holder was cut off with and on one of its successor. The holder had stood still, or had been suspended, before the cut; its successor, which can't reach that endpoint, starts the task 1.5 s after its claim; the earlier one wakes, finds its run lapsed and starts it again on the endpoint.

Cause: a holder that may have been replaced is told by the store's silence together with that of a host that may claim the shard. Pings from before the cut that it read as it woke counted from when they were read, 0.5 s long. And after a suspension, which its own clock doesn't count, the store's last answer and all hosts seemed to have been heard just now.

Why it works: hosts count by the age of their pings, which is told by their clocks. A suspension, once an endpoint's or a coordinator's clock has shown it, makes the store's last answer at least that old, and the hosts silent until a ping comes after the pause. Kept jobs then wait for the store's claims, as after any partition.

Where nothing is cut off, pauses of 0.25 and 0.45 s stop no kept run (a test). Weighed: to hold all kept jobs back after each pause until the store was read, which delays them by up to a watch's wait after each pause of 0.2 s.

--- a/fescueturn/scheduler/leases.py
+++ b/fescueturn/scheduler/leases.py
@@ -291,13 +291,13 @@
     renew_lease(owner, record, now=True)
 
 
-def _handle_suspension(owner: ownerstate.Owner):
+def _handle_suspension(owner: ownerstate.Owner, seconds: float):
   """Handles a pause that this host's clock doesn't show.
 
   Nor does it show how old the messages are that are read after it.
   """
   handle_pause(owner)
-  owner.hear_all_again()
+  owner.record_suspension(seconds)
 
 
 def record_contact(
@@ -312,8 +312,9 @@
     holder_at: a time on this host's clock that had passed then (s), modulo
       `linkmessages.CLOCK_PERIOD_S`; 0 if it isn't known.
   """
-  if owner.record_contact(process, sent_at, holder_at) > SUSPENDED_MIN_S:
-    _handle_suspension(owner)
+  gain_s = owner.record_contact(process, sent_at, holder_at)
+  if gain_s > SUSPENDED_MIN_S:
+    _handle_suspension(owner, gain_s)
 
 
 def update_clock(owner, record, clock_ms: int | None):
@@ -324,7 +325,7 @@
   gain_ms = record.lease.clock_gain_ms(clock_ms, owner.now)
   record.update_clock(clock_ms, owner.now)
   if gain_ms > SUSPENDED_MIN_MS:
-    _handle_suspension(owner)
+    _handle_suspension(owner, gain_ms / 1000)
 
 
 def handle_order_answer(
--- a/fescueturn/scheduler/ownerstate.py
+++ b/fescueturn/scheduler/ownerstate.py
@@ -416,9 +416,23 @@
     self._newly_heard.remove(ping.process)
     return True
 
-  def hear_all_again(self):
-    """Serves no coordinator until it speaks after the current pause."""
+  def record_suspension(self, seconds: float):
+    """Records that this host's clock has lost time.
+
+    All that it was told before is older than its clock tells: it serves no
+    coordinator, and takes no host for alive, until that speaks again.
+
+    Args:
+      seconds: the time, at least (s).
+    """
     self._unproven.update(self.last_contact)
+    self.store_answered_at = min(self.store_answered_at, self.now - seconds)
+    self.claimants.mark_silent()
+
+  def record_claimant(self, process: linkmessages.HostProcess):
+    """Records that a host that may claim the shard has sent its last message."""
+    if process not in self._unproven:
+      self.claimants.record(process.host, self.last_contact[process])
 
   def is_silent(self, process: linkmessages.HostProcess) -> bool:
     """Returns whether a coordinator has sent nothing for too long."""
--- a/fescueturn/scheduler/reducer.py
+++ b/fescueturn/scheduler/reducer.py
@@ -202,7 +202,7 @@
         state.now, event.can_hold, event.draining, event.uptime_s
     )
     succession.record(owner.local_hosts, event.process, host)
-    owner.claimants.record(event.process.host, state.now)
+    owner.record_claimant(event.process)
   owner.holder_suspicions.report(event.process, event.suspects, state.now)
   owner.send_to_coordinator(event.process, _pong(owner, event))
   endpoint_list = owner.shared_list.message_for(event, state.now)
--- a/fescueturn/scheduler/succession.py
+++ b/fescueturn/scheduler/succession.py
@@ -7,6 +7,7 @@
 """
 
 import dataclasses
+import math
 from collections.abc import Mapping
 
 from fescueturn.scheduler import linkmessages
@@ -84,6 +85,10 @@
     """Records that a host has pinged this one or holds the shard."""
     self._heard_at[host] = now
 
+  def mark_silent(self):
+    """Records that no host has been heard from for an unknown time."""
+    self._heard_at = dict.fromkeys(self._heard_at, -math.inf)
+
   def silent(self, now: float, seconds: float = ALIVE_S) -> list[str]:
     """Returns the hosts that were not heard from for some seconds."""
     return sorted(
--- a/tests/test_selffencing.py
+++ b/tests/test_selffencing.py
@@ -14,6 +14,7 @@
 from fescueturn.scheduler import selffencing
 from tests import fleets
 from tests import test_kept_jobs
+from tests import test_late_messages
 from tests import test_new_holder
 from tests import test_succession
 
@@ -259,3 +260,46 @@
   emulation.clock.run_until(cut_at + 8.0)
   assert len(starts_of(emulation, "k")) == 2
   assert emulation.broken == []
+
+
+def stand_still(emulation, host, seconds: float, is_suspended: bool):
+  """Stops a host now; a suspended one's clock doesn't count the time."""
+  if is_suspended:
+    test_late_messages.suspend(emulation, host, seconds)
+  else:
+    host.frozen = True
+    emulation.clock.after(seconds, host.thaw)
+
+
+@pytest.mark.parametrize("others", [0, 1])
+@pytest.mark.parametrize("cut_after_s", [0.0, 0.2])
+@pytest.mark.parametrize("is_suspended", [False, True])
+def test_holder_that_wakes_cut_off_starts_no_kept_task_again(
+    is_suspended, cut_after_s, others
+):
+  """It reads pings from before the cut, or its clock hides how old all is."""
+  broken = []
+  for still_s in (1.25, 1.7, 2.0, 2.5, 3.0):
+    emulation, holder = fleet_with_kept_job()
+    local = [h.name for h in fleets.hosts_in(emulation, "a") if h is not holder]
+    side = {holder.name, "z", *local[:others]}
+    start = emulation.clock.now
+    stand_still(emulation, holder, still_s, is_suspended)
+    emulation.clock.run_until(start + cut_after_s)
+    test_new_holder.cut_off_rack(emulation, side)
+    emulation.clock.run_until(start + still_s + 3.0)
+    broken += [(still_s, line) for line in emulation.broken]
+  assert broken == []
+
+
+@pytest.mark.parametrize("still_s", [0.25, 0.45])
+@pytest.mark.parametrize("is_suspended", [False, True])
+def test_short_pause_of_a_holder_stops_no_kept_run(is_suspended, still_s):
+  for start in CUT_TIMES:
+    emulation, holder = fleet_with_kept_job(3000)
+    emulation.clock.run_until(start)
+    stand_still(emulation, holder, still_s, is_suspended)
+    emulation.clock.run_until(12.0)
+    assert not test_succession.lines(emulation, "self_fenced")
+    assert len(starts_of(emulation, "k")) == 1
+    assert emulation.kept_store.states["k"] is model.KeptJobState.DONE
