A start goes to no other incarnation behind a closed connection

What callers could see: two runs of a task (TWICE), for up to 0.07 s in the plays. An idle endpoint is restarted under its id; the start of a job that has waited is the first that it gets. Its coordinator dies and no stop reaches the run, whose lease is the longest one (1.0 s, as the start isn't late by the new clock): it ends up to 1.37 s after the coordinator's last look, and callers return after 1.3 s.

Cause: as before this, the start's lease is told by the clock of another incarnation. Here the coordinator bounds the time, which the holder can't wait for.

Fix: where an endpoint has closed a connection since it last answered, as one that ends does, and tells its starts, a start is sent only once a lease call without a number or deadline has shown the same incarnation. It costs one round trip after a closed connection and nothing otherwise: the holder's own closes after lost calls don't count.

Weighed: the same for each new connection (covers restarts whose closes were never seen: power lost, a cut; costs round trips on lossy paths); to call a start off at once (after a reset of all connections all endpoints would be left out for 0.15 s).

Open: closes that the holder didn't see. The emulated play breaks as before there.

--- a/fescueturn/emulator/endpoint.py
+++ b/fescueturn/emulator/endpoint.py
@@ -80,6 +80,7 @@
     order_delay_s: delay (s) after which start and stop orders are executed;
       they get no answer. 0 executes them at once.
     clock_rate: how fast its own clock runs, in seconds per second.
+    closes_connections: True if hosts see that its connections end with it.
     superseded: True if a new incarnation of the endpoint has its address.
     on_crash: called after a task has crashed the endpoint.
     on_start: called with each run that is started.
@@ -122,6 +123,7 @@
     self.packet_loss_rate = 0.0
     self.order_delay_s = 0.0
     self.clock_rate = 1.0
+    self.closes_connections = False
     self.superseded = False
     self.on_crash: Callable[[EmulatedEndpoint], None] = lambda endpoint: None
     self.on_start: Callable[[model.RunId], None] = lambda run: None
--- a/fescueturn/emulator/endpointcalls.py
+++ b/fescueturn/emulator/endpointcalls.py
@@ -93,7 +93,9 @@
       if delay_s:
         self._clock.after(delay_s, execute_late)
         return
-      result = execute(endpoint)
+      result = model.CallResult.NOT_SENT
+      if not self._is_found_restarted(endpoint, effect):
+        result = execute(endpoint)
       clock_ms = endpoint.clock_ms
       self._clock.after(
           self._path_delay_s(endpoint), lambda: end(result, clock_ms)
@@ -168,6 +170,13 @@
         and self._fleet.can_reach(host, endpoint.info.id)
     )
 
+  def _is_found_restarted(self, endpoint, effect) -> bool:
+    """Returns whether a host asks first, and finds another incarnation."""
+    is_start = isinstance(effect, events.StartRun)
+    if not (is_start and effect.born_ms and endpoint.closes_connections):
+      return False
+    return endpoint.info.born_ms != effect.born_ms
+
   def _packet_lost(self, endpoint: endpoint_lib.EmulatedEndpoint) -> bool:
     rate = endpoint.packet_loss_rate
     return rate > 0 and self._rng.random() < rate
--- a/fescueturn/httpio.py
+++ b/fescueturn/httpio.py
@@ -372,6 +372,8 @@
 
     It may have been restarted.
     """
+    if self._idle and not self._idle[-1].is_alive():
+      self._was_closed = True
     return self._was_closed
 
   @property
--- a/fescueturn/platform/endpoints.py
+++ b/fescueturn/platform/endpoints.py
@@ -452,6 +452,28 @@
       )
     return pool
 
+  async def _find_restart(self, order: events.StartRun) -> _Reply | None:
+    """Asks an endpoint that has closed connections whether it was restarted.
+
+    By the clock of another incarnation than the one that a start request is
+    meant for, the request may be in time at any later time.
+
+    Returns:
+      Why the request may not be sent; None if it may.
+    """
+    if not (order.born_ms and self._pool(order.endpoint).was_closed):
+      return None
+    body = {"fencingToken": order.fence, "lastSeen": 0}
+    reply = await self._call_with_adaptive_timeout(
+        order.endpoint, "/-/hold", body
+    )
+    is_same = reply.body.born in (0, order.born_ms)
+    if reply.result is model.CallResult.OK and is_same:
+      return None
+    if reply.result in (model.CallResult.OK, model.CallResult.NO_ANSWER):
+      return _Reply(model.CallResult.NOT_SENT, reply.body)
+    return reply
+
   async def start(self, order: events.StartRun) -> events.StartAnswered:
     """Orders an endpoint to start a run."""
     body = {
@@ -461,9 +483,11 @@
         "deadlineMs": order.deadline_ms,
         "fencingToken": order.fence,
     }
-    reply = await self._call_with_adaptive_timeout(
-        order.endpoint, "/-/run-start", body
-    )
+    reply = await self._find_restart(order)
+    if reply is None:
+      reply = await self._call_with_adaptive_timeout(
+          order.endpoint, "/-/run-start", body
+      )
     return events.StartAnswered(
         order.endpoint.id,
         order.run,
--- a/fescueturn/scheduler/events.py
+++ b/fescueturn/scheduler/events.py
@@ -300,6 +300,8 @@
     deadline_ms: when this call and the lease that covers all of the endpoint's
       runs expire, on the endpoint's clock.
     fence: the owner's fencing token.
+    born_ms: when the incarnation started that it is meant for (Unix time, ms);
+      0 if it isn't known.
   """
 
   endpoint: model.Endpoint
@@ -307,6 +309,7 @@
   spec: str
   deadline_ms: int
   fence: int
+  born_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/fescueturn/scheduler/runcontrol.py
+++ b/fescueturn/scheduler/runcontrol.py
@@ -160,7 +160,12 @@
   owner.counters["starts"] += 1
   owner.emit(
       events.StartRun(
-          record.info, run_id, job.job.spec, deadline_ms, owner.fence
+          record.info,
+          run_id,
+          job.job.spec,
+          deadline_ms,
+          owner.fence,
+          record.born_ms,
       )
   )
 
@@ -186,7 +191,12 @@
   run.deadline_ms = record.lease.extend(owner.now)
   owner.emit(
       events.StartRun(
-          record.info, run.id, job.job.spec, run.deadline_ms, owner.fence
+          record.info,
+          run.id,
+          job.job.spec,
+          run.deadline_ms,
+          owner.fence,
+          record.born_ms,
       )
   )
   return True
--- a/tests/test_platform_endpoints.py
+++ b/tests/test_platform_endpoints.py
@@ -311,18 +311,22 @@
   assert (result is model.CallResult.OK) == is_sent
 
 
-async def answer_once(address, born_ms: int, seen: list[int]):
-  """Answers one lease call, then ends; its connection closes with it."""
+async def answer_few(address, born_ms: int, seen: list, count: int = 1):
+  """Answers calls on one connection, then ends; the connection closes with it."""
   server = curio.socket.socket()
   server.setsockopt(curio.socket.SOL_SOCKET, curio.socket.SO_REUSEADDR, 1)
   server.bind((address.host, address.port))
   server.listen(1)
   client, _ = await server.accept()
-  data = await client.recv(10_000)
-  seen.append(json.loads(data.partition(b"\r\n\r\n")[2])["lastSeen"])
   body = b'{"clockMs": 9, "born": %d}' % born_ms
   head = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % len(body)
-  await client.sendall(head + body)
+  for _ in range(count):
+    request = await client.recv(10_000)
+    if not request:
+      break
+    asked = json.loads(request.partition(b"\r\n\r\n")[2])
+    seen.append(asked["task"] if "task" in asked else asked["lastSeen"])
+    await client.sendall(head + body)
   await client.close()
   await server.close()
 
@@ -337,7 +341,7 @@
     calls = endpoints.EndpointCalls(lambda: 0.0)
     results = []
     for born_ms, numbers in ((5, (40,)), (6, (41, 0))):
-      endpoint = await curio.spawn(answer_once, address, born_ms, seen)
+      endpoint = await curio.spawn(answer_few, address, born_ms, seen)
       await curio.sleep(0.05)
       for last_seen in numbers:
         answer = await calls.renew(
@@ -356,6 +360,40 @@
   assert seen == [40, 0]
 
 
+@pytest.mark.parametrize(
+    "born_ms,result",
+    ((5, model.CallResult.OK), (6, model.CallResult.NOT_SENT)),
+)
+def test_start_is_not_sent_to_another_incarnation_after_a_closed_connection(
+    born_ms, result
+):
+  """Guards against runs that outlive the lease that their start asked for."""
+  seen = []
+
+  async def play():
+    address = ports.free_address()
+    call = lease_call(address)
+    run = model.RunId(model.Task("j", 0, 0), 1)
+    calls = endpoints.EndpointCalls(lambda: 0.0)
+    first = await curio.spawn(answer_few, address, 5, seen)
+    await curio.sleep(0.05)
+    await calls.renew(call)
+    await first.join()
+    second = await curio.spawn(answer_few, address, born_ms, seen, 2)
+    await curio.sleep(0.05)
+    answer = await calls.start(
+        events.StartRun(call.endpoint, run, "spec", 809, 7, born_ms=5)
+    )
+    await calls.close()
+    await second.join()
+    return answer
+
+  answer = curio.run(play)
+  assert (answer.result, answer.born_ms) == (result, born_ms)
+  started = ["j.0.0.0"] if result is model.CallResult.OK else []
+  assert seen == [0, 0, *started]
+
+
 def test_lease_call_says_when_it_was_requested():
   owner = test_leases.new_owner()
   record = test_leases.known_endpoint(owner, now=3.0)
--- a/tests/test_restarted_endpoints.py
+++ b/tests/test_restarted_endpoints.py
@@ -456,3 +456,44 @@
   run.is_confirmed = is_confirmed
   assert not record.has_lapsed(run, lapses_s - 0.01)
   assert record.has_lapsed(run, lapses_s + 0.01)
+
+
+@pytest.mark.parametrize("clock_rate", (1.0, 0.98))
+@pytest.mark.parametrize("waits_s", (0.2, 0.28, 0.3, 0.32, 0.34))
+def test_run_at_a_restarted_endpoint_ends_before_its_caller_returns(
+    waits_s, clock_rate
+):
+  """Its job waited, its coordinator died, and no stop reaches it."""
+  emulation = fleet_of_restartable_endpoints(clock_rate)
+  for endpoint in emulation.endpoints.values():
+    endpoint.closes_connections = True
+  holder = fleets.owner_of(emulation, "a")
+  coordinator = fleets.other_host(emulation, holder)
+  (owner,) = holder.state.owners.values()
+  job = fleets.job("long", 2, 3000)
+  emulation.clock.run_until(3.02)
+  owner.pause_grace_until = 4.0  # Nothing is started.
+  emulation.submit(coordinator.name, job, [3.0] * 2, 6.0)
+  emulation.clock.run_until(3.1)
+  state = coordinator.state.coordinator
+  while state.now - state.pinged_at > 0.0001:
+    emulation.clock.run_until(emulation.clock.now + 0.0005)
+  looked_at = emulation.clock.now
+  owner.pause_grace_until = looked_at + waits_s
+  emulation.clock.run_until(looked_at + 0.001)
+  emulation.kill(coordinator.name)
+  restart_all(emulation, "a")
+
+  def lose_stops():
+    for endpoint in emulation.endpoints.values():
+      if endpoint.running:
+        endpoint.order_delay_s = 5.0
+    emulation.clock.after(0.0002, lose_stops)
+
+  lose_stops()
+  emulation.clock.at(
+      looked_at + 1.301,
+      lambda: emulation.submit("b0", job, [3.0] * 2, 6.0),
+  )
+  emulation.clock.run_until(looked_at + 3.0)
+  assert emulation.broken == []
