--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -1,6 +1,7 @@
 """Links between hosts over real connections that are lost or replaced."""
 
 import contextlib
+import socket
 
 import curio
 import pytest
@@ -188,6 +189,33 @@
   run(play)
 
 
+@pytest.mark.parametrize("is_overfull", [False, True])
+def test_event_loop_goes_on_when_a_new_connection_gets_an_ended_links_number(
+    monkeypatch, is_overfull
+):
+  other = socket.create_server(("127.0.0.1", 0))
+
+  async def play():
+    async with Peer().serving() as peer:
+      connection = await connect(peer, 1)
+      await connection.sendall(linkcodec.encode(SHARD, WITHDRAWN))
+      await peer.has_received(1)
+      if is_overfull:
+        monkeypatch.setattr(link, "MAX_QUEUED_BYTES", 0)
+        await peer._server.send(ME, SHARD, linkmessages.Pong())
+      else:
+        await peer._server.close()
+      socks = [
+          await curio.open_connection(*other.getsockname()) for _ in range(5)
+      ]
+      assert await is_closed(connection)
+      for sock in socks:
+        await sock.close()
+
+  with other:
+    run(play)
+
+
 def test_connections_are_accepted_after_their_numbers_began_anew():
   async def play():
     async with Peer().serving() as peer:
