Soak: connections that go silent for good, and two builds beside each other

--silent, in any mode, makes open connections between hosts, to the store and to endpoints silent without a reset while new ones work. A socket filter of the proxy drops all that arrives, so that the kernels of both users see what a dead path shows: their time-outs and keep-alives are what is tested.

Both are drawn after all else, with numbers of their own: the faults of a seed stay as they were.

--- a/tests/deployments.py
+++ b/tests/deployments.py
@@ -62,11 +62,13 @@
     callers_port: where it listens for callers' requests.
     readiness_port: where it listens for readiness probes.
     metrics_port: where it serves metrics and its state.
+    root: the checkout that its next process runs.
   """
 
   def __init__(self, directory, name: str, data_centre: str, store_port: int):
     callers_port, readiness_port, peer_port, metrics_port = ports.free_ports(4)
     self.name, self.data_centre = name, data_centre
+    self.root = ROOT
     self.callers_port, self.readiness_port, self.metrics_port = (
         callers_port,
         readiness_port,
@@ -99,7 +101,7 @@
     with self.log_file.open("ab") as log:
       self.process = subprocess.Popen(
           [sys.executable, "-m", "fescueturn.platform.role"],
-          cwd=ROOT,
+          cwd=self.root,
           env={**os.environ, "FESCUETURN_NODE_FILE": str(self.settings_file)},
           stdout=log,
           stderr=log,
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -19,7 +19,7 @@
 from tests.soak import run as run_lib
 
 REGRESSIONS = pathlib.Path(__file__).with_name("regressions.txt")
-_MODES = ("lossy", "partitions", "pauses", "leaving")
+_MODES = ("lossy", "partitions", "pauses", "leaving", "silent")
 _BUSY = """
 import os, sys
 while os.getppid() == int(sys.argv[1]):
@@ -39,6 +39,10 @@
 @click.option(
     "--leaving", is_flag=True, help="Many callers leave, in any mode."
 )
+@click.option(
+    "--silent", is_flag=True, help="Silent connections too, in any mode."
+)
+@click.option("--beside", default="", help="Another checkout that hosts run.")
 @click.option("--busy", default=0, help="Number of busy processes beside it.")
 @click.option("--regressions", is_flag=True, help="Run the kept seeds.")
 @click.option("--quiet", is_flag=True, help="Print the verdict only.")
@@ -58,6 +62,8 @@
     partitions,
     pauses,
     leaving,
+    silent,
+    beside,
     busy,
     regressions,
     quiet,
@@ -68,10 +74,8 @@
   if seed is None:
     seed = random.SystemRandom().randrange(1_000_000)
   numbers = range(seed, seed + seeds)
-  plans = [
-      run_lib.Plan(number, seconds, lossy, partitions, pauses, leaving, size)
-      for number in numbers
-  ]
+  modes = lossy, partitions, pauses, leaving, size, silent, beside
+  plans = [run_lib.Plan(number, seconds, *modes) for number in numbers]
   if regressions:
     plans = read_regressions()
   with _busy_processes(busy):
@@ -87,7 +91,9 @@
     if line and not line.startswith("#"):
       seed, seconds, mode, *_ = line.split()
       modes = [name in mode.split("-") for name in _MODES]
-      plans.append(run_lib.Plan(int(seed), float(seconds), *modes))
+      *modes, silent = modes
+      plan = run_lib.Plan(int(seed), float(seconds), *modes, silent=silent)
+      plans.append(plan)
   return plans
 
 
@@ -128,6 +134,7 @@
 
 def _modes(plan: run_lib.Plan) -> list[str]:
   chosen = plan.lossy_only, plan.partitions, plan.pauses, plan.leaving
+  chosen += (plan.silent,)
   return [
       mode for mode, is_chosen in zip(_MODES, chosen, strict=True) if is_chosen
   ]
@@ -152,6 +159,7 @@
     command += ["--seed", str(plan.seed), "--seconds", str(plan.seconds)]
     command += ["--keep", str(keep.resolve()), "--size", str(plan.size)]
     command += [f"--{mode}" for mode in _modes(plan)]
+    command += ["--beside", plan.beside]
     return subprocess.run(command, cwd=deployments.ROOT, check=False).returncode
 
   with futures.ThreadPoolExecutor(at_once) as pool:
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -6,7 +6,7 @@
 
 from tests.soak import callers
 from tests.soak import cluster as cluster_lib
-from tests.soak import faults
+from tests.soak import injector as injector_lib
 
 DRAIN_LIMIT_S = 2.0
 # An order that was delayed on its way expires on its endpoint after this.
@@ -48,7 +48,7 @@
 def judge(
     history: dict,
     record: callers.Record,
-    injector: faults.Injector,
+    injector: injector_lib.Injector,
     hosts: list[cluster_lib.Host],
     cut_short: bool,
 ) -> Verdict:
@@ -95,7 +95,7 @@
       violations.append(f"accepted kept job {job.id} has not ended")
 
 
-def _check_drains(starts, injector: faults.Injector, violations) -> int:
+def _check_drains(starts, injector: injector_lib.Injector, violations) -> int:
   """Returns the number of drains that could be judged.
 
   Hosts that don't reach the store or stand still can't know of a report.
--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -29,6 +29,8 @@
 START_S = 3.0
 START_LIMIT_S = 60.0
 _LOST = (httpio.NotSentError, httpio.LostReplyError)
+# The checkouts that hosts run, before and after an upgrade.
+OWN_BUILD = ((deployments.ROOT,), (deployments.ROOT,))
 
 
 @dataclasses.dataclass(frozen=True)
@@ -93,6 +95,7 @@
   number: int
   process: subprocess.Popen
   started_at: float
+  checkout: str = ""
   terminated_at: float | None = None
   disturbed: bool = False
   queued_s: float = 0.0
@@ -104,11 +107,16 @@
 
 
 class Host:
-  """A host whose processes, its `lives`, follow one another."""
+  """A host whose processes, its `lives`, follow one another.
 
-  def __init__(self, files: deployments.Host, ip: str):
+  Each runs one of its checkouts at random, after an upgrade one of the next.
+  """
+
+  def __init__(self, files: deployments.Host, ip: str, builds=OWN_BUILD):
     self.files = files
     self.ip = ip
+    self._checkouts, self._next_checkouts = builds
+    self._rng = random.Random(f"{ip}/{files.name}")
     self.name = files.name
     self.lives: list[Life] = []
     self.pauses = 0
@@ -121,10 +129,15 @@
     if self.lives and self.life.running:
       return
     self.pauses = 0
+    self.files.root = self._rng.choice(self._checkouts)
     self.files.start()
-    life = Life(len(self.lives), self.files.process, time.monotonic())
+    process, checkout = self.files.process, str(self.files.root)
+    life = Life(len(self.lives), process, time.monotonic(), checkout)
     self.lives.append(life)
 
+  def upgrade(self):
+    self._checkouts = self._next_checkouts
+
   def terminate(self):
     life, now = self.life, time.monotonic()
     if life.running and life.terminated_at is None:
@@ -168,12 +181,15 @@
 class Cluster:
   """All processes of a soak, and the proxies by their clients and servers."""
 
-  def __init__(self, directory: pathlib.Path, seed: int, site=Site()):
+  def __init__(
+      self, directory: pathlib.Path, seed: int, site=Site(), builds=OWN_BUILD
+  ):
     self.site = site
     self.hosts: list[Host] = []
     self.paths: dict[tuple[str, str], proxy.Path] = {}
     self._directory = directory
     self._seed = seed
+    self._builds = builds
     self._rng = random.Random(f"{seed}/cluster")
     self._ip = own_loopback()
     self._control_address = self._free_address()
@@ -256,7 +272,7 @@
     files = deployments.Host(self._directory, name, data_centre, store_port)
     text = files.settings_file.read_text()
     files.settings_file.write_text(text.replace(ports.LOOPBACK, self._ip))
-    return Host(files, self._ip)
+    return Host(files, self._ip, self._builds)
 
   async def _start_platform(self, views: list, endpoints: list):
     raw = {"seed": self._seed, "views": views, "endpoints": endpoints}
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -1,4 +1,4 @@
-"""The faults of a soak: a schedule drawn from the seed, and how each is made.
+"""The faults of a soak: a schedule drawn from the seed.
 
 Faults of one kind come in series of their own, so that those of different
 kinds overlap.
@@ -6,17 +6,13 @@
 
 import dataclasses
 import random
-import time
-
-import curio
 
 from tests.soak import cluster as cluster_lib
-from tests.soak import proxy
 
 # No fault begins sooner.
 FIRST_S = 1.0
 _PATH_KINDS = "delay reset silence cut_up cut_down refuse hang".split()
-_HOST_KINDS = (
+HOST_KINDS = (
     "terminate terminate kill kill pause terminate_kill pause_kill"
     " pause_terminate reload"
 ).split()
@@ -28,6 +24,10 @@
 
 _STORE_TROUBLES = "store_down store_delay store_cut_down store_silence".split()
 PARTITION = "store_partition"
+UPGRADE = "upgrade"
+_MUTE_KINDS = "mute mute peers_mute store_mute".split()
+# Within this time hosts give a silent connection up, and open another one.
+_GIVEN_UP_S = 3.0
 # Jobs a second with which a burst asks for about as much as all endpoints have.
 FULL_JOBS_PER_S = 45
 # Pauses that outlast the silence after which a holder counts as lost, not its lease.
@@ -65,6 +65,8 @@
     partitions: bool = False,
     pauses: bool = False,
     size: int = 1,
+    silent: bool = False,
+    upgrade: bool = False,
 ) -> list[Fault]:
   site = cluster_lib.Site(size)
   draws = [(0.8, _path_fault), (2.5, _host_fault)]
@@ -83,6 +85,11 @@
   faults += _series(random.Random(f"{seed}/hard load"), later, site, length_s)
   if pauses:
     faults += _pauses(random.Random(f"{seed}/pauses"), site, length_s)
+  if silent:
+    rng = random.Random(f"{seed}/silent")
+    faults += _series(rng, [(1.5, _mute)], site, length_s)
+  if upgrade:
+    faults.append(_upgrade(random.Random(f"{seed}/upgrade"), site, length_s))
   return sorted(faults, key=lambda fault: fault.at)
 
 
@@ -137,6 +144,25 @@
   return PARTITION, (host,), (rng.choice(near),), rng.uniform(1.0, 6.0)
 
 
+def _mute(rng, site) -> tuple:
+  """Some open connections are silent for good; new ones work."""
+  kind, share = rng.choice(_MUTE_KINDS), rng.choice((1.0, rng.random()))
+  return (
+      kind,
+      _some(rng, site.hosts),
+      _some(rng, site.slots),
+      _GIVEN_UP_S,
+      share,
+  )
+
+
+def _upgrade(rng, site, length_s: float) -> Fault:
+  """Each host in turn is stopped, and started from the next checkout."""
+  at = rng.uniform(FIRST_S, length_s / 3)
+  hosts = tuple(rng.sample(site.hosts, len(site.hosts)))
+  return Fault(round(at, 3), UPGRADE, hosts, (), rng.uniform(0.2, 2.0))
+
+
 def _path_fault(rng, site) -> tuple:
   if rng.random() < 0.4:
     return _lossy(rng, site)
@@ -148,7 +174,7 @@
 
 
 def _host_fault(rng, site) -> tuple:
-  kind, hosts = rng.choice(_HOST_KINDS), (rng.choice(site.hosts),)
+  kind, hosts = rng.choice(HOST_KINDS), (rng.choice(site.hosts),)
   if rng.random() < 0.07:
     hosts, kind = site.hosts, rng.choice(("kill", "terminate"))
   return kind, hosts, (), rng.uniform(0.2, 3.0), rng.uniform(0.0, 2.0)
@@ -193,198 +219,3 @@
   late = kind == "store_late"
   amount = rng.uniform(1.0, 4.0) if late else rng.uniform(0.02, 0.6)
   return kind, _some(rng, site.hosts), (), rng.uniform(0.3, 3.0), amount
-
-
-def _on_path(kind: str, amount: float) -> proxy.Fault | None:
-  """Returns a kind's fault of a path; None resets its connections."""
-  return {
-      "lossy": proxy.Fault(stall_share=amount, hang_share=amount),
-      "delay": proxy.Fault(delay_up_s=amount, delay_down_s=amount),
-      "silence": proxy.Fault(hold_up=True, hold_down=True, hang_share=1.0),
-      "cut_up": proxy.Fault(hold_up=True, hang_share=1.0),
-      "cut_down": proxy.Fault(hold_down=True),
-      "refuse": proxy.Fault(refuse=True),
-      "hang": proxy.Fault(hang_share=1.0),
-      # Requests are carried out after their callers have given up.
-      "late": proxy.Fault(delay_up_s=amount),
-      "reset": None,
-  }[kind]
-
-
-class Injector:
-  """Makes the faults of a schedule, and notes their times and the drains.
-
-  A burst is made by `burst`, from a number of jobs and a time (s).
-  """
-
-  def __init__(self, cluster: cluster_lib.Cluster, burst=None):
-    self.drains: list[tuple[int, str, float]] = []
-    self.applied: list[tuple[Fault, float, float]] = []
-    self.site = cluster.site if cluster else cluster_lib.Site()
-    self._cluster = cluster
-    self._burst = burst
-    self._busy_slots: set[int] = set()
-
-  async def run(self, faults: list[Fault]):
-    began = time.monotonic()
-    tasks = []
-    try:
-      for fault in faults:
-        await curio.sleep(max(0.0, began + fault.at - time.monotonic()))
-        tasks.append(await curio.spawn(self._apply, fault))
-      for task in tasks:
-        await task.join()
-    finally:
-      for task in tasks:
-        await task.cancel()
-
-  async def _apply(self, fault: Fault):
-    begins = time.monotonic()
-    make = _MAKERS.get(fault.kind, Injector._fail_paths)
-    if fault.kind.startswith("stops_"):
-      make = Injector._stop_in_series
-    try:
-      await make(self, fault)
-    finally:
-      self.applied.append((fault, begins, time.monotonic()))
-
-  async def _fail_paths(self, fault: Fault):
-    names = [host.name for host in self._cluster.hosts]
-    clients = {names[number] for number in fault.hosts}
-    servers = {cluster_lib.slot_name(number) for number in fault.slots}
-    paths = self._cluster.paths.values()
-    if fault.kind.startswith("peers_"):
-      # The paths from and to these hosts.
-      kind = fault.kind.removeprefix("peers_")
-      chosen = [
-          p for p in paths if p.name[1] in names and clients & set(p.name)
-      ]
-    else:
-      kind = fault.kind.removeprefix("store_")
-      servers = {cluster_lib.STORE} if kind != fault.kind else servers
-      chosen = [
-          p for p in paths if p.name[0] in clients and p.name[1] in servers
-      ]
-    path_fault = _on_path(kind, fault.amount)
-    if path_fault is None:
-      for path in chosen:
-        await path.reset()
-      return
-    for path in chosen:
-      await path.set_fault(fault, path_fault)
-    await curio.sleep(fault.for_s)
-    for path in chosen:
-      await path.set_fault(fault, None)
-
-  async def _partition(self, fault: Fault):
-    hosts = {self._cluster.hosts[number].name for number in fault.hosts}
-    side = hosts | {cluster_lib.slot_name(number) for number in fault.slots}
-    chosen = [
-        path
-        for path in self._cluster.paths.values()
-        if len(side & set(path.name)) == 1
-    ]
-    for path in chosen:
-      await path.set_fault(fault, _on_path("silence", 0.0))
-    await curio.sleep(fault.for_s)
-    for path in chosen:
-      await path.set_fault(fault, None)
-
-  async def _signal_hosts(self, fault: Fault):
-    hosts = [self._cluster.hosts[number] for number in fault.hosts]
-    for number, step in enumerate(fault.kind.split("_")):
-      await curio.sleep(fault.amount if number else 0)
-      for host in hosts:
-        getattr(host, step)()
-    lives = [host.life for host in hosts]
-    if fault.kind.startswith("pause"):
-      await curio.sleep(fault.for_s)
-      for host in hosts:
-        host.resume()
-    if fault.kind in ("pause", "reload"):
-      return
-    while any(life.running for life in lives):
-      await curio.sleep(0.02)
-    await curio.sleep(fault.for_s / 2)
-    for host in hosts:
-      host.start()
-
-  async def _stop_in_series(self, fault: Fault):
-    trouble = dataclasses.replace(fault, kind=fault.kind.removeprefix("stops_"))
-    store = await curio.spawn(self._apply, trouble)
-    try:
-      for host in fault.hosts:
-        await self._signal_hosts(Fault(fault.at, "terminate", (host,)))
-      await store.join()
-    finally:
-      await store.cancel()
-
-  async def _submit_burst(self, fault: Fault):
-    await self._burst(fault.amount, fault.for_s)
-
-  async def _replace_endpoint(self, fault: Fault):
-    """An endpoint drains, leaves, crashes or restarts, and comes back.
-
-    It then has a new id, except after a restart.
-    """
-    (slot,) = fault.slots
-    if slot in self._busy_slots:
-      return
-    self._busy_slots.add(slot)
-    down_s, ends = fault.for_s, "crash"
-    if fault.kind in ("drain", "leave"):
-      notice = {}
-      if fault.kind == "leave":
-        notice, ends = {"remainingMs": fault.amount}, "gone"
-      answer = await self._cluster.platform("drain", slot=slot, **notice)
-      self.drains.append((slot, answer["id"], answer["at"]))
-      await curio.sleep(fault.for_s + notice.get("remainingMs", 0) / 1000)
-      down_s = 0.3
-    name = cluster_lib.slot_name(slot)
-    paths = [p for p in self._cluster.paths.values() if p.name[1] == name]
-    await self._cluster.platform(ends, slot=slot)
-    for path in paths:
-      await path.set_fault(fault, proxy.Fault(refuse=True))
-      await path.reset()
-    await curio.sleep(down_s)
-    if fault.kind == "restart":
-      await self._cluster.platform("restart", slot=slot)
-    else:
-      clock_ms = fault.amount
-      await self._cluster.platform("return", slot=slot, clock_ms=clock_ms)
-    for path in paths:
-      await path.set_fault(fault, None)
-    self._busy_slots.discard(slot)
-
-  async def _obey_late(self, fault: Fault):
-    for share, for_s in ((fault.amount, fault.for_s), (0.0, 0.0)):
-      for slot in fault.slots:
-        await self._cluster.platform("late", slot=slot, share=share)
-      await curio.sleep(for_s)
-
-  async def _configure(self, fault: Fault):
-    """Writes a newer configuration; sometimes an older one before it."""
-    if fault.kind == "config_old":
-      await self._cluster.configure(newer=False)
-      await curio.sleep(fault.for_s)
-    await self._cluster.configure(newer=True)
-
-  async def _stop_store(self, fault: Fault):
-    await self._cluster.platform("down", down=True)
-    await curio.sleep(fault.for_s)
-    await self._cluster.platform("down", down=False)
-
-
-_MAKERS = {
-    **dict.fromkeys(_HOST_KINDS, Injector._signal_hosts),
-    "drain": Injector._replace_endpoint,
-    "crash": Injector._replace_endpoint,
-    "leave": Injector._replace_endpoint,
-    "restart": Injector._replace_endpoint,
-    "burst": Injector._submit_burst,
-    "late": Injector._obey_late,
-    "config": Injector._configure,
-    "config_old": Injector._configure,
-    "store_down": Injector._stop_store,
-    PARTITION: Injector._partition,
-}
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -5,9 +5,11 @@
 """
 
 import contextlib
+import ctypes
 import dataclasses
 import random
 import socket
+import struct
 import time
 
 import curio
@@ -27,6 +29,11 @@
 MAX_HOLD_S = listener.USER_TIMEOUT_MS / 1000
 # The value of SO_LINGER with which closing a connection resets it.
 RESET = b"\1\0\0\0\0\0\0\0"
+# Option of Linux that Python doesn't name, and a filter that drops each packet
+# that a socket gets: its peer has nothing acknowledged.
+_SO_ATTACH_FILTER = 26
+_DROP = ctypes.create_string_buffer(struct.pack("HBBI", 0x06, 0, 0, 0))
+_DROP_FILTER = struct.pack("HL", 1, ctypes.addressof(_DROP))
 
 
 @dataclasses.dataclass(frozen=True)
@@ -79,7 +86,8 @@
     self._changing = curio.Lock()
     self._sock = self._accept_task = self._hang_task = None
     self._fillers: list[socket.socket] = []
-    self._connections: set[curio.Task] = set()
+    self._connections: dict[curio.Task, list] = {}
+    self._silent: set[curio.Task] = set()
 
   async def start(self):
     await self._listen()
@@ -89,6 +97,7 @@
     if self._hang_task is not None:
       await self._hang_task.cancel()
     await self._stop_listening()
+    self._silent.clear()
     await self.reset()
 
   async def set_fault(self, key, fault: Fault | None):
@@ -103,9 +112,20 @@
     await self._set_listening()
 
   async def reset(self):
-    for task in list(self._connections):
+    for task in self._connections.keys() - self._silent:
       await task.cancel(blocking=False)
 
+  def silence(self, share: float):
+    """Makes a share of the open connections silent until the path is closed.
+
+    Neither side gets anything, not even that the other one has closed it.
+    """
+    for task, socks in self._connections.items():
+      if len(socks) == 2 and self._rng.random() < share:
+        self._silent.add(task)
+        for sock in socks:
+          sock.setsockopt(socket.SOL_SOCKET, _SO_ATTACH_FILTER, _DROP_FILTER)
+
   async def _set_listening(self):
     async with self._changing:
       if self._fault.refuse:
@@ -158,12 +178,12 @@
   async def _accept_loop(self):
     while True:
       client, _ = await self._sock.accept()
-      task = await curio.spawn(self._serve, client, daemon=True)
-      self._connections.add(task)
+      await curio.spawn(self._serve, client, daemon=True)
 
   async def _serve(self, client):
     relays, socks = [], [client]
     task = await curio.current_task()
+    self._connections[task] = socks
     try:
       server = await curio.open_connection(self._target.host, self._target.port)
       socks.append(server)
@@ -178,7 +198,8 @@
         with contextlib.suppress(OSError):
           sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
     finally:
-      self._connections.discard(task)
+      del self._connections[task]
+      self._silent.discard(task)
       for relay in relays:
         await relay.cancel()
       for sock in socks:
@@ -195,7 +216,10 @@
         delay_s = self._delay_s(up)
         if delay_s:
           await curio.sleep(delay_s)
-        if not await self._wait_while_held(up):
+        passes = await self._wait_while_held(up)
+        if connection in self._silent:
+          await curio.Event().wait()
+        if not passes:
           await connection.cancel(blocking=False)
           return
         if not data:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -4,14 +4,17 @@
 import dataclasses
 import json
 import pathlib
+import random
 import time
 
 import curio
 
+from tests import deployments
 from tests.soak import callers
 from tests.soak import checks
 from tests.soak import cluster as cluster_lib
 from tests.soak import faults
+from tests.soak import injector as injector_lib
 
 REPORT_PERIOD_S = 1.0
 # Accepted kept jobs must have ended this long after the last fault.
@@ -24,7 +27,11 @@
 
 @dataclasses.dataclass(frozen=True)
 class Plan:
-  """A seed, for how long faults begin (s), and which."""
+  """A seed, for how long faults begin (s), and which.
+
+  If there is a checkout `beside`, hosts change from one build to the other, or
+  each of their processes runs either.
+  """
 
   seed: int
   seconds: float
@@ -33,6 +40,17 @@
   pauses: bool = False
   leaving: bool = False
   size: int = 1
+  silent: bool = False
+  beside: str = ""
+
+  def builds(self) -> tuple[tuple[pathlib.Path, ...], ...]:
+    """Returns the checkouts that hosts run before and after an upgrade."""
+    if not self.beside:
+      return cluster_lib.OWN_BUILD
+    own, other = (deployments.ROOT,), (pathlib.Path(self.beside),)
+    both = own + other
+    ways = (other, own), (other, own), (own, other), (both, both)
+    return random.Random(f"{self.seed}/builds").choice(ways)
 
 
 async def run(plan: Plan, directory: pathlib.Path, echo) -> checks.Verdict:
@@ -48,9 +66,11 @@
       plan.partitions,
       plan.pauses,
       plan.size,
+      plan.silent,
+      bool(plan.beside),
   )
   _write(directory / "schedule.json", [plan, *schedule])
-  cluster = cluster_lib.Cluster(directory, plan.seed, site)
+  cluster = cluster_lib.Cluster(directory, plan.seed, site, plan.builds())
   try:
     await cluster.start()
     verdict = await curio.timeout_after(
@@ -68,7 +88,7 @@
       callers.Caller(cluster, record, plan.seed, number, plan.leaving)
       for number in range(callers.CALLERS * plan.size + 1)
   ]
-  injector = faults.Injector(cluster, crowd.burst)
+  injector = injector_lib.Injector(cluster, crowd.burst)
   began = time.monotonic()
   stopped = curio.Event()
   supervisor = await curio.spawn(cluster.supervise)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,6 +1,7 @@
 """Short seeded soaks of the real programs, and tests of the soak's proxy."""
 
 import collections
+import dataclasses
 import pathlib
 import random
 import subprocess
@@ -12,6 +13,7 @@
 import pytest
 
 from fescueturn import httpio
+from fescueturn import listener
 from fescueturn.lab import ports
 from tests import deployments
 from tests.soak import __main__ as soak
@@ -19,6 +21,7 @@
 from tests.soak import checks
 from tests.soak import cluster
 from tests.soak import faults
+from tests.soak import injector as injector_lib
 from tests.soak import proxy
 from tests.soak import run as run_lib
 
@@ -31,6 +34,7 @@
         run_lib.Plan(3, 10.0, partitions=True),
         run_lib.Plan(7, 8.0, pauses=True),
         run_lib.Plan(9, 4.0, pauses=True, leaving=True),
+        run_lib.Plan(12, 8.0, leaving=True, silent=True),
     ),
 )
 def test_promises_hold_while_faults_are_injected(plan, tmp_path):
@@ -70,6 +74,27 @@
   assert near == [slot for slot in site.slots if not site.are_near(6, slot)]
 
 
+def test_silent_connections_and_upgrades_leave_a_seed_its_other_faults():
+  plain = faults.schedule(1, 40.0, False)
+  more = faults.schedule(1, 40.0, False, silent=True, upgrade=True)
+  assert [fault for fault in more if fault in plain] == plain
+  added = {fault.kind for fault in more if fault not in plain}
+  assert added == {"mute", "peers_mute", "store_mute", faults.UPGRADE}
+
+
+def test_upgraded_host_runs_the_next_checkout():
+  started = []
+  process = types.SimpleNamespace(poll=lambda: 0)
+  files = types.SimpleNamespace(
+      name="h", process=process, start=lambda: started.append(files.root)
+  )
+  host = cluster.Host(files, "", (("old",), ("new",)))
+  host.start()
+  host.upgrade()
+  host.start()
+  assert started == ["old", "new"] == [life.checkout for life in host.lives]
+
+
 def test_start_between_a_refusal_and_the_next_try_breaks_it():
   answers = [(429, {}), (200, {"state": "succeeded"})]
 
@@ -93,7 +118,9 @@
 
   row = (curio.run(send_twice), f"{job.id}.0.0.0", 1, "i-0-1", False)
   history = {"violations": [], "acknowledged": [], "tokens": 0, "starts": [row]}
-  verdict = checks.judge(history, record, faults.Injector(None), [], False)
+  verdict = checks.judge(
+      history, record, injector_lib.Injector(None), [], False
+  )
   assert verdict.violations == [
       f"job {job.id} refused ([429, 200]) but started"
   ]
@@ -184,11 +211,14 @@
 
 def test_kept_seed_may_have_several_modes(monkeypatch, tmp_path):
   lines = tmp_path / "regressions.txt"
-  lines.write_text("5 16 pauses-leaving why\n6 20 all why\n")
+  lines.write_text(
+      "5 16 pauses-leaving why\n6 20 all why\n7 9 lossy-silent why\n"
+  )
   monkeypatch.setattr(soak, "REGRESSIONS", lines)
-  both, every = soak.read_regressions()
+  both, every, silent = soak.read_regressions()
   assert both == run_lib.Plan(5, 16.0, pauses=True, leaving=True)
   assert every == run_lib.Plan(6, 20.0)
+  assert silent == run_lib.Plan(7, 9.0, lossy_only=True, silent=True)
 
 
 def run_with_proxy(scenario):
@@ -253,6 +283,35 @@
   run_with_proxy(scenario)
 
 
+def test_silent_connection_is_given_up_by_its_user_while_new_ones_work():
+  async def scenario(path, requests, get):
+    assert await get("1") == 200
+    path.silence(1.0)
+    await path.reset()
+    began = time.monotonic()
+    assert await get("2", timeout_s=0.5) is None
+    assert time.monotonic() - began >= 0.5
+    assert await get("3") == 200
+    assert requests == ["1", "3"]
+
+  run_with_proxy(scenario)
+
+
+def test_silent_connection_is_found_by_the_keep_alive_of_its_user():
+  async def scenario(path, requests, get):
+    sock = await curio.open_connection(*dataclasses.astuple(path._address))
+    listener.enable_dead_peer_detection(sock)
+    while not path._connections:
+      await curio.sleep(0.01)
+    await curio.sleep(0.1)
+    path.silence(1.0)
+    with pytest.raises(TimeoutError):
+      await sock.recv(1)
+    await sock.close()
+
+  run_with_proxy(scenario)
+
+
 def test_texts_are_replaced_on_the_way():
   async def scenario(path, requests, get):
     path.texts = (b"/here", b"/away")
@@ -290,7 +349,7 @@
   jobs[1].state = "succeeded"
   jobs[2].state, jobs[2].accepted = "running", True
   record = callers.Record(dict(zip(ids, jobs, strict=True)), ["cut off"])
-  injector = faults.Injector(None)
+  injector = injector_lib.Injector(None)
   injector.drains.append((0, "i-0-1", 1.0))
   history = {"violations": ["two runs"], "acknowledged": [], "tokens": 0}
   history["starts"] = [
