--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -70,6 +70,9 @@
   site = cluster.Site(3)
   schedule = faults.schedule(1, 20.0, False, pauses=True, size=3)
   assert {host for f in schedule for host in f.hosts} == set(site.hosts)
+  burst = next(fault for fault in schedule if fault.kind == "burst")
+  full = site.size * faults.FULL_JOBS_PER_S * burst.for_s
+  assert 1.5 * full - 3 <= burst.amount * site.run_factor <= 2 * full
   near = [slot for slot in site.slots if site.are_near(5, slot)]
   assert near == [slot for slot in site.slots if not site.are_near(6, slot)]
 
