--- a/fescueturn/scheduler/crashes.py
+++ b/fescueturn/scheduler/crashes.py
@@ -42,7 +42,7 @@
   A draining endpoint ends its runs as planned and is not counted, nor is one
   that was already lost when the run was requested.
   """
-  if owner.now - run.started_at < MIN_RESTART_S:
+  if _crash_came_first(owner, run):
     return
   job = owner.by_id.get(run.id.task.job_id)
   task = job.tasks.get(run.id.task) if job else None
@@ -69,6 +69,12 @@
   )
 
 
+def _crash_came_first(owner, run: endpointruns.Run) -> bool:
+  """Returns whether the run's endpoint had crashed before it was requested."""
+  is_confirmed = run.state is not endpointruns.RunState.ORDERED
+  return not is_confirmed and owner.now - run.started_at < MIN_RESTART_S
+
+
 def _add_suspected_crash(
     owner, name: str, task: ownerstate.TaskRecord, born_ms: int = 0
 ):
