A call that broke its connection is followed by a look at the incarnation

Cause: only closed idle connections told that an endpoint may have restarted; one that broke in use, with none idle left, did not.

--- a/fescueturn/httpio.py
+++ b/fescueturn/httpio.py
@@ -422,6 +422,8 @@
           h11.ProtocolError,
           LostReplyError,
       ) as exc:
+        if not isinstance(exc, curio.TaskTimeout):
+          self._was_closed = True
         await client.sock.close()
         raise LostReplyError(f"{method} {target}: {exc!r}") from exc
       self._was_closed = False
