A list of endpoints is used although the claims couldn't be read with it

What callers could see: new endpoints not used while the store refuses one of two reads. Cause: the claims are read along with the list, and a failure of theirs threw the list away. The list is applied now; it doesn't count as the store's answer to a holder that may be replaced. `test_endpoint_list_is_applied_although_the_claims_are_not_read` failed before and passes.

--- a/fescueturn/platform/endpoints.py
+++ b/fescueturn/platform/endpoints.py
@@ -237,7 +237,7 @@
       await self._owning.wait()
       asked_at = self._now()
       try:
-        changes = await self._read()
+        changes, shows_claims = await self._read()
       except errors.KvError as exc:
         await backoff.handle_failure(exc)
         continue
@@ -245,28 +245,30 @@
       answered_at = self._now()
       listed = self._list.update(changes.items, answered_at)
       took_s = answered_at - asked_at
-      await self._on_list(events.EndpointsListed(listed, took_s))
+      event = events.EndpointsListed(listed, took_s, shows_claims)
+      await self._on_list(event)
       await curio.sleep(max(MIN_PAUSE_S, POLL_PERIOD_S - took_s))
 
-  async def _read(self) -> kvtypes.Changes:
-    """Reads the list, and the claims at the same time: the store may be slow."""
+  async def _read(self) -> tuple[kvtypes.Changes, bool]:
+    """Reads the list, and the claims at the same time: the store may be slow.
+
+    Returns:
+      The list, and whether the claims were read or didn't have to be.
+    """
     claims_task = await curio.spawn(self._try_to_read_claims, daemon=True)
     try:
       changes = await self._client.range(PREFIX)
-    except errors.KvError:
-      await claims_task.join()
-      raise
-    error = await claims_task.join()
-    if error is not None:
-      raise error
-    return changes
-
-  async def _try_to_read_claims(self) -> errors.KvError | None:
+    finally:
+      are_claims_read = await claims_task.join()
+    return changes, are_claims_read
+
+  async def _try_to_read_claims(self) -> bool:
     try:
       await self._read_claims()
     except errors.KvError as exc:
-      return exc
-    return None
+      logger.info('event=claims_unread error="{}"', exc)
+      return False
+    return True
 
   async def close(self):
     """Stops polling."""
--- a/fescueturn/scheduler/events.py
+++ b/fescueturn/scheduler/events.py
@@ -121,10 +121,13 @@
   Attributes:
     endpoints: the endpoints.
     took_s: how long it took from the request until the answer was read (s).
+    shows_claims: False if the claims had to be read as well, and couldn't be:
+      the store may not tell this host of another one's claim.
   """
 
   endpoints: tuple[model.Endpoint, ...]
   took_s: float = 0.0
+  shows_claims: bool = True
 
 
 @dataclasses.dataclass(frozen=True)
--- a/fescueturn/scheduler/leases.py
+++ b/fescueturn/scheduler/leases.py
@@ -47,6 +47,7 @@
     owner: ownerstate.Owner,
     listed: tuple[model.Endpoint, ...],
     took_s: float = 0.0,
+    shows_claims: bool = True,
 ):
   """Applies the platform's list; asks new endpoints which runs they have.
 
@@ -54,9 +55,11 @@
     owner: the owner.
     listed: the endpoints.
     took_s: how long ago the store was asked for them (s).
+    shows_claims: False if the store may not tell of other hosts' claims.
   """
   owner.listed_at = owner.now
-  owner.record_store_answer(took_s)
+  if shows_claims:
+    owner.record_store_answer(took_s)
   own_endpoints = {
       e.id: e for e in listed if e.data_centre == owner.shard.data_centre
   }
--- a/fescueturn/scheduler/reducer.py
+++ b/fescueturn/scheduler/reducer.py
@@ -138,7 +138,9 @@
   for owner in state.owners.values():
     is_first_list = owner.listed_at is None
     owner.list_took_s = event.took_s
-    leases.handle_endpoint_list(owner, event.endpoints, event.took_s)
+    leases.handle_endpoint_list(
+        owner, event.endpoints, event.took_s, event.shows_claims
+    )
     if is_first_list:
       offers.recheck_admissions(owner)
 
