--- a/fescueturn/scheduler/leases.py
+++ b/fescueturn/scheduler/leases.py
@@ -39,7 +39,7 @@
 # second is not replaced, with its tasks started again, within that second.
 SUSPENDED_MIN_MS = 1000
 # The same for a coordinator's clock. If a message was only read late before,
-# tasks wait for the next pings and nothing worse follows.
+# tasks wait for the next pings, and kept jobs for the store's claims.
 SUSPENDED_MIN_S = 0.2
 
 
