--- a/fescueturn/scheduler/crashes.py
+++ b/fescueturn/scheduler/crashes.py
@@ -71,8 +71,8 @@
 
 def _crash_came_first(owner, run: endpointruns.Run) -> bool:
   """Returns whether the run's endpoint had crashed before it was requested."""
-  is_confirmed = run.state is not endpointruns.RunState.ORDERED
-  return not is_confirmed and owner.now - run.started_at < MIN_RESTART_S
+  is_unconfirmed = run.state is endpointruns.RunState.ORDERED
+  return is_unconfirmed and owner.now - run.started_at < MIN_RESTART_S
 
 
 def _add_suspected_crash(
