--- a/fescueturn/emulator/fleet.py
+++ b/fescueturn/emulator/fleet.py
@@ -127,7 +127,7 @@
     self._boots += 1
     host = hosts.EmulatedHost(self, name, data_centre, self._boots, cores)
     self.hosts[name] = host
-    self.clock.after(self.rng.random() * hosts.TICK_S, host.tick)
+    self.clock.after(self.rng.random() * timebudget.TICK_S, host.tick)
     self.clock.after(
         fleetstore.STORE_DELAY_S, lambda: self._store.read_claims(host)
     )
--- a/fescueturn/emulator/hosts.py
+++ b/fescueturn/emulator/hosts.py
@@ -9,8 +9,8 @@
 from fescueturn.scheduler import model
 from fescueturn.scheduler import reducer
 from fescueturn.scheduler import state as state_lib
+from fescueturn.scheduler import timebudget
 
-TICK_S = 0.02
 POLL_PERIOD_S = 0.7
 # The period of a quota of processor time, and the least time that a process
 # runs in it.
@@ -202,4 +202,4 @@
       self._fleet.poll_endpoints(self)
     if not owns:
       self._next_poll_at = 0.0
-    self._fleet.clock.after(TICK_S, self.tick)
+    self._fleet.clock.after(timebudget.TICK_S, self.tick)
