--- a/review/harness.py
+++ b/review/harness.py
@@ -30,6 +30,8 @@
 GRACE_S = 6.0
 HEARTBEAT_MS = 1500
 PORTS = (15000, 30000)
+# Cases that run at the same time have addresses of their own.
+LOOPBACK = "127.{}.{}.{}".format(*(random.randrange(1, 255) for _ in range(3)))
 # The span for which LOST allows a job to have nothing at work.
 IDLE_S = 3.0
 # The longest that a case may take, which leaves time to end its processes.
@@ -86,7 +88,7 @@
       try:
         for port in wanted:
           sock = stack.enter_context(socket.socket())
-          sock.bind(("127.0.0.1", port))
+          sock.bind((LOOPBACK, port))
       except OSError:
         continue
     _given_ports.update(wanted)
@@ -126,16 +128,16 @@
     self.case, self.name, self.zone = case, name, zone
     front, ready = free_ports(1), free_ports(1)
     internal = free_ports(2)
-    self.address = f"127.0.0.1:{front}"
-    self.readiness = f"127.0.0.1:{ready}"
-    self.metrics = f"127.0.0.1:{internal + 1}"
+    self.address = f"{LOOPBACK}:{front}"
+    self.readiness = f"{LOOPBACK}:{ready}"
+    self.metrics = f"{LOOPBACK}:{internal + 1}"
     self.file = case.folder / f"{name}.json"
     settings = {
         "node": name,
         "role": "entry",
         "machineClass": "frontend",
         "serves": ["frontend"],
-        "ip": "127.0.0.1",
+        "ip": LOOPBACK,
         "zone": zone,
         "region": "r",
         "zones": {z: "r" for z in zones},
@@ -221,7 +223,7 @@
     port = free_ports(1)
     self.entry = {
         "service": SERVICE,
-        "address": f"127.0.0.1:{port}",
+        "address": f"{LOOPBACK}:{port}",
         "zone": zone,
         "version": "v1",
         "slots": slots,
@@ -275,11 +277,11 @@
     if not (ROOT / "target" / "deps").is_dir():
       raise CannotRun("target/deps is missing: run the build of the deploy file")
     store, admin = free_ports(1), free_ports(1)
-    self.store, self.admin = f"127.0.0.1:{store}", f"127.0.0.1:{admin}"
+    self.store, self.admin = f"{LOOPBACK}:{store}", f"{LOOPBACK}:{admin}"
     self.entries = []
     self.minions = []
     self.kind_of = lambda number: "a"
-    self.standin("store", str(store), str(admin))
+    self.standin("store", LOOPBACK, str(store), str(admin))
 
   def hand_in(self, choose, job_id, body, deadline_ms, resend_s):
     """Sends a kept job until it is answered, as the users' clients do.
--- a/review/standins.py
+++ b/review/standins.py
@@ -2,7 +2,7 @@
 
 Each runs as a process of its own, with the standard library only:
 
-    python3 standins.py store PORT ADMIN_PORT
+    python3 standins.py store HOST PORT ADMIN_PORT
     python3 standins.py minion SETTINGS.json
 
 A minion is one boot: to crash it, kill its process; its next boot is another
@@ -240,10 +240,10 @@
     return self.txn({"setKeys": [row]}, may_write_all=True)
 
 
-async def run_store(port, admin_port):
+async def run_store(host, port, admin_port):
   store = Store()
-  await serve(("127.0.0.1", port), store.handle)
-  await serve(("127.0.0.1", admin_port), store.handle_admin)
+  await serve((host, port), store.handle)
+  await serve((host, admin_port), store.handle_admin)
   await store.run()
 
 
@@ -425,7 +425,7 @@
 
 if __name__ == "__main__":
   if sys.argv[1] == "store":
-    asyncio.run(run_store(int(sys.argv[2]), int(sys.argv[3])))
+    asyncio.run(run_store(sys.argv[2], int(sys.argv[3]), int(sys.argv[4])))
   else:
     with open(sys.argv[2], encoding="utf-8") as file:
       minion_settings = json.load(file)
