--- a/review/1/case.py
+++ b/review/1/case.py
@@ -68,9 +68,7 @@
 
 def send_job(case, balancer, job_id):
   for _ in range(3):
-    status, _ = case.submit(
-        balancer.choose(), job_id, job_body(), DEADLINE_MS
-    )
+    status, _ = case.submit(balancer.choose(), job_id, job_body(), DEADLINE_MS)
     if status not in (0, 502, 504):
       return
     time.sleep(RESEND_S)
--- a/review/harness.py
+++ b/review/harness.py
@@ -158,7 +158,14 @@
         "discovery": "platform",
         "entry": "vip",
         "heartbeatMs": HEARTBEAT_MS,
-        "contracts": ["base", "drain", "config", "recover", "sched", "platform"],
+        "contracts": [
+            "base",
+            "drain",
+            "config",
+            "recover",
+            "sched",
+            "platform",
+        ],
         "faultTolerance": {"machines": 1, "zones": 1, "regions": 0},
         "bounds": BOUNDS,
         "controlMode": "request",
@@ -275,7 +282,9 @@
     deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
     self.command = shlex.split(deploy["roles"]["entry"]["run"])
     if not (ROOT / "target" / "deps").is_dir():
-      raise CannotRun("target/deps is missing: run the build of the deploy file")
+      raise CannotRun(
+          "target/deps is missing: run the build of the deploy file"
+      )
     store, admin = free_ports(1), free_ports(1)
     self.store, self.admin = f"{LOOPBACK}:{store}", f"{LOOPBACK}:{admin}"
     self.entries = []
@@ -404,7 +413,9 @@
         "Request-Id": job_id,
     }
     timeout = timeout or deadline_ms / 1000 + 1.0
-    self.note("sent", job=job_id, to=entry.name, best_effort="bestEffort" in body)
+    self.note(
+        "sent", job=job_id, to=entry.name, best_effort="bestEffort" in body
+    )
     status, answer = 0, None
     with contextlib.suppress(OSError, http.client.HTTPException):
       status, answer = call(
--- a/review/standins.py
+++ b/review/standins.py
@@ -385,9 +385,7 @@
         [task, attempt, "", run.percent(now)]
         for (task, attempt), run in self.running.items()
     ]
-    return self._answer(
-        200, running=running, finished=self.ended[:LISTED_ENDS]
-    )
+    return self._answer(200, running=running, finished=self.ended[:LISTED_ENDS])
 
   async def run(self):
     host, port = self.entry["address"].split(":")
