Runs are told apart by their endpoint as well as by task and attempt

Each holder numbers the attempts of a best-effort job from 1, so two endpoints may have a run 1 of one task: one of the holder before, one of the next.

Cause: finish_run and what counts losses, paces and moves compared task and attempt only.

Change: a run knows its endpoint, and a task's current run is told by both (TaskRecord.is_current). A task keeps all other runs that may be active instead of the last one's number, so that ends are matched to the run that ended.

Test: test_end_of_a_run_with_the_same_number_elsewhere_is_not_the_current_ones failed before (attempt 2 started beside attempt 1).

--- a/fescueturn/scheduler/crashes.py
+++ b/fescueturn/scheduler/crashes.py
@@ -46,7 +46,7 @@
     return
   job = owner.by_id.get(run.id.task.job_id)
   task = job.tasks.get(run.id.task) if job else None
-  if task is None or task.run != run.id or record.info.draining:
+  if task is None or not task.is_current(run) or record.info.draining:
     return
   name = record.info.id
   task.lost_endpoints[name] = record.info.address
--- a/fescueturn/scheduler/endpointruns.py
+++ b/fescueturn/scheduler/endpointruns.py
@@ -45,6 +45,8 @@
 
   Attributes:
     id: the task and attempt.
+    endpoint: the endpoint that has it; "" until it is added there. Holders may
+      give the same number to attempts at different endpoints.
     need: the resources it takes; None for a run whose job is not known yet.
     state: its state, as far as the owner knows.
     started_at: when its start was requested, or when it was found there (s).
@@ -72,6 +74,7 @@
 
   def __init__(self, run_id, need, state, now, estimate_ms=0, deadline_ms=0):
     self.id: model.RunId = run_id
+    self.endpoint = ""
     self.need: model.Resources | None = need
     self.state: RunState = state
     self.started_at: float = now
--- a/fescueturn/scheduler/endpointstate.py
+++ b/fescueturn/scheduler/endpointstate.py
@@ -260,6 +260,7 @@
 
   def add(self, run: endpointruns.Run):
     """Adds a run whose start was requested, or that was found there."""
+    run.endpoint = self.info.id
     self.runs[run.id] = run
     self._update_free()
 
--- a/fescueturn/scheduler/leases.py
+++ b/fescueturn/scheduler/leases.py
@@ -414,7 +414,7 @@
   task = job.tasks.get(run.id.task) if job else None
   if task is None or run.duplicate_logged:
     return
-  if run.id in (task.run, task.previous_run):
+  if task.is_current(run) or run in task.previous_runs:
     return
   if task.run is None and task.state is not ownerstate.TaskState.DONE:
     return
--- a/fescueturn/scheduler/offers.py
+++ b/fescueturn/scheduler/offers.py
@@ -82,7 +82,7 @@
       fence=owner.fence,
       waiting=len(job.waiting),
       at_work=sum(task.run is not None for task in tasks),
-      stopping=sum(task.previous_run is not None for task in tasks),
+      stopping=sum(bool(task.previous_runs) for task in tasks),
       age_ms=int((owner.now - job.arrived) * 1000),
       left_ms=int((job.deadline - owner.now) * 1000),
   )
@@ -262,7 +262,7 @@
     leases.adopt_run(owner, record, run)
   elif not run.abandoned:
     # It is being stopped, and the next run of the task waits for its end.
-    task.previous_run = run.id
+    task.previous_runs.add(run)
 
 
 def handle_withdrawal(owner: ownerstate.Owner, key: linkmessages.JobKey):
--- a/fescueturn/scheduler/outcomes.py
+++ b/fescueturn/scheduler/outcomes.py
@@ -51,13 +51,8 @@
   task = job.tasks.get(run.id.task) if job else None
   if task is None:
     return
-  if task.run != run.id and how is model.RunOutcome.DONE:
-    _complete_task(owner, job, task)
-    end_job_if_finished(owner, job)
-  if task.previous_run == run.id:
-    task.previous_run = None
-    hand_back_if_idle(owner, job)
-  if task.run != run.id:
+  if not task.is_current(run):
+    _finish_previous_run(owner, job, task, run, how)
     return
   if how is not model.RunOutcome.DONE:
     owner.emit(
@@ -76,6 +71,22 @@
   _update_task_after_run(owner, job, task, how)
 
 
+def _finish_previous_run(
+    owner,
+    job: ownerstate.JobRecord,
+    task: ownerstate.TaskRecord,
+    run: endpointruns.Run,
+    how: model.RunOutcome,
+):
+  """Handles the end of a run that isn't its task's current one."""
+  if how is model.RunOutcome.DONE:
+    _complete_task(owner, job, task)
+    end_job_if_finished(owner, job)
+  if run in task.previous_runs:
+    task.previous_runs.remove(run)
+    hand_back_if_idle(owner, job)
+
+
 def attempts_exhausted(
     job: ownerstate.JobRecord, task: ownerstate.TaskRecord
 ) -> bool:
@@ -108,12 +119,13 @@
   """
   if task.state is ownerstate.TaskState.DONE:
     return
-  if task.run is not None:
+  current = owner.current_run(task)
+  if current is not None:
     runcontrol.stop_task(owner, task)
-    task.previous_run = task.run
-  if task.previous_run is not None and job.job.kept:
+    task.previous_runs.add(current)
+  if task.previous_runs and job.job.kept:
     runs = owner.kept_records.duplicate_runs.setdefault(job.job.id, set())
-    runs.add(task.previous_run)
+    runs.update(run.id for run in task.previous_runs)
   job.task_done(task)
 
 
@@ -237,10 +249,10 @@
   """
   job = owner.by_id.get(run.id.task.job_id)
   task = job.tasks.get(run.id.task) if job else None
-  if task is not None and task.previous_run == run.id:
-    task.previous_run = None
+  if task is not None and run in task.previous_runs:
+    task.previous_runs.remove(run)
     hand_back_if_idle(owner, job)
-  if task is None or task.run != run.id:
+  if task is None or not task.is_current(run):
     return
   owner.emit(
       ownerstate.run_log("run_ended", record, run, how="lost", why="lapsed")
@@ -260,11 +272,7 @@
       "waiting": len(job.waiting),
       "at_work": len(active),
   }
-  runs = [
-      (owner.endpoints[t.endpoint].runs.get(t.run), t)
-      for t in active
-      if t.endpoint in owner.endpoints
-  ]
+  runs = [(owner.current_run(task), task) for task in active]
   active_runs = [(run.started_at, run, t) for run, t in runs if run is not None]
   if active_runs:
     since, run, task = min(active_runs, key=lambda entry: entry[0])
--- a/fescueturn/scheduler/ownerstate.py
+++ b/fescueturn/scheduler/ownerstate.py
@@ -74,15 +74,19 @@
     self.endpoint = ""
     # The endpoint where one of its runs was stopped for being slow, if any.
     self.moved_from = ""
-    # A run started by a previous holder, or for an earlier submission of the
-    # job, that may still be running.
-    self.previous_run: model.RunId | None = None
+    # Runs other than the current one that may still be active: a previous
+    # holder started them, or this one for an earlier submission of the job.
+    self.previous_runs: set[endpointruns.Run] = set()
 
   @property
   def estimate_s(self) -> float:
     """The expected run time (s)."""
     return self.step.estimate_ms / 1000
 
+  def is_current(self, run: endpointruns.Run) -> bool:
+    """Returns whether a run is the task's current one."""
+    return self.run == run.id and self.endpoint == run.endpoint
+
 
 class JobRecord:
   """An accepted job.
@@ -136,7 +140,7 @@
   def active(self) -> bool:
     """True while one of its runs may still be active."""
     return any(
-        task.state is TaskState.ACTIVE or task.previous_run is not None
+        task.state is TaskState.ACTIVE or task.previous_runs
         for task in self.tasks.values()
     )
 
@@ -497,17 +501,16 @@
       heard_at = self.last_contact[job.key.process]
       until = heard_at + timebudget.COORDINATOR_TIMEOUT_S
     for task in job.tasks.values():
-      if task.previous_run is not None:
-        self._limit_service(task.previous_run, self.endpoints, until)
-      if task.run is not None:
-        self._limit_service(task.run, (task.endpoint,), until)
-
-  def _limit_service(self, run_id: model.RunId, endpoints, until: float):
-    for name in endpoints:
-      record = self.endpoints.get(name)
-      run = record.runs.get(run_id) if record else None
-      if run is not None:
-        run.served_until = until
+      for previous in task.previous_runs:
+        previous.served_until = until
+      current = self.current_run(task)
+      if current is not None:
+        current.served_until = until
+
+  def current_run(self, task: TaskRecord) -> endpointruns.Run | None:
+    """Returns a task's current run, if it has one."""
+    record = self.endpoints.get(task.endpoint)
+    return record.runs.get(task.run) if record else None
 
   def record_job_result(
       self, key: linkmessages.JobKey, outcome: model.Outcome, reason: str
--- a/fescueturn/scheduler/runcontrol.py
+++ b/fescueturn/scheduler/runcontrol.py
@@ -42,7 +42,7 @@
   is_first = not job.begun
   started = []
   for task in list(job.waiting):
-    if task.previous_run is not None or crashes.blocks_start(owner, job, task):
+    if task.previous_runs or crashes.blocks_start(owner, job, task):
       continue
     record = _choose_endpoint(owner, job, task)
     if record is None:
@@ -221,7 +221,6 @@
 
 def stop_task(owner, task: ownerstate.TaskRecord):
   """Stops the run of a task, unless it is stopping already."""
-  record = owner.endpoints.get(task.endpoint)
-  run = record.runs.get(task.run) if record else None
+  run = owner.current_run(task)
   if run is not None and run.state is not endpointruns.RunState.STOPPING:
-    stop_run(owner, record, run)
+    stop_run(owner, owner.endpoints[task.endpoint], run)
--- a/fescueturn/scheduler/runpace.py
+++ b/fescueturn/scheduler/runpace.py
@@ -49,7 +49,7 @@
   """Returns the job and task whose current run this is; None without one."""
   job = owner.by_id.get(run.id.task.job_id)
   task = job.tasks.get(run.id.task) if job else None
-  return (job, task) if task is not None and task.run == run.id else None
+  return (job, task) if task is not None and task.is_current(run) else None
 
 
 def _is_away(record, task: ownerstate.TaskRecord) -> bool:
--- a/fescueturn/scheduler/stragglers.py
+++ b/fescueturn/scheduler/stragglers.py
@@ -87,7 +87,9 @@
   """Stops a run whose task can start elsewhere now; a task is moved once."""
   job = owner.by_id.get(run.id.task.job_id)
   task = job.tasks.get(run.id.task) if job else None
-  if task is None or task.run != run.id or task.moved_from or job.returning:
+  if task is None or not task.is_current(run):
+    return
+  if task.moved_from or job.returning:
     return
   if not owner.may_start or not runcontrol.can_start_elsewhere(
       owner, job, task, record
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -97,7 +97,7 @@
   leases.handle_lease_answer(
       owner,
       events.LeaseAnswered(
-          ENDPOINT.id, record.call_number, result, clock_ms, **lists
+          record.info.id, record.call_number, result, clock_ms, **lists
       ),
   )
 
@@ -278,6 +278,43 @@
   (job,) = owner.jobs.values()
   (task,) = job.tasks.values()
   job.task_done(task)
-  task.previous_run = run.id
+  task.previous_runs.add(run)
   answer(owner, record, 0.01, running=(model.ActiveRun(run.id, 10),))
   assert not logged(owner.take_effects(), "run_duplicate")
+
+
+def run_found_elsewhere(owner, number: int):
+  """Lists a run of the started job's task at another endpoint; returns it.
+
+  An earlier holder has started it there, and counted its attempts anew.
+  """
+  other = dataclasses.replace(
+      ENDPOINT, id=f"i-{number}", address=settings.Address("10.0.0.2", number)
+  )
+  listed = [record.info for record in owner.endpoints.values()]
+  leases.handle_endpoint_list(owner, (*listed, other))
+  record = owner.endpoints[other.id]
+  run_id = model.RunId(model.Task("j", 0, 0), 1)
+  answer(owner, record, 0.01, running=(model.ActiveRun(run_id, 40),))
+  return record, record.runs[run_id]
+
+
+def test_end_of_a_run_with_the_same_number_elsewhere_is_not_the_current_ones():
+  """The endpoint that lists the end isn't the one that the task runs on."""
+  owner = new_owner()
+  record = known_endpoint(owner)
+  current = start_job(owner, record)
+  other, found = run_found_elsewhere(owner, 2)
+  assert found.id == current.id
+  ended = (model.EndedRun(1, found.id, model.RunOutcome.LOST),)
+  owner.take_effects()
+  answer(owner, other, 0.3, ended=ended)
+  (job,) = owner.jobs.values()
+  (task,) = job.tasks.values()
+  assert task.state is ownerstate.TaskState.ACTIVE
+  assert started(owner) == []
+
+
+def started(owner) -> list[model.RunId]:
+  effects = owner.take_effects()
+  return [e.run for e in effects if isinstance(e, events.StartRun)]
