The next holder takes over runs of later steps

Cause: the next holder isn't told which tasks of a best-effort job are done, nor of a kept job between a step's end and its write. It counted a step that was done as not begun and the next one as blocked, took over only runs of tasks that wait, and forgot the others: step 0 ran again, and then step 1 beside the run that went on.

Change: a run or the end of a run that is found shows that the steps before it are done, since no task starts before them; they are marked so, and the run is taken over. A run that can't be taken over holds its task back until it has ended.

--- a/fescueturn/explain.py
+++ b/fescueturn/explain.py
@@ -72,6 +72,10 @@
     "run_adopted": (
         "task {step}.{task} was found running on {endpoint} and taken over"
     ),
+    "steps_found_done": (
+        "the run of task {step}.{task} that was found shows that the steps"
+        " before it are done ({tasks} tasks)"
+    ),
     "run_ended": (
         "task {step}.{task} (attempt {attempt}) on {endpoint} ended '{how}':"
         " {why}"
--- a/fescueturn/scheduler/leases.py
+++ b/fescueturn/scheduler/leases.py
@@ -414,7 +414,8 @@
   task = job.tasks.get(run.id.task) if job else None
   if task is None or run.duplicate_logged:
     return
-  if task.is_current(run) or run in task.previous_runs:
+  is_own = run.need is not None
+  if task.is_current(run) or (is_own and run in task.previous_runs):
     return
   if task.run is None and task.state is not ownerstate.TaskState.DONE:
     return
@@ -435,12 +436,18 @@
 
 
 def adopt_run(owner, record, run: endpointruns.Run):
-  """Assigns a run found at an endpoint to its task, if its job is known."""
+  """Assigns a run found at an endpoint to its task, if its job is known.
+
+  A task that needs no run, or has another one, waits for the end of this one
+  before it is started again.
+  """
   job = owner.by_id.get(run.id.task.job_id)
-  if job is None:
+  task = job.tasks.get(run.id.task) if job else None
+  if task is None:
     return
-  task = job.tasks.get(run.id.task)
-  if task is None or task.state is not ownerstate.TaskState.WAITING:
+  outcomes.complete_steps_before(owner, job, task, run.id)
+  if task.state is not ownerstate.TaskState.WAITING:
+    task.previous_runs.add(run)
     return
   record.adopt(run, task.step.need, task.step.estimate_ms)
   job.waiting.remove(task)
--- a/fescueturn/scheduler/offers.py
+++ b/fescueturn/scheduler/offers.py
@@ -258,6 +258,7 @@
   if task is None:
     return
   task.attempt = max(task.attempt, run.id.attempt)
+  outcomes.complete_steps_before(owner, job, task, run.id)
   if run.need is None and run.state is endpointruns.RunState.RUNNING:
     leases.adopt_run(owner, record, run)
   elif not run.abandoned:
--- a/fescueturn/scheduler/outcomes.py
+++ b/fescueturn/scheduler/outcomes.py
@@ -129,6 +129,41 @@
   job.task_done(task)
 
 
+def complete_steps_before(
+    owner,
+    job: ownerstate.JobRecord,
+    task: ownerstate.TaskRecord,
+    run_id: model.RunId,
+):
+  """Marks the steps before a task as done, as a run of it was found.
+
+  No task is started before they are. The ends of their runs may have been
+  acknowledged to an earlier holder, which was lost before they were stored.
+  """
+  before = job.steps_before(task.task.step)
+  missing = [
+      other
+      for other in job.tasks.values()
+      if other.task.step in before
+      and other.state is not ownerstate.TaskState.DONE
+  ]
+  if not missing:
+    return
+  for other in missing:
+    _complete_task(owner, job, other)
+  owner.emit(
+      events.log(
+          "steps_found_done",
+          job=job.job.id,
+          step=task.task.step,
+          task=task.task.index,
+          attempt=run_id.attempt,
+          tasks=len(missing),
+          fence=owner.fence,
+      )
+  )
+
+
 def apply_early_result(
     owner,
     job: ownerstate.JobRecord,
@@ -139,6 +174,8 @@
   task = job.tasks.get(name)
   if task is None:
     return
+  run_id = model.RunId(name, early.attempt)
+  complete_steps_before(owner, job, task, run_id)
   if early.how is model.RunOutcome.DONE:
     _complete_task(owner, job, task)
   elif task.state is ownerstate.TaskState.WAITING:
--- a/fescueturn/scheduler/ownerstate.py
+++ b/fescueturn/scheduler/ownerstate.py
@@ -156,6 +156,17 @@
         self._offer, age_s=now - self.arrived, remaining_s=self.deadline - now
     )
 
+  def steps_before(self, number: int) -> set[int]:
+    """Returns the steps that must be done before a step can start."""
+    before: set[int] = set()
+    to_visit = list(self.job.steps[number].after)
+    while to_visit:
+      earlier = to_visit.pop()
+      if earlier not in before:
+        before.add(earlier)
+        to_visit += self.job.steps[earlier].after
+    return before
+
   def release_steps(self):
     """Queues the blocked tasks whose preceding steps are all done."""
     for record in self.tasks.values():
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -318,3 +318,17 @@
 def started(owner) -> list[model.RunId]:
   effects = owner.take_effects()
   return [e.run for e in effects if isinstance(e, events.StartRun)]
+
+
+def test_task_waits_for_the_ends_of_all_runs_that_were_found():
+  """Earlier holders' runs of it go on at two endpoints, and end in turn."""
+  owner = new_owner()
+  record = known_endpoint(owner)
+  current = start_job(owner, record)
+  found = [run_found_elsewhere(owner, number) for number in (2, 3)]
+  lost = model.RunOutcome.LOST
+  answer(owner, record, 0.1, ended=(model.EndedRun(1, current.id, lost),))
+  for other, run in found:
+    assert started(owner) == []
+    answer(owner, other, 0.2, ended=(model.EndedRun(1, run.id, lost),))
+  assert len(started(owner)) == 1
--- a/tests/test_spec.py
+++ b/tests/test_spec.py
@@ -60,6 +60,7 @@
         ("starts.pml", []),
         ("succession.pml", []),
         ("offers.pml", []),
+        ("steps.pml", []),
     ],
 )
 def test_protocol_holds(tmp_path, spec, defines):
@@ -164,6 +165,9 @@
         ("offers.pml", "-DKEEP", WANTED),
         ("offers.pml", "-DONCE", WANTED),
         ("offers.pml", "-DOLD_LINK", WANTED),
+        ("steps.pml", "-DADOPT_WAITING", ONE_RUN),
+        ("steps.pml", "-DNO_REPORT", ONE_RUN),
+        ("steps.pml", "-DNO_STORE", "!((kept&&acknowledged["),
         ("settings.pml", "-DNO_CAS", "base_of[revision]==(revision-1)"),
         ("settings.pml", "-DNO_MONOTONIC", "applied[h]>=highest[h]"),
     ],
