A step that finds no endpoint now holds no other step back

What callers saw: a job of two steps that can start together began neither, while no endpoint had room, or the label, for the first of them.

Cause: a job's waiting tasks were started in their order, up to the first that found no endpoint.

Change: only the other tasks of the same step, which ask the same of their endpoints, are passed over with it.

Test: test_step_that_finds_no_endpoint_now_holds_no_other_step_back failed before (nothing started).

--- a/fescueturn/scheduler/runcontrol.py
+++ b/fescueturn/scheduler/runcontrol.py
@@ -41,12 +41,17 @@
   """Starts as many of a job's waiting tasks as there is capacity for."""
   is_first = not job.begun
   started = []
+  # Steps whose tasks can't start anywhere now.
+  full_steps: set[int] = set()
   for task in list(job.waiting):
+    if task.task.step in full_steps:
+      continue
     if task.previous_runs or crashes.blocks_start(owner, job, task):
       continue
     record = _choose_endpoint(owner, job, task)
     if record is None:
-      break
+      full_steps.add(task.task.step)
+      continue
     _start_task(owner, job, task, record)
     started.append(task)
   if started:
--- a/tests/test_kept_jobs.py
+++ b/tests/test_kept_jobs.py
@@ -420,3 +420,20 @@
   assert [r.task.job_id for r in emulation.endpoints[second].starts].count("k")
   assert emulation.broken == []
   assert model.Task("k", 0, 0) in emulation.acknowledged_done
+
+
+def test_step_that_finds_no_endpoint_now_holds_no_other_step_back():
+  """The only endpoint with enough free CPU for the first step is full."""
+  emulation = fleets.fleet(endpoints=2)
+  emulation.add_endpoint("z", "a", cpu=200000)
+  emulation.clock.run_until(6.0)
+  small = model.Step(1, model.Resources(1000, 64, 0), 100)
+  wide = model.Step(1, model.Resources(200000, 64, 0), 800)
+  full = dataclasses.replace(job("full", 1, 800), steps=(wide,))
+  submit(emulation, "a0", full)
+  emulation.clock.run_until(6.2)
+  both = dataclasses.replace(job("j", 1, 800), steps=(wide, small))
+  emulation.submit("a0", both, [0.8, 0.1], 3.0)
+  emulation.clock.run_until(6.4)
+  started = [r for e in emulation.endpoints.values() for r in e.starts]
+  assert [r.task.step for r in started if r.task.job_id == "j"] == [1]
