Jobs leave a data centre whose endpoints can't run them

Cause: what a job asks of its endpoints (label, resources of a task) was looked at when a task was placed, and neither at admission nor when endpoints go; nothing but an evacuation moved an accepted job.

Change: offers are declined if a step can't be run by the holder's endpoints, and a job that no endpoint anywhere can run is refused at once with a Retry-After. A best-effort job that can't be finished goes back to its coordinator, a kept one is moved by the write that evacuations use, once no unknown run of it may be active. The next holder is told of it until it knows it. Jobs that no endpoint can run don't count as work ahead of others.

Why it works: a move is conditional on the holder's claim and last write (spec/moves.pml, new mutant MOVE_UNREPORTED), and either holder's successor reads all records.

--- a/fescueturn/codes.py
+++ b/fescueturn/codes.py
@@ -51,6 +51,7 @@
   NO_QUEUE = 215
   NO_JOB = 216
   ENDPOINTS_CRASHED = 217
+  NO_ENDPOINT_FITS = 218
   # The platform's key-value store.
   KV_CONFLICT = 300
   KV_UNAVAILABLE = 301
--- a/fescueturn/explain.py
+++ b/fescueturn/explain.py
@@ -48,6 +48,10 @@
         " tasks:wait:age): {room}"
     ),
     "job_over": "its holder finished it after {age_ms} ms: {why}",
+    "job_leaves": (
+        "no endpoint of its data centre could run it for {waited_ms} ms; can be"
+        " run in: {others}"
+    ),
     "job_resumed": (
         "accepted with offer {offer} as a job that may have run before, with"
         " fencing token {fence}: {waiting} tasks wait, {at_work} run,"
--- a/fescueturn/platform/callers.py
+++ b/fescueturn/platform/callers.py
@@ -16,6 +16,7 @@
 from fescueturn.scheduler import events
 from fescueturn.scheduler import host as host_lib
 from fescueturn.scheduler import hostmetrics
+from fescueturn.scheduler import linkmessages
 from fescueturn.scheduler import model
 from fescueturn.scheduler import routes
 
@@ -36,6 +37,7 @@
 _NOT_RUN_RESPONSES = {
     "no_room": (429, codes.Code.NO_ROOM),
     "no_room_in_time": (429, codes.Code.NO_ROOM),
+    linkmessages.NO_ENDPOINT_FITS: (429, codes.Code.NO_ENDPOINT_FITS),
     "store_away": (503, codes.Code.KV_UNAVAILABLE),
     "store_busy": (503, codes.Code.KV_UNAVAILABLE),
 }
--- a/fescueturn/scheduler/coordinator.py
+++ b/fescueturn/scheduler/coordinator.py
@@ -245,7 +245,10 @@
     # A later offer to the same holder may have been accepted.
     return
   room = state.holders[record.shard].room
+  # A job that no endpoint there can run tells nothing of the room for others.
+  is_unfit = message.reason == linkmessages.NO_ENDPOINT_FITS
   was_likely = record.choice is not None and record.choice.likely
+  was_likely = was_likely and not is_unfit
   room.record_decline(record.job, was_likely, state.now)
   room.update(message.room, record.offered_at)
   answer = "offers_put_off" if message.in_time else "offers_declined"
@@ -261,7 +264,9 @@
     return
   record.wait_ms_by_shard.pop(record.shard, None)
   record.declined_by.add(record.shard)
-  if message.wait_ms:
+  if is_unfit:
+    record.reason = record.reason or message.reason
+  elif message.wait_ms:
     record.reason = message.reason
     record.wait_ms = max(record.wait_ms, message.wait_ms)
     best_ms = record.best_wait_ms
--- a/fescueturn/scheduler/coordinatorstate.py
+++ b/fescueturn/scheduler/coordinatorstate.py
@@ -3,6 +3,7 @@
 import collections
 import dataclasses
 import enum
+import math
 
 from fescueturn.scheduler import endpointlist
 from fescueturn.scheduler import evacuation
@@ -116,6 +117,21 @@
   until: float
 
 
+class MovedJob:
+  """A kept job that was moved to another shard.
+
+  Attributes:
+    shard: the shard.
+    until: until when its holder is told of the job (s).
+    told_at: when it was last told (s).
+  """
+
+  def __init__(self, shard: model.Shard, until: float):
+    self.shard = shard
+    self.until = until
+    self.told_at = -math.inf
+
+
 class JobQuery:
   """A query about a kept job, shared by all callers that make the same one.
 
@@ -228,6 +244,9 @@
     # The numbers of the last offers of jobs that were answered, each with the
     # time of the answer (s), in the order of these times.
     self._last_offers: dict[str, tuple[int, float]] = {}
+    # Kept jobs that this host's shards have moved away, by id, until the holder
+    # of their new shard knows them.
+    self.moved_jobs: dict[str, MovedJob] = {}
     self.queries: dict[tuple[str, bool], JobQuery] = {}
     self.pinged_at = 0.0
     self.remote_pinged_at = 0.0
--- a/fescueturn/scheduler/decisions/placing.py
+++ b/fescueturn/scheduler/decisions/placing.py
@@ -18,6 +18,7 @@
 from fescueturn.scheduler import endpointstate
 from fescueturn.scheduler import model
 from fescueturn.scheduler.decisions import leaving
+from fescueturn.scheduler.decisions import suitability
 
 # Decimal digits to which slowness is rounded: endpoints that round to the same
 # value count as equally fast. Slowness is learnt from run times whose estimates
@@ -82,7 +83,7 @@
       record.info.service == wanted.service
       and record.fits(step.need)
       and speed_of(record, now).slowness < wanted.max_slowness
-      and (not step.requires or step.requires in record.info.labels)
+      and suitability.has_label(record.info, step)
       and record.usable(now)
       # A task is moved only once, so it would stay there.
       and not (record.slow and record.info.id == wanted.moved_from)
--- a/fescueturn/scheduler/forecast.py
+++ b/fescueturn/scheduler/forecast.py
@@ -7,6 +7,8 @@
 from fescueturn.scheduler import linkmessages
 from fescueturn.scheduler import model
 from fescueturn.scheduler import ownerstate
+from fescueturn.scheduler import unplaceable
+from fescueturn.scheduler.decisions import suitability
 
 # Retry delay that a holder without a usable endpoint returns.
 NO_ENDPOINT_RETRY_S = 1.0
@@ -36,19 +38,36 @@
   reserved_slots: int = 0
 
 
-_NO_ENDPOINT = Forecast(NO_ENDPOINT_RETRY_S, NO_ENDPOINT_RETRY_S)
+# That of an owner without a usable endpoint for the job.
+NO_ENDPOINT = Forecast(NO_ENDPOINT_RETRY_S, NO_ENDPOINT_RETRY_S)
 
 
 def forecast(owner: ownerstate.Owner, offer: linkmessages.Offered) -> Forecast:
   """Forecasts an offered job's delay behind the running and waiting tasks."""
+  first_steps = [s for s in offer.job.steps if not s.after]
+  if offer.job.kept:
+    # The others are run in other data centres.
+    first_steps = (
+        unplaceable.runnable_first_steps(owner, offer.job) or first_steps
+    )
+  by_label: dict[str, list[model.Step]] = {}
+  for step in first_steps:
+    by_label.setdefault(step.requires, []).append(step)
+  forecasts = [_forecast(owner, offer, steps) for steps in by_label.values()]
+  return max(forecasts, key=lambda f: (f.late_s, f.wait_s))
+
+
+def _forecast(
+    owner, offer: linkmessages.Offered, steps: list[model.Step]
+) -> Forecast:
+  """Forecasts the delay by the first steps that require the same label."""
   job = offer.job
-  first_steps = [s for s in job.steps if not s.after]
-  longest = max(first_steps, key=lambda s: s.estimate_ms)
-  count = sum(s.count for s in first_steps)
+  longest = max(steps, key=lambda s: s.estimate_ms)
+  count = sum(s.count for s in steps)
   records = [
       r
       for r in owner.endpoints.values()
-      if r.info.service == job.service
+      if suitability.can_run(r.info, job.service, longest)
       and (
           r.usable(owner.now)
           or (owner.awaiting_endpoints and r.may_have_capacity)
@@ -71,7 +90,7 @@
         slot_times, ahead, count, run_s, owner.now
     )
   if finish_s is None:
-    return _NO_ENDPOINT
+    return NO_ENDPOINT
   unqueued_s = run_s * _waves(count, free + taken - reserved_slots)
   wait_s = finish_s - unqueued_s
   finish_s += max(0.0, critical_path_s - unqueued_s)
@@ -111,6 +130,7 @@
       task.estimate_s
       for job in owner.jobs.values()
       if job.latest_start <= latest_start
+      and job.stranded_since is None
       and not owner.may_have_unknown_runs(job)
       for task in job.waiting
   ]
--- a/fescueturn/scheduler/jobdispatch.py
+++ b/fescueturn/scheduler/jobdispatch.py
@@ -25,6 +25,9 @@
 # Retry-After while every data centre is evacuated: the operator ends
 # evacuations one by one, after minutes.
 EVACUATED_RETRY_AFTER_S = 5
+# Retry-After of a job that no endpoint can run. Entries that expired while the
+# store was unavailable return within this.
+NO_ENDPOINT_FITS_RETRY_AFTER_S = 2
 # A holder ends a job at its caller's deadline, counted from the arrival of the
 # offer. No offer is read later than this: a connection fails when data stays
 # unacknowledged for 1.5 s, and a host may stand still for 3 s before it reads
@@ -262,6 +265,8 @@
   """Returns the Retry-After (s) of a refused job."""
   if reason == _EVACUATED and _all_evacuated(state):
     return EVACUATED_RETRY_AFTER_S
+  if reason == linkmessages.NO_ENDPOINT_FITS:
+    return NO_ENDPOINT_FITS_RETRY_AFTER_S
   return refusals.retry_after_s(state, record, reason) or RETRY_AFTER_S
 
 
--- a/fescueturn/scheduler/jobqueries.py
+++ b/fescueturn/scheduler/jobqueries.py
@@ -18,6 +18,10 @@
 # time, which is longer than it takes to store that a job has ended.
 STATE_QUERY_TIMEOUT_S = 0.25
 
+# How long the holder of a job's new shard is told of the job (s), after a move. A
+# change of holder takes some seconds; the next one finds it in the store.
+TELL_OF_MOVE_S = 30.0
+
 _OUTCOMES = {
     model.KeptJobState.OPEN: model.Outcome.KEPT,
     model.KeptJobState.DONE: model.Outcome.DONE,
@@ -52,6 +56,27 @@
   _send(state, query)
 
 
+def announce_move(
+    state: coordinatorstate.Coordinator, job_id: str, shard: model.Shard
+):
+  """Has the holder of a job's new shard look for it in the store."""
+  until = state.now + TELL_OF_MOVE_S
+  state.moved_jobs[job_id] = coordinatorstate.MovedJob(shard, until)
+  _tell_of_moves(state)
+
+
+def _tell_of_moves(state):
+  """Queries moved jobs until the holders of their new shards know them."""
+  for job_id, moved in list(state.moved_jobs.items()):
+    if moved.until <= state.now:
+      del state.moved_jobs[job_id]
+    elif state.now - moved.told_at > QUERY_RETRY_DELAY_S:
+      moved.told_at = state.now
+      query = keptevents.KeptJobQuery(moved.shard, state.me, job_id, False)
+      if moved.shard in state.holders:
+        state.send_to_holder(moved.shard, query)
+
+
 def _send(state, query: coordinatorstate.JobQuery):
   holder = state.holders.get(query.shard)
   if holder is None or holder.lost:
@@ -69,6 +94,9 @@
     message: keptevents.KeptJobReply,
 ):
   """Handles a holder's reply: answers the callers that wait for it."""
+  moved = state.moved_jobs.get(message.job_id)
+  if moved is not None and moved.shard == shard and message.state is not None:
+    del state.moved_jobs[message.job_id]
   key = (message.job_id, message.cancel)
   query = state.queries.get(key)
   if query is None or query.shard != shard:
@@ -83,6 +111,7 @@
 
 def tick(state: coordinatorstate.Coordinator):
   """Retries queries, and drops those that no caller waits for any more."""
+  _tell_of_moves(state)
   for key, query in list(state.queries.items()):
     expired = [i for i, end in query.requests.items() if end <= state.now]
     for request_id in expired:
--- a/fescueturn/scheduler/keptjobs.py
+++ b/fescueturn/scheduler/keptjobs.py
@@ -203,6 +203,7 @@
   job_id = change.kept.job.id
   owner.kept_records.moving.pop(job_id)
   owner.kept_records.moved.add(job_id)
+  owner.moved_jobs.append((job_id, change.to))
   results = owner.kept_records.pop_all_results(job_id)
   _acknowledge_results(owner, job_id, results)
   job = owner.by_id.pop(job_id)
@@ -312,7 +313,11 @@
       cancel and job_id in kept_records.unsaved_offers
   ):
     return  # The queries are answered when the state is stored.
-  _answer_queries(owner, job_id, _state_of(owner, job_id))
+  state = _state_of(owner, job_id)
+  if state is None:
+    # Another shard's holder may have moved it here.
+    request_open_list(owner)
+  _answer_queries(owner, job_id, state)
 
 
 def _state_of(owner, job_id: str) -> model.KeptJobState | None:
--- a/fescueturn/scheduler/leases.py
+++ b/fescueturn/scheduler/leases.py
@@ -63,6 +63,9 @@
   own_endpoints = {
       e.id: e for e in listed if e.data_centre == owner.shard.data_centre
   }
+  owner.listed_elsewhere = tuple(
+      e for e in listed if e.data_centre != owner.shard.data_centre
+  )
   # The store may have answered at once, and the answer have waited to be read.
   read_at = owner.now - took_s
   owner.shared_list.update(tuple(own_endpoints.values()), read_at)
--- a/fescueturn/scheduler/linkmessages.py
+++ b/fescueturn/scheduler/linkmessages.py
@@ -157,6 +157,10 @@
   number: int
 
 
+# Reason of a declined job that no endpoint of the holder can run.
+NO_ENDPOINT_FITS = "no_endpoint_fits"
+
+
 @dataclasses.dataclass(frozen=True)
 class Declined:
   """The holder declined the job; none of its tasks has run or will run.
--- a/fescueturn/scheduler/offers.py
+++ b/fescueturn/scheduler/offers.py
@@ -12,10 +12,14 @@
 from fescueturn.scheduler import ownerroom
 from fescueturn.scheduler import ownerstate
 from fescueturn.scheduler import runcontrol
+from fescueturn.scheduler import unplaceable
 
 # Retry delay that a holder in an evacuated data centre returns. An evacuation
 # lasts minutes, and the job is offered to other data centres in the meantime.
 EVACUATED_RETRY_MS = 5000
+# Retry delay that a holder returns for a job that none of its endpoints can
+# run. Entries that expired while the store was unavailable return within this.
+NO_ENDPOINT_FITS_RETRY_MS = 2000
 # A job that starts within this time counts as starting immediately. Asking
 # another data centre takes a round trip of 1 to 2 ms and may find it full, too.
 IMMEDIATE_START_S = 0.005
@@ -124,6 +128,9 @@
   forecast_lib.record_demand(owner, offer)
   if offer.resumed or (owner.awaiting_endpoints and not owner.endpoints):
     return True
+  if not unplaceable.accepts(owner, offer.job):
+    _decline_unplaceable(owner, offer)
+    return False
   forecast = forecast_lib.forecast(owner, offer)
   if forecast.late_s or _waits_too_long(offer, forecast):
     _decline_by_forecast(owner, offer, forecast)
@@ -131,6 +138,15 @@
   return True
 
 
+def _decline_unplaceable(owner, offer: linkmessages.Offered):
+  if unplaceable.may_be_back(owner, offer.job):
+    _decline_by_forecast(owner, offer, forecast_lib.NO_ENDPOINT)
+    return
+  owner.counters["declined"] += 1
+  reason = linkmessages.NO_ENDPOINT_FITS
+  decline(owner, offer, reason, NO_ENDPOINT_FITS_RETRY_MS)
+
+
 def _waits_too_long(
     offer: linkmessages.Offered, forecast: forecast_lib.Forecast
 ) -> bool:
--- a/fescueturn/scheduler/owner.py
+++ b/fescueturn/scheduler/owner.py
@@ -18,6 +18,7 @@
 from fescueturn.scheduler import runpace
 from fescueturn.scheduler import selffencing
 from fescueturn.scheduler import stragglers
+from fescueturn.scheduler import unplaceable
 
 # How long a run found at an endpoint after a takeover may go without a known
 # job before it is stopped. A coordinator learns of the new holder through the
@@ -39,6 +40,7 @@
   _end_overdue_jobs(owner)
   selffencing.tick(owner)
   hand_back_jobs(owner)
+  unplaceable.tick(owner)
   for record in list(owner.endpoints.values()):
     _check_endpoint(owner, record)
   runpace.tick(owner)
@@ -95,20 +97,36 @@
 
 
 def move_kept_jobs(owner: ownerstate.Owner, shards: list[model.Shard]):
-  """Moves the kept jobs that are being handed back to other shards.
+  """Moves the kept jobs that can't be run here, or not now, to other shards.
 
   Args:
     owner: the owner.
     shards: the shards that accept jobs.
   """
   for job in list(owner.jobs.values()):
-    if not (job.returning and job.job.kept) or job.active:
+    if not job.job.kept or job.active:
       continue
-    if shards and owner.evacuated:
-      shard_index = zlib.crc32(job.job.id.encode()) % len(shards)
-      keptjobs.move(owner, job, shards[shard_index])
+    if not (job.returning or unplaceable.must_leave(owner, job)):
+      continue
+    targets = _targets(owner, job, shards)
+    if targets and not job.returning:
+      unplaceable.leave(owner, job, {s.data_centre for s in targets})
+    if targets:
+      shard_index = zlib.crc32(job.job.id.encode()) % len(targets)
+      keptjobs.move(owner, job, targets[shard_index])
     elif not owner.evacuated and job.job.id not in owner.kept_records.moving:
-      job.returning = False  # The evacuation is over: the job stays here.
+      job.returning = False  # It stays here.
+
+
+def _targets(
+    owner, job: ownerstate.JobRecord, shards: list[model.Shard]
+) -> list[model.Shard]:
+  """Returns the shards to one of which a kept job is to move, if any."""
+  fitting = unplaceable.destinations(owner, job)
+  targets = [shard for shard in shards if shard.data_centre in fitting]
+  if owner.evacuated:
+    return targets or shards
+  return targets if unplaceable.cant_go_on(owner, job) else []
 
 
 def _check_endpoint(owner, record: endpointstate.EndpointRecord):
--- a/fescueturn/scheduler/ownerroom.py
+++ b/fescueturn/scheduler/ownerroom.py
@@ -34,7 +34,7 @@
               sum(task.step.estimate_ms for task in job.waiting),
           )
           for job in owner.jobs.values()
-          if job.waiting
+          if job.waiting and job.stranded_since is None
       ],
   )
   owner.room_report = (owner.now, made)
--- a/fescueturn/scheduler/ownerstate.py
+++ b/fescueturn/scheduler/ownerstate.py
@@ -106,6 +106,8 @@
     begun: True once the start of a run was requested.
     offer_number: the number of the latest offer of it.
     returning: True if it is to be handed back once none of its runs is active.
+    stranded_since: since when no endpoint here can run what is left of it (s);
+      None while one can.
   """
 
   def __init__(
@@ -121,6 +123,7 @@
     self.begun = offer.resumed
     self.offer_number = offer.number
     self.returning = False
+    self.stranded_since: float | None = None
     self.tasks: dict[model.Task, TaskRecord] = {}
     self.waiting: list[TaskRecord] = []
     self.unfinished = [step.count for step in self.job.steps]
@@ -167,6 +170,16 @@
         to_visit += self.job.steps[earlier].after
     return before
 
+  def steps_to_start(self) -> set[int]:
+    """Returns the steps with tasks that wait, or that are blocked."""
+    waiting = {task.task.step for task in self.waiting}
+    blocked = {
+        number
+        for number, step in enumerate(self.job.steps)
+        if any(self.unfinished[i] for i in step.after)
+    }
+    return waiting | blocked
+
   def release_steps(self):
     """Queues the blocked tasks whose preceding steps are all done."""
     for record in self.tasks.values():
@@ -279,9 +292,15 @@
     # How long finished kept jobs stay known (s).
     self.ended_job_retention_s = ended_job_retention_s
     self.kept_records = keptrecords.KeptRecords()
+    # Kept jobs moved to other shards, whose holders aren't told of them yet.
+    self.moved_jobs: list[tuple[str, model.Shard]] = []
     self.endpoints = placing.EndpointTable()
     # Incarnations that are listed although another one answers at the address.
     self.dead_incarnations: set[tuple[str, settings.Address, int]] = set()
+    # The other data centres' endpoints, as last listed.
+    self.listed_elsewhere: tuple[model.Endpoint, ...] = ()
+    # When it was last checked whether the jobs can be run here (s).
+    self.jobs_checked_at = now
     # The number of listed endpoints of each size, by service.
     self._sizes: dict[str, collections.Counter[_EndpointSize]] = {}
     self.jobs: dict[linkmessages.JobKey, JobRecord] = {}
--- a/fescueturn/scheduler/reducer.py
+++ b/fescueturn/scheduler/reducer.py
@@ -267,6 +267,16 @@
   return handle
 
 
+def _on_kept_jobs_written(state, event: keptevents.KeptJobsWritten):
+  owner = state.owners.get(event.shard)
+  if owner is None:
+    return
+  keptjobs.handle_write_result(owner, event)
+  moved, owner.moved_jobs = owner.moved_jobs, []
+  for job_id, shard in moved:
+    jobqueries.announce_move(state.coordinator, job_id, shard)
+
+
 def _on_tick(state, event: events.Tick) -> list:
   seen_at = event.callers_seen_at
   coordinator.tick(state.coordinator, state.now if seen_at is None else seen_at)
@@ -284,19 +294,19 @@
 
 
 def _move_kept_jobs(state, owner: ownerstate.Owner):
-  """Moves kept jobs out of evacuated data centres.
+  """Moves kept jobs that can't be run in their data centre, or not now.
 
-  Also lists the shard's open jobs, to find jobs that were moved to it.
+  While data centres are evacuated, it also lists the shard's open jobs, to find
+  jobs that were moved to it.
   """
-  if not state.evacuations.any_recent(state.now):
-    return
   shards = [
       shard
       for shard in state.coordinator.holders
       if shard != owner.shard and jobdispatch.usable(state.coordinator, shard)
   ]
   owner_lib.move_kept_jobs(owner, sorted(shards, key=lambda s: s.data_centre))
-  keptjobs.request_open_list(owner)
+  if state.evacuations.any_recent(state.now):
+    keptjobs.request_open_list(owner)
 
 
 def _handle_own_pause(state, is_tick: bool):
@@ -387,7 +397,7 @@
     keptevents.KeptJobQueryArrived: _for_coordinator(jobqueries.handle_query),
     keptevents.KeptJobQuery: _on_kept_job_query,
     keptevents.KeptJobsLoaded: _for_owner(keptjobs.handle_records_loaded),
-    keptevents.KeptJobsWritten: _for_owner(keptjobs.handle_write_result),
+    keptevents.KeptJobsWritten: _on_kept_jobs_written,
     keptevents.EndedJobsListed: _for_owner(keptjobs.handle_ended_list),
     keptevents.OpenJobsListed: _for_owner(keptjobs.handle_open_list),
 }
--- a/spec/moves.pml
+++ b/spec/moves.pml
@@ -1,17 +1,19 @@
 /* One kept job of one task, two data centres, and evacuations at any time.
  *
- * The holder of an evacuated data centre starts nothing; once none of the job's
- * runs is left there, it moves the job to the other data centre's records. The
+ * The holder of an evacuated data centre, or of one whose endpoints can't run the
+ * job, starts nothing; once none of the job's runs is left there, it moves the job to the other data centre's records. The
  * move is conditional on the holder's claim and on its previous write; it may
  * lose its answer, or take effect late. Each holder reads its own records from
  * time to time and adopts the jobs that it does not know, except those that it
  * has moved away since that read began. The first holder of data centre 0 may be
- * replaced at any point. shards.pml checks that endpoints obey one holder at a
+ * replaced at any point; the next one doesn't know of runs before the endpoints have
+ * reported to it, which fences the first one off. shards.pml checks that endpoints obey one holder at a
  * time.
  *
  * Mutants, in each of which spin must find a violation (tests/test_spec.py):
  *  -DNO_HEAD       a move is unconditional;
  *  -DMOVE_RUNNING  a job is moved while it runs;
+ *  -DMOVE_UNREPORTED  a job is moved before the endpoints have reported;
  *  -DSTALE_LIST    a job that was moved away since the read began is adopted;
  *  -DGUESS         a holder continues with a job whose move got no answer.
  */
@@ -24,7 +26,7 @@
 byte claim[2] = 1;         /* the holder's fencing token according to the store */
 byte obeys[2] = 1;         /* the highest fencing token the endpoints have seen */
 bool running[2];           /* the task runs at the data centre's endpoints */
-bool evacuated[2];
+bool evacuated[2];         /* or its endpoints can't run the job */
 byte slow = 0;
 byte moves = 0;
 
@@ -38,8 +40,10 @@
 
 #ifdef MOVE_RUNNING
 #define MAY_MOVE (true)
+#elif defined(MOVE_UNREPORTED)
+#define MAY_MOVE (obeys[s] != fence || !running[s])
 #else
-#define MAY_MOVE (!running[s])
+#define MAY_MOVE (obeys[s] == fence && !running[s])
 #endif
 
 #ifdef STALE_LIST
@@ -110,8 +114,7 @@
   bool moving = false;
   atomic {
     /* The holder takes the records over, then reads them. */
-    claim[s] = fence; obeys[s] = fence;
-    if :: fence > 1 -> head[s]++ :: else -> skip fi;
+    if :: fence > 1 -> claim[s] = fence; head[s]++ :: else -> skip fi;
     after = head[s]
   };
   has = (place == s);
@@ -120,11 +123,12 @@
   :: has && !moving && !evacuated[s] && obeys[s] == fence && !running[s] ->
      if
      :: start()
-     :: obeys[s] != fence -> break
+     :: obeys[s] > fence -> break
      fi
   :: running[s] && obeys[s] == fence -> running[s] = false
-  :: has && !moving && evacuated[s] && obeys[s] == fence && MAY_MOVE &&
-     moves < MAX_MOVES -> moves++; move()
+  :: obeys[s] < fence -> obeys[s] = fence    /* The endpoints report. */
+  :: has && !moving && evacuated[s] && MAY_MOVE && moves < MAX_MOVES ->
+     moves++; move()
   :: !reads -> atomic { reads = true; moved = false; listed = (place == s) }
   :: reads -> atomic {
        reads = false;
@@ -133,7 +137,7 @@
        :: else -> skip
        fi
      }
-  :: obeys[s] != fence -> break
+  :: obeys[s] > fence -> break
   od
 }
 
--- a/tests/test_spec.py
+++ b/tests/test_spec.py
@@ -145,6 +145,7 @@
         ("kept.pml", "-DACCEPT_FIRST", "( !(accepted)||(seen!=0))"),
         ("moves.pml", "-DNO_HEAD", ONE_DATA_CENTRE),
         ("moves.pml", "-DMOVE_RUNNING", ONE_DATA_CENTRE),
+        ("moves.pml", "-DMOVE_UNREPORTED", ONE_DATA_CENTRE),
         ("moves.pml", "-DSTALE_LIST", ONE_DATA_CENTRE),
         ("moves.pml", "-DGUESS", ONE_DATA_CENTRE),
         ("losses.pml", "-DNO_STORE", MORE_STARTS),
