A holder without a list of endpoints doesn't say that none fits

What callers saw: a job refused as one that no endpoint can run (code 218, Retry-After 2 s) by a new holder that hadn't got the list of endpoints within 0.1 s of its claim.

Cause: no known endpoint was taken for no fitting endpoint.

Change: before the list was read the offer is declined for want of room, as before (code 211, 1 s).

Test: test_new_holder_says_that_no_endpoint_fits_only_if_it_knows_them[False] failed before.

--- a/fescueturn/scheduler/unplaceable.py
+++ b/fescueturn/scheduler/unplaceable.py
@@ -40,7 +40,12 @@
 
 
 def may_be_back(owner: ownerstate.Owner, job: model.Job) -> bool:
-  """Returns whether only the silence of endpoints keeps a job from running."""
+  """Returns whether endpoints that can run a job may be there, but silent.
+
+  That is also so before the list of endpoints was read.
+  """
+  if owner.listed_at is None:
+    return True
   listed = [r.info for r in owner.endpoints.values() if r.listed]
   return all(
       any(suitability.can_run(info, job.service, step) for info in listed)
--- a/tests/test_unsuited_endpoints.py
+++ b/tests/test_unsuited_endpoints.py
@@ -12,7 +12,11 @@
 from fescueturn.emulator import endpointcalls
 from fescueturn.emulator import silence
 from fescueturn.scheduler import events
+from fescueturn.scheduler import leases
+from fescueturn.scheduler import linkmessages
 from fescueturn.scheduler import model
+from fescueturn.scheduler import offers
+from fescueturn.scheduler import ownerstate
 from tests import fleets
 from tests import test_new_holder
 
@@ -241,3 +245,24 @@
   emulation.clock.run_until(16.0)
   assert emulation.broken == []
   assert emulation.kept_store.states["j"] is model.KeptJobState.DONE
+
+
+@pytest.mark.parametrize("is_listed", [True, False])
+def test_new_holder_says_that_no_endpoint_fits_only_if_it_knows_them(is_listed):
+  """The store is slow to answer with the list of endpoints."""
+  owner = ownerstate.Owner(model.Shard("a"), 7, 0.0)
+  owner.now = 0.5
+  if is_listed:
+    leases.handle_endpoint_list(owner, ())
+  key = linkmessages.JobKey(linkmessages.HostProcess("a0", "1"), "j")
+  new_job = job("j", (PLAIN,), False)
+  offers.handle_offer(
+      owner, linkmessages.Offered(owner.shard, key, new_job, 0.0, 2.0)
+  )
+  sent = [
+      effect.message
+      for effect in owner.take_effects()
+      if isinstance(effect, events.SendToCoordinator)
+  ]
+  reason = linkmessages.NO_ENDPOINT_FITS if is_listed else "no_room"
+  assert [message.reason for message in sent] == [reason]
