A kept job isn't moved before the ends of its runs are heard

What callers would see: a kept task that was done starts again in another data centre after its end was acknowledged.

With 45% of the packets lost, all endpoints of a data centre were silent for 0.3 s; a run there had ended, unheard, and its lease expired.

Change: a job moves only when no listed endpoint still has one of its runs on record.

--- a/fescueturn/scheduler/unplaceable.py
+++ b/fescueturn/scheduler/unplaceable.py
@@ -109,15 +109,29 @@
   if job.job.kept:
     if job.active or not job.waiting:
       return False
-    return not any(
+    can_start = any(
         _can_run_here(owner, job.job, s) for s in _waiting_steps(job)
     )
+    return not (can_start or _has_unheard_end(owner, job))
   return any(
       not _can_run_here(owner, job.job, job.job.steps[number])
       for number in job.steps_to_start()
   )
 
 
+def _has_unheard_end(owner, job: ownerstate.JobRecord) -> bool:
+  """Returns whether the end of one of a job's runs may still be listed here.
+
+  A run whose lease has expired may have been done before that.
+  """
+  return any(
+      run.id.task.job_id == job.job.id
+      for record in owner.endpoints.values()
+      if record.listed
+      for run in record.runs.values()
+  )
+
+
 def tick(owner: ownerstate.Owner):
   """Checks which jobs can't be run here any more, and hands them back.
 
--- a/tests/test_unsuited_endpoints.py
+++ b/tests/test_unsuited_endpoints.py
@@ -22,6 +22,8 @@
 
 SMALL = model.Resources(1000, 64, 0)
 RUN_MS = 800
+# The entry of an endpoint lapses this long after its crash (s).
+ENTRY_S = 4.5
 DEADLINE_S = 8.0
 # Longer than an idle job may wait beside idle endpoints that can run it (s).
 IDLE_LIMIT_S = 3.0
@@ -59,12 +61,10 @@
   """Takes the data centre's special endpoint out of service."""
   name = f"x-{data_centre}"
   endpoint = emulation.endpoints[name]
-  if how == "crashed":
+  if how in ("crashed", "refusing"):
     endpoint.crash()
-    emulation.clock.after(4.5, lambda: emulation.unlisted.add(name))
-  elif how == "refusing":
-    endpoint.crash()
-    endpoint.refusing = True
+    endpoint.refusing = how == "refusing"
+    emulation.clock.after(ENTRY_S, lambda: emulation.unlisted.add(name))
   elif how == "unlisted":
     endpoint.crash()
     emulation.unlisted.add(name)
