The steps before a found run are completed once

Cause: offers._adopt_or_await marked them as done and then called adopt_run, which does the same. Now each path does it once; behaviour stays.

--- a/fescueturn/scheduler/offers.py
+++ b/fescueturn/scheduler/offers.py
@@ -274,10 +274,11 @@
   if task is None:
     return
   task.attempt = max(task.attempt, run.id.attempt)
-  outcomes.complete_steps_before(owner, job, task, run.id)
   if run.need is None and run.state is endpointruns.RunState.RUNNING:
     leases.adopt_run(owner, record, run)
-  elif not run.abandoned:
+    return
+  outcomes.complete_steps_before(owner, job, task, run.id)
+  if not run.abandoned:
     # It is being stopped, and the next run of the task waits for its end.
     task.previous_runs.add(run)
 
