--- a/fescueturn/emulator/endpoint.py
+++ b/fescueturn/emulator/endpoint.py
@@ -2,10 +2,13 @@
 
 It doesn't refuse runs that break the scheduler's invariants, but records each
 violation in `broken`: runs that exceed its capacity, two active runs of one
-task in the fleet, or a new run of a kept job's task that is already done.
+task in the fleet, or a run of a kept job's task that is started after the task
+was done. An end counts if it is acknowledged, then or later, before the
+endpoint's lease has expired.
 """
 
 import dataclasses
+import math
 from collections.abc import Callable
 
 from fescueturn.emulator import clock as clock_lib
@@ -52,6 +55,7 @@
       acknowledged that it is done.
     crash_after_s: time (s) from its start until it crashes its endpoint, or
       None if it doesn't crash it.
+    started_at: when a run of it was last started (s).
   """
 
   need: model.Resources
@@ -59,6 +63,22 @@
   fails: bool = False
   no_rerun: bool = False
   crash_after_s: float | None = None
+  started_at: float = -math.inf
+
+
+@dataclasses.dataclass(frozen=True)
+class _UnheardEnd:
+  """An end that no holder has acknowledged yet.
+
+  Attributes:
+    ended: the end.
+    at: the virtual time (s) of the end.
+    expiries: how often the lease had expired until then.
+  """
+
+  ended: model.EndedRun
+  at: float
+  expiries: int
 
 
 class EmulatedEndpoint:
@@ -140,8 +160,10 @@
     self._fence = 0
     self._lease_end_ms = 0
     self._runs: dict[model.RunId, _Run] = {}
-    # Results that no holder has acknowledged yet.
-    self._ended: list[model.EndedRun] = []
+    self._unheard: list[_UnheardEnd] = []
+    # How often the lease has expired, and the end of the last one that did (ms).
+    self._expiries = 0
+    self._expired_ms = 0
     self._ended_count = 0
     # The highest number of an ended run that an answer has listed.
     self._listed_count = 0
@@ -245,6 +267,7 @@
       self._broken.append(
           f"{self._clock.now:.3f} {run_id} started after its task was done"
       )
+    self._profile_of(run_id.task).started_at = self._clock.now
 
   def _finish_run(self, run_id: model.RunId, how: model.RunOutcome):
     run = self._runs.get(run_id)
@@ -259,7 +282,8 @@
     self._running_on[run_id.task].discard(self.info.id)
     self._revoke_attempt(run_id)
     self._ended_count += 1
-    self._ended.append(model.EndedRun(self._ended_count, run_id, how))
+    ended = model.EndedRun(self._ended_count, run_id, how)
+    self._unheard.append(_UnheardEnd(ended, self._clock.now, self._expiries))
     pending, self._pending_replies = self._pending_replies, []
     for reply in pending:
       reply()
@@ -279,6 +303,9 @@
   def _expire_lease(self):
     if self.clock_ms <= self._lease_end_ms:
       return
+    if self._expired_ms != self._lease_end_ms:
+      self._expired_ms = self._lease_end_ms
+      self._expiries += 1
     for run_id in list(self._runs):
       self._end_run(run_id, model.RunOutcome.LOST)
 
@@ -302,8 +329,8 @@
     self.info = dataclasses.replace(self.info, born_ms=born_ms)
     self._offset_ms = clock_offset_ms
     self._fence = 0
-    self._lease_end_ms = 0
-    self._ended = []
+    self._lease_end_ms = self._expired_ms = 0
+    self._unheard = []
     self._ended_count = 0
     self._listed_count = 0
     self._revoked = {}
@@ -350,7 +377,7 @@
     if call.deadline_ms is not None:
       self._extend_lease(call.deadline_ms)
     self._acknowledge_results(call.last_seen)
-    if self._ended or not call.wait_ms:
+    if self._unheard or not call.wait_ms:
       answer(self._lease_answer(call, model.CallResult.OK))
       return
     answered = []
@@ -364,15 +391,28 @@
     self._clock.after(call.wait_ms / 1000, answer_once)
 
   def _acknowledge_results(self, last_seen: int):
-    for ended in self._ended:
+    for unheard in self._unheard:
+      ended = unheard.ended
       if ended.number <= last_seen and ended.how is model.RunOutcome.DONE:
         self._acknowledged_done.add(ended.run.task)
+        self._check_acknowledged(unheard)
       if self._listed_count < ended.number <= last_seen:
         self._broken.append(
             f"{self._clock.now:.3f} {self.info.id} forgets the end of"
             f" {ended.run}, which it has never listed"
         )
-    self._ended = [e for e in self._ended if e.number > last_seen]
+    self._unheard = [u for u in self._unheard if u.ended.number > last_seen]
+
+  def _check_acknowledged(self, unheard: _UnheardEnd):
+    """Checks that no run was started between an end and now."""
+    run_id = unheard.ended.run
+    profile = self._profile_of(run_id.task)
+    counts = profile.no_rerun and unheard.expiries == self._expiries
+    if counts and profile.started_at > unheard.at:
+      self._broken.append(
+          f"{self._clock.now:.3f} {self.info.id} forgets the end of {run_id},"
+          f" whose task was started after it at {profile.started_at:.3f}"
+      )
 
   def _lease_answer(self, call, result) -> events.LeaseAnswered:
     now = self._clock.now
@@ -398,7 +438,7 @@
         result,
         self.clock_ms,
         running,
-        tuple(self._ended),
+        tuple(unheard.ended for unheard in self._unheard),
         call.fence,
         self.info.born_ms,
     )
--- a/fescueturn/emulator/fleetstore.py
+++ b/fescueturn/emulator/fleetstore.py
@@ -274,11 +274,42 @@
 
   def list_open(self, host, effect: keptevents.ListOpenJobs):
     """Lists a shard's unfinished kept jobs."""
-    answer = keptevents.OpenJobsListed(effect.shard, effect.fence, ())
+    answer = keptevents.OpenJobsListed(
+        effect.shard, effect.fence, (), failed=True
+    )
     if self.can_reach_store(host):
       answer = self._fleet.kept_store.get_open_jobs(effect)
     self._fleet.clock.after(2 * STORE_DELAY_S, lambda: host.apply(answer))
 
+  def find_unclaimed(self, host, effect: keptevents.FindUnclaimedRecords):
+    """Finds the records of kept jobs that no host claims."""
+    answer = keptevents.UnclaimedFound(effect.shard, effect.fence, None)
+    delay_s = STORE_TIMEOUT_S
+    if self.can_reach_store(host) and self.call_loss(host) == silence.NO_LOSS:
+      answer = self._fleet.kept_store.find_unclaimed(effect, self._claims)
+      delay_s = 4 * self._fleet.store_delay_s
+    self._fleet.clock.after(delay_s, lambda: host.apply(answer))
+
+  def take_over(self, host, effect: keptevents.TakeOverJobs):
+    """Moves the jobs in unclaimed records, or loses the call or its answer."""
+    unknown = keptevents.JobsTakenOver(
+        effect.shard, effect.fence, effect.records, 0, False
+    )
+    loss = self.call_loss(host)
+
+    def arrive():
+      answer = unknown
+      if self.can_reach_store(host) and not loss.requests:
+        answer = self._fleet.kept_store.take_over(effect, self._claims)
+      is_lost = loss.answers or (
+          self._fleet.rng.random() < self._fleet.store_reply_loss_rate
+      )
+      answer = unknown if is_lost else answer
+      delay_s = STORE_TIMEOUT_S if is_lost else self._fleet.store_delay_s
+      self._fleet.clock.after(delay_s, lambda: host.apply(answer))
+
+    self._fleet.clock.after(self._fleet.store_delay_s, arrive)
+
   def release(self, host, effect: events.ReleaseShard):
     """Executes the release of a claim, unless another holder has it by now."""
     delay_s = self._fleet.store_delay_s
@@ -307,4 +338,6 @@
     keptevents.WriteKeptJobs: FleetStore.write_kept,
     keptevents.ListEndedJobs: FleetStore.list_ended,
     keptevents.ListOpenJobs: FleetStore.list_open,
+    keptevents.FindUnclaimedRecords: FleetStore.find_unclaimed,
+    keptevents.TakeOverJobs: FleetStore.take_over,
 }
--- a/fescueturn/emulator/keptstore.py
+++ b/fescueturn/emulator/keptstore.py
@@ -42,6 +42,8 @@
     # By job id, the shard in which the job finished.
     self._finished_in: dict[str, model.Shard] = {}
     self._heads: dict[model.Shard, _Head] = {}
+    # By shard, the jobs that were taken over, each write by its head's revision.
+    self._taken: dict[model.Shard, dict[int, tuple[str, ...]]] = {}
     self._revision = 0
 
   def load(
@@ -64,6 +66,10 @@
         head.takeovers,
         head.revision,
         jobs,
+        tuple(
+            keptevents.TakenJobs(revision, job_ids)
+            for revision, job_ids in self._taken.get(effect.shard, {}).items()
+        ),
     )
 
   def write(
@@ -120,6 +126,9 @@
         del open_jobs[change.kept.job.id]
         moved_to = self.open.setdefault(change.to, {})
         moved_to[change.kept.job.id] = change.kept
+      elif isinstance(change, keptevents.ForgetTakenJobs):
+        for revision in change.records:
+          self._taken[effect.shard].pop(revision, None)
       else:
         self.states.pop(change.job_id, None)
 
@@ -135,7 +144,47 @@
   ) -> keptevents.EndedJobsListed:
     """Returns a shard's finished jobs that are still known."""
     finished = [
-        j for j, shard in self._finished_in.items() if shard == effect.shard
+        j for j, shard in self._finished_in.items() if shard == effect.of
     ]
     known = tuple(j for j in finished if j in self.states)
     return keptevents.EndedJobsListed(effect.shard, effect.fence, known)
+
+  def find_unclaimed(
+      self,
+      effect: keptevents.FindUnclaimedRecords,
+      held: dict[model.Shard, model.Holder],
+  ) -> keptevents.UnclaimedFound:
+    """Returns the records of shards that no host claims."""
+    records = tuple(
+        _identify(shard, head)
+        for shard, head in self._heads.items()
+        if shard not in held
+    )
+    return keptevents.UnclaimedFound(effect.shard, effect.fence, records)
+
+  def take_over(
+      self,
+      effect: keptevents.TakeOverJobs,
+      held: dict[model.Shard, model.Holder],
+  ) -> keptevents.JobsTakenOver:
+    """Moves the open jobs of unclaimed records to another shard."""
+    lost, holder = effect.records.shard, held.get(effect.shard)
+    unchanged = _identify(lost, self._heads[lost]) == effect.records
+    allowed = holder is not None and holder.fence == effect.fence
+    complete = unchanged and allowed and lost not in held
+    moved = self.open.pop(lost, {}) if complete else {}
+    if moved:
+      taken = self._taken.setdefault(lost, {})
+      taken[self._heads[lost].revision] = tuple(moved)
+      self._revision += 1
+      self._heads[lost].revision = self._revision
+      self.open.setdefault(effect.shard, {}).update(moved)
+    return keptevents.JobsTakenOver(
+        effect.shard, effect.fence, effect.records, len(moved), complete
+    )
+
+
+def _identify(shard: model.Shard, head: _Head) -> keptevents.UnclaimedRecords:
+  return keptevents.UnclaimedRecords(
+      shard, head.fence, head.number, head.takeovers
+  )
--- a/fescueturn/platform/callers.py
+++ b/fescueturn/platform/callers.py
@@ -4,6 +4,7 @@
 import re
 from collections.abc import Callable
 
+import curio
 from loguru import logger
 
 from fescueturn import codes
@@ -24,6 +25,10 @@
 DEFAULT_DEADLINE_S = 10.0
 # Time to read a body after its headers: 262,144 bytes at 30 KB/s.
 BODY_TIMEOUT_S = 9.0
+# How long a holder may take to cancel a kept job before the store is asked again
+# who has the job, and the pause before that.
+CANCEL_RETRY_S = 1.0
+CANCEL_PAUSE_S = 0.1
 # Default Retry-After (s) of refusals, such as by a host that cannot accept jobs
 # yet.
 RETRY_AFTER_S = 1
@@ -293,6 +298,22 @@
     if record is not None and not record.job.kept:
       await self._host.cancel(job_id)
       return httpio.json_response(200, {})
+    deadline = self._now() + _deadline_s(request)
+    response = await self._try_to_cancel(request, job_id, deadline)
+    while response is None:
+      await curio.sleep(CANCEL_PAUSE_S)
+      response = await self._try_to_cancel(request, job_id, deadline)
+    return response
+
+  async def _try_to_cancel(
+      self, request: httpio.Request, job_id: str, deadline: float
+  ) -> httpio.Response | None:
+    """Has a kept job cancelled by the holder that the store names for it now.
+
+    Returns:
+      The response; None if there is time to try again: the holder may be lost,
+      and the job be taken over by that of another shard.
+    """
     try:
       job_status = await self._job_store.get_status(job_id)
     except errors.KvError as exc:
@@ -302,14 +323,18 @@
       return _error(410, codes.Code.NO_JOB, "no such job")
     if job_status.state is not model.KeptJobState.OPEN:
       return _ended_response(job_status.state)
+    remaining_s = deadline - self._now()
     answer = await self._host.query_kept_job(
         job_id,
         job_status.shard,
         True,
-        _deadline_s(request),
+        min(remaining_s, CANCEL_RETRY_S),
         request.headers.get("request-id", ""),
     )
-    return _cancel_to_http(answer)
+    is_last = self._closing or remaining_s <= CANCEL_RETRY_S + CANCEL_PAUSE_S
+    if answer.outcome in _STATE_BY_OUTCOME or is_last:
+      return _cancel_to_http(answer)
+    return None
 
 
 def _ended_response(state: model.KeptJobState) -> httpio.Response:
--- a/fescueturn/platform/claims.py
+++ b/fescueturn/platform/claims.py
@@ -44,9 +44,9 @@
   return f"{FENCES_PREFIX}{shard.data_centre}/{shard.number}"
 
 
-def _parse_shard(key: str) -> model.Shard | None:
-  """Returns the shard of a claim's key, or None if the key is malformed."""
-  data_centre, _, number = key.removeprefix(PREFIX).rpartition("/")
+def parse_shard(key: str, prefix: str = PREFIX) -> model.Shard | None:
+  """Returns the shard that a key under a prefix names, or None if malformed."""
+  data_centre, _, number = key.removeprefix(prefix).rpartition("/")
   if not data_centre or not number.isascii() or not number.isdigit():
     return None
   if int(number) > MAX_SHARD_NUMBER:
@@ -261,17 +261,16 @@
   revision = None
   while True:
     full_read = revision is None
+    asked_at = now()
     try:
       if full_read:
         revision = await _report_all(client, known, on_holder)
       else:
-        asked_at = now()
         changes = await client.watch(PREFIX, revision, watch_wait_ms)
-        took_s = now() - asked_at
         revision = changes.revision
         for item in changes.items:
           await _report_change(item, known, on_holder)
-        await on_read(events.ClaimsRead(revision, took_s))
+      await on_read(events.ClaimsRead(revision, now() - asked_at))
       backoff.record_success(revision, full_read)
     except kvtypes.HistoryGoneError:
       await backoff.handle_history_gone(revision)
@@ -288,7 +287,7 @@
   """
   changes = await client.range(PREFIX)
   for item in changes.items:
-    shard = _parse_shard(item.key)
+    shard = parse_shard(item.key)
     change = _holder_change(shard, item) if shard is not None else None
     if change is not None and change.holder is not None:
       await on_holder(change)
@@ -296,7 +295,7 @@
 
 async def _report_all(client, known: set[model.Shard], on_holder) -> int:
   changes = await client.range(PREFIX)
-  held = {_parse_shard(item.key) for item in changes.items}
+  held = {parse_shard(item.key) for item in changes.items}
   for item in changes.items:
     await _report_change(item, known, on_holder)
   for shard in known - held:
@@ -308,7 +307,7 @@
     item: kvtypes.Item, known: set[model.Shard], on_holder
 ):
   """Reports the change of one claim to `on_holder`."""
-  shard = _parse_shard(item.key)
+  shard = parse_shard(item.key)
   if shard is None:
     logger.error("event=claim_rejected key={}", item.key)
     return
--- a/fescueturn/platform/jobstore.py
+++ b/fescueturn/platform/jobstore.py
@@ -8,6 +8,8 @@
   ``ends/SHARD/ID``: the progress of the job's tasks, until the job ends.
   ``heads/SHARD``: the head record, which identifies the last write to the
     shard's records.
+  ``taken/SHARD/REVISION``: the ids of jobs that the holder of another shard has
+    taken over, while no host claimed the shard.
 
 Each write is conditional on the shard's claim and on the previous write.
 """
@@ -29,12 +31,15 @@
 
 ROOT = "fescueturn/"
 JOBS = ROOT + "jobs/"
-_OPEN = "open"
-_ENDS = "ends"
-_HEADS = "heads"
+# The kinds of a shard's records.
+OPEN = "open"
+ENDS = "ends"
+HEADS = "heads"
+TAKEN = "taken"
 
 
-def _shard_key(kind: str, shard: model.Shard) -> str:
+def shard_key(kind: str, shard: model.Shard) -> str:
+  """Returns the key of a shard's records of a kind, or the start of their keys."""
   return f"{ROOT}{kind}/{shard.data_centre}/{shard.number}"
 
 
@@ -51,7 +56,8 @@
   shard: model.Shard
 
 
-def _encode_status(status: JobStatus) -> bytes:
+def encode_status(status: JobStatus) -> bytes:
+  """Returns a job's status as it is stored."""
   shard = status.shard
   row = wire.JobStatusRow(status.state.value, shard.data_centre, shard.number)
   return msgspec.json.encode(row)
@@ -68,7 +74,21 @@
   return JobStatus(model.KeptJobState(row.state), shard)
 
 
-def _decode_head(item: kvtypes.Item | None) -> wire.HeadRow | None:
+def encode_head(head: wire.HeadRow) -> bytes:
+  """Returns a head record as it is stored.
+
+  Without jobs moved away it is the one that earlier versions write.
+  """
+  fields = msgspec.structs.astuple(head)
+  return msgspec.json.encode(fields if head.moved else fields[:-1])
+
+
+def decode_head(item: kvtypes.Item | None) -> wire.HeadRow | None:
+  """Returns a shard's head record; None if it has none.
+
+  Raises:
+    errors.KvError: the record can't be decoded.
+  """
   if item is None:
     return None
   return wire.decode(wire.head_rows, item.value, item.key, errors.KvError)
@@ -115,10 +135,10 @@
       return loaded
 
   async def _try_load(self, effect: keptevents.LoadKeptJobs):
-    key = _shard_key(_HEADS, effect.shard)
+    key = shard_key(HEADS, effect.shard)
     answer = await self._client.get(key)
     item = answer.items[0] if answer.items else None
-    last_head = _decode_head(item)
+    last_head = decode_head(item)
     if last_head is not None and last_head.fence > effect.fence:
       return keptevents.KeptJobsLoaded(
           effect.shard, effect.fence, replaced=True
@@ -136,7 +156,7 @@
                     claims.claim_key(effect.shard): effect.fence,
                     key: item.revision if item else 0,
                 },
-                {key: msgspec.json.encode(head)},
+                {key: encode_head(head)},
             )
         )
       except kvtypes.ConflictError as exc:
@@ -147,13 +167,20 @@
         )
     self._takeovers[effect.shard] = takeovers
     jobs = await self._read_jobs(effect.shard)
+    taken = await self._read_records(shard_key(TAKEN, effect.shard))
     return keptevents.KeptJobsLoaded(
-        effect.shard, effect.fence, False, takeovers, revision, jobs
+        effect.shard,
+        effect.fence,
+        False,
+        takeovers,
+        revision,
+        jobs,
+        _decode_taken(taken),
     )
 
   async def _read_jobs(self, shard: model.Shard) -> tuple[model.KeptJob, ...]:
-    job_records = await self._read_records(_shard_key(_OPEN, shard))
-    progress_records = await self._read_records(_shard_key(_ENDS, shard))
+    job_records = await self._read_records(shard_key(OPEN, shard))
+    progress_records = await self._read_records(shard_key(ENDS, shard))
     jobs = [
         _decode_kept(job_id, value, progress_records.get(job_id))
         for job_id, value in job_records.items()
@@ -193,31 +220,34 @@
       self, effect: keptevents.WriteKeptJobs
   ) -> kvtypes.Transaction:
     shard = effect.shard
-    head_key = _shard_key(_HEADS, shard)
+    head_key = shard_key(HEADS, shard)
     takeovers = self._takeovers[shard]
     expected = {claims.claim_key(shard): effect.fence, head_key: effect.after}
     head = wire.HeadRow(effect.fence, effect.number, takeovers)
-    puts = {head_key: msgspec.json.encode(head)}
+    puts = {head_key: encode_head(head)}
     removes: list[str] = []
     for change in effect.changes:
       if isinstance(change, keptevents.StoreJob):
         job = change.job
         expected[JOBS + job.id] = 0
         status = JobStatus(model.KeptJobState.OPEN, shard)
-        puts[JOBS + job.id] = _encode_status(status)
-        puts[f"{_shard_key(_OPEN, shard)}/{job.id}"] = keptcodec.encode_job(job)
+        puts[JOBS + job.id] = encode_status(status)
+        puts[f"{shard_key(OPEN, shard)}/{job.id}"] = keptcodec.encode_job(job)
       elif isinstance(change, keptevents.StoreProgress):
-        ends_key = f"{_shard_key(_ENDS, shard)}/{change.job_id}"
+        ends_key = f"{shard_key(ENDS, shard)}/{change.job_id}"
         puts[ends_key] = keptcodec.encode_progress(change.progress)
       elif isinstance(change, keptevents.StoreEnd):
         status = JobStatus(change.state, shard)
-        puts[JOBS + change.job_id] = _encode_status(status)
-        for kind in (_OPEN, _ENDS):
-          removes.append(f"{_shard_key(kind, shard)}/{change.job_id}")
+        puts[JOBS + change.job_id] = encode_status(status)
+        for kind in (OPEN, ENDS):
+          removes.append(f"{shard_key(kind, shard)}/{change.job_id}")
       elif isinstance(change, keptevents.MoveJob):
         puts |= _moved_records(change)
-        for kind in (_OPEN, _ENDS):
-          removes.append(f"{_shard_key(kind, shard)}/{change.kept.job.id}")
+        for kind in (OPEN, ENDS):
+          removes.append(f"{shard_key(kind, shard)}/{change.kept.job.id}")
+      elif isinstance(change, keptevents.ForgetTakenJobs):
+        taken = shard_key(TAKEN, shard)
+        removes += [f"{taken}/{revision}" for revision in change.records]
       else:
         removes.append(JOBS + change.job_id)
     return kvtypes.Transaction(expected, puts, tuple(removes))
@@ -227,12 +257,14 @@
   ) -> keptevents.OpenJobsListed:
     """Reads a shard's open jobs; returns none if the store is unavailable."""
     jobs: tuple[model.KeptJob, ...] = ()
+    failed = False
     try:
       jobs = await self._read_jobs(effect.shard)
     except errors.KvError as exc:
       # The shard's holder lists them again a second later.
       logger.warning('event=open_not_listed error="{}"', exc)
-    return keptevents.OpenJobsListed(effect.shard, effect.fence, jobs)
+      failed = True
+    return keptevents.OpenJobsListed(effect.shard, effect.fence, jobs, failed)
 
   async def list_ended(
       self, effect: keptevents.ListEndedJobs
@@ -244,7 +276,7 @@
       job_ids = tuple(
           item.key.removeprefix(JOBS)
           for item in answer.items
-          if _has_ended(item, effect.shard)
+          if _has_ended(item, effect.of)
       )
     except errors.KvError as exc:
       # The records stay in the store until the shard's next holder lists them.
@@ -256,9 +288,9 @@
   """Returns the records that a moved job has in its new shard."""
   job, shard = change.kept.job, change.to
   return {
-      JOBS + job.id: _encode_status(JobStatus(model.KeptJobState.OPEN, shard)),
-      f"{_shard_key(_OPEN, shard)}/{job.id}": keptcodec.encode_job(job),
-      f"{_shard_key(_ENDS, shard)}/{job.id}": keptcodec.encode_progress(
+      JOBS + job.id: encode_status(JobStatus(model.KeptJobState.OPEN, shard)),
+      f"{shard_key(OPEN, shard)}/{job.id}": keptcodec.encode_job(job),
+      f"{shard_key(ENDS, shard)}/{job.id}": keptcodec.encode_progress(
           change.kept.progress
       ),
   }
@@ -279,6 +311,20 @@
     return None
 
 
+def _decode_taken(
+    records: dict[str, bytes],
+) -> tuple[keptevents.TakenJobs, ...]:
+  """Returns the jobs that were taken over, from the records that name them."""
+  taken = []
+  for revision, value in records.items():
+    try:
+      job_ids = wire.decode(wire.taken_jobs, value, TAKEN, errors.KvError)
+      taken.append(keptevents.TakenJobs(int(revision), job_ids))
+    except (errors.KvError, ValueError) as exc:
+      logger.error('event=taken_jobs_unreadable error="{}"', exc)
+  return tuple(taken)
+
+
 def _has_ended(item: kvtypes.Item, shard: model.Shard) -> bool:
   try:
     status = _decode_status(item)
@@ -304,8 +350,8 @@
     The write's result, the revision of the shard's head record, and the ids of
     the jobs that the write should have created but which exist already.
   """
-  item = conflict.items.get(_shard_key(_HEADS, effect.shard))
-  head = _decode_head(item)
+  item = conflict.items.get(shard_key(HEADS, effect.shard))
+  head = decode_head(item)
   if head is None:
     return keptevents.WriteResult.REPLACED, effect.after, ()
   if (head.fence, head.number) == (effect.fence, effect.number):
--- a/fescueturn/platform/role.py
+++ b/fescueturn/platform/role.py
@@ -33,6 +33,7 @@
 from fescueturn.platform import jobstore
 from fescueturn.platform import nodefile
 from fescueturn.platform import store
+from fescueturn.platform import unclaimedjobs
 from fescueturn.scheduler import events
 from fescueturn.scheduler import host as host_lib
 from fescueturn.scheduler import hostmetrics
@@ -97,6 +98,7 @@
         max(claims.LEASE_MS, node.min_lease_ms),
     )
     self._job_store = jobstore.JobStore(self._store, clock.now)
+    self._unclaimed_jobs = unclaimedjobs.UnclaimedJobs(self._store, clock.now)
     self._endpoint_calls = endpoints.EndpointCalls(clock.now, self._observe)
     # Services named by any configuration so far; None before the first one.
     self._services: frozenset[str] | None = None
@@ -129,6 +131,8 @@
             self._job_store.write,
             self._job_store.list_ended,
             self._job_store.list_open,
+            self._unclaimed_jobs.find,
+            self._unclaimed_jobs.take_over,
         ),
         clock,
     )
--- a/fescueturn/platform/wire.py
+++ b/fescueturn/platform/wire.py
@@ -215,11 +215,14 @@
     fence: the fencing token of the holder that made the write.
     number: the write's number among those of its holder.
     takeovers: how many times the shard has passed to another holder.
+    moved: how many writes of other shards' holders have moved jobs away while
+      no host claimed the shard.
   """
 
   fence: Counter
   number: Counter
   takeovers: Counter
+  moved: Counter = 0
 
 
 class Claim(_Body):
@@ -417,6 +420,7 @@
 lease_replies = msgspec.json.Decoder(LeaseReply)
 claims = msgspec.json.Decoder(Claim)
 job_status_rows = msgspec.json.Decoder(JobStatusRow)
+taken_jobs = msgspec.json.Decoder(tuple[str, ...])
 head_rows = msgspec.json.Decoder(HeadRow)
 order_replies = msgspec.json.Decoder(OrderReply)
 jobs = msgspec.json.Decoder(Job)
--- a/fescueturn/scheduler/coordinator.py
+++ b/fescueturn/scheduler/coordinator.py
@@ -39,6 +39,9 @@
 # How long before its caller's deadline an unfinished job is answered: the time
 # of a round trip to the caller and of a tick on a slow host.
 ANSWER_MARGIN_S = 0.03
+# How long after the end of a lost holder's claim the holder of another shard
+# counts its kept jobs: it looks for them every second.
+TAKEN_OVER_S = timebudget.UNCLAIMED_TIMEOUT_S + 3.0
 _OUTCOMES_WITH_RESULT = (
     model.Outcome.DONE,
     model.Outcome.FAILED,
@@ -379,7 +382,11 @@
   They are the kept jobs of all shards, as their holders last reported, and the
   jobs of this host whose offer no holder has answered yet.
   """
-  kept = sum(h.pending.get(queue, 0) for h in state.holders.values())
+  kept = sum(
+      holder.pending.get(queue, 0)
+      for holder in state.holders.values()
+      if not _was_taken_over(state, holder)
+  )
   unaccepted = sum(
       job.job.queue == queue and job.phase is coordinatorstate.Phase.OFFERED
       for job in state.jobs.values()
@@ -387,12 +394,20 @@
   return kept + unaccepted
 
 
+def _was_taken_over(state, holder: coordinatorstate.HolderRecord) -> bool:
+  """Returns whether another shard has the kept jobs of a lost holder by now."""
+  since = holder.unclaimed_since
+  return holder.lost and since is not None and state.now - since > TAKEN_OVER_S
+
+
 def handle_holder_change(
     state: coordinatorstate.Coordinator, event: events.HolderChanged
 ):
   """Handles a change of a shard's holder in the store."""
   before = state.holders.get(event.shard)
   if event.holder is None:
+    if before is not None and before.unclaimed_since is None:
+      before.unclaimed_since = state.now
     if before is not None and not alive(state, before):
       _holder_lost(state, event.shard, "claim_ended")
     return
--- a/fescueturn/scheduler/coordinatorstate.py
+++ b/fescueturn/scheduler/coordinatorstate.py
@@ -159,6 +159,8 @@
     last_contact_at: when its last message arrived (s).
     pinged_at: when it was last pinged (s).
     lost: True while the holder is presumed lost.
+    unclaimed_since: since when the store has no claim of the shard (s); None
+      while it has.
     pending: how many kept jobs wait to start there, by queue, as it last
       reported.
     roster: all endpoints where runs that the holder started may be active.
@@ -176,6 +178,7 @@
     self.last_contact_at = now
     self.pinged_at = 0.0
     self.lost = False
+    self.unclaimed_since: float | None = None
     self.pending: dict[str, int] = {}
     self.roster: frozenset[str] = frozenset()
     self.roster_version = 0
--- a/fescueturn/scheduler/endpointstate.py
+++ b/fescueturn/scheduler/endpointstate.py
@@ -52,6 +52,8 @@
     lease: its lease, and the estimate of its clock.
     must_lapse: True while one of its runs must end, even if its stop is lost,
       so that its lease may not be extended.
+    awaits_lapse: True while it gets no new tasks, so that its lease expires once
+      its runs have ended.
     next_call_at: when a failed lease call may be retried (s).
     exclusion: until when it gets no new tasks, and why.
     speed: how fast work is done there.
@@ -84,6 +86,7 @@
     self.confirming_call = 0
     self.lease = endpointlease.Lease()
     self._must_lapse = False
+    self._awaits_lapse = False
     self.next_call_at = now
     # Failed lease calls before the first one that was answered.
     self._failed_first_calls = 0
@@ -122,6 +125,17 @@
       self._must_lapse = must_lapse
       self.on_change()
 
+  @property
+  def awaits_lapse(self) -> bool:
+    """True while it gets no new tasks, so that its lease expires."""
+    return self._awaits_lapse
+
+  @awaits_lapse.setter
+  def awaits_lapse(self, awaits_lapse: bool):
+    if awaits_lapse != self._awaits_lapse:
+      self._awaits_lapse = awaits_lapse
+      self.on_change()
+
   @property
   def free(self) -> model.Resources:
     """The resources that no run takes up."""
@@ -182,6 +196,7 @@
     """
     self.born_ms = born_ms
     self.runs_known = False
+    self.awaits_lapse = False
     self.ended = endpointends.EndedRuns()
     self.lease = endpointlease.Lease()
     self.exclusion.clear_failures()
@@ -205,6 +220,7 @@
         and self.listed
         and not self.restart_listed
         and not self.must_lapse
+        and not self.awaits_lapse
         and not self.info.draining
         and self.exclusion.until <= now
         and self.silent_since is None
--- a/fescueturn/scheduler/host.py
+++ b/fescueturn/scheduler/host.py
@@ -55,6 +55,8 @@
     write_kept: executes a `WriteKeptJobs`.
     list_ended: executes a `ListEndedJobs`.
     list_open: executes a `ListOpenJobs`.
+    find_unclaimed: executes a `FindUnclaimedRecords`.
+    take_over: executes a `TakeOverJobs`.
   """
 
   start: Callable[[events.StartRun], Awaitable[events.StartAnswered]]
@@ -77,6 +79,12 @@
   list_open: Callable[
       [keptevents.ListOpenJobs], Awaitable[keptevents.OpenJobsListed]
   ]
+  find_unclaimed: Callable[
+      [keptevents.FindUnclaimedRecords], Awaitable[keptevents.UnclaimedFound]
+  ]
+  take_over: Callable[
+      [keptevents.TakeOverJobs], Awaitable[keptevents.JobsTakenOver]
+  ]
 
 
 class CallerGoneError(errors.FescueError):
@@ -136,6 +144,10 @@
         keptevents.WriteKeptJobs: self._in_background(ports.write_kept),
         keptevents.ListEndedJobs: self._in_background(ports.list_ended),
         keptevents.ListOpenJobs: self._in_background(ports.list_open),
+        keptevents.FindUnclaimedRecords: self._in_background(
+            ports.find_unclaimed
+        ),
+        keptevents.TakeOverJobs: self._in_background(ports.take_over),
     }
 
   @property
--- a/fescueturn/scheduler/keptevents.py
+++ b/fescueturn/scheduler/keptevents.py
@@ -59,11 +59,86 @@
   to: model.Shard
 
 
-Change = StoreJob | StoreProgress | StoreEnd | DeleteJob | MoveJob
+@dataclasses.dataclass(frozen=True)
+class ForgetTakenJobs:
+  """Delete records that name jobs which other shards' holders have taken over.
+
+  Attributes:
+    records: see `TakenJobs.revision`.
+  """
+
+  records: tuple[int, ...]
+
+
+Change = (
+    StoreJob | StoreProgress | StoreEnd | DeleteJob | MoveJob | ForgetTakenJobs
+)
+
+
+@dataclasses.dataclass(frozen=True)
+class TakenJobs:
+  """Jobs that the holder of another shard has taken over in one write.
+
+  Attributes:
+    revision: identifies the write: the revision of the shard's head record that
+      it followed.
+    job_ids: the jobs.
+  """
+
+  revision: int
+  job_ids: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class UnclaimedRecords:
+  """The records of a shard that no host claims.
+
+  Two that are equal show that no holder has read or written them in between.
+
+  Attributes:
+    shard: the shard.
+    fence: the fencing token of the holder that last wrote them.
+    number: the number of that write.
+    takeovers: how often holders have taken the records over.
+  """
+
+  shard: model.Shard
+  fence: int
+  number: int
+  takeovers: int
+
 
 # Effects.
 
 
+@dataclasses.dataclass(frozen=True)
+class FindUnclaimedRecords:
+  """Find the records that no host claims; the result is `UnclaimedFound`.
+
+  Attributes:
+    shard: the shard whose holder asks.
+    fence: that holder's fencing token.
+  """
+
+  shard: model.Shard
+  fence: int
+
+
+@dataclasses.dataclass(frozen=True)
+class TakeOverJobs:
+  """Move the open jobs of unclaimed records; the result is `JobsTakenOver`.
+
+  Attributes:
+    shard: the shard that the jobs move to.
+    fence: the fencing token of its holder.
+    records: the records; nothing is moved if they have changed or are claimed.
+  """
+
+  shard: model.Shard
+  fence: int
+  records: UnclaimedRecords
+
+
 @dataclasses.dataclass(frozen=True)
 class LoadKeptJobs:
   """Take over the shard's records and read its unfinished jobs.
@@ -96,10 +171,17 @@
 
 @dataclasses.dataclass(frozen=True)
 class ListEndedJobs:
-  """List the shard's finished jobs; the result is `EndedJobsListed`."""
+  """List a shard's finished jobs; the result is `EndedJobsListed`.
+
+  Attributes:
+    shard: the shard whose holder asks.
+    fence: that holder's fencing token.
+    of: the shard whose jobs are listed.
+  """
 
   shard: model.Shard
   fence: int
+  of: model.Shard
 
 
 @dataclasses.dataclass(frozen=True)
@@ -135,6 +217,8 @@
     takeovers: how often the records were taken over before.
     revision: the store's revision, which the first write depends on.
     jobs: the unfinished jobs.
+    taken: the jobs that holders of other shards have taken over while no host
+      claimed this one.
   """
 
   shard: model.Shard
@@ -143,6 +227,7 @@
   takeovers: int = 0
   revision: int = 0
   jobs: tuple[model.KeptJob, ...] = ()
+  taken: tuple[TakenJobs, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True)
@@ -166,6 +251,40 @@
   existing: tuple[str, ...] = ()
 
 
+@dataclasses.dataclass(frozen=True)
+class UnclaimedFound:
+  """A `FindUnclaimedRecords` completed.
+
+  Attributes:
+    shard: the shard whose holder asked.
+    fence: that holder's fencing token.
+    records: the unclaimed records; None if the store didn't answer.
+  """
+
+  shard: model.Shard
+  fence: int
+  records: tuple[UnclaimedRecords, ...] | None
+
+
+@dataclasses.dataclass(frozen=True)
+class JobsTakenOver:
+  """A `TakeOverJobs` ended.
+
+  Attributes:
+    shard: the shard that the jobs moved to.
+    fence: the fencing token of its holder.
+    records: the records that they were in.
+    count: how many moved for sure; some more may have.
+    complete: True if no open job is left in the records.
+  """
+
+  shard: model.Shard
+  fence: int
+  records: UnclaimedRecords
+  count: int
+  complete: bool
+
+
 @dataclasses.dataclass(frozen=True)
 class EndedJobsListed:
   """A shard's finished jobs that are still in the store."""
@@ -177,11 +296,19 @@
 
 @dataclasses.dataclass(frozen=True)
 class OpenJobsListed:
-  """A shard's unfinished jobs, including any that were moved to it."""
+  """A shard's unfinished jobs, including any that were moved to it.
+
+  Attributes:
+    shard: the shard.
+    fence: its holder's fencing token.
+    jobs: the jobs; none if the store didn't answer.
+    failed: True if the store didn't answer.
+  """
 
   shard: model.Shard
   fence: int
   jobs: tuple[model.KeptJob, ...]
+  failed: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
--- a/fescueturn/scheduler/keptjobs.py
+++ b/fescueturn/scheduler/keptjobs.py
@@ -4,6 +4,7 @@
 
 from fescueturn.scheduler import crashes
 from fescueturn.scheduler import events
+from fescueturn.scheduler import keptends
 from fescueturn.scheduler import keptevents
 from fescueturn.scheduler import keptrecords
 from fescueturn.scheduler import leases
@@ -86,7 +87,8 @@
 def _assign_early_results(owner):
   """Handles the results that were listed before the records were read.
 
-  Those of kept jobs are stored, all others acknowledged.
+  Those of kept jobs are stored, all others acknowledged. Those of jobs that
+  another shard has taken over wait.
   """
   kept_records = owner.kept_records
   for job_id, results in kept_records.early_results.items():
@@ -95,6 +97,9 @@
         job is not None and job.job.kept
     ):
       kept_records.unsaved_results.setdefault(job_id, set()).update(results)
+    elif job_id in kept_records.taken:
+      for endpoint, number in results:
+        keptends.hold(owner, endpoint, number)
     else:
       _acknowledge_results(owner, job_id, results)
   kept_records.early_results.clear()
@@ -221,6 +226,10 @@
   _answer_queries(owner, job_id, None)
 
 
+def _taken_forgotten(owner, change: keptevents.ForgetTakenJobs):
+  owner.kept_records.taken_records -= set(change.records)
+
+
 def _record_deleted(owner, change: keptevents.DeleteJob):
   owner.kept_records.finished_jobs.pop(change.job_id, None)
 
@@ -231,6 +240,7 @@
     keptevents.StoreEnd: _end_written,
     keptevents.DeleteJob: _record_deleted,
     keptevents.MoveJob: _job_moved,
+    keptevents.ForgetTakenJobs: _taken_forgotten,
 }
 
 
@@ -355,6 +365,7 @@
   )
   if kept_records.open_list_pending or not kept_records.loaded or not due:
     return
+  kept_records.open_list_wanted = False
   kept_records.open_list_pending = True
   kept_records.open_list_requested_at = owner.now
   kept_records.moved.clear()
@@ -365,7 +376,8 @@
   """Takes over the jobs that another shard's holder has moved here."""
   kept_records = owner.kept_records
   kept_records.open_list_pending = False
-  if event.fence != owner.fence:
+  if event.failed or event.fence != owner.fence:
+    kept_records.open_list_wanted = True
     return
   for kept in event.jobs:
     job_id = kept.job.id
@@ -385,12 +397,20 @@
   """Runs the work that is due."""
   kept_records = owner.kept_records
   _acknowledge_held_results(owner)
+  for record in keptends.release_lapsed(owner):
+    leases.renew_lease(owner, record)
   if kept_records.early_offers and not kept_records.loaded:
     _decline_late_offers(owner)
   list_due = owner.now - owner.taken_at > keptrecords.LIST_ENDED_DELAY_S
-  if kept_records.loaded and list_due and not kept_records.ended_list_requested:
-    kept_records.ended_list_requested = True
-    owner.emit(keptevents.ListEndedJobs(owner.shard, owner.fence))
+  if kept_records.loaded and list_due:
+    kept_records.forget_taken = True
+    if not kept_records.ended_list_requested:
+      kept_records.ended_list_requested = True
+      owner.emit(
+          keptevents.ListEndedJobs(owner.shard, owner.fence, owner.shard)
+      )
+  if kept_records.open_list_wanted:
+    request_open_list(owner)
 
 
 def _decline_late_offers(owner):
@@ -452,12 +472,18 @@
   return counts
 
 
-def replace_fence(owner: ownerstate.Owner, fence: int):
+def replace_fence(owner: ownerstate.Owner, fence: int, took_s: float):
   """Adopts a new claim on the shard that directly follows the owner's old one.
 
   No other process has held the shard in between, so its jobs are kept.
+
+  Args:
+    owner: the owner.
+    fence: the fencing token of the new claim.
+    took_s: how long ago the store was asked for the claim (s).
   """
   owner.fence = fence
+  owner.confirm_claim(took_s)
   owner.spare_fences = succession.NO_FENCES  # Those are below the new claim.
   owner.kept_records.loaded = False
   owner.emit(keptevents.LoadKeptJobs(owner.shard, fence))
--- a/fescueturn/scheduler/keptrecords.py
+++ b/fescueturn/scheduler/keptrecords.py
@@ -105,6 +105,12 @@
     open_list_pending: True while the list of open jobs is being read, to find
       those moved here.
     open_list_requested_at: when that list was last requested (s).
+    open_list_wanted: True if it has to be read, as jobs were moved here.
+    taken: ids of the jobs that holders of other shards have taken over.
+    taken_records: the records that name them, until they are deleted.
+    forget_taken: True once these records are to be deleted.
+    unlapsed_ends: the ends of runs of such jobs that wait for the lease of their
+      endpoint to expire, by endpoint; see `keptends`.
   """
 
   def __init__(self):
@@ -126,6 +132,11 @@
     self.moved: set[str] = set()
     self.open_list_pending = False
     self.open_list_requested_at = 0.0
+    self.open_list_wanted = False
+    self.taken: frozenset[str] = frozenset()
+    self.taken_records: set[int] = set()
+    self.forget_taken = False
+    self.unlapsed_ends: dict[str, set[int]] = {}
     self._results_in_flight: dict[str, frozenset[ResultKey]] = {}
     self._number = 0
     self._revision = 0
@@ -148,6 +159,9 @@
     self.takeovers = loaded.takeovers
     self.inherited = frozenset(kept.job.id for kept in loaded.jobs)
     self._revision = loaded.revision
+    self.taken = frozenset().union(*(t.job_ids for t in loaded.taken))
+    self.taken_records = {t.revision for t in loaded.taken}
+    self.forget_taken = False
 
   def stalled(self, now: float) -> bool:
     """Returns whether a write has been unanswered for too long."""
@@ -183,7 +197,8 @@
     """
     if not self.loaded or self.in_flight is not None:
       return None
-    if not (self.has_unsaved_changes or self.finished_jobs):
+    is_idle = not (self.finished_jobs or self._records_to_forget)
+    if is_idle and not self.has_unsaved_changes:
       return None
     if now - self._sent_at < WRITE_PERIOD_S:
       return None
@@ -222,6 +237,8 @@
         for job_id, ended in self.finished_jobs.items()
         if ended.until <= now
     ]
+    if self._records_to_forget:
+      changes.append(keptevents.ForgetTakenJobs(self._records_to_forget))
     del changes[_count_fitting(changes) :]
     self._results_in_flight = {
         change.job_id: frozenset(self.unsaved_results.get(change.job_id, ()))
@@ -230,6 +247,11 @@
     }
     return tuple(changes)
 
+  @property
+  def _records_to_forget(self) -> tuple[int, ...]:
+    records = sorted(self.taken_records) if self.forget_taken else ()
+    return tuple(records[:_CHANGE_ROWS])
+
   def may_move(self, job_id: str) -> bool:
     """Returns whether a job's progress is stored and no move has begun."""
     unsaved = (
@@ -261,6 +283,7 @@
     def is_valid(result: ResultKey) -> bool:
       return result[0] != endpoint or result[1] == ENDPOINT_LOST
 
+    self.unlapsed_ends.pop(endpoint, None)
     every = (self.unsaved_results, self.early_results, self.held_results)
     for results in every:
       for job_id, keys in results.items():
--- a/fescueturn/scheduler/outcomes.py
+++ b/fescueturn/scheduler/outcomes.py
@@ -7,6 +7,7 @@
 from fescueturn.scheduler import crashes
 from fescueturn.scheduler import endpointruns
 from fescueturn.scheduler import events
+from fescueturn.scheduler import keptends
 from fescueturn.scheduler import linkmessages
 from fescueturn.scheduler import model
 from fescueturn.scheduler import ownerstate
@@ -207,6 +208,9 @@
     ends_by_job = kept_records.unsaved_results
   elif not kept_records.loaded:
     ends_by_job = kept_records.early_results
+  elif job_id in kept_records.taken:
+    keptends.hold(owner, record.info.id, ended.number)
+    return
   else:
     return
   record.ended.unsaved.add(ended.number)
--- a/fescueturn/scheduler/owner.py
+++ b/fescueturn/scheduler/owner.py
@@ -18,6 +18,7 @@
 from fescueturn.scheduler import runpace
 from fescueturn.scheduler import selffencing
 from fescueturn.scheduler import stragglers
+from fescueturn.scheduler import unclaimed
 from fescueturn.scheduler import unplaceable
 
 # How long a run found at an endpoint after a takeover may go without a known
@@ -48,6 +49,7 @@
   if owner.kept_records.loaded:
     _expire_early_results(owner)
   keptjobs.tick(owner)
+  unclaimed.tick(owner)
   crashes.forget_old_crashes(owner)
   runcontrol.start_waiting_tasks(owner)
 
--- a/fescueturn/scheduler/ownerstate.py
+++ b/fescueturn/scheduler/ownerstate.py
@@ -15,6 +15,7 @@
 from fescueturn.scheduler import linkmessages
 from fescueturn.scheduler import messageage
 from fescueturn.scheduler import model
+from fescueturn.scheduler import recordsearch
 from fescueturn.scheduler import reservations
 from fescueturn.scheduler import roster
 from fescueturn.scheduler import succession
@@ -292,6 +293,8 @@
     # How long finished kept jobs stay known (s).
     self.ended_job_retention_s = ended_job_retention_s
     self.kept_records = keptrecords.KeptRecords()
+    # The search for kept jobs of data centres that have lost all their hosts.
+    self.unclaimed = recordsearch.Search()
     # Kept jobs moved to other shards, whose holders aren't told of them yet.
     self.moved_jobs: list[tuple[str, model.Shard]] = []
     self.endpoints = placing.EndpointTable()
@@ -356,6 +359,8 @@
     self.list_took_s = 0.0
     # The store has answered since (s).
     self.store_answered_at = now
+    # When the store was last asked that then named this host as the holder (s).
+    self.claim_confirmed_at = now
     self.early_results: dict[model.Task, EarlyResult] = {}
     # Endpoints lost while running tasks that may or may not have crashed.
     self.suspected_crashes: dict[str, SuspectedCrash] = {}
@@ -400,6 +405,20 @@
       return True
     return self.now - self.taken_at > timeout_s
 
+  @property
+  def claim_is_doubtful(self) -> bool:
+    """True if another data centre may have taken over its kept jobs."""
+    unconfirmed_s = self.now - self.claim_confirmed_at
+    return unconfirmed_s > timebudget.CLAIM_UNCONFIRMED_S
+
+  def confirm_claim(self, took_s: float):
+    """Records that the store has named this host as the shard's holder.
+
+    Args:
+      took_s: how long ago the store was asked (s).
+    """
+    self.claim_confirmed_at = max(self.claim_confirmed_at, self.now - took_s)
+
   def record_store_answer(self, took_s: float):
     """Records that the store has answered a request.
 
@@ -469,6 +488,7 @@
     """
     self._unproven.update(self.last_contact)
     self.store_answered_at = min(self.store_answered_at, self.now - seconds)
+    self.claim_confirmed_at -= seconds
     self.claimants.mark_silent()
 
   def record_claimant(self, process: linkmessages.HostProcess):
@@ -591,7 +611,7 @@
     return (
         job.returning
         or self.lacks_coordinator(job)
-        or (job.job.kept and self.self_fenced)
+        or (job.job.kept and (self.self_fenced or self.claim_is_doubtful))
         or self.may_have_unknown_runs(job)
     )
 
@@ -661,6 +681,7 @@
         },
         "run_times": self.run_times.snapshot(),
         "kept": self.kept_records.snapshot(),
+        "unclaimed": self.unclaimed.snapshot(self.now),
         "counters": dict(self.counters),
     }
 
--- a/fescueturn/scheduler/reducer.py
+++ b/fescueturn/scheduler/reducer.py
@@ -27,6 +27,7 @@
 from fescueturn.scheduler import shardownership
 from fescueturn.scheduler import state as state_lib
 from fescueturn.scheduler import succession
+from fescueturn.scheduler import unclaimed
 
 # A gap of this length between ticks shows that this process was paused, so
 # missing messages during the gap do not indicate that other hosts failed.
@@ -84,6 +85,9 @@
 def _on_holder_changed(state, event: events.HolderChanged) -> list:
   extra = shardownership.handle_holder_change(state, event)
   coordinator.handle_holder_change(state.coordinator, event)
+  if event.holder is None and event.shard not in state.candidates:
+    for owner in state.owners.values():
+      unclaimed.handle_claim_end(owner)
   candidate = state.candidates.get(event.shard)
   if candidate is not None and election.is_named(candidate, state.now):
     extra += _claims(state, [candidate])
@@ -355,8 +359,11 @@
 
 def _on_claims_read(state, event: events.ClaimsRead):
   grants.handle_claims_read(state, event)
-  for owner in state.owners.values():
+  for shard, owner in state.owners.items():
     owner.record_store_answer(event.took_s)
+    holder = state.candidates[shard].holder
+    if holder is not None and holder.fence == owner.fence:
+      owner.confirm_claim(event.took_s)
     selffencing.handle_claims_read(owner)
 
 
@@ -400,4 +407,6 @@
     keptevents.KeptJobsWritten: _on_kept_jobs_written,
     keptevents.EndedJobsListed: _for_owner(keptjobs.handle_ended_list),
     keptevents.OpenJobsListed: _for_owner(keptjobs.handle_open_list),
+    keptevents.UnclaimedFound: _for_owner(unclaimed.handle_found),
+    keptevents.JobsTakenOver: _for_owner(unclaimed.handle_taken_over),
 }
--- a/fescueturn/scheduler/selffencing.py
+++ b/fescueturn/scheduler/selffencing.py
@@ -6,6 +6,11 @@
 and starts the tasks of kept jobs, which it reads from the store, and can't
 fence off the endpoints on the other side. Best-effort jobs need no such guard,
 as their coordinator offers them to one holder at a time.
+
+A data centre that is cut off as a whole misses none of its own hosts. Its kept
+jobs are stopped once the store hasn't shown its holder's claim for
+`timebudget.CLAIM_UNCONFIRMED_S`: after that, other data centres take them over
+(see `unclaimed`).
 """
 
 from fescueturn.scheduler import endpointruns
@@ -23,7 +28,9 @@
 
 
 def may_be_replaced(owner: ownerstate.Owner) -> bool:
-  """Returns whether another host may hold the shard unknown to this one."""
+  """Returns whether another host may run the kept jobs unknown to this one."""
+  if owner.claim_is_doubtful:
+    return True
   if _store_answers(owner):
     return False
   # The store fell silent before it was known which hosts may claim the shard.
@@ -52,7 +59,10 @@
     owner.self_fenced = True
     owner.counters["self_fenced"] += 1
     silent = ",".join(owner.claimants.silent(owner.now))
-    owner.emit(_log(owner, "self_fenced", silent=silent))
+    claim_age_ms = int((owner.now - owner.claim_confirmed_at) * 1000)
+    owner.emit(
+        _log(owner, "self_fenced", silent=silent, claim_age_ms=claim_age_ms)
+    )
   for record in owner.endpoints.values():
     kept_runs = [r for r in record.runs.values() if _may_be_kept(owner, r)]
     record.must_lapse = bool(kept_runs)
--- a/fescueturn/scheduler/shardownership.py
+++ b/fescueturn/scheduler/shardownership.py
@@ -48,7 +48,7 @@
     return []
   if owner is not None and owner.fence >= holder.fence:
     return []
-  silent_s = candidate.last_claim_s(state.now)
+  claim_took_s = silent_s = candidate.last_claim_s(state.now)
   if owner is not None and owner.by_grant:
     silent_s += state.now - owner.taken_at
   # The earlier holder, or this one, may have granted the shard to yet another
@@ -58,16 +58,18 @@
   if keeps_jobs and event.follows not in (0, owner.fence):
     keeps_jobs = False  # That host's runs are not known here.
   if keeps_jobs and not keptjobs.has_kept_jobs(owner):
-    keptjobs.replace_fence(owner, holder.fence)
+    keptjobs.replace_fence(owner, holder.fence, claim_took_s)
     return []
   # Another holder may have written records of kept jobs between the two claims,
   # so the owner's copy of them may be out of date.
   effects_of_drop = drop_owner(state, event.shard, "claimed_anew")
   if holder.fence <= candidate.stepped_down_fence:
     return []
-  return effects_of_drop + _take_shard(
+  effects = effects_of_drop + _take_shard(
       state, event.shard, holder.fence, event.follows, silent_s
   )
+  state.owners[event.shard].claim_confirmed_at = state.now - claim_took_s
+  return effects
 
 
 def _log_slow_release(state, candidate: election.Candidate) -> list:
--- a/fescueturn/scheduler/timebudget.py
+++ b/fescueturn/scheduler/timebudget.py
@@ -34,6 +34,13 @@
 # The store counts as silent after this long. The list of endpoints alone is
 # asked for every 0.7 s.
 STORE_SILENT_S = 1.0
+# A holder whose claim the store hasn't shown for this long stops the runs of its
+# kept jobs, as another data centre may take these jobs over. They go on through
+# shorter outages of the store.
+CLAIM_UNCONFIRMED_S = 6.0
+# A shard's records must have been unclaimed and unchanged for this long before
+# another data centre takes over the kept jobs in them.
+UNCLAIMED_TIMEOUT_S = 7.5
 # How long a job whose holder is lost waits for the shard's next holder: the
 # claim in the store expires 1.5 s after its last renewal, and the next holder
 # needs some 50 ms.
@@ -149,6 +156,22 @@
   )
 
 
+def cut_off_kept_run() -> Chain:
+  """Returns how long a kept job's run goes on in a data centre that is cut off.
+
+  It is counted from the last moment at which the store had the claim of its
+  holder; no answer of the store shows that holder a later one.
+  """
+  unconfirmed = Link("unconfirmed claim", CLAIM_UNCONFIRMED_S)
+  margin = Link("expiry margin", LEASE_EXPIRY_MARGIN_MS / 1000)
+  tick = Link("slow tick", IDLE_TICK_S)
+  return Chain(
+      (unconfirmed, tick, *_lease_links(), margin),
+      "taken over by another data centre",
+      UNCLAIMED_TIMEOUT_S,
+  )
+
+
 def check(callers_return_s: float):
   """Checks that no run outlives its caller's return.
 
@@ -159,6 +182,7 @@
       abandoned_run(callers_return_s),
       orphaned_run(),
       fenced_kept_run(),
+      cut_off_kept_run(),
   ):
     if not chain.holds:
       raise errors.TimeBudgetError(f"a run may go on for too long: {chain}")
--- a/tests/soak/platform.py
+++ b/tests/soak/platform.py
@@ -101,7 +101,8 @@
     return result
 
   def _acknowledge_results(self, last_seen):
-    for ended in self._ended:
+    for unheard in self._unheard:
+      ended = unheard.ended
       if ended.number <= last_seen:
         row = self._row(ended.run, ended.how.value, self._fence)
         self._platform.acknowledged.append(row)
--- a/tests/test_departed_callers.py
+++ b/tests/test_departed_callers.py
@@ -41,7 +41,7 @@
 
   def __init__(self, job_store=None):
     self.clock = timer.TimerService(3600.0)
-    ports = host_lib.Ports(*[self._ignore] * 10)
+    ports = host_lib.Ports(*[self._ignore] * 12)
     me = state_lib.HostIdentity(ME, "a", (SHARD,))
     address = settings.Address("127.0.0.1", 0)
     self.scheduler = host_lib.SchedulerHost(me, address, ports, self.clock)
--- a/tests/test_platform_claims.py
+++ b/tests/test_platform_claims.py
@@ -63,7 +63,7 @@
     ],
 )
 def test_claim_key_is_parsed_into_a_shard_or_none(rest, shard):
-  assert claims._parse_shard(claims.PREFIX + rest) == shard
+  assert claims.parse_shard(claims.PREFIX + rest) == shard
 
 
 class IdleClient:
--- a/tests/test_platform_jobstore.py
+++ b/tests/test_platform_jobstore.py
@@ -117,7 +117,7 @@
   holder.write(keptevents.StoreEnd("k", model.KeptJobState.DONE))
   assert not [k for k in memory.keys() if "open/" in k or "ends/" in k]
   assert holder.status("k").state is model.KeptJobState.DONE
-  effect = keptevents.ListEndedJobs(SHARD, holder.fence)
+  effect = keptevents.ListEndedJobs(SHARD, holder.fence, SHARD)
   assert curio.run(holder.job_store.list_ended, effect).job_ids == ("k",)
   holder.write(keptevents.DeleteJob("k"))
   assert holder.status("k") is None
--- a/tests/test_scheduler_host.py
+++ b/tests/test_scheduler_host.py
@@ -26,7 +26,7 @@
     del owns_shard
 
   ports = host.Ports(
-      call, call, call, call, call, on_ownership_change, *[call] * 4
+      call, call, call, call, call, on_ownership_change, *[call] * 6
   )
   me = state.HostIdentity(PROCESS, "north", (model.Shard("north"),))
   address = settings.Address("127.0.0.1", 0)
--- a/tests/test_selffencing.py
+++ b/tests/test_selffencing.py
@@ -196,6 +196,7 @@
   owner = ownerstate.Owner(model.Shard("a", 0), 1, 0.0)
   owner.claimants.record("h", 0.0)
   owner.now = owner.store_answered_at = silent_s
+  owner.confirm_claim(0.0)
   selffencing.tick(owner)
   assert not selffencing.may_be_replaced(owner) and not owner.self_fenced
   assert owner.claimants.silent(owner.now) == ["h"]
--- a/tests/test_stored_records.py
+++ b/tests/test_stored_records.py
@@ -98,7 +98,7 @@
 
 
 def test_claim_of_the_previous_build_is_readable_and_written_unchanged():
-  shard = claims._parse_shard(CLAIM_KEY)
+  shard = claims.parse_shard(CLAIM_KEY)
   holder = claims._decode_holder(kvtypes.Item(CLAIM_KEY, 7, CLAIM))
   peer = settings.Address("10.0.0.1", 7720)
   assert shard == model.Shard("north", 0)
--- a/tests/test_timebudget.py
+++ b/tests/test_timebudget.py
@@ -35,6 +35,8 @@
         ("STORE_SILENT_S", 1.2),
         ("KEPT_RECOVERY_TIMEOUT_S", 1.9),
         ("ORPHAN_TIMEOUT_S", 1.1),
+        ("CLAIM_UNCONFIRMED_S", 6.6),
+        ("UNCLAIMED_TIMEOUT_S", 6.9),
     ],
 )
 def test_longer_link_breaks_a_chain(monkeypatch, name, value):
