A moved kept job is found although its mover is lost before it tells

What callers would see: a kept job whose data centre can't run it any more is moved to another one, and stays `running` there with nothing at work, until that shard's holder changes (LOST). Found by looking for work in the store that is nobody's duty.

Cause: only the host that moved a job tells the new shard's holder of it. If that host is lost right after the write, nobody does; only evacuations have the holders list their records.

Change: a move also writes `heads/SHARD/arrivals`, which the search for unclaimed records reads anyway, every 10 s at the latest; its holder then lists its records. A row more for each shard that jobs move to, within the 32 of a write.

--- a/fescueturn/emulator/keptstore.py
+++ b/fescueturn/emulator/keptstore.py
@@ -42,6 +42,8 @@
     # By job id, the shard in which the job finished.
     self._finished_in: dict[str, model.Shard] = {}
     self._heads: dict[model.Shard, _Head] = {}
+    # By shard, the revision of the last move of a job to it.
+    self._arrivals: dict[model.Shard, int] = {}
     # By shard, the jobs that were taken over, each write by its head's revision.
     self._taken: dict[model.Shard, dict[int, tuple[str, ...]]] = {}
     self._revision = 0
@@ -126,6 +128,7 @@
         del open_jobs[change.kept.job.id]
         moved_to = self.open.setdefault(change.to, {})
         moved_to[change.kept.job.id] = change.kept
+        self._arrivals[change.to] = self._revision
       elif isinstance(change, keptevents.ForgetTakenJobs):
         for revision in change.records:
           self._taken[effect.shard].pop(revision, None)
@@ -160,7 +163,10 @@
         for shard, head in self._heads.items()
         if shard not in held
     )
-    return keptevents.UnclaimedFound(effect.shard, effect.fence, records)
+    arrivals = self._arrivals.get(effect.shard, 0)
+    return keptevents.UnclaimedFound(
+        effect.shard, effect.fence, records, arrivals
+    )
 
   def take_over(
       self,
--- a/fescueturn/platform/jobstore.py
+++ b/fescueturn/platform/jobstore.py
@@ -8,6 +8,8 @@
   ``ends/SHARD/ID``: the progress of the job's tasks, until the job ends.
   ``heads/SHARD``: the head record, which identifies the last write to the
     shard's records.
+  ``heads/SHARD/arrivals``: names the last write of another shard's holder that
+    has moved a job to the shard.
   ``taken/SHARD/REVISION``: the ids of jobs that the holder of another shard has
     taken over, while no host claimed the shard.
 
@@ -43,6 +45,11 @@
   return f"{ROOT}{kind}/{shard.data_centre}/{shard.number}"
 
 
+def arrivals_key(shard: model.Shard) -> str:
+  """Returns the key that changes when a job is moved to a shard."""
+  return shard_key(HEADS, shard) + "/arrivals"
+
+
 @dataclasses.dataclass(frozen=True)
 class JobStatus:
   """The status of a kept job as stored.
@@ -243,6 +250,7 @@
           removes.append(f"{shard_key(kind, shard)}/{change.job_id}")
       elif isinstance(change, keptevents.MoveJob):
         puts |= _moved_records(change)
+        puts[arrivals_key(change.to)] = puts[head_key]
         for kind in (OPEN, ENDS):
           removes.append(f"{shard_key(kind, shard)}/{change.kept.job.id}")
       elif isinstance(change, keptevents.ForgetTakenJobs):
--- a/fescueturn/platform/unclaimedjobs.py
+++ b/fescueturn/platform/unclaimedjobs.py
@@ -75,16 +75,22 @@
       self, effect: keptevents.FindUnclaimedRecords
   ) -> keptevents.UnclaimedFound:
     """Returns the records of shards that no host claims."""
-    records = None
+    records, arrivals = None, 0
     try:
       # In this order: a holder that claims its shard in between writes the head
       # record, so that the one that was read no longer counts.
       heads = await self._client.range(_HEADS_PREFIX)
       held = await self._client.range(claims.PREFIX)
       records = _find_unclaimed(heads.items, held.items)
+      arrivals_key = jobstore.arrivals_key(effect.shard)
+      arrivals = max(
+          (i.revision for i in heads.items if i.key == arrivals_key), default=0
+      )
     except errors.KvError as exc:
       logger.warning('event=unclaimed_not_listed error="{}"', exc)
-    return keptevents.UnclaimedFound(effect.shard, effect.fence, records)
+    return keptevents.UnclaimedFound(
+        effect.shard, effect.fence, records, arrivals
+    )
 
   async def take_over(
       self, effect: keptevents.TakeOverJobs
--- a/fescueturn/scheduler/keptevents.py
+++ b/fescueturn/scheduler/keptevents.py
@@ -259,11 +259,14 @@
     shard: the shard whose holder asked.
     fence: that holder's fencing token.
     records: the unclaimed records; None if the store didn't answer.
+    arrivals: the store's revision of the last move of a job to the asking
+      holder's shard by another one's; 0 if there was none.
   """
 
   shard: model.Shard
   fence: int
   records: tuple[UnclaimedRecords, ...] | None
+  arrivals: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/fescueturn/scheduler/keptrecords.py
+++ b/fescueturn/scheduler/keptrecords.py
@@ -20,7 +20,8 @@
 # allows.
 WRITE_PERIOD_S = 0.012
 # A transaction of the store has at most 32 rows. A change takes up to three, a
-# move five, and the checks of the claim and of the previous write three more.
+# move five and one more for each shard that jobs move to, and the checks of the
+# claim and of the previous write three.
 MAX_CHANGES = 9
 MAX_ROWS = 29
 _CHANGE_ROWS = 3
@@ -69,10 +70,13 @@
 def _count_fitting(changes: list[keptevents.Change]) -> int:
   """Returns how many of the changes fit into one write."""
   rows = 0
+  targets = set()
   for count, change in enumerate(changes):
     move = isinstance(change, keptevents.MoveJob)
     rows += _MOVE_ROWS if move else _CHANGE_ROWS
-    if count == MAX_CHANGES or rows > MAX_ROWS:
+    if move:
+      targets.add(change.to)
+    if count == MAX_CHANGES or rows + len(targets) > MAX_ROWS:
       return count
   return len(changes)
 
--- a/fescueturn/scheduler/recordsearch.py
+++ b/fescueturn/scheduler/recordsearch.py
@@ -17,6 +17,8 @@
     taking: the records whose jobs are being taken over, if any.
     in_doubt: True if the last takeover may have moved jobs that it doesn't know
       of.
+    arrivals: the store's revision of the last move to the holder's own records;
+      0 if there was none.
   """
 
   def __init__(self):
@@ -26,6 +28,7 @@
     self.retry_at: dict[keptevents.UnclaimedRecords, float] = {}
     self.taking: keptevents.UnclaimedRecords | None = None
     self.in_doubt = False
+    self.arrivals = 0
 
   def snapshot(self, now: float) -> dict:
     """Returns a JSON-ready dump."""
--- a/fescueturn/scheduler/unclaimed.py
+++ b/fescueturn/scheduler/unclaimed.py
@@ -4,6 +4,9 @@
 left, its kept jobs are still in the store. Holders of other shards look for such
 records and move the jobs in them to their own shard.
 
+The same search shows whether jobs were moved to the holder's own records, whose
+mover may have been lost before it told.
+
 A data centre that is cut off looks the same. Its holder stops its kept jobs in
 time, as the store no longer shows it its claim (see `selffencing`); its
 best-effort jobs go on. `timebudget.cut_off_kept_run` is the chain of delays, and
@@ -67,6 +70,9 @@
     if records not in known:
       owner.emit(_log(owner, "records_unclaimed", records))
   search.since = {r: known.get(r, owner.now) for r in found}
+  if event.records is not None and event.arrivals != search.arrivals:
+    search.arrivals = event.arrivals
+    owner.kept_records.open_list_wanted = True
   search.retry_at = {r: at for r, at in search.retry_at.items() if r in known}
   if search.taking is not None or owner.evacuated or owner.self_fenced:
     return
--- a/tests/test_lost_data_centres.py
+++ b/tests/test_lost_data_centres.py
@@ -385,6 +385,19 @@
   assert not starts_in(emulation, "b")
 
 
+@pytest.mark.parametrize("seed", range(4))
+def test_moved_job_is_found_although_its_mover_is_lost_before_it_tells(seed):
+  emulation = fleet_with_jobs("one", 1000, seed, jobs=0)
+  submit(emulation, "a0", kept("k0", SHAPES["chain"], 2000))
+  emulation.clock.run_until(LOST_AT + 1.0)
+  mover = fleets.owner_of(emulation, "a")
+  lose_endpoints(emulation)
+  while "k0" in emulation.kept_store.open[model.Shard("a")]:
+    emulation.clock.run_until(emulation.clock.now + 0.001)
+  emulation.kill(mover.name)
+  check_done(emulation, LOST_AT + 1.0 + 25.0)
+
+
 def test_waiting_jobs_of_a_lost_data_centre_are_counted_once():
   emulation = fleet_with_jobs("one", 1000, jobs=0)
   for endpoint in emulation.endpoints.values():
--- a/tests/test_platform_unclaimedjobs.py
+++ b/tests/test_platform_unclaimedjobs.py
@@ -279,3 +279,17 @@
   key = jobstore.shard_key(jobstore.HEADS, NORTH)
   store.store.put(key, b"?")
   assert store.find().records == ()
+
+
+def test_search_shows_that_a_job_was_moved_to_the_records():
+  store = Store()
+  assert store.find().arrivals == 0
+  holder = test_platform_jobstore.Holder(store)
+  kept = model.KeptJob(test_platform_jobstore.job("j0"), PROGRESS)
+  holder.write(keptevents.MoveJob(kept, SOUTH))
+  first = store.find().arrivals
+  assert first > 0 and store.find(EAST).arrivals == 0
+  kept = model.KeptJob(test_platform_jobstore.job("j1"), PROGRESS)
+  holder.write(keptevents.MoveJob(kept, SOUTH))
+  assert store.find().arrivals > first
+  assert store.find().records == ()  # Nor is the new key taken for a head.
