Attempts of a kept job go on rising when it moves to another shard

What endpoints see: a job that moves begins again with the numbers that its runs had in the shard before. They are told apart by their endpoint only, and if the job comes back, an endpoint refuses the numbers that it has seen (`old_attempt`).

Cause: a holder numbers attempts by the takeovers of its own shard; only those that had failed were stored with the job.

Change: the progress of a job that moves says which numbers may have been used before, and the next shard goes on above them. Jobs that never moved are stored as before; earlier versions ignore the field.

test_attempts_of_jobs_that_are_taken_over_rise and ..._moved_rise failed before.

--- a/fescueturn/emulator/keptstore.py
+++ b/fescueturn/emulator/keptstore.py
@@ -6,6 +6,7 @@
 import dataclasses
 
 from fescueturn.scheduler import keptevents
+from fescueturn.scheduler import keptjobs
 from fescueturn.scheduler import model
 
 
@@ -184,7 +185,11 @@
       taken[self._heads[lost].revision] = tuple(moved)
       self._revision += 1
       self._heads[lost].revision = self._revision
-      self.open.setdefault(effect.shard, {}).update(moved)
+      takeovers = effect.records.takeovers
+      arrived = self.open.setdefault(effect.shard, {})
+      for job_id, kept in moved.items():
+        progress = keptjobs.after_shard(kept.progress, takeovers)
+        arrived[job_id] = model.KeptJob(kept.job, progress)
     return keptevents.JobsTakenOver(
         effect.shard, effect.fence, effect.records, len(moved), complete
     )
--- a/fescueturn/platform/unclaimedjobs.py
+++ b/fescueturn/platform/unclaimedjobs.py
@@ -19,7 +19,9 @@
 from fescueturn.platform import jobstore
 from fescueturn.platform import storebackoff
 from fescueturn.platform import wire
+from fescueturn.scheduler import keptcodec
 from fescueturn.scheduler import keptevents
+from fescueturn.scheduler import keptjobs
 from fescueturn.scheduler import model
 
 _HEADS_PREFIX = f"{jobstore.ROOT}{jobstore.HEADS}/"
@@ -153,6 +155,21 @@
     return {i: kinds for i, kinds in jobs.items() if jobstore.OPEN in kinds}
 
 
+def _moved_progress(job_id: str, record: bytes | None, takeovers: int) -> bytes:
+  """Returns the record of a job's progress for its new shard.
+
+  A record that can't be decoded stays as it is, for a version that can.
+  """
+  try:
+    progress = model.Progress()
+    if record is not None:
+      progress = keptcodec.decode_progress(job_id, record)
+  except keptcodec.MalformedRecordError as exc:
+    logger.error('event=kept_job_unreadable job={} error="{}"', job_id, exc)
+    return record
+  return keptcodec.encode_progress(keptjobs.after_shard(progress, takeovers))
+
+
 def _find_unclaimed(
     heads: tuple[kvtypes.Item, ...], held: tuple[kvtypes.Item, ...]
 ) -> tuple[keptevents.UnclaimedRecords, ...]:
@@ -188,8 +205,13 @@
   removes = []
   for job_id, kinds in jobs.items():
     puts[jobstore.JOBS + job_id] = jobstore.encode_status(status)
-    for kind, value in kinds.items():
+    moved = dict(kinds)
+    moved[jobstore.ENDS] = _moved_progress(
+        job_id, kinds.get(jobstore.ENDS), effect.records.takeovers
+    )
+    for kind, value in moved.items():
       puts[f"{jobstore.shard_key(kind, shard)}/{job_id}"] = value
+    for kind in kinds:
       removes.append(f"{jobstore.shard_key(kind, lost)}/{job_id}")
   expected = {
       claims.claim_key(lost): 0,
--- a/fescueturn/scheduler/keptcodec.py
+++ b/fescueturn/scheduler/keptcodec.py
@@ -86,9 +86,10 @@
 def encode_progress(progress: model.Progress) -> bytes:
   """Returns the record of a job's progress.
 
-  Each row identifies a task by its step and index; `done`, `failed`, `crashed`
-  and `lost` are as in `model.Progress`.
+  Each row identifies a task by its step and index; the fields are as in
+  `model.Progress`.
   """
+  attempts = {"attempts": progress.attempts} if progress.attempts else {}
   return _dump(
       {
           "done": [[t.step, t.index] for t in progress.done],
@@ -100,6 +101,8 @@
               [t.step, t.index, name, str(address)]
               for t, name, address in progress.lost
           ],
+          # Earlier versions write no such field.
+          **attempts,
       }
   )
 
@@ -127,6 +130,7 @@
             (model.Task(job_id, step, i), name, settings.parse_address(address))
             for step, i, name, address in raw.get("lost", ())
         ),
+        raw.get("attempts", 0),
     )
   except (AttributeError, KeyError, TypeError, ValueError) as exc:
     raise MalformedRecordError(
--- a/fescueturn/scheduler/keptjobs.py
+++ b/fescueturn/scheduler/keptjobs.py
@@ -1,5 +1,6 @@
 """An owner's kept (durable) jobs: takeover, storing, cancelling and moving."""
 
+import dataclasses
 import math
 
 from fescueturn.scheduler import crashes
@@ -112,13 +113,15 @@
   key = keptrecords.job_key(job.id)
   offer = linkmessages.Offered(owner.shard, key, job, age_s, math.inf, resumed)
   record = offers.add_job(owner, offer)
-  first_attempt = owner.kept_records.takeovers * ownerstate.ATTEMPTS_PER_HOLDER
+  record.earlier_attempts = progress.attempts
+  first_attempt = progress.attempts
+  first_attempt += owner.kept_records.takeovers * ownerstate.ATTEMPTS_PER_HOLDER
   for task in record.tasks.values():
     task.attempt = first_attempt
   for run in progress.failed:
     task = record.tasks[run.task]
     task.failed.add(run.attempt)
-    # Another shard may have used higher attempt numbers, which must be unique.
+    # An earlier version doesn't tell which numbers another shard has used.
     task.attempt = max(task.attempt, run.attempt)
   for task, endpoint in progress.crashed:
     record.tasks[task].crashed.add(endpoint)
@@ -200,10 +203,22 @@
       or job.job.id in kept_records.unsaved_states
   ):
     return
-  kept = model.KeptJob(job.job, _progress(owner, job.job.id))
+  progress = after_shard(_progress(owner, job.job.id), kept_records.takeovers)
+  kept = model.KeptJob(job.job, progress)
   kept_records.moving[job.job.id] = keptevents.MoveJob(kept, to)
 
 
+def after_shard(progress: model.Progress, takeovers: int) -> model.Progress:
+  """Returns a job's progress for the shard that it moves to.
+
+  Args:
+    progress: the progress.
+    takeovers: how often the records that it leaves were taken over.
+  """
+  used = (takeovers + 1) * ownerstate.ATTEMPTS_PER_HOLDER
+  return dataclasses.replace(progress, attempts=progress.attempts + used)
+
+
 def _job_moved(owner, change: keptevents.MoveJob):
   job_id = change.kept.job.id
   owner.kept_records.moving.pop(job_id)
@@ -460,6 +475,7 @@
           for t in tasks
           for name, address in sorted(t.lost_endpoints.items())
       ),
+      job.earlier_attempts,
   )
 
 
--- a/fescueturn/scheduler/model.py
+++ b/fescueturn/scheduler/model.py
@@ -185,12 +185,15 @@
     crashed: pairs of a task and an endpoint that crashed while running it.
     lost: triples of a task, an endpoint that was lost while running it and
       may have crashed, and that endpoint's address.
+    attempts: no run that was started in a shard that had the job before has a
+      higher number; 0 if no other shard had it.
   """
 
   done: tuple[Task, ...] = ()
   failed: tuple[RunId, ...] = ()
   crashed: tuple[tuple[Task, str], ...] = ()
   lost: tuple[tuple[Task, str, settings.Address], ...] = ()
+  attempts: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/fescueturn/scheduler/ownerstate.py
+++ b/fescueturn/scheduler/ownerstate.py
@@ -43,7 +43,8 @@
 EARLY_RESULT_TTL_S = 2.0
 # Each holder numbers the attempts of a kept job's tasks from this figure times
 # the number of previous holders, because it doesn't know the last attempt that
-# the holder before it started.
+# the holder before it started. A job that moves to another shard goes on above all
+# numbers that the one before may have used.
 ATTEMPTS_PER_HOLDER = 1000
 
 
@@ -109,6 +110,7 @@
     returning: True if it is to be handed back once none of its runs is active.
     stranded_since: since when no endpoint here can run what is left of it (s);
       None while one can.
+    earlier_attempts: see `model.Progress.attempts`.
   """
 
   def __init__(
@@ -125,6 +127,7 @@
     self.offer_number = offer.number
     self.returning = False
     self.stranded_since: float | None = None
+    self.earlier_attempts = 0
     self.tasks: dict[model.Task, TaskRecord] = {}
     self.waiting: list[TaskRecord] = []
     self.unfinished = [step.count for step in self.job.steps]
--- a/tests/test_lost_data_centres.py
+++ b/tests/test_lost_data_centres.py
@@ -398,6 +398,39 @@
   check_done(emulation, LOST_AT + 1.0 + 25.0)
 
 
+def check_attempts_rise(emulation, left: str):
+  """Checks that each task's runs elsewhere have higher numbers than in `left`."""
+  last = {}
+  for run in starts_in(emulation, left):
+    last[run.task] = max(last.get(run.task, 0), run.attempt)
+  elsewhere = [
+      run
+      for name in fleets.DATA_CENTRES
+      if name != left
+      for run in starts_in(emulation, name)
+      if run.task in last
+  ]
+  assert elsewhere
+  assert all(run.attempt > last[run.task] for run in elsewhere)
+
+
+def test_attempts_of_jobs_that_are_taken_over_rise():
+  emulation = fleet_with_jobs("chain", 3000)
+  emulation.kill(fleets.owner_of(emulation, "a").name)
+  emulation.clock.run_until(LOST_AT + 2.0)
+  lose_hosts(emulation)
+  lose_endpoints(emulation)
+  check_done(emulation, LOST_AT + 2.0 + TAKEN_AFTER_S + 12.0)
+  check_attempts_rise(emulation, "a")
+
+
+def test_attempts_of_jobs_that_are_moved_rise():
+  emulation = fleet_with_jobs("chain", 3000)
+  lose_endpoints(emulation)
+  check_done(emulation, LOST_AT + 20.0)
+  check_attempts_rise(emulation, "a")
+
+
 def test_waiting_jobs_of_a_lost_data_centre_are_counted_once():
   emulation = fleet_with_jobs("one", 1000, jobs=0)
   for endpoint in emulation.endpoints.values():
