Model of the takeover, with the delays of the time budget

spec/takeover.pml: a kept task, its holder that is cut off, served in part or frozen at any moment, and another data centre that takes the job over. No two runs are active at a time, and no run starts after an end that counts. That a move also depends on the lost shard's claim isn't needed for this in the model: the head record alone guards it.

The record of jobs that were taken over is a row like the others, as test_any_bytes_give_a_value_or_the_given_error found in the whole suite.

--- a/fescueturn/platform/jobstore.py
+++ b/fescueturn/platform/jobstore.py
@@ -326,8 +326,8 @@
   taken = []
   for revision, value in records.items():
     try:
-      job_ids = wire.decode(wire.taken_jobs, value, TAKEN, errors.KvError)
-      taken.append(keptevents.TakenJobs(int(revision), job_ids))
+      row = wire.decode(wire.taken_rows, value, TAKEN, errors.KvError)
+      taken.append(keptevents.TakenJobs(int(revision), row.job_ids))
     except (errors.KvError, ValueError) as exc:
       logger.error('event=taken_jobs_unreadable error="{}"', exc)
   return tuple(taken)
--- a/fescueturn/platform/unclaimedjobs.py
+++ b/fescueturn/platform/unclaimedjobs.py
@@ -200,7 +200,7 @@
   taken_key = f"{jobstore.shard_key(jobstore.TAKEN, lost)}/{head.revision}"
   puts = {
       head_key: jobstore.encode_head(row),
-      taken_key: msgspec.json.encode(list(jobs)),
+      taken_key: msgspec.json.encode(wire.TakenRow(tuple(jobs))),
   }
   removes = []
   for job_id, kinds in jobs.items():
--- a/fescueturn/platform/wire.py
+++ b/fescueturn/platform/wire.py
@@ -208,6 +208,16 @@
   number: Amount
 
 
+class TakenRow(_Row):
+  """Jobs that the holder of another shard has taken over in one write.
+
+  Attributes:
+    job_ids: the jobs.
+  """
+
+  job_ids: tuple[str, ...]
+
+
 class HeadRow(_Row):
   """The head record of a shard, which identifies the last write to its records.
 
@@ -420,7 +430,7 @@
 lease_replies = msgspec.json.Decoder(LeaseReply)
 claims = msgspec.json.Decoder(Claim)
 job_status_rows = msgspec.json.Decoder(JobStatusRow)
-taken_jobs = msgspec.json.Decoder(tuple[str, ...])
+taken_rows = msgspec.json.Decoder(TakenRow)
 head_rows = msgspec.json.Decoder(HeadRow)
 order_replies = msgspec.json.Decoder(OrderReply)
 jobs = msgspec.json.Decoder(Job)
--- a/tests/test_spec.py
+++ b/tests/test_spec.py
@@ -27,6 +27,9 @@
 SERVED = "((serving[0]||serving[1])||serving[2])"
 STARTS_TWICE = "assertion violated (starts<=1)"
 OUTLIVED = "( !(running)||(now<"
+RUNS_OVERLAP = "assertion violated  !(run"
+# A step of time of `takeover.pml` (s).
+TAKEOVER_STEP_S = 0.5
 # A step of time of `lifetime.pml` (s).
 STEP_S = 0.1
 
@@ -124,6 +127,60 @@
   assert OUTLIVED in out
 
 
+def takeover_delays() -> dict[str, int]:
+  """Returns the delays of `takeover.pml`, in steps of time."""
+  chain = timebudget.cut_off_kept_run()
+  confirm, *rest = (link.seconds for link in chain.links)
+  return {
+      "CONFIRM": math.ceil(confirm / TAKEOVER_STEP_S),
+      "LEASE": math.ceil(sum(rest) / TAKEOVER_STEP_S),
+      "WAIT": math.floor(chain.limit_s / TAKEOVER_STEP_S),
+  }
+
+
+def define_takeover(**changes: int) -> list[str]:
+  delays = takeover_delays() | changes
+  return [f"-D{name}={steps}" for name, steps in delays.items()]
+
+
+def test_no_task_runs_twice_when_another_data_centre_takes_over(tmp_path):
+  out = check(tmp_path, "takeover.pml", *define_takeover())
+  assert "errors: 0" in out
+  assert "max search depth too small" not in out
+
+
+@pytest.mark.parametrize("name", ["CONFIRM", "LEASE", "WAIT"])
+def test_longer_delay_lets_a_run_overlap_a_takeover(tmp_path, name):
+  delays = takeover_delays()
+  spare = delays["WAIT"] - delays["CONFIRM"] - delays["LEASE"]
+  assert spare >= 0
+  change = spare + 1
+  steps = delays[name] + (-change if name == "WAIT" else change)
+  out = check(tmp_path, "takeover.pml", *define_takeover(**{name: steps}))
+  assert "errors: 1" in out
+  assert RUNS_OVERLAP in out
+
+
+@pytest.mark.parametrize(
+    ("mutant", "broken"),
+    [
+        ("NO_STOP", RUNS_OVERLAP),
+        ("ANY_ANSWER", RUNS_OVERLAP),
+        ("NO_WAIT", RUNS_OVERLAP),
+        ("NO_HEAD", RUNS_OVERLAP),
+        ("CLAIMS_FIRST", RUNS_OVERLAP),
+        ("KEEP_JOB", RUNS_OVERLAP),
+        ("FROZEN_OLD", RUNS_OVERLAP),
+        ("RENEW_BESIDE", RUNS_OVERLAP),
+        ("NO_LAPSE", "!((again&& !(lapsed)))"),
+    ],
+)
+def test_rule_of_takeovers_is_needed(tmp_path, mutant, broken):
+  out = check(tmp_path, "takeover.pml", f"-D{mutant}", *define_takeover())
+  assert "errors: 1" in out
+  assert broken in out
+
+
 @pytest.mark.parametrize(
     ("spec", "mutant", "broken"),
     [
