--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -19,7 +19,7 @@
 from tests.soak import run as run_lib
 
 REGRESSIONS = pathlib.Path(__file__).with_name("regressions.txt")
-_MODES = ("lossy", "partitions", "pauses", "leaving", "silent")
+_MODES = ("lossy", "partitions", "pauses", "leaving", "silent", "centres")
 _BUSY = """
 import os, sys
 while os.getppid() == int(sys.argv[1]):
@@ -42,6 +42,9 @@
 @click.option(
     "--silent", is_flag=True, help="Silent connections too, in any mode."
 )
+@click.option(
+    "--centres", is_flag=True, help="Whole data centres are cut off or lost."
+)
 @click.option("--beside", default="", help="Another checkout that hosts run.")
 @click.option("--busy", default=0, help="Number of busy processes beside it.")
 @click.option("--regressions", is_flag=True, help="Run the kept seeds.")
@@ -63,6 +66,7 @@
     pauses,
     leaving,
     silent,
+    centres,
     beside,
     busy,
     regressions,
@@ -74,7 +78,7 @@
   if seed is None:
     seed = random.SystemRandom().randrange(1_000_000)
   numbers = range(seed, seed + seeds)
-  modes = lossy, partitions, pauses, leaving, size, silent, beside
+  modes = lossy, partitions, pauses, leaving, size, silent, beside, centres
   plans = [run_lib.Plan(number, seconds, *modes) for number in numbers]
   if regressions:
     plans = read_regressions()
@@ -91,8 +95,10 @@
     if line and not line.startswith("#"):
       seed, seconds, mode, *_ = line.split()
       modes = [name in mode.split("-") for name in _MODES]
-      *modes, silent = modes
-      plan = run_lib.Plan(int(seed), float(seconds), *modes, silent=silent)
+      *modes, silent, centres = modes
+      plan = run_lib.Plan(
+          int(seed), float(seconds), *modes, silent=silent, centres=centres
+      )
       plans.append(plan)
   return plans
 
@@ -134,7 +140,7 @@
 
 def _modes(plan: run_lib.Plan) -> list[str]:
   chosen = plan.lossy_only, plan.partitions, plan.pauses, plan.leaving
-  chosen += (plan.silent,)
+  chosen += plan.silent, plan.centres
   return [
       mode for mode, is_chosen in zip(_MODES, chosen, strict=True) if is_chosen
   ]
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -68,6 +68,7 @@
     size: int = 1,
     silent: bool = False,
     upgrade: bool = False,
+    centres: bool = False,
 ) -> list[Fault]:
   site = cluster_lib.Site(size)
   draws = [(0.8, _path_fault), (2.5, _host_fault)]
@@ -77,6 +78,8 @@
     draws = [(2.0, _lossy)]
   elif partitions:
     draws = [(2.5, _partition), (6.0, _host_fault)]
+  elif centres:
+    draws, later = [(5.0, _centre), (6.0, _host_fault)], []
   elif pauses:
     draws, later = [(3.0, _host_fault)], [(6.0, _restart)]
   else:
@@ -149,6 +152,19 @@
   return PARTITION, (host,), (rng.choice(near),), rng.uniform(1.0, 6.0)
 
 
+def _centre(rng, site) -> tuple:
+  """A data centre is cut off as a whole, or its hosts are lost or stand still."""
+  half = site.hosts_per_centre
+  hosts = rng.choice((site.hosts[:half], site.hosts[half:]))
+  near = [slot for slot in site.slots if site.are_near(hosts[0], slot)]
+  # Shorter and longer than until its kept jobs are taken over.
+  for_s = rng.choice((rng.uniform(2.0, 8.0), rng.uniform(8.0, 14.0)))
+  kind = rng.choice((PARTITION, PARTITION, "kill", "pause"))
+  if kind == "kill":
+    for_s *= 2  # They are started again after half of the time.
+  return kind, tuple(hosts), tuple(near), for_s
+
+
 def _mute(rng, site) -> tuple:
   """Some open connections are silent for good; new ones work."""
   kind, share = rng.choice(_MUTE_KINDS), rng.choice((1.0, rng.random()))
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -42,6 +42,7 @@
   size: int = 1
   silent: bool = False
   beside: str = ""
+  centres: bool = False
 
   def builds(self) -> tuple[tuple[pathlib.Path, ...], ...]:
     """Returns the checkouts that hosts run before and after an upgrade."""
@@ -68,6 +69,7 @@
       plan.size,
       plan.silent,
       bool(plan.beside),
+      plan.centres,
   )
   _write(directory / "schedule.json", [plan, *schedule])
   cluster = cluster_lib.Cluster(directory, plan.seed, site, plan.builds())
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -35,6 +35,7 @@
         run_lib.Plan(7, 8.0, pauses=True),
         run_lib.Plan(9, 4.0, pauses=True, leaving=True),
         run_lib.Plan(12, 8.0, leaving=True, silent=True),
+        run_lib.Plan(14, 10.0, leaving=True, centres=True),
     ),
 )
 def test_promises_hold_while_faults_are_injected(plan, tmp_path):
