--- a/fescueturn/scheduler/recordsearch.py
+++ b/fescueturn/scheduler/recordsearch.py
@@ -30,6 +30,11 @@
     self.in_doubt = False
     self.arrivals = 0
 
+  def forget(self):
+    """Begins the waits anew, as the store may have been away."""
+    self.since = {}
+    self.retry_at = {}
+
   def snapshot(self, now: float) -> dict:
     """Returns a JSON-ready dump."""
     return {
--- a/fescueturn/scheduler/unclaimed.py
+++ b/fescueturn/scheduler/unclaimed.py
@@ -63,22 +63,33 @@
   search = owner.unclaimed
   search.pending = False
   took_s = owner.now - search.asked_at
-  is_away = event.records is None or took_s > MAX_ANSWER_S
-  found = event.records or ()
-  known = {} if is_away else search.since
-  for records in found:
-    if records not in known:
-      owner.emit(_log(owner, "records_unclaimed", records))
-  search.since = {r: known.get(r, owner.now) for r in found}
-  if event.records is not None and event.arrivals != search.arrivals:
+  if event.records is None or took_s > MAX_ANSWER_S:
+    search.forget()
+  if event.records is None:
+    return
+  _record_found(owner, event.records)
+  if event.arrivals != search.arrivals:
     search.arrivals = event.arrivals
     owner.kept_records.open_list_wanted = True
-  search.retry_at = {r: at for r, at in search.retry_at.items() if r in known}
-  if search.taking is not None or owner.evacuated or owner.self_fenced:
-    return
-  due = [r for r in found if _is_due(owner, r)]
+  if not (search.taking or owner.evacuated or owner.self_fenced):
+    _take_over(owner)
+
+
+def _record_found(owner, found: tuple[keptevents.UnclaimedRecords, ...]):
+  """Records since when each of the found records has been unclaimed."""
+  search = owner.unclaimed
+  for records in found:
+    if records not in search.since:
+      owner.emit(_log(owner, "records_unclaimed", records))
+  search.since = {r: search.since.get(r, owner.now) for r in found}
+  search.retry_at = {r: at for r, at in search.retry_at.items() if r in found}
+
+
+def _take_over(owner):
+  """Has the jobs of the first records moved whose wait is over, if any."""
+  due = [r for r in owner.unclaimed.since if _is_due(owner, r)]
   if due:
-    search.taking = due[0]
+    owner.unclaimed.taking = due[0]
     owner.emit(keptevents.TakeOverJobs(owner.shard, owner.fence, due[0]))
 
 
@@ -103,12 +114,8 @@
     return
   search = owner.unclaimed
   search.taking = None
-  records = event.records
-  if event.complete and records not in search.retry_at:
-    lost = records.shard
-    owner.emit(keptevents.ListEndedJobs(owner.shard, owner.fence, lost))
   if event.complete:
-    search.retry_at[records] = owner.now + IDLE_FIND_PERIOD_S
+    _handle_emptied(owner, event.records)
   was_in_doubt, search.in_doubt = search.in_doubt, not event.complete
   if not (event.count or search.in_doubt or was_in_doubt):
     return
@@ -118,13 +125,22 @@
       _log(
           owner,
           "kept_jobs_taken_over",
-          records,
+          event.records,
           jobs=event.count,
           complete=event.complete,
       )
   )
 
 
+def _handle_emptied(owner, records: keptevents.UnclaimedRecords):
+  """Plans the next look at records that have no open job left."""
+  search = owner.unclaimed
+  if records not in search.retry_at:
+    lost = records.shard
+    owner.emit(keptevents.ListEndedJobs(owner.shard, owner.fence, lost))
+  search.retry_at[records] = owner.now + IDLE_FIND_PERIOD_S
+
+
 def _log(
     owner, event: str, records: keptevents.UnclaimedRecords, **fields
 ) -> events.Log:
