--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -79,7 +79,7 @@
   elif partitions:
     draws = [(2.5, _partition), (6.0, _host_fault)]
   elif centres:
-    draws, later = [(5.0, _centre), (6.0, _host_fault)], []
+    draws = [(5.0, _centre), (6.0, _host_fault)]
   elif pauses:
     draws, later = [(3.0, _host_fault)], [(6.0, _restart)]
   else:
