Search for unclaimed records: a comment said what isn't so

Cause: on an unreadable head record it said that the next write replaces it; a new holder reads the record first, and retries.

--- a/fescueturn/platform/unclaimedjobs.py
+++ b/fescueturn/platform/unclaimedjobs.py
@@ -182,7 +182,7 @@
     try:
       found.append(_identify(shard, jobstore.decode_head(item)))
     except errors.KvError as exc:
-      # Its own holders can't read it either; the next write replaces it.
+      # The holders of that shard cannot read it either.
       logger.error('event=head_unreadable error="{}"', exc)
   return tuple(found)
 
