--- a/review/minisite.py
+++ b/review/minisite.py
@@ -19,9 +19,10 @@
 import time
 import tomllib
 import urllib.parse
-from collections.abc import Callable
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
+# A loopback address of its own for each run, so that no other process has its ports.
+ADDRESS = ".".join(["127", *(str(random.randrange(2, 250)) for _ in range(3))])
 HOST_NAME = "jobs.example"
 PREFIX = "/batch/"
 SERVICE = "uplift-orders"
@@ -43,10 +44,6 @@
 # The entry hosts set keep-alive probes of a second, and TCP_USER_TIMEOUT to 1.5 s:
 # an idle connection ends with the second probe that isn't acknowledged.
 PROBE_S = 1.0
-# What a fault makes of a call of the store: it is done and not answered, or
-# neither done nor answered.
-LOST = "lost"
-SILENT = "silent"
 
 
 def trouble() -> bool:
@@ -122,7 +119,7 @@
       writer.close()
 
   return await asyncio.start_server(
-      on_connection, "127.0.0.1", port, backlog=BACKLOG
+      on_connection, ADDRESS, port, backlog=BACKLOG
   )
 
 
@@ -134,7 +131,7 @@
   """
   try:
     async with asyncio.timeout(timeout_s):
-      reader, writer = await asyncio.open_connection("127.0.0.1", port)
+      reader, writer = await asyncio.open_connection(ADDRESS, port)
       try:
         data = b"" if body is None else json.dumps(body).encode()
         lines = [f"{method} {path} HTTP/1.1", f"Host: {HOST_NAME}"]
@@ -153,17 +150,23 @@
     return None, repr(exc)
 
 
+_taken_ports: set[int] = set()
+
+
 def free_ports(count: int) -> list[int]:
-  """Returns `count` free ports in a row."""
+  """Returns `count` free ports in a row, which it returns only once."""
   for _ in range(1000):
     first = random.randrange(20000, 30000)
     ports = list(range(first, first + count))
+    if not _taken_ports.isdisjoint(ports):
+      continue
     socks = []
     try:
       for port in ports:
         sock = socket.socket()
         socks.append(sock)
-        sock.bind(("127.0.0.1", port))
+        sock.bind((ADDRESS, port))
+      _taken_ports.update(ports)
       return ports
     except OSError:
       continue
@@ -181,9 +184,8 @@
 
   def __init__(self, port: int):
     self.port = port
-    # By port, what befalls a call: an asynchronous function of (method, path)
-    # that returns None, an answer, or `LOST` (done, but not answered).
-    self.faults: dict[int, Callable] = {}
+    # By port, the answer that is given to each call in place of doing it.
+    self.refusals: dict[int, tuple] = {}
     self.delay_s = STORE_DELAY_S
     self.revision = 10
     self.items: dict[str, dict] = {}
@@ -250,14 +252,12 @@
 
   async def _handle(self, port, method, target, headers, body):
     del headers
-    fault = self.faults.get(port)
-    outcome = await fault(method, target) if fault else None
-    if outcome not in (None, LOST):
-      return None if outcome == SILENT else outcome
+    if port in self.refusals:
+      return self.refusals[port]
     await asyncio.sleep(self.delay_s / 2)
     answer = await self._answer(method, target, body)
     await asyncio.sleep(self.delay_s / 2)
-    return None if outcome == LOST else answer
+    return answer
 
   async def _answer(self, method, target, body):
     url = urllib.parse.urlsplit(target)
@@ -373,9 +373,6 @@
 
   Attributes:
     up: False once it has crashed.
-    cut: True while no call reaches it and it reaches no one.
-    mute: True while its answers are lost.
-    late_share: the share of orders that get no answer and are carried out late.
   """
 
   def __init__(self, site: "Site", zone: str, rack: str, port: int, cpu: int):
@@ -384,9 +381,6 @@
     self.site, self.zone, self.rack, self.port = site, zone, rack, port
     self.capacity = {"cpu": cpu, "memMb": 65536, "gpu": 0}
     self.up = True
-    self.cut = False
-    self.mute = False
-    self.late_share = 0.0
     self.runs: dict[tuple, _Run] = {}
     self.ends: list[list] = []
     self.last_seen = 0
@@ -436,7 +430,7 @@
     for _ in range(2 * BACKLOG):  # No connection fits into the queue any more.
       sock = socket.socket()
       sock.setblocking(False)
-      sock.connect_ex(("127.0.0.1", self.port))
+      sock.connect_ex((ADDRESS, self.port))
       waiting.append(sock)
     await asyncio.sleep(for_s)
     for sock in waiting:
@@ -454,11 +448,11 @@
     last = 0.0
     key = f"servers/{self.id}"
     while True:
-      if self.up and not self.cut:
+      if self.up:
         self._sequence += 1
         last = time.monotonic()
         entry = {
-            "service": SERVICE, "address": f"127.0.0.1:{self.port}",
+            "service": SERVICE, "address": f"{ADDRESS}:{self.port}",
             "zone": self.zone, "version": "v1", "slots": 8, "state": "ready",
             "capacity": self.capacity, "labels": [self.kind, self.rack],
             "coldRemainingMs": 0, "sequence": self._sequence,
@@ -505,19 +499,10 @@
 
   async def _handle(self, method, target, headers, body):
     del method
-    if self.cut or not self.up:
-      return None
-    if target != "/-/hold" and random.random() < self.late_share:
-      asyncio.get_running_loop().call_later(
-          random.uniform(2, 12), self._execute_late, target, headers, body
-      )
+    if not self.up:
       return None
     answer = await self._answer(target, headers, body)
-    return None if self.cut or self.mute or not self.up else answer
-
-  def _execute_late(self, target, headers, body):
-    if self.up and not self.cut:
-      asyncio.ensure_future(self._answer(target, headers, body))
+    return answer if self.up else None
 
   async def _answer(self, target, headers, body):
     if headers.get("expect-instance", self.id) != self.id:
@@ -592,12 +577,12 @@
     self._settings.write_text(
         json.dumps({
             "node": name, "role": "entry", "machineClass": "frontend",
-            "serves": ["frontend"], "ip": "127.0.0.1", "zone": zone,
+            "serves": ["frontend"], "ip": ADDRESS, "zone": zone,
             "region": "r", "zones": dict.fromkeys(site.zones, "r"),
             "listen": {
-                "frontend": f"127.0.0.1:{self.callers}",
-                "readiness": f"127.0.0.1:{self.readiness}",
-                "control": f"127.0.0.1:{self.control}",
+                "frontend": f"{ADDRESS}:{self.callers}",
+                "readiness": f"{ADDRESS}:{self.readiness}",
+                "control": f"{ADDRESS}:{self.control}",
             },
             "internalPorts": [internal[0], internal[-1]],
             "seeds": [], "bootstrap": True, "inTolerance": False,
@@ -614,7 +599,7 @@
             "faultTolerance": {"machines": 1, "zones": 1, "regions": 0},
             "bounds": BOUNDS, "controlMode": "request", "advice": "",
             "platform": {
-                "address": f"127.0.0.1:{self.store}", "form": "kv",
+                "address": f"{ADDRESS}:{self.store}", "form": "kv",
                 "writesPerS": 400, "readsPerS": 2000, "historyS": 20,
                 "valueBytes": 1048576, "minTtlMs": 1000,
             },
