--- a/fescueturn/scheduler/keptjobs.py
+++ b/fescueturn/scheduler/keptjobs.py
@@ -8,7 +8,7 @@
 from fescueturn.scheduler import keptends
 from fescueturn.scheduler import keptevents
 from fescueturn.scheduler import keptrecords
-from fescueturn.scheduler import leases
+from fescueturn.scheduler import leasecalls
 from fescueturn.scheduler import linkmessages
 from fescueturn.scheduler import model
 from fescueturn.scheduler import offers
@@ -273,7 +273,7 @@
     if record is not None and number != keptrecords.ENDPOINT_LOST:
       record.ended.record_saved(number)
       if not record.ended.unsaved:
-        leases.renew_lease(owner, record)
+        leasecalls.renew_lease(owner, record)
 
 
 def _has_duplicate_starts(owner, job_id: str) -> bool:
@@ -413,7 +413,7 @@
   kept_records = owner.kept_records
   _acknowledge_held_results(owner)
   for record in keptends.release_lapsed(owner):
-    leases.renew_lease(owner, record)
+    leasecalls.renew_lease(owner, record)
   if kept_records.early_offers and not kept_records.loaded:
     _decline_late_offers(owner)
   list_due = owner.now - owner.taken_at > keptrecords.LIST_ENDED_DELAY_S
--- a/fescueturn/scheduler/leases.py
+++ b/fescueturn/scheduler/leases.py
@@ -9,6 +9,7 @@
 from fescueturn.scheduler import endpointruns
 from fescueturn.scheduler import endpointstate
 from fescueturn.scheduler import events
+from fescueturn.scheduler import leasecalls
 from fescueturn.scheduler import model
 from fescueturn.scheduler import outcomes
 from fescueturn.scheduler import ownerstate
@@ -18,14 +19,6 @@
 from fescueturn.scheduler import stragglers
 from fescueturn.scheduler.decisions import leaving
 
-# How long a lease call waits at the endpoint for a run to end (a long poll).
-# The next call then renews the lease with 500 of its 800 ms left, enough for a
-# lost call and its retry.
-LEASE_CALL_WAIT_MS = 300
-# The same wait while calls are being lost. The ended runs that a lost call
-# would have reported become known this much later, and the shortest tasks have
-# 96 ms to spare.
-LOSSY_CALL_WAIT_MS = 60
 # An endpoint counts as silent after this many consecutive lease calls without
 # an answer. With 30% of the calls lost, three in a row are lost one time in
 # forty.
@@ -114,7 +107,7 @@
       leaving.record_entry(record, info, owner.now)
       owner.endpoints[name] = record
       owner.emit(ownerstate.endpoint_log("endpoint_seen", record))
-      renew_lease(owner, record)
+      leasecalls.renew_lease(owner, record)
       continue
     if record.info.draining != info.draining or not record.listed:
       owner.emit(
@@ -123,7 +116,7 @@
     leaving.record_entry(record, info, owner.now)
     record.update(info)
     if record.restart_listed:
-      renew_lease(owner, record, now=True)
+      leasecalls.renew_lease(owner, record, now=True)
     stragglers.move_from_leaving(owner, record)
   for name, record in list(owner.endpoints.items()):
     if name not in own_endpoints and record.listed:
@@ -136,89 +129,6 @@
   runcontrol.start_waiting_tasks(owner)
 
 
-def renew_lease(
-    owner: ownerstate.Owner,
-    record: endpointstate.EndpointRecord,
-    now: bool = False,
-):
-  """Renews the endpoint's lease and asks for its runs.
-
-  Does nothing while a call is pending.
-
-  Args:
-    owner: the owner.
-    record: the endpoint.
-    now: True to get the answer without a long poll. A pending long poll is then
-      superseded by a call without a wait, and its answer is ignored.
-  """
-  if record.call_pending and not (now and record.call_is_long_poll):
-    return
-  since_call_s = owner.now - record.call_sent_at
-  if (
-      record.ended.unsaved
-      and since_call_s < endpointstate.UNSAVED_CALL_INTERVAL_S
-  ):
-    return
-  if record.call_pending:
-    record.record_failed_request()  # Its answer, if any, is ignored.
-  record.call_number += 1
-  record.call_pending = True
-  record.call_sent_at = owner.now
-  ack_number = record.next_ack()
-  wait_ms = 0 if now else _call_wait_ms(owner, record)
-  record.call_is_long_poll = wait_ms > 0
-  deadline_ms = _new_lease_end(owner, record)
-  record.call_extends = deadline_ms is not None
-  owner.emit(
-      events.RenewLease(
-          record.info,
-          record.call_number,
-          ack_number,
-          deadline_ms,
-          wait_ms,
-          owner.fence,
-          owner.now,
-      )
-  )
-
-
-def _call_wait_ms(owner, record: endpointstate.EndpointRecord) -> int:
-  """Returns how long a lease call may wait for a run to end (ms).
-
-  It is 0 while the endpoint's runs are unknown or the result of a stop is
-  awaited, since those answers are needed at once.
-  """
-  if not record.runs_known or not record.runs or record.awaits_stop_result:
-    return 0
-  return (
-      LOSSY_CALL_WAIT_MS if owner.call_losses.is_lossy else LEASE_CALL_WAIT_MS
-  )
-
-
-def _new_lease_end(owner, record) -> int | None:
-  """Returns the new end of the endpoint's lease, or None to not renew it.
-
-  The lease of a silent endpoint is left to expire, so that its tasks can be run
-  elsewhere. So is the lease of an endpoint whose runs are all to be stopped, or
-  belong to jobs that are not known here yet, and that of an endpoint with a run
-  that must end, or whose coordinator is silent, since it may be dead.
-  """
-  return record.lease.extend(owner.now) if _extends(owner, record) else None
-
-
-def _extends(owner, record) -> bool:
-  if record.silent_since is not None or owner.must_let_lapse(record):
-    return False
-  return any(run.wanted for run in record.runs.values())
-
-
-def extend_lease_left_out(owner: ownerstate.Owner, record):
-  """Extends a lease that the long poll under way has left to expire."""
-  left_out = record.call_is_long_poll and not record.call_extends
-  if left_out and _extends(owner, record):
-    renew_lease(owner, record, now=True)
-
-
 def handle_lease_answer(owner: ownerstate.Owner, event: events.LeaseAnswered):
   """Handles a lease call's answer: the endpoint's active and ended runs."""
   record = owner.endpoints.get(event.endpoint)
@@ -228,7 +138,7 @@
   owner.call_losses.record_call(event.result is model.CallResult.NO_ANSWER)
   if event.born_ms and event.born_ms < record.born_ms:
     # An earlier incarnation's answer, which came after a later one's.
-    renew_lease(owner, record)
+    leasecalls.renew_lease(owner, record)
     return
   if event.result is model.CallResult.OK:
     record.record_answered_call()
@@ -294,7 +204,7 @@
   """Handles a pause of this process: asks all endpoints for their runs."""
   owner.pause_grace_until = owner.now + PAUSE_GRACE_S
   for record in owner.endpoints.values():
-    renew_lease(owner, record, now=True)
+    leasecalls.renew_lease(owner, record, now=True)
 
 
 def _handle_suspension(owner: ownerstate.Owner, seconds: float):
@@ -346,7 +256,7 @@
     update_clock(owner, record, event.clock_ms)
   elif event.born_ms > record.born_ms:
     record.record_failed_request()
-    renew_lease(owner, record, now=True)
+    leasecalls.renew_lease(owner, record, now=True)
 
 
 def _handle_run_lists(owner, record, event: events.LeaseAnswered):
@@ -384,7 +294,7 @@
     owner.endpoint_reported(record.info.id)
     owner.emit(ownerstate.endpoint_log("endpoint_known", record))
   if record.runs:
-    renew_lease(owner, record)
+    leasecalls.renew_lease(owner, record)
 
 
 def _update_listed_run(
@@ -459,7 +369,7 @@
   task.attempt = max(task.attempt, run.id.attempt)
   task.endpoint = record.info.id
   owner.counters["adopted"] += 1
-  renew_lease(owner, record)
+  leasecalls.renew_lease(owner, record)
   owner.emit(ownerstate.run_log("run_adopted", record, run))
 
 
@@ -496,7 +406,7 @@
     return
   record.suspected_since = owner.now
   record.record_failed_request()
-  renew_lease(owner, record, now=True)
+  leasecalls.renew_lease(owner, record, now=True)
 
 
 def _handle_lost_lease_call(owner, record):
@@ -507,14 +417,14 @@
   """
   if record.last_answer_at > record.call_sent_at:
     owner.counters["calls_lost"] += 1
-    renew_lease(owner, record)
+    leasecalls.renew_lease(owner, record)
     return
   record.calls_unanswered += 1
   if not record.runs_known or record.calls_unanswered >= MAX_UNANSWERED_CALLS:
     mark_silent(owner, record)
     return
   record.suspected_since = owner.now
-  renew_lease(owner, record, now=True)
+  leasecalls.renew_lease(owner, record, now=True)
 
 
 def mark_silent(owner, record):
--- a/fescueturn/scheduler/owner.py
+++ b/fescueturn/scheduler/owner.py
@@ -10,6 +10,7 @@
 from fescueturn.scheduler import endpointstate
 from fescueturn.scheduler import events
 from fescueturn.scheduler import keptjobs
+from fescueturn.scheduler import leasecalls
 from fescueturn.scheduler import leases
 from fescueturn.scheduler import model
 from fescueturn.scheduler import outcomes
@@ -149,9 +150,9 @@
       or record.is_idle(owner.now)
   )
   if record.call_pending:
-    leases.extend_lease_left_out(owner, record)
+    leasecalls.extend_lease_left_out(owner, record)
   elif wants_call and record.next_call_at <= owner.now:
-    leases.renew_lease(owner, record)
+    leasecalls.renew_lease(owner, record)
 
 
 def _check_run(owner, record, run: endpointruns.Run):
--- a/fescueturn/scheduler/runanswers.py
+++ b/fescueturn/scheduler/runanswers.py
@@ -6,6 +6,7 @@
 
 from fescueturn.scheduler import endpointruns
 from fescueturn.scheduler import events
+from fescueturn.scheduler import leasecalls
 from fescueturn.scheduler import leases
 from fescueturn.scheduler import model
 from fescueturn.scheduler import outcomes
@@ -35,7 +36,7 @@
   if run.state is endpointruns.RunState.ORDERED:
     run.state = endpointruns.RunState.RUNNING
   run.listed_from_call = run.listed_from_call or record.call_number + 1
-  leases.renew_lease(owner, record)
+  leasecalls.renew_lease(owner, record)
 
 
 def _handle_failed_start(
@@ -96,7 +97,7 @@
       run.state = endpointruns.RunState.STOPPING
       run.listed_from_call = record.call_number + 1
       run.stop_sent_at = None
-    leases.renew_lease(owner, record, now=True)
+    leasecalls.renew_lease(owner, record, now=True)
     return
   if run is not None:
     _log_failed_stop(owner, record, run, event.result)
--- a/tests/test_platform_endpoints.py
+++ b/tests/test_platform_endpoints.py
@@ -11,7 +11,7 @@
 from fescueturn.lab import ports
 from fescueturn.platform import endpoints
 from fescueturn.scheduler import events
-from fescueturn.scheduler import leases
+from fescueturn.scheduler import leasecalls
 from fescueturn.scheduler import model
 from tests import test_leases
 
@@ -399,6 +399,6 @@
   record = test_leases.known_endpoint(owner, now=3.0)
   owner.take_effects()
   owner.now = 4.0
-  leases.renew_lease(owner, record)
+  leasecalls.renew_lease(owner, record)
   (call,) = owner.take_effects()
   assert call.at == 4.0
--- a/tests/test_restarted_endpoints.py
+++ b/tests/test_restarted_endpoints.py
@@ -7,6 +7,7 @@
 from fescueturn.scheduler import endpointruns
 from fescueturn.scheduler import events
 from fescueturn.scheduler import keptevents
+from fescueturn.scheduler import leasecalls
 from fescueturn.scheduler import leases
 from fescueturn.scheduler import model
 from fescueturn.scheduler import owner as owner_lib
@@ -242,19 +243,19 @@
   record = known_endpoint(owner)
   record.ended.last_number = 40
   owner.take_effects()
-  leases.renew_lease(owner, record)
+  leasecalls.renew_lease(owner, record)
   answer(owner, record, 0.1, BORN.born_ms, 900_100)
-  leases.renew_lease(owner, record)
+  leasecalls.renew_lease(owner, record)
   answer(owner, record, 0.2, BORN.born_ms, 900_200)
   assert acks(owner.take_effects()) == [40, 0]
   record.ended.last_number = 41
-  leases.renew_lease(owner, record)
+  leasecalls.renew_lease(owner, record)
   test_leases.answer(owner, record, 0.3, model.CallResult.NO_ANSWER)
   assert acks(owner.take_effects()) == [41, 0]
   answer(owner, record, 0.4, BORN.born_ms, 900_400)
-  leases.renew_lease(owner, record)
+  leasecalls.renew_lease(owner, record)
   answer(owner, record, 0.5, BORN.born_ms, 900_500)
-  leases.renew_lease(owner, record)
+  leasecalls.renew_lease(owner, record)
   assert acks(owner.take_effects()) == [41, 0], "told again, then heard"
 
 
@@ -264,7 +265,7 @@
   record.ended.last_number = 40
   owner.take_effects()
   for now in (0.1, 0.2):
-    leases.renew_lease(owner, record)
+    leasecalls.renew_lease(owner, record)
     test_leases.answer(owner, record, now)
   assert acks(owner.take_effects()) == [40, 40]
 
@@ -300,17 +301,17 @@
   """Guards against ends of a new incarnation that are forgotten unseen."""
   owner = test_leases.new_owner()
   record = known_endpoint(owner)
-  leases.renew_lease(owner, record)
+  leasecalls.renew_lease(owner, record)
   sent_before = record.call_number
   record.ended.last_number = 40
   owner.take_effects()
   fail(owner, record, result)
   if record.call_pending and record.call_number == sent_before:
     answer(owner, record, 0.15, BORN.born_ms, 900_150)
-  leases.renew_lease(owner, record)
+  leasecalls.renew_lease(owner, record)
   assert set(acks(owner.take_effects())) == {0}
   answer(owner, record, 0.2, BORN.born_ms, 900_200)
-  leases.renew_lease(owner, record)
+  leasecalls.renew_lease(owner, record)
   assert acks(owner.take_effects()) == [40]
 
 
@@ -318,13 +319,13 @@
   owner = test_leases.new_owner()
   record = known_endpoint(owner)
   record.ended.last_number = 40
-  leases.renew_lease(owner, record)
+  leasecalls.renew_lease(owner, record)
   owner.take_effects()
   test_leases.answer(owner, record, 0.1, model.CallResult.NO_ANSWER)
   for now in (0.2, 0.4):
-    leases.renew_lease(owner, record)
+    leasecalls.renew_lease(owner, record)
     test_leases.answer(owner, record, now, model.CallResult.NOT_SENT)
-  leases.renew_lease(owner, record)
+  leasecalls.renew_lease(owner, record)
   assert acks(owner.take_effects()) == [0, 0, 0]
 
 
--- a/tests/test_runanswers.py
+++ b/tests/test_runanswers.py
@@ -4,7 +4,7 @@
 
 from fescueturn.scheduler import endpointruns
 from fescueturn.scheduler import events
-from fescueturn.scheduler import leases
+from fescueturn.scheduler import leasecalls
 from fescueturn.scheduler import linkmessages
 from fescueturn.scheduler import model
 from fescueturn.scheduler import owner as owner_lib
@@ -219,7 +219,7 @@
   owner = test_leases.new_owner()
   record = test_leases.known_endpoint(owner)
   run = test_leases.start_job(owner, record)
-  leases.renew_lease(owner, record)
+  leasecalls.renew_lease(owner, record)
   test_leases.answer(
       owner, record, 0.02, running=(model.ActiveRun(run.id, 10),)
   )
--- a/tests/test_unserved_runs.py
+++ b/tests/test_unserved_runs.py
@@ -8,7 +8,7 @@
 
 from fescueturn.scheduler import endpointruns
 from fescueturn.scheduler import events
-from fescueturn.scheduler import leases
+from fescueturn.scheduler import leasecalls
 from fescueturn.scheduler import linkmessages
 from fescueturn.scheduler import model
 from fescueturn.scheduler import offers
@@ -192,7 +192,7 @@
   assert run.id in record.runs
   start_beside(owner, record, "new", test_leases.PROCESS.host)
   tick_until(owner, record, 3.0)
-  leases.renew_lease(owner, record, now=True)
+  leasecalls.renew_lease(owner, record, now=True)
   assert extensions(owner.take_effects())
 
 
@@ -206,5 +206,5 @@
   test_leases.answer(owner, record, 0.02, running=running)
   tick_until(owner, record, 0.4, running)
   assert record.runs[found].state is endpointruns.RunState.STOPPING
-  leases.renew_lease(owner, record, now=True)
+  leasecalls.renew_lease(owner, record, now=True)
   assert extensions(owner.take_effects()) == []
