A loss counts against a task only if its endpoint was up at the start

Cause: idle endpoints are called every 10 s, so a run was ordered from an endpoint of the dark rack; its lease lapsed unanswered, which counted as the task's second loss, and the endpoint's next incarnation confirmed it as a crash.

Change: tasks of kept jobs, and tasks with losses, start only at an endpoint that has answered a call within 50 ms; others are asked first, and the start follows the answer. A first run of a best-effort task goes without; if its endpoint is lost before it has confirmed the run, the loss counts towards the three after which the task isn't started, not as one of the two sure crashes. A task that crashes endpoints before they answer is still given up after three.

--- a/fescueturn/emulator/endpoint.py
+++ b/fescueturn/emulator/endpoint.py
@@ -54,7 +54,7 @@
     no_rerun: True if it must not be started again after a holder has
       acknowledged that it is done.
     crash_after_s: time (s) from its start until it crashes its endpoint, or
-      None if it doesn't crash it.
+      None if it doesn't crash it; 0 crashes it before it answers.
     started_at: when a run of it was last started (s).
   """
 
@@ -221,7 +221,9 @@
     self.on_start(run_id)
     self._check_invariants(run_id)
     self._clock.at(ends_at, lambda: self._finish_run(run_id, how))
-    if profile.crash_after_s is not None:
+    if profile.crash_after_s == 0:
+      self._crash_during(run_id)
+    elif profile.crash_after_s is not None:
       self._clock.after(
           profile.crash_after_s, lambda: self._crash_during(run_id)
       )
--- a/fescueturn/emulator/endpointcalls.py
+++ b/fescueturn/emulator/endpointcalls.py
@@ -96,6 +96,8 @@
       result = model.CallResult.NOT_SENT
       if not self._is_found_restarted(endpoint, effect):
         result = execute(endpoint)
+      if endpoint.unreachable:
+        return  # The run has crashed it.
       clock_ms = endpoint.clock_ms
       self._clock.after(
           self._path_delay_s(endpoint), lambda: end(result, clock_ms)
--- a/fescueturn/emulator/fleet.py
+++ b/fescueturn/emulator/fleet.py
@@ -72,6 +72,7 @@
       jobs.
     kept_store: the store's records of kept jobs.
     unlisted: endpoints whose entries in the store's list have expired.
+    unexpired: endpoints whose entries are listed although they are silent.
     running_on: by task, the endpoints on which a run of it is active.
     acknowledged_done: tasks that a holder has acknowledged as done.
     restart_delay_s: time (s) until a crashed endpoint is back.
@@ -92,6 +93,7 @@
     self.kept_load_delay_s = 4 * fleetstore.STORE_DELAY_S
     self.kept_store = keptstore.KeptStore()
     self.unlisted: set[str] = set()
+    self.unexpired: set[str] = set()
     self.running_on: dict[model.Task, set[str]] = {}
     self.acknowledged_done: set[model.Task] = set()
     self._submitted_at: dict[int, float] = {}
@@ -466,7 +468,9 @@
     listed = tuple(
         e.info
         for name, e in self.endpoints.items()
-        if not (e.unreachable or e.superseded) and name not in self.unlisted
+        if not e.superseded
+        and (not e.unreachable or name in self.unexpired)
+        and name not in self.unlisted
     )
     took_s = 2 * self.store_delay_s
     answers = [events.EndpointsListed(listed, took_s)]
--- a/fescueturn/scheduler/crashes.py
+++ b/fescueturn/scheduler/crashes.py
@@ -4,6 +4,9 @@
 silent may have crashed or be cut off: the loss is confirmed as a crash once
 another incarnation answers at its address, and discarded if the same
 incarnation answers.
+
+A crash is attributed to a task only if the endpoint had confirmed its run, or
+was up when the run was requested. Otherwise it may have crashed before.
 """
 
 from collections.abc import Iterable
@@ -28,6 +31,7 @@
 # stored its last loss if it was killed within a second of it.
 MAX_LOSSES_RESUMED = 2
 # A task is given up once this many of its lost endpoints have surely crashed.
+# Crashes that may have come before the request of the run don't count here.
 CONFIRMED_CRASHES_TO_GIVE_UP = 2
 # A crashed endpoint isn't back sooner than this. If another incarnation answers
 # earlier after the request to start a task, the crash came before the request.
@@ -42,14 +46,18 @@
   A draining endpoint ends its runs as planned and is not counted, nor is one
   that was already lost when the run was requested.
   """
-  if _crash_came_first(owner, run):
-    return
   job = owner.by_id.get(run.id.task.job_id)
   task = job.tasks.get(run.id.task) if job else None
-  if task is None or not task.is_current(run) or record.info.draining:
+  if task is None or not task.is_current(run):
+    return
+  if record.info.draining or _crash_came_first(owner, run):
+    why = "draining" if record.info.draining else "crash_came_first"
+    owner.emit(ownerstate.run_log("loss_ignored", record, run, why=why))
     return
   name = record.info.id
   task.lost_endpoints[name] = record.info.address
+  if not (run.is_confirmed or run.endpoint_was_up):
+    task.maybe_down_before.add(name)
   _add_suspected_crash(owner, name, task, record.born_ms)
   if job.job.kept:
     _save_losses(owner, job, name)
@@ -64,6 +72,7 @@
           run,
           losses=losses,
           crashes=len(task.crashed),
+          maybe_down_before=len(task.maybe_down_before),
           lived_ms=int((record.last_answer_at - run.started_at) * 1000),
       )
   )
@@ -71,8 +80,8 @@
 
 def _crash_came_first(owner, run: endpointruns.Run) -> bool:
   """Returns whether the run's endpoint had crashed before it was requested."""
-  is_unconfirmed = run.state is endpointruns.RunState.ORDERED
-  return is_unconfirmed and owner.now - run.started_at < MIN_RESTART_S
+  is_ordered = run.state is endpointruns.RunState.ORDERED
+  return is_ordered and owner.now - run.started_at < MIN_RESTART_S
 
 
 def _add_suspected_crash(
@@ -176,6 +185,7 @@
   """Discards the losses of an endpoint that did not crash, or may not have."""
   for _, task in _pop_losses(owner, name):
     task.lost_endpoints.pop(name, None)
+    task.maybe_down_before.discard(name)
 
 
 def resume_losses(owner: ownerstate.Owner, job: ownerstate.JobRecord):
@@ -194,7 +204,9 @@
   losses = _count_losses(task)
   if not losses:
     return False
-  if losses >= _max_losses(job):
+  if losses >= _max_losses(job) and (
+      task.lost_endpoints or is_poison(job, task)
+  ):
     return True
   # The losses must be in the store, for the next holder, before another
   # endpoint is put at risk. A first loss doesn't have to wait for a store that
@@ -209,9 +221,26 @@
   )
 
 
+def needs_answer_first(
+    owner: ownerstate.Owner,
+    job: ownerstate.JobRecord,
+    task: ownerstate.TaskRecord,
+    record,
+) -> bool:
+  """Returns whether an endpoint must answer a call before a task starts there.
+
+  If the endpoint is lost then, it was up when the run was requested. Kept jobs
+  and tasks that have lost endpoints need that; all others start without the
+  delay.
+  """
+  must_be_up = job.job.kept or bool(_count_losses(task))
+  return must_be_up and not record.answered_recently(owner.now)
+
+
 def is_poison(job: ownerstate.JobRecord, task: ownerstate.TaskRecord) -> bool:
   """Returns whether a task surely crashes the endpoints that start it."""
-  confirmed = len(task.crashed) >= CONFIRMED_CRASHES_TO_GIVE_UP
+  caused = task.crashed - task.maybe_down_before
+  confirmed = len(caused) >= CONFIRMED_CRASHES_TO_GIVE_UP
   return confirmed and _count_losses(task) >= _max_losses(job)
 
 
--- a/fescueturn/scheduler/endpointruns.py
+++ b/fescueturn/scheduler/endpointruns.py
@@ -59,6 +59,8 @@
     sent_at: when its start request was last sent (s).
     sends: how often its start request was sent.
     is_confirmed: True once the incarnation that it was meant for has it.
+    endpoint_was_up: True if its endpoint had just answered a call when its start
+      was first requested.
     stop_sent_at: when an unanswered stop request was last sent (s), if any.
     stop_failures: how many of its stop requests failed.
     duplicate_logged: True once it was logged that its task has another run.
@@ -86,6 +88,7 @@
     self.sent_at: float = now
     self.sends = 1
     self.is_confirmed = False
+    self.endpoint_was_up = False
     self.stop_sent_at: float | None = None
     self.stop_failures = 0
     self.duplicate_logged = False
--- a/fescueturn/scheduler/endpointstate.py
+++ b/fescueturn/scheduler/endpointstate.py
@@ -27,6 +27,9 @@
 # not in the store yet; a write takes some 25 ms. The endpoint answers such
 # calls at once, without a long poll, since it lists these runs each time.
 UNSAVED_CALL_INTERVAL_S = 0.15
+# An endpoint that answered within this time is presumed to be up. After a pause
+# of this process, no task is started until answers from before are older.
+ANSWERED_RECENTLY_S = 0.05
 # An unlisted endpoint that has been silent for this long is forgotten with all
 # its runs. A lost start request is carried out at most 12 s late.
 FORGET_S = 15.0
@@ -270,6 +273,10 @@
     self.suspected_since = None
     self.calls_unanswered = 0
 
+  def answered_recently(self, now: float) -> bool:
+    """Returns whether the endpoint answered so recently that it must be up."""
+    return self.runs_known and now - self.last_answer_at <= ANSWERED_RECENTLY_S
+
   def is_idle(self, now: float) -> bool:
     """Returns whether it is to be called because its last answer is old."""
     return now - self.last_answer_at > IDLE_CALL_PERIOD_S
--- a/fescueturn/scheduler/leasecalls.py
+++ b/fescueturn/scheduler/leasecalls.py
@@ -18,22 +18,26 @@
     owner: ownerstate.Owner,
     record: endpointstate.EndpointRecord,
     now: bool = False,
+    is_probe: bool = False,
 ):
   """Renews the endpoint's lease and asks for its runs.
 
-  Does nothing while a call is pending.
+  Does nothing while a call is pending, nor soon after a call while the ends that
+  the endpoint lists are unsaved.
 
   Args:
     owner: the owner.
     record: the endpoint.
     now: True to get the answer without a long poll. A pending long poll is then
       superseded by a call without a wait, and its answer is ignored.
+    is_probe: True to call it although its ends are unsaved.
   """
   if record.call_pending and not (now and record.call_is_long_poll):
     return
   since_call_s = owner.now - record.call_sent_at
   if (
       record.ended.unsaved
+      and not is_probe
       and since_call_s < endpointstate.UNSAVED_CALL_INTERVAL_S
   ):
     return
@@ -60,6 +64,11 @@
   )
 
 
+def probe(owner: ownerstate.Owner, record: endpointstate.EndpointRecord):
+  """Asks an endpoint for its runs, to learn whether it still answers."""
+  renew_lease(owner, record, now=True, is_probe=True)
+
+
 def _call_wait_ms(owner, record: endpointstate.EndpointRecord) -> int:
   """Returns how long a lease call may wait for a run to end (ms).
 
--- a/fescueturn/scheduler/ownerstate.py
+++ b/fescueturn/scheduler/ownerstate.py
@@ -72,6 +72,8 @@
     # crashed, and those that may have crashed.
     self.crashed: set[str] = set()
     self.lost_endpoints: dict[str, settings.Address] = {}
+    # Those of them that may have crashed before the run was requested.
+    self.maybe_down_before: set[str] = set()
     self.run: model.RunId | None = None
     self.endpoint = ""
     # The endpoint where one of its runs was stopped for being slow, if any.
--- a/fescueturn/scheduler/runcontrol.py
+++ b/fescueturn/scheduler/runcontrol.py
@@ -2,11 +2,13 @@
 
 import math
 from collections.abc import Callable
+from collections.abc import Collection
 
 from fescueturn.scheduler import crashes
 from fescueturn.scheduler import endpointruns
 from fescueturn.scheduler import endpointstate
 from fescueturn.scheduler import events
+from fescueturn.scheduler import leasecalls
 from fescueturn.scheduler import model
 from fescueturn.scheduler import ownerstate
 from fescueturn.scheduler.decisions import placing
@@ -19,6 +21,9 @@
 # calls that must all be answered. That served 61% of an emulated load in time;
 # sending up to three times served 76%.
 MAX_SENDS = 3
+# How many endpoints are asked at once whether they are up, before tasks of one
+# job start there. An answer takes 2 ms, and each endpoint runs several tasks.
+MAX_PROBES = 8
 
 
 def start_waiting_tasks(owner: ownerstate.Owner):
@@ -43,15 +48,23 @@
   started = []
   # Steps whose tasks can't start anywhere now.
   full_steps: set[int] = set()
+  # Endpoints that must answer before a task starts there.
+  probed: set[str] = set()
   for task in list(job.waiting):
     if task.task.step in full_steps:
       continue
     if task.previous_runs or crashes.blocks_start(owner, job, task):
       continue
-    record = _choose_endpoint(owner, job, task)
+    record = _choose_endpoint(owner, job, task, excluded=probed)
     if record is None:
       full_steps.add(task.task.step)
       continue
+    if crashes.needs_answer_first(owner, job, task, record):
+      leasecalls.probe(owner, record)
+      probed.add(record.info.id)
+      if len(probed) == MAX_PROBES:
+        break
+      continue
     _start_task(owner, job, task, record)
     started.append(task)
   if started:
@@ -83,6 +96,7 @@
     job,
     task: ownerstate.TaskRecord,
     accepts: Callable[[endpointstate.EndpointRecord], bool] | None = None,
+    excluded: Collection[str] = (),
 ):
   """Returns the best endpoint on which the task may start now, or None.
 
@@ -91,11 +105,13 @@
     job: the task's job.
     task: the task.
     accepts: a further condition on the endpoint; with one, it may be slow.
+    excluded: ids of endpoints that are left out.
   """
 
   def allows(record: endpointstate.EndpointRecord) -> bool:
     # A start request extends the lease of all runs at its endpoint.
     accepted = accepts is None or accepts(record)
+    accepted = accepted and record.info.id not in excluded
     return accepted and not owner.must_let_lapse(record)
 
   slowness = math.inf
@@ -156,6 +172,7 @@
       task.step.estimate_ms,
       deadline_ms,
   )
+  run.endpoint_was_up = record.answered_recently(owner.now)
   record.add(run)
   job.waiting.remove(task)
   task.state = ownerstate.TaskState.ACTIVE
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -13,7 +13,7 @@
 # A task loses three endpoints at most before it waits for the confirmation of a
 # crash; two more starts are allowed after that.
 MAX_STARTS = 5
-CRASH_S = (0.001, 0.05, 0.3)
+CRASH_S = (0.0, 0.001, 0.05, 0.3)
 
 
 def count_starts(
@@ -61,10 +61,11 @@
   assert emulation.answers[request].took_s < 10
 
 
+@pytest.mark.parametrize("crash_s", [0.0, 0.05])
 @pytest.mark.parametrize("seed", range(6))
-def test_losses_are_counted_across_holder_failovers(seed):
+def test_losses_are_counted_across_holder_failovers(seed, crash_s):
   emulation = fleets.fleet(seed=seed)
-  submit_job(emulation, "a0", "bad", 0.05)
+  submit_job(emulation, "a0", "bad", crash_s)
   for number in range(4):
     delay_s = emulation.rng.uniform(0.3, 1.5) * (number + 1)
 
@@ -115,6 +116,75 @@
   assert emulation.broken == []
 
 
+def current_endpoints(emulation, data_centre: str = "a"):
+  return [
+      endpoint
+      for endpoint in emulation.endpoints.values()
+      if endpoint.info.data_centre == data_centre and not endpoint.superseded
+  ]
+
+
+def cut_power(emulation, endpoints, dark_s: float):
+  """Ends all runs; the entries stay, as entries expire late."""
+  for endpoint in endpoints:
+    emulation.unexpired.add(endpoint.info.id)
+    endpoint.crash()
+    emulation.clock.after(
+        dark_s, lambda e=endpoint: emulation.restart_endpoint(e)
+    )
+
+
+def replace_holder(emulation):
+  holder = fleets.owner_of(emulation, "a")
+  emulation.kill(holder.name)
+  emulation.clock.after(0.5, lambda: emulation.add_host(holder.name, "a"))
+  emulation.clock.run_until(emulation.clock.now + 3.0)
+
+
+def submit_long_job(emulation, run_s: float = 5.0, kept_job=True):
+  make_job = kept.job if kept_job else fleets.job
+  new_job = make_job("good", 1, int(run_s * 1000))
+  request = emulation.submit("a0", new_job, [run_s], 40.0)
+  emulation.clock.run_until(emulation.clock.now + 0.5)
+  return request
+
+
+# Guards against a loss that counts although its endpoint was down before the
+# run was requested.
+@pytest.mark.parametrize("idle_s", [0.0, 0.3, 1.0])
+@pytest.mark.parametrize("dark_s", [1.5, 3.0, 4.5])
+def test_kept_job_of_a_former_holder_survives_a_rack_without_power(
+    dark_s, idle_s
+):
+  emulation = fleets.fleet()
+  submit_long_job(emulation)
+  replace_holder(emulation)
+  emulation.clock.run_until(emulation.clock.now + idle_s)
+  cut_power(emulation, current_endpoints(emulation), dark_s)
+  emulation.clock.run_until(40)
+  assert emulation.kept_store.states["good"] is model.KeptJobState.DONE
+  assert emulation.broken == []
+
+
+@pytest.mark.parametrize("kept_job", [True, False])
+@pytest.mark.parametrize("dark_s", [1.5, 3.0, 4.5])
+def test_job_that_begins_in_a_rack_without_power_is_not_failed(
+    dark_s, kept_job
+):
+  emulation = fleets.fleet()
+  cut_power(emulation, current_endpoints(emulation), dark_s)
+  emulation.clock.run_until(emulation.clock.now + 0.01)
+  request = submit_long_job(emulation, 2.0, kept_job)
+  emulation.clock.run_until(40)
+  if kept_job:
+    assert emulation.kept_store.states["good"] is model.KeptJobState.DONE
+  else:
+    # Without any room left, its outcome may be unknown.
+    answer = emulation.answers[request].answer
+    assert answer.outcome is not model.Outcome.FAILED
+  assert emulation.broken == []
+
+
 def test_job_succeeds_although_another_job_crashes_its_endpoints():
   emulation = fleets.fleet(seed=3)
   requests = fleets.submit_load(
--- a/tests/test_spec.py
+++ b/tests/test_spec.py
@@ -209,6 +209,8 @@
         ("losses.pml", "-DNO_HOLD", MORE_STARTS),
         ("losses.pml", "-DSAME_LIMIT", MORE_STARTS),
         ("losses.pml", "-DCOUNT_CUTS", "!(sound)"),
+        ("losses.pml", "-DNO_PROBE", "!(sound)"),
+        ("losses.pml", "-DSURE_ONLY", MORE_STARTS),
         ("starts.pml", "-DLAST_COPY", ONE_ENDPOINT),
         ("starts.pml", "-DNO_STOP", ONE_ENDPOINT),
         ("starts.pml", "-DNO_EXPIRY", ONE_ENDPOINT),
