The loss of an endpoint that is listed as draining afterwards is discarded

An endpoint that was cut off from its holder under a run, and left as planned later, was confirmed as crashed under the run's task when its successor at the address was listed. It had gone on after the loss: it announced its end.

test_endpoint_that_drains_after_a_cut_is_not_taken_for_crashed failed before (a kept job of a former holder, two such endpoints: failed).

--- a/fescueturn/scheduler/crashes.py
+++ b/fescueturn/scheduler/crashes.py
@@ -117,6 +117,9 @@
 ) -> list[ownerstate.JobRecord]:
   """Confirms the crash of lost endpoints that another incarnation has replaced.
 
+  The losses of those that drain are discarded: they went on after they were
+  lost, and leave as planned.
+
   Args:
     owner: the owner.
     listed: the endpoints listed now.
@@ -126,6 +129,10 @@
   """
   if not owner.suspected_crashes:
     return []
+  listed = list(listed)
+  for endpoint in listed:
+    if endpoint.draining and not _is_restarted(owner, endpoint):
+      discard_losses(owner, endpoint.id)
   incarnations = {endpoint.address: endpoint.id for endpoint in listed}
   crashed = [
       (name, loss.address)
@@ -140,6 +147,12 @@
   return list(jobs.values())
 
 
+def _is_restarted(owner, endpoint: model.Endpoint) -> bool:
+  """Returns whether a lost endpoint is listed with a later start."""
+  loss = owner.suspected_crashes.get(endpoint.id)
+  return loss is not None and 0 < loss.born_ms < endpoint.born_ms
+
+
 def confirm_crash(
     owner: ownerstate.Owner, name: str, address: settings.Address
 ) -> list[ownerstate.JobRecord]:
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -185,6 +185,26 @@
   assert emulation.broken == []
 
 
+# Guards against a loss that counts although its endpoint went on after it.
+def test_endpoint_that_drains_after_a_cut_is_not_taken_for_crashed():
+  emulation = fleets.fleet()
+  submit_long_job(emulation)
+  replace_holder(emulation)
+  for _ in range(2):
+    (endpoint,) = [e for e in current_endpoints(emulation) if e.running]
+    emulation.unexpired.add(endpoint.info.id)
+    endpoint.unreachable = True
+    emulation.clock.run_until(emulation.clock.now + 2.0)
+    emulation.drain(endpoint.info.id)
+    emulation.clock.run_until(emulation.clock.now + 1.0)
+    endpoint.crash()
+    emulation.restart_endpoint(endpoint)
+    emulation.clock.run_until(emulation.clock.now + 0.5)
+  emulation.clock.run_until(40)
+  assert emulation.kept_store.states["good"] is model.KeptJobState.DONE
+  assert emulation.broken == []
+
+
 def test_job_succeeds_although_another_job_crashes_its_endpoints():
   emulation = fleets.fleet(seed=3)
   requests = fleets.submit_load(
