Crashes under a task are counted by incarnation, not by endpoint

A task that crashes an endpoint, which starts again under its id, was started there again and again, as the second crash of an id wasn't counted. Lost endpoints now carry the start of the lost incarnation, in the store as well (`lost_born`, which earlier builds ignore and don't write).

The records of the previous build are read and written byte by byte as before.

--- a/fescueturn/scheduler/crashes.py
+++ b/fescueturn/scheduler/crashes.py
@@ -55,10 +55,14 @@
     owner.emit(ownerstate.run_log("loss_ignored", record, run, why=why))
     return
   name = record.info.id
-  task.lost_endpoints[name] = record.info.address
-  if not (run.is_confirmed or run.endpoint_was_up):
+  lost = model.LostEndpoint(
+      task.task, name, record.info.address, record.born_ms
+  )
+  task.lost_endpoints[name] = lost
+  was_up = run.is_confirmed or run.endpoint_was_up
+  if not was_up:
     task.maybe_down_before.add(name)
-  _add_suspected_crash(owner, name, task, record.born_ms)
+  _add_suspected_crash(owner, lost)
   if job.job.kept:
     _save_losses(owner, job, name)
   losses = _count_losses(task)
@@ -72,7 +76,7 @@
           run,
           losses=losses,
           crashes=len(task.crashed),
-          maybe_down_before=len(task.maybe_down_before),
+          was_up=was_up,
           lived_ms=int((record.last_answer_at - run.started_at) * 1000),
       )
   )
@@ -84,20 +88,25 @@
   return is_ordered and owner.now - run.started_at < MIN_RESTART_S
 
 
-def _add_suspected_crash(
-    owner, name: str, task: ownerstate.TaskRecord, born_ms: int = 0
-):
-  loss = owner.suspected_crashes.get(name)
+def _add_suspected_crash(owner, lost: model.LostEndpoint):
+  loss = owner.suspected_crashes.get(lost.endpoint)
   if loss is None:
-    loss = ownerstate.SuspectedCrash(
-        task.lost_endpoints[name], owner.now, born_ms
-    )
-    owner.suspected_crashes[name] = loss
-  loss.tasks.add(task.task)
+    loss = ownerstate.SuspectedCrash(lost.address, owner.now, lost.born_ms)
+    owner.suspected_crashes[lost.endpoint] = loss
+  loss.tasks.add(lost.task)
 
 
 def _count_losses(task: ownerstate.TaskRecord) -> int:
-  return len(task.lost_endpoints) + len(task.crashed)
+  return (
+      len(task.lost_endpoints)
+      + len(task.crashed)
+      + len(task.maybe_crashed_before)
+  )
+
+
+def has_losses(task: ownerstate.TaskRecord) -> bool:
+  """Returns whether a task has lost endpoints, which it may have crashed."""
+  return _count_losses(task) > 0
 
 
 def _max_losses(job: ownerstate.JobRecord) -> int:
@@ -160,8 +169,14 @@
   owner.crashed_at[address] = owner.now
   jobs = {}
   for job, task in _pop_losses(owner, name):
-    task.lost_endpoints.pop(name, None)
-    task.crashed.add(name)
+    lost = task.lost_endpoints.pop(name, None)
+    if lost is None:
+      continue  # The job was submitted again since.
+    if name in task.maybe_down_before:
+      task.maybe_down_before.remove(name)
+      task.maybe_crashed_before.add(lost.incarnation)
+    else:
+      task.crashed.add(lost.incarnation)
     jobs[job.key] = job
     if job.job.kept:
       _save_losses(owner, job, name)
@@ -204,8 +219,8 @@
 def resume_losses(owner: ownerstate.Owner, job: ownerstate.JobRecord):
   """Restores the unconfirmed losses of a job of an earlier holder."""
   for task in job.tasks.values():
-    for name in task.lost_endpoints:
-      _add_suspected_crash(owner, name, task)
+    for lost in task.lost_endpoints.values():
+      _add_suspected_crash(owner, lost)
 
 
 def blocks_start(
@@ -246,14 +261,13 @@
   and tasks that have lost endpoints need that; all others start without the
   delay.
   """
-  must_be_up = job.job.kept or bool(_count_losses(task))
+  must_be_up = job.job.kept or has_losses(task)
   return must_be_up and not record.answered_recently(owner.now)
 
 
 def is_poison(job: ownerstate.JobRecord, task: ownerstate.TaskRecord) -> bool:
   """Returns whether a task surely crashes the endpoints that start it."""
-  caused = task.crashed - task.maybe_down_before
-  confirmed = len(caused) >= CONFIRMED_CRASHES_TO_GIVE_UP
+  confirmed = len(task.crashed) >= CONFIRMED_CRASHES_TO_GIVE_UP
   return confirmed and _count_losses(task) >= _max_losses(job)
 
 
--- a/fescueturn/scheduler/keptcodec.py
+++ b/fescueturn/scheduler/keptcodec.py
@@ -90,6 +90,8 @@
   `model.Progress`.
   """
   attempts = {"attempts": progress.attempts} if progress.attempts else {}
+  born = {lost.endpoint: lost.born_ms for lost in progress.lost if lost.born_ms}
+  lost_born = {"lost_born": born} if born else {}
   return _dump(
       {
           "done": [[t.step, t.index] for t in progress.done],
@@ -98,10 +100,16 @@
           ],
           "crashed": [[t.step, t.index, name] for t, name in progress.crashed],
           "lost": [
-              [t.step, t.index, name, str(address)]
-              for t, name, address in progress.lost
+              [
+                  lost.task.step,
+                  lost.task.index,
+                  lost.endpoint,
+                  str(lost.address),
+              ]
+              for lost in progress.lost
           ],
-          # Earlier versions write no such field.
+          # Earlier versions write no such fields.
+          **lost_born,
           **attempts,
       }
   )
@@ -115,6 +123,7 @@
   """
   try:
     raw = json.loads(value)
+    born = raw.get("lost_born", {})
     return model.Progress(
         tuple(model.Task(job_id, step, i) for step, i in raw["done"]),
         tuple(
@@ -127,7 +136,12 @@
             for step, i, name in raw.get("crashed", ())
         ),
         tuple(
-            (model.Task(job_id, step, i), name, settings.parse_address(address))
+            model.LostEndpoint(
+                model.Task(job_id, step, i),
+                name,
+                settings.parse_address(address),
+                born.get(name, 0),
+            )
             for step, i, name, address in raw.get("lost", ())
         ),
         raw.get("attempts", 0),
--- a/fescueturn/scheduler/keptjobs.py
+++ b/fescueturn/scheduler/keptjobs.py
@@ -125,8 +125,8 @@
     task.attempt = max(task.attempt, run.attempt)
   for task, endpoint in progress.crashed:
     record.tasks[task].crashed.add(endpoint)
-  for task, endpoint, address in progress.lost:
-    record.tasks[task].lost_endpoints[endpoint] = address
+  for lost in progress.lost:
+    record.tasks[lost.task].lost_endpoints[lost.endpoint] = lost
   crashes.resume_losses(owner, record)
   for task in progress.done:
     record.task_done(record.tasks[task])
@@ -471,9 +471,7 @@
       tuple(failed),
       tuple((t.task, name) for t in tasks for name in sorted(t.crashed)),
       tuple(
-          (t.task, name, address)
-          for t in tasks
-          for name, address in sorted(t.lost_endpoints.items())
+          lost for t in tasks for _, lost in sorted(t.lost_endpoints.items())
       ),
       job.earlier_attempts,
   )
--- a/fescueturn/scheduler/model.py
+++ b/fescueturn/scheduler/model.py
@@ -175,6 +175,30 @@
   CANCELLED = "cancelled"
 
 
+@dataclasses.dataclass(frozen=True)
+class LostEndpoint:
+  """An endpoint that was lost while it ran a task, and may have crashed.
+
+  Attributes:
+    task: the task.
+    endpoint: the endpoint's id.
+    address: its address.
+    born_ms: when the lost incarnation started (Unix time, ms); 0 if unknown.
+  """
+
+  task: Task
+  endpoint: str
+  address: settings.Address
+  born_ms: int = 0
+
+  @property
+  def incarnation(self) -> str:
+    """The name of the lost incarnation, if it is known when it started."""
+    if not self.born_ms:
+      return self.endpoint
+    return f"{self.endpoint}/{self.born_ms}"
+
+
 @dataclasses.dataclass(frozen=True)
 class Progress:
   """Recorded progress of a kept job.
@@ -182,9 +206,9 @@
   Attributes:
     done: tasks that succeeded.
     failed: runs that failed.
-    crashed: pairs of a task and an endpoint that crashed while running it.
-    lost: triples of a task, an endpoint that was lost while running it and
-      may have crashed, and that endpoint's address.
+    crashed: pairs of a task and an incarnation of an endpoint that crashed while
+      running it.
+    lost: the endpoints that were lost while running a task and may have crashed.
     attempts: no run that was started in a shard that had the job before has a
       higher number; 0 if no other shard had it.
   """
@@ -192,7 +216,7 @@
   done: tuple[Task, ...] = ()
   failed: tuple[RunId, ...] = ()
   crashed: tuple[tuple[Task, str], ...] = ()
-  lost: tuple[tuple[Task, str, settings.Address], ...] = ()
+  lost: tuple[LostEndpoint, ...] = ()
   attempts: int = 0
 
 
--- a/fescueturn/scheduler/ownerstate.py
+++ b/fescueturn/scheduler/ownerstate.py
@@ -68,11 +68,13 @@
     self.attempt = 0
     # Attempts that failed.
     self.failed: set[int] = set()
-    # Endpoints that were lost while they ran this task: those known to have
-    # crashed, and those that may have crashed.
+    # Incarnations of endpoints that surely crashed: while they ran this task,
+    # and those that may have crashed before its run was requested.
     self.crashed: set[str] = set()
-    self.lost_endpoints: dict[str, settings.Address] = {}
-    # Those of them that may have crashed before the run was requested.
+    self.maybe_crashed_before: set[str] = set()
+    # Endpoints by id that were lost, and may have crashed, while they ran it.
+    self.lost_endpoints: dict[str, model.LostEndpoint] = {}
+    # Those of them that may have been down before its run was requested.
     self.maybe_down_before: set[str] = set()
     self.run: model.RunId | None = None
     self.endpoint = ""
--- a/fescueturn/scheduler/runcontrol.py
+++ b/fescueturn/scheduler/runcontrol.py
@@ -125,7 +125,7 @@
   wanted = placing.Wanted(
       job.job.service, task.task, task.step, task.moved_from, slowness
   )
-  if not (task.lost_endpoints or task.crashed):
+  if not crashes.has_losses(task):
     return owner.endpoints.choose(wanted, owner.now, allows)
   # A task that may crash its endpoint is placed where it puts the fewest other
   # runs at risk. Such tasks are few.
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -1,5 +1,7 @@
 """Tests tasks that crash their endpoints, in an emulated fleet."""
 
+import dataclasses
+
 import pytest
 
 from fescueturn import settings
@@ -61,10 +63,28 @@
   assert emulation.answers[request].took_s < 10
 
 
+def restart_under_their_ids(emulation, back_s: float):
+  """Endpoints that crash are back as later incarnations under their ids."""
+
+  def restart_later(endpoint):
+    born_ms = int(1000 + emulation.clock.now * 1000)
+    emulation.clock.after(back_s, lambda: endpoint.restart(born_ms))
+
+  for endpoint in emulation.endpoints.values():
+    endpoint.info = dataclasses.replace(endpoint.info, born_ms=1000)
+    endpoint.on_crash = restart_later
+    emulation.unexpired.add(endpoint.info.id)
+  emulation.clock.run_until(3.0)
+
+
+@pytest.mark.parametrize("keeps_id", [False, True])
 @pytest.mark.parametrize("crash_s", [0.0, 0.05])
 @pytest.mark.parametrize("seed", range(6))
-def test_losses_are_counted_across_holder_failovers(seed, crash_s):
+def test_losses_are_counted_across_holder_failovers(seed, crash_s, keeps_id):
   emulation = fleets.fleet(seed=seed)
+  if keeps_id:
+    restart_under_their_ids(emulation, 3.0)
+  begin_s = emulation.clock.now
   submit_job(emulation, "a0", "bad", crash_s)
   for number in range(4):
     delay_s = emulation.rng.uniform(0.3, 1.5) * (number + 1)
@@ -77,7 +97,7 @@
             0.5, lambda h=host: emulation.add_host(h.name, "a")
         )
 
-    emulation.clock.at(1.2 + delay_s, kill)
+    emulation.clock.at(begin_s + 0.2 + delay_s, kill)
   emulation.clock.run_until(40)
   assert count_starts(emulation, "bad") <= MAX_STARTS
   assert emulation.broken == []
@@ -227,6 +247,23 @@
   assert emulation.broken == []
 
 
+# Guards against endpoints that are crashed again and again since an endpoint's
+# second crash isn't counted.
+@pytest.mark.parametrize("endpoints", [8, 1])
+@pytest.mark.parametrize("back_s", [0.3, 0.6, 1.0, 1.5, 3.0])
+@pytest.mark.parametrize("crash_s", [0.001, 0.05, 0.3])
+def test_job_that_crashes_endpoints_that_keep_their_ids_fails(
+    crash_s, back_s, endpoints
+):
+  emulation = fleets.fleet(endpoints=endpoints)
+  restart_under_their_ids(emulation, back_s)
+  submit_job(emulation, "a0", "bad", crash_s)
+  emulation.clock.run_until(40)
+  assert emulation.kept_store.states["bad"] is model.KeptJobState.FAILED
+  assert count_starts(emulation, "bad") <= MAX_STARTS
+  assert emulation.broken == []
+
+
 def test_draining_endpoints_do_not_count_as_losses():
   emulation = fleets.fleet()
   submit_job(emulation, "a0", "good", None)
@@ -242,7 +279,13 @@
   task = model.Task("k", 0, 1)
   address = settings.Address("10.1.0.7", 8120)
   progress = model.Progress(
-      (), (), ((task, "e1"), (task, "e2")), ((task, "e3", address),)
+      (),
+      (),
+      ((task, "e1"), (task, "e2/1780000000123")),
+      (
+          model.LostEndpoint(task, "e3", address, 1780000000456),
+          model.LostEndpoint(task, "e4", address),
+      ),
   )
   stored = keptcodec.encode_progress(progress)
   assert keptcodec.decode_progress("k", stored) == progress
--- a/tests/test_restarted_endpoints.py
+++ b/tests/test_restarted_endpoints.py
@@ -182,7 +182,7 @@
   answer(owner, record, 0.1, RESTARTED.born_ms, 20)
   (job,) = owner.jobs.values()
   (task,) = job.tasks.values()
-  assert task.crashed == {BORN.id}
+  assert task.crashed == {f"{BORN.id}/{BORN.born_ms}"}
   assert not task.lost_endpoints
 
 
--- a/tests/test_stored_records.py
+++ b/tests/test_stored_records.py
@@ -43,7 +43,11 @@
     (model.Task("k", 0, 1),),
     (model.RunId(model.Task("k", 0, 0), 2),),
     ((model.Task("k", 0, 0), "i-3"),),
-    ((model.Task("k", 0, 0), "i-4", settings.Address("10.0.0.4", 8161)),),
+    (
+        model.LostEndpoint(
+            model.Task("k", 0, 0), "i-4", settings.Address("10.0.0.4", 8161)
+        ),
+    ),
 )
 CLAIM_KEY = "fescueturn/holders/north/0"
 CLAIM = b'{"host":"h","boot":"b","peer":"10.0.0.1:7720"}'
