A restart under the id is a loss for runs that weren't confirmed, too

A task that crashes its endpoint before that answers was started without end where the endpoint was back under its id before the run's lease had ended (some 1.4 s): the run ended as `not_listed`, with no loss. Each run that a later incarnation doesn't list is now a loss, under the conditions of the other paths, and a run's loss is counted once.

--- a/fescueturn/scheduler/crashes.py
+++ b/fescueturn/scheduler/crashes.py
@@ -48,8 +48,9 @@
   """
   job = owner.by_id.get(run.id.task.job_id)
   task = job.tasks.get(run.id.task) if job else None
-  if task is None or not task.is_current(run):
+  if task is None or not task.is_current(run) or run.loss_recorded:
     return
+  run.loss_recorded = True
   if record.info.draining or _crash_came_first(owner, run):
     why = "draining" if record.info.draining else "crash_came_first"
     owner.emit(ownerstate.run_log("loss_ignored", record, run, why=why))
--- a/fescueturn/scheduler/endpointruns.py
+++ b/fescueturn/scheduler/endpointruns.py
@@ -61,6 +61,7 @@
     is_confirmed: True once the incarnation that it was meant for has it.
     endpoint_was_up: True if its endpoint had just answered a call when its start
       was first requested.
+    loss_recorded: True once the loss of its endpoint was counted, or ignored.
     stop_sent_at: when an unanswered stop request was last sent (s), if any.
     stop_failures: how many of its stop requests failed.
     duplicate_logged: True once it was logged that its task has another run.
@@ -89,6 +90,7 @@
     self.sends = 1
     self.is_confirmed = False
     self.endpoint_was_up = False
+    self.loss_recorded = False
     self.stop_sent_at: float | None = None
     self.stop_failures = 0
     self.duplicate_logged = False
@@ -104,6 +106,11 @@
     """True if its start request was sent again, as the first got no answer."""
     return self.sends > 1
 
+  @property
+  def is_at_later_incarnation(self) -> bool:
+    """True if another incarnation than the one it was meant for started it."""
+    return self.state is RunState.RUNNING and not self.is_confirmed
+
   @property
   def active(self) -> bool:
     """True if its start was requested or it runs, and no stop was requested."""
--- a/fescueturn/scheduler/leases.py
+++ b/fescueturn/scheduler/leases.py
@@ -178,8 +178,10 @@
       )
   )
   owner.counters["endpoint_restarted"] += 1
-  for run in lost:
-    crashes.record_loss(owner, record, run)
+  # Runs that it hasn't confirmed may have crashed the earlier incarnation, too.
+  for run in record.runs.values():
+    if not (run.id in listed or run.is_at_later_incarnation):
+      crashes.record_loss(owner, record, run)
   owner.kept_records.forget_result_numbers(record.info.id)
   record.begin_incarnation(born_ms, owner.now)
   _revoke_late_starts(owner, record)
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -1,5 +1,6 @@
 """Tests tasks that crash their endpoints, in an emulated fleet."""
 
+import collections
 import dataclasses
 
 import pytest
@@ -247,11 +248,12 @@
   assert emulation.broken == []
 
 
-# Guards against endpoints that are crashed again and again since an endpoint's
-# second crash isn't counted.
+# Guards against endpoints that are crashed again and again since the loss of an
+# unanswered run isn't counted when its endpoint restarts under its id, or since
+# an endpoint's second crash isn't counted.
 @pytest.mark.parametrize("endpoints", [8, 1])
 @pytest.mark.parametrize("back_s", [0.3, 0.6, 1.0, 1.5, 3.0])
-@pytest.mark.parametrize("crash_s", [0.001, 0.05, 0.3])
+@pytest.mark.parametrize("crash_s", CRASH_S)
 def test_job_that_crashes_endpoints_that_keep_their_ids_fails(
     crash_s, back_s, endpoints
 ):
@@ -264,6 +266,79 @@
   assert emulation.broken == []
 
 
+class RandomTrouble:
+  """Disturbs one data centre at random; counts the crashes under each task."""
+
+  def __init__(self, emulation: fleet_lib.Fleet, keeps_id: bool):
+    self.crashes: collections.Counter[model.Task] = collections.Counter()
+    self._emulation = emulation
+    self._keeps_id = keeps_id
+
+  def _crash(self, endpoint):
+    self.crashes.update({run.task for run in endpoint.running})
+    self._emulation.unexpired.add(endpoint.info.id)
+    endpoint.crash()
+    back_s = self._emulation.rng.choice([0.3, 1.0, 2.0, 4.5])
+    self._emulation.clock.after(back_s, lambda: self._restart(endpoint))
+
+  def _restart(self, endpoint):
+    if self._keeps_id:
+      endpoint.restart(int(1000 + self._emulation.clock.now * 1000))
+    else:
+      self._emulation.restart_endpoint(endpoint)
+
+  def crash_some(self):
+    """A rack, or a single endpoint, loses power."""
+    up = [e for e in current_endpoints(self._emulation) if not e.unreachable]
+    share = self._emulation.rng.choice([0.0, 0.5, 1.0])
+    for endpoint in up[: max(1, round(share * len(up)))]:
+      self._crash(endpoint)
+
+  def cut_off_some(self):
+    """Endpoints are cut off for a while, and go on."""
+    up = [e for e in current_endpoints(self._emulation) if not e.unreachable]
+    for endpoint in up[: self._emulation.rng.randint(0, len(up))]:
+      self._emulation.unexpired.add(endpoint.info.id)
+      endpoint.unreachable = True
+      self._emulation.clock.after(
+          self._emulation.rng.uniform(0.2, 3.0),
+          lambda e=endpoint: setattr(e, "unreachable", False),
+      )
+
+  def replace_holder(self):
+    """The holder is killed, and its host restarted."""
+    for host in fleets.hosts_in(self._emulation, "a"):
+      if host.up and host.state.owners:
+        self._emulation.kill(host.name)
+        self._emulation.clock.after(
+            0.5, lambda h=host: self._emulation.add_host(h.name, "a")
+        )
+
+
+# Guards against all that lets a loss count against a task that can't have
+# caused it.
+@pytest.mark.parametrize("keeps_id", [False, True])
+@pytest.mark.parametrize("seed", [*range(12), 15, 84, 132])
+def test_job_is_given_up_only_after_two_crashes_under_a_task(seed, keeps_id):
+  emulation = fleets.fleet(seed=seed)
+  if keeps_id:
+    restart_under_their_ids(emulation, 3.0)
+  trouble = RandomTrouble(emulation, keeps_id)
+  names = [f"good{number}" for number in range(6)]
+  for name in names:
+    emulation.submit("a0", kept.job(name, 1, 3000), [3.0], 60.0)
+  kinds = [trouble.crash_some, trouble.cut_off_some, trouble.replace_holder]
+  for number in range(6):
+    begin_s = emulation.clock.now + 0.5 + 2.5 * number
+    at_s = begin_s + emulation.rng.uniform(0.0, 2.0)
+    emulation.clock.at(at_s, emulation.rng.choice(kinds))
+  emulation.clock.run_until(80)
+  for name in names:
+    if emulation.kept_store.states[name] is not model.KeptJobState.DONE:
+      assert trouble.crashes[model.Task(name, 0, 0)] >= 2
+  assert emulation.broken == []
+
+
 def test_draining_endpoints_do_not_count_as_losses():
   emulation = fleets.fleet()
   submit_job(emulation, "a0", "good", None)
