Failed attempts count although the task has another run by then

The next holder dropped failed ends of runs that its predecessor hadn't stored where the task's next run was active, and then acknowledged them.

The emulated fleet checks the rule in all its tests.

--- a/fescueturn/emulator/endpoint.py
+++ b/fescueturn/emulator/endpoint.py
@@ -7,6 +7,7 @@
 endpoint's lease has expired.
 """
 
+import bisect
 import dataclasses
 import math
 from collections.abc import Callable
@@ -55,7 +56,11 @@
       acknowledged that it is done.
     crash_after_s: time (s) from its start until it crashes its endpoint, or
       None if it doesn't crash it; 0 crashes it before it answers.
+    attempts: after this many failed runs that a holder has acknowledged it must
+      not be started again; None for any number.
     started_at: when a run of it was last started (s).
+    failed_at: when its failed runs ended that a holder has acknowledged (s), in
+      ascending order.
   """
 
   need: model.Resources
@@ -63,7 +68,16 @@
   fails: bool = False
   no_rerun: bool = False
   crash_after_s: float | None = None
+  attempts: int | None = None
   started_at: float = -math.inf
+  failed_at: list[float] = dataclasses.field(default_factory=list)
+
+  @property
+  def exhausted_at(self) -> float:
+    """When its last attempt failed (s); infinity if it has attempts left."""
+    if self.attempts is None or len(self.failed_at) < self.attempts:
+      return math.inf
+    return self.failed_at[self.attempts - 1]
 
 
 @dataclasses.dataclass(frozen=True)
@@ -269,7 +283,16 @@
       self._broken.append(
           f"{self._clock.now:.3f} {run_id} started after its task was done"
       )
-    self._profile_of(run_id.task).started_at = self._clock.now
+    profile = self._profile_of(run_id.task)
+    profile.started_at = self._clock.now
+    self._check_attempts(run_id, profile)
+
+  def _check_attempts(self, run_id: model.RunId, profile: TaskProfile):
+    if profile.started_at > profile.exhausted_at:
+      self._broken.append(
+          f"{self._clock.now:.3f} {self.info.id} {run_id}: the task was started"
+          f" at {profile.started_at:.3f}, after its last attempt had failed"
+      )
 
   def _finish_run(self, run_id: model.RunId, how: model.RunOutcome):
     run = self._runs.get(run_id)
@@ -398,6 +421,8 @@
       if ended.number <= last_seen and ended.how is model.RunOutcome.DONE:
         self._acknowledged_done.add(ended.run.task)
         self._check_acknowledged(unheard)
+      if ended.number <= last_seen and ended.how is model.RunOutcome.FAILED:
+        self._acknowledge_failure(unheard)
       if self._listed_count < ended.number <= last_seen:
         self._broken.append(
             f"{self._clock.now:.3f} {self.info.id} forgets the end of"
@@ -405,6 +430,14 @@
         )
     self._unheard = [u for u in self._unheard if u.ended.number > last_seen]
 
+  def _acknowledge_failure(self, unheard: _UnheardEnd):
+    if unheard.expiries != self._expiries:
+      return
+    run_id = unheard.ended.run
+    profile = self._profile_of(run_id.task)
+    bisect.insort(profile.failed_at, unheard.at)
+    self._check_attempts(run_id, profile)
+
   def _check_acknowledged(self, unheard: _UnheardEnd):
     """Checks that no run was started between an end and now."""
     run_id = unheard.ended.run
--- a/fescueturn/emulator/fleet.py
+++ b/fescueturn/emulator/fleet.py
@@ -209,7 +209,10 @@
     ]
     for (task, need), seconds in zip(tasks, run_s, strict=True):
       self.task_profiles[task] = endpoint_lib.TaskProfile(
-          need, seconds, no_rerun=job.kept
+          need,
+          seconds,
+          no_rerun=job.kept,
+          attempts=job.attempts if job.kept else None,
       )
     if crash_after_s is not None:
       self.task_profiles[tasks[0][0]].crash_after_s = crash_after_s
--- a/fescueturn/scheduler/outcomes.py
+++ b/fescueturn/scheduler/outcomes.py
@@ -179,10 +179,11 @@
   complete_steps_before(owner, job, task, run_id)
   if early.how is model.RunOutcome.DONE:
     _complete_task(owner, job, task)
-  elif task.state is ownerstate.TaskState.WAITING:
-    task.attempt = max(task.attempt, early.attempt)
-    if job.job.kept:
-      task.failed |= early.failed
+    return
+  # The task may have another run by now, which an earlier holder started.
+  task.attempt = max(task.attempt, early.attempt)
+  if job.job.kept:
+    task.failed |= early.failed
 
 
 def handle_listed_end(owner, record, ended: model.EndedRun):
