Waiting kept jobs are counted while their shard changes its holder

Each new claim, the new holder's answers before it has read the jobs, and the old one's answer that it holds the shard no more, set the count to nothing. Now the last count stands until a holder tells one (`pendingUnknown` in a pong; earlier builds ignore it).

--- a/fescueturn/scheduler/coordinator.py
+++ b/fescueturn/scheduler/coordinator.py
@@ -131,7 +131,8 @@
     holder: coordinatorstate.HolderRecord,
     message: linkmessages.Pong,
 ):
-  holder.pending = dict(message.pending)
+  if message.holding and message.pending is not None:
+    holder.pending = dict(message.pending)
   holder.update_roster(message)
   clock_was_known = holder.clock_ahead_s is not None
   holder.record_clock(message, state.now)
@@ -414,6 +415,9 @@
   if before is not None and before.holder.fence >= event.holder.fence:
     return
   after = coordinatorstate.HolderRecord(event.holder, state.now)
+  if before is not None:
+    # They are stored, so the next holder has them as well.
+    after.pending = before.pending
   state.holders[event.shard] = after
   state.emit(
       events.log(
--- a/fescueturn/scheduler/keptjobs.py
+++ b/fescueturn/scheduler/keptjobs.py
@@ -477,8 +477,13 @@
   )
 
 
-def pending(owner: ownerstate.Owner) -> dict[str, int]:
-  """Returns the number of kept jobs without a started task, by queue."""
+def pending(owner: ownerstate.Owner) -> dict[str, int] | None:
+  """Returns the number of kept jobs without a started task, by queue.
+
+  None if the stored jobs have not been read yet.
+  """
+  if not owner.kept_records.loaded:
+    return None
   counts: dict[str, int] = {}
   for job in owner.jobs.values():
     if job.job.kept and not job.started:
--- a/fescueturn/scheduler/link.capnp
+++ b/fescueturn/scheduler/link.capnp
@@ -120,6 +120,8 @@
     pong :group {
       holding @11 :Bool;
       pending @20 :List(Pending);
+      # True if the holder hasn't read the kept jobs yet; pending is then empty.
+      pendingUnknown @57 :Bool;
       # True if endpoints contains the roster, which is sent only if the ping's
       # version differs.
       hasEndpoints @26 :Bool;
--- a/fescueturn/scheduler/linkholdercodec.py
+++ b/fescueturn/scheduler/linkholdercodec.py
@@ -65,8 +65,10 @@
       group.init("agreed", len(message.confirmed_suspects)),
       message.confirmed_suspects,
   )
-  rows = group.init("pending", len(message.pending))
-  for row, (queue, jobs) in zip(rows, message.pending, strict=True):
+  group.pendingUnknown = message.pending is None
+  pending = message.pending or ()
+  rows = group.init("pending", len(pending))
+  for row, (queue, jobs) in zip(rows, pending, strict=True):
     row.queue = queue
     row.jobs = jobs
 
@@ -74,9 +76,10 @@
 def _decode_pong(message, shard, coordinator) -> linkmessages.Pong:
   del shard, coordinator
   pong = message.pong
+  pending = tuple((row.queue, row.jobs) for row in pong.pending)
   return linkmessages.Pong(
       pong.holding,
-      tuple((row.queue, row.jobs) for row in pong.pending),
+      None if pong.pendingUnknown else pending,
       message.at,
       message.roster,
       tuple(pong.endpoints) if pong.hasEndpoints else None,
--- a/fescueturn/scheduler/linkmessages.py
+++ b/fescueturn/scheduler/linkmessages.py
@@ -225,7 +225,8 @@
 
   Attributes:
     holding: False if the process does not own the shard (any more).
-    pending: number of kept jobs that have not started, by queue.
+    pending: number of kept jobs that have not started, by queue; None if the
+      holder hasn't read them from the store yet.
     at: the `at` of the ping.
     roster: the current version of the holder's roster; 0 while it has none.
     endpoints: the roster, if the ping had another version: every endpoint that
@@ -241,7 +242,7 @@
   """
 
   holding: bool = True
-  pending: tuple[tuple[str, int], ...] = ()
+  pending: tuple[tuple[str, int], ...] | None = ()
   at: float = 0.0
   roster: int = 0
   endpoints: tuple[str, ...] | None = None
--- a/tests/test_linkcodec.py
+++ b/tests/test_linkcodec.py
@@ -125,6 +125,12 @@
     linkcodec.decode(data, PROCESS)
 
 
+def test_pong_without_a_count_of_pending_jobs_round_trips():
+  message = linkmessages.Pong(pending=None)
+  data = linkcodec.encode(SHARD, message)
+  assert linkcodec.decode(data, PROCESS) == (SHARD, message)
+
+
 def test_priority_of_a_job_round_trips():
   job = dataclasses.replace(JOB, priority=2)
   offered = linkmessages.Offered(SHARD, KEY, job, 0.25, 1.5)
