--- a/fescueturn/scheduler/crashes.py
+++ b/fescueturn/scheduler/crashes.py
@@ -56,13 +56,11 @@
     owner.emit(ownerstate.run_log("loss_ignored", record, run, why=why))
     return
   name = record.info.id
+  was_up = run.is_confirmed or run.endpoint_was_up
   lost = model.LostEndpoint(
-      task.task, name, record.info.address, record.born_ms
+      task.task, name, record.info.address, record.born_ms, was_up
   )
   task.lost_endpoints[name] = lost
-  was_up = run.is_confirmed or run.endpoint_was_up
-  if not was_up:
-    task.maybe_down_before.add(name)
   _add_suspected_crash(owner, lost)
   if job.job.kept:
     _save_losses(owner, job, name)
@@ -173,11 +171,8 @@
     lost = task.lost_endpoints.pop(name, None)
     if lost is None:
       continue  # The job was submitted again since.
-    if name in task.maybe_down_before:
-      task.maybe_down_before.remove(name)
-      task.maybe_crashed_before.add(lost.incarnation)
-    else:
-      task.crashed.add(lost.incarnation)
+    crashed = task.crashed if lost.was_up else task.maybe_crashed_before
+    crashed.add(lost.incarnation)
     jobs[job.key] = job
     if job.job.kept:
       _save_losses(owner, job, name)
@@ -214,7 +209,6 @@
   """Discards the losses of an endpoint that did not crash, or may not have."""
   for _, task in _pop_losses(owner, name):
     task.lost_endpoints.pop(name, None)
-    task.maybe_down_before.discard(name)
 
 
 def resume_losses(owner: ownerstate.Owner, job: ownerstate.JobRecord):
--- a/fescueturn/scheduler/model.py
+++ b/fescueturn/scheduler/model.py
@@ -184,12 +184,15 @@
     endpoint: the endpoint's id.
     address: its address.
     born_ms: when the lost incarnation started (Unix time, ms); 0 if unknown.
+    was_up: False if it may have been down already when the run was requested.
+      Kept jobs have no such losses.
   """
 
   task: Task
   endpoint: str
   address: settings.Address
   born_ms: int = 0
+  was_up: bool = True
 
   @property
   def incarnation(self) -> str:
--- a/fescueturn/scheduler/ownerstate.py
+++ b/fescueturn/scheduler/ownerstate.py
@@ -74,8 +74,6 @@
     self.maybe_crashed_before: set[str] = set()
     # Endpoints by id that were lost, and may have crashed, while they ran it.
     self.lost_endpoints: dict[str, model.LostEndpoint] = {}
-    # Those of them that may have been down before its run was requested.
-    self.maybe_down_before: set[str] = set()
     self.run: model.RunId | None = None
     self.endpoint = ""
     # The endpoint where one of its runs was stopped for being slow, if any.
