A holder that is stopped before it has read the stored jobs names its successor

A host whose planned stop came before it had read its shard's records ended with reducer_failed (AttributeError): the message that names the successor took the count of waiting jobs, which isn't known by then since "Waiting kept jobs are counted while their shard changes its holder". The count now has one form for both messages.

test_holder_may_be_stopped_before_it_has_read_the_stored_jobs failed before with the same error.

--- a/fescueturn/scheduler/keptjobs.py
+++ b/fescueturn/scheduler/keptjobs.py
@@ -477,8 +477,8 @@
   )
 
 
-def pending(owner: ownerstate.Owner) -> dict[str, int] | None:
-  """Returns the number of kept jobs without a started task, by queue.
+def pending(owner: ownerstate.Owner) -> tuple[tuple[str, int], ...] | None:
+  """Returns each queue and the number of its kept jobs that have not started.
 
   None if the stored jobs have not been read yet.
   """
@@ -488,7 +488,7 @@
   for job in owner.jobs.values():
     if job.job.kept and not job.started:
       counts[job.job.queue] = counts.get(job.job.queue, 0) + 1
-  return counts
+  return tuple(sorted(counts.items()))
 
 
 def replace_fence(owner: ownerstate.Owner, fence: int, took_s: float):
--- a/fescueturn/scheduler/reducer.py
+++ b/fescueturn/scheduler/reducer.py
@@ -230,9 +230,8 @@
     # Before the owner has recovered, runs of the previous holder may be active
     # on endpoints that the roster does not contain.
     update = owner.roster.update_for(ping.roster, owner.endpoints, owner.now)
-  pending = keptjobs.pending(owner)
   return linkmessages.Pong(
-      pending=None if pending is None else tuple(sorted(pending.items())),
+      pending=keptjobs.pending(owner),
       at=ping.at,
       roster=update.version,
       endpoints=update.endpoints,
--- a/fescueturn/scheduler/shardownership.py
+++ b/fescueturn/scheduler/shardownership.py
@@ -259,9 +259,7 @@
   candidate.yield_until = state.now + handover.YIELD_S
   candidate.released_at = state.now
   owner.successor = successor
-  named = linkmessages.Pong(
-      pending=tuple(sorted(keptjobs.pending(owner).items())), successor=True
-  )
+  named = linkmessages.Pong(pending=keptjobs.pending(owner), successor=True)
   effects = [
       events.SendToCoordinator(successor, owner.shard, named),
       events.log(
--- a/tests/test_pending_jobs.py
+++ b/tests/test_pending_jobs.py
@@ -32,7 +32,7 @@
 
   def waiting(host) -> int:
     (owner,) = host.state.owners.values()
-    return keptjobs.pending(owner).get(QUEUE, 0)
+    return dict(keptjobs.pending(owner)).get(QUEUE, 0)
 
   holders = [fleets.owner_of(emulation, name) for name in fleets.DATA_CENTRES]
   return max(holders, key=waiting)
@@ -49,6 +49,21 @@
   return told
 
 
+# Guards against an error of a holder that counts jobs that it hasn't read.
+def test_holder_may_be_stopped_before_it_has_read_the_stored_jobs():
+  emulation = fleets.fleet(endpoints=1)
+  emulation.kept_load_delay_s = 2.0
+  submit_waiting_jobs(emulation)
+  first = holder_of_most(emulation)
+  data_centre = first.data_centre
+  first.apply(events.DrainStarted())
+  emulation.clock.run_until(emulation.clock.now + 0.3)
+  second = fleets.owner_of(emulation, data_centre)
+  second.apply(events.DrainStarted())
+  assert pending_elsewhere(emulation, data_centre, 4.0) == {WAITING}
+  assert fleets.owner_of(emulation, data_centre) not in (first, second)
+
+
 # Guards against a next holder that counts no waiting jobs before it has read
 # them from the store.
 @pytest.mark.parametrize("load_s", [0.02, 0.3, 1.0])
