--- a/tests/test_standin_platform.py
+++ b/tests/test_standin_platform.py
@@ -30,18 +30,22 @@
     await clock.close()
 
 
+# Long enough for the calls that follow its grant on a busy machine.
+LEASE_MS = 2000
+
+
 def test_down_fails_waiting_watches_without_changes():
   """A waiting watch fails; it does not return a change made while down."""
 
   async def body(kv, platform_control):
-    lease = await kv.grant(200)
+    lease = await kv.grant(LEASE_MS)
     revision = await kv.transact(
         kvtypes.Transaction(puts={"/m/x": b"1"}, lease=lease)
     )
     watch = await curio.spawn(kv.watch, "/m/", revision, 10_000)
     await curio.sleep(0.05)
     await platform_control.set_fault("down")
-    await curio.sleep(0.4)  # The lease expires during this time.
+    await curio.sleep(1.5 * LEASE_MS / 1000)  # The lease expires.
     try:
       return await watch.join()
     except curio.TaskError as exc:
